Add the layout, the core types and one request path

Cause: the repository was empty. Change: folders for domain, ports, application, adapters and composition roots; core types; a request path from an HTTP front end over route, balancer and undici to a whole answer; settings and preset parsing; the tRPC connection between peers; docs/design.md with the alternatives considered.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,208 @@
+import { fileURLToPath } from 'node:url';
+
+import { configs, plugins } from 'eslint-config-airbnb-extended';
+
+// docs/verbs.md lists these verbs; keep both in step.
+const verbs = [
+  'accept',
+  'add',
+  'announce',
+  'answer',
+  'append',
+  'apply',
+  'ask',
+  'build',
+  'cancel',
+  'check',
+  'choose',
+  'close',
+  'commit',
+  'compare',
+  'complete',
+  'compute',
+  'confirm',
+  'connect',
+  'count',
+  'create',
+  'decide',
+  'decode',
+  'describe',
+  'dispatch',
+  'draw',
+  'drop',
+  'eject',
+  'elect',
+  'encode',
+  'end',
+  'estimate',
+  'exchange',
+  'expect',
+  'fail',
+  'find',
+  'follow',
+  'format',
+  'get',
+  'grant',
+  'handle',
+  'install',
+  'join',
+  'leave',
+  'list',
+  'load',
+  'mark',
+  'measure',
+  'merge',
+  'open',
+  'parse',
+  'print',
+  'propose',
+  'prune',
+  'put',
+  'read',
+  'record',
+  'refuse',
+  'register',
+  'release',
+  'remove',
+  'render',
+  'renew',
+  'replay',
+  'report',
+  'request',
+  'reset',
+  'resolve',
+  'restore',
+  'retry',
+  'run',
+  'save',
+  'send',
+  'serve',
+  'set',
+  'show',
+  'sleep',
+  'start',
+  'stop',
+  'store',
+  'subscribe',
+  'sync',
+  'take',
+  'tick',
+  'transfer',
+  'truncate',
+  'update',
+  'use',
+  'verify',
+  'vote',
+  'wait',
+  'watch',
+  'write',
+];
+const predicates = ['is', 'has', 'may', 'can', 'should'];
+// Names that a library or the language fixes.
+const fixed = ['main', 'now', 'next', 'on', 'to', 'from', 'map', 'debug', 'info', 'warn', 'error'];
+const functionName = {
+  regex: `^(${[...verbs, ...predicates, ...fixed].join('|')})([A-Z0-9].*)?$`,
+  match: true,
+};
+
+// Each layer lists the layers that it must not import.
+const layers = {
+  domain: ['ports', 'application', 'adapters', 'daemon', 'cli'],
+  ports: ['application', 'adapters', 'daemon', 'cli'],
+  application: ['adapters', 'daemon', 'cli'],
+  adapters: ['daemon', 'cli'],
+  daemon: ['cli'],
+  cli: ['daemon', 'application'],
+};
+
+const layerZones = Object.entries(layers).flatMap(([layer, forbidden]) =>
+  forbidden.map((other) => ({
+    target: `./src/${layer}`,
+    from: `./src/${other}`,
+    message: `${layer} must not import ${other}; see docs/design.md, section 3.`,
+  })),
+);
+
+export default [
+  { ignores: ['dist/**', 'coverage/**'] },
+  plugins.stylistic,
+  plugins.importX,
+  plugins.node,
+  plugins.typescriptEslint,
+  ...configs.base.typescript,
+  ...configs.node.recommended,
+  {
+    files: ['**/*.ts', '**/*.js'],
+    languageOptions: {
+      parserOptions: { projectService: { allowDefaultProject: ['*.js'] } },
+    },
+    settings: { 'import-x/resolver': { typescript: true, node: { extensions: ['.js', '.ts'] } } },
+    rules: {
+      // Prettier formats the code.
+      '@stylistic/max-len': [
+        'error',
+        {
+          code: 100,
+          ignoreUrls: true,
+          ignoreStrings: true,
+          ignoreTemplateLiterals: true,
+          ignoreRegExpLiterals: true,
+        },
+      ],
+      'import-x/no-restricted-paths': [
+        'error',
+        { zones: layerZones, basePath: fileURLToPath(new URL('.', import.meta.url)) },
+      ],
+      'import-x/extensions': 'off',
+      'import-x/no-extraneous-dependencies': 'off',
+      // State and its decisions share a class even where a method reads only its arguments.
+      'class-methods-use-this': 'off',
+      'no-underscore-dangle': 'error',
+      'no-console': 'error',
+    },
+  },
+  {
+    files: ['src/**/*.ts'],
+    rules: {
+      '@typescript-eslint/naming-convention': [
+        'error',
+        {
+          selector: 'variableLike',
+          format: ['camelCase', 'PascalCase', 'UPPER_CASE'],
+          leadingUnderscore: 'allow',
+        },
+        { selector: 'function', format: ['camelCase'], custom: functionName },
+        { selector: 'classMethod', format: ['camelCase'], custom: functionName },
+        { selector: 'typeLike', format: ['PascalCase'] },
+      ],
+      '@typescript-eslint/no-floating-promises': 'error',
+      '@typescript-eslint/switch-exhaustiveness-check': 'error',
+    },
+  },
+  {
+    // Tasks loop over a connection or a peer and await in the loop; the house style asks for it.
+    files: [
+      'src/application/**/*.ts',
+      'src/adapters/**/*.ts',
+      'src/daemon/**/*.ts',
+      'src/cli/**/*.ts',
+      'tests/**/*.ts',
+      'bench/**/*.ts',
+      'examples/**/*.ts',
+    ],
+    rules: {
+      'no-await-in-loop': 'off',
+      'no-continue': 'off',
+      'no-restricted-syntax': [
+        'error',
+        { selector: 'ForInStatement', message: 'Use Object.keys() and array methods.' },
+        { selector: 'LabeledStatement', message: 'Labels make control flow hard to follow.' },
+        { selector: 'WithStatement', message: 'with is not allowed in strict mode.' },
+      ],
+    },
+  },
+  {
+    files: ['src/cli/**/*.ts', 'src/daemon/**/*.ts', 'bench/**/*.ts', 'examples/**/*.ts'],
+    rules: { 'n/no-process-exit': 'off' },
+  },
+];
--- /dev/null
+++ b/src/adapters/http/UpstreamExchange.ts
@@ -0,0 +1,142 @@
+import type { Dispatcher } from 'undici';
+
+import type Clock from '../../ports/Clock.ts';
+import type {
+  NotSentReason,
+  SentFailure,
+  UpstreamRequest,
+  UpstreamResult,
+} from '../../ports/UpstreamClient.ts';
+
+type CancelReason = 'cancelled' | 'timed_out';
+
+/** One request on its connection, followed until its answer is whole or failed. */
+export default class UpstreamExchange implements Dispatcher.DispatchHandler {
+  readonly result: Promise<UpstreamResult>;
+
+  private resolveResult: (result: UpstreamResult) => void = () => undefined;
+
+  private readonly request: UpstreamRequest;
+
+  private readonly clock: Clock;
+
+  private controller: Dispatcher.DispatchController | undefined;
+
+  private isDispatched = false;
+
+  private isEnded = false;
+
+  private status = 0;
+
+  private headers: (readonly [string, string])[] = [];
+
+  private expectedBytes: number | undefined;
+
+  private receivedBytes = 0;
+
+  private readonly chunks: Buffer[] = [];
+
+  constructor(options: { readonly request: UpstreamRequest; readonly clock: Clock }) {
+    this.request = options.request;
+    this.clock = options.clock;
+    this.result = new Promise((resolve) => {
+      this.resolveResult = resolve;
+    });
+  }
+
+  /** Ends the exchange from this side and closes its connection. */
+  cancelExchange(reason: CancelReason): void {
+    if (this.isDispatched) this.failAnswer(reason);
+    else this.refuseDispatch(reason === 'cancelled' ? 'cancelled' : 'deadline_passed');
+  }
+
+  // undici calls this synchronously right before it writes the request to the socket.
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+    if (this.isEnded) controller.abort(new Error('request ended before it was sent'));
+    else if (this.clock.now() >= this.request.deadline) this.refuseDispatch('deadline_passed');
+    else if (!this.request.mayDispatch()) this.refuseDispatch('forbidden');
+    else this.isDispatched = true;
+  }
+
+  onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
+    if (status < 200) return;
+    this.status = status;
+    this.headers = this.readHeaders(controller.rawHeaders as Buffer[]);
+    const length = this.findHeader('content-length');
+    this.expectedBytes = length === undefined ? undefined : Number(length);
+    if (this.request.echoRequestId) {
+      const echoed = this.findHeader('pistachiohoist-request-id');
+      if (echoed !== this.request.requestId) this.failAnswer('mismatched');
+    }
+    const isEndedByClose =
+      length === undefined && this.findHeader('transfer-encoding') === undefined;
+    if (isEndedByClose && this.mayHaveBody()) this.failAnswer('truncated');
+  }
+
+  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.isEnded) return;
+    this.receivedBytes += chunk.byteLength;
+    if (this.receivedBytes > this.request.maxAnswerBytes) this.failAnswer('too_large');
+    else this.chunks.push(chunk);
+  }
+
+  onResponseEnd(): void {
+    if (this.isEnded) return;
+    const isShort =
+      this.mayHaveBody() &&
+      this.expectedBytes !== undefined &&
+      this.receivedBytes !== this.expectedBytes;
+    if (isShort) {
+      this.failAnswer('truncated');
+      return;
+    }
+    const answer = {
+      status: this.status,
+      headers: this.headers,
+      body: Buffer.concat(this.chunks),
+    };
+    this.endExchange({ kind: 'answered', answer });
+  }
+
+  onResponseError(): void {
+    if (!this.isDispatched) {
+      this.endExchange({ kind: 'not_sent', reason: 'unreachable' });
+    } else if (this.status === 0) {
+      this.endExchange({ kind: 'failed', reason: 'reset' });
+    } else {
+      this.endExchange({ kind: 'failed', reason: 'truncated' });
+    }
+  }
+
+  private mayHaveBody(): boolean {
+    return this.request.method !== 'HEAD' && this.status !== 204 && this.status !== 304;
+  }
+
+  private readHeaders(rawHeaders: readonly Buffer[]): (readonly [string, string])[] {
+    const texts = rawHeaders.map((item) => item.toString('latin1'));
+    return texts
+      .filter((_, index) => index % 2 === 0)
+      .map((name, index) => [name.toLowerCase(), texts[2 * index + 1] ?? ''] as const);
+  }
+
+  private findHeader(wanted: string): string | undefined {
+    return this.headers.find(([name]) => name === wanted)?.[1];
+  }
+
+  private refuseDispatch(reason: NotSentReason): void {
+    this.endExchange({ kind: 'not_sent', reason });
+    this.controller?.abort(new Error(`request not sent: ${reason}`));
+  }
+
+  private failAnswer(reason: SentFailure): void {
+    this.endExchange({ kind: 'failed', reason });
+    this.controller?.abort(new Error(`answer refused: ${reason}`));
+  }
+
+  private endExchange(result: UpstreamResult): void {
+    if (this.isEnded) return;
+    this.isEnded = true;
+    this.resolveResult(result);
+  }
+}
--- /dev/null
+++ b/src/adapters/http/writeClientError.ts
@@ -0,0 +1,29 @@
+import type { Duplex } from 'node:stream';
+
+import errorAnswers from '../../domain/errors/errorAnswers.ts';
+import createFailureAnswer from '../../application/requests/createFailureAnswer.ts';
+
+const reasons: Readonly<Record<number, string>> = {
+  400: 'Bad Request',
+  431: 'Request Header Fields Too Large',
+};
+
+/** Answers bytes that are no HTTP request, then closes the connection. */
+export default function writeClientError(error: NodeJS.ErrnoException, socket: Duplex): void {
+  if (!socket.writable || error.code === 'ECONNRESET') {
+    socket.destroy();
+    return;
+  }
+  const kind = error.code === 'HPE_HEADER_OVERFLOW' ? 'headers_too_large' : 'request_malformed';
+  const { status } = errorAnswers[kind];
+  const { body, outcome } = createFailureAnswer({ kind, message: `request: ${error.message}` });
+  const head = [
+    `HTTP/1.1 ${status} ${reasons[status] ?? 'Error'}`,
+    'content-type: application/json',
+    `content-length: ${body.byteLength}`,
+    `pistachiohoist-outcome: ${outcome}`,
+    `pistachiohoist-error: ${kind}`,
+    'connection: close',
+  ].join('\r\n');
+  socket.end(Buffer.concat([Buffer.from(`${head}\r\n\r\n`), body]));
+}
--- /dev/null
+++ b/src/adapters/system/SystemClock.ts
@@ -0,0 +1,30 @@
+import type Clock from '../../ports/Clock.ts';
+
+// Node fires timers with a longer delay at once.
+const longestTimerMs = 2 ** 31 - 1;
+
+/** Operating system time, counted from the start of the process so that it never goes back. */
+export default class SystemClock implements Clock {
+  now(): number {
+    return performance.timeOrigin + performance.now();
+  }
+
+  async sleepUntil(deadline: number, signal?: AbortSignal): Promise<void> {
+    while (this.now() < deadline && !signal?.aborted) {
+      await this.sleepOnce(Math.min(deadline - this.now(), longestTimerMs), signal);
+    }
+  }
+
+  private sleepOnce(delayMs: number, signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      let timer: NodeJS.Timeout | undefined;
+      const end = (): void => {
+        clearTimeout(timer);
+        signal?.removeEventListener('abort', end);
+        resolve();
+      };
+      timer = setTimeout(end, delayMs);
+      signal?.addEventListener('abort', end, { once: true });
+    });
+  }
+}
--- /dev/null
+++ b/src/adapters/trpc/TrpcPeerServer.ts
@@ -0,0 +1,90 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server } from 'node:http';
+import type { Duplex } from 'node:stream';
+
+import type { AnyTRPCRouter } from '@trpc/server';
+import { applyWSSHandler } from '@trpc/server/adapters/ws';
+import { WebSocketServer } from 'ws';
+
+import errorAnswers from '../../domain/errors/errorAnswers.ts';
+import type { ListenAddress } from '../../domain/settings/DaemonSettings.ts';
+import type Log from '../../ports/Log.ts';
+import openServer from '../http/openServer.ts';
+import writeClientError from '../http/writeClientError.ts';
+import compareKeys from './compareKeys.ts';
+
+/** Largest message between peers; snapshots are sent in smaller pieces. */
+export const maxPeerMessageBytes = 16_777_216;
+
+/** Options of the peers listener. */
+export interface TrpcPeerServerOptions {
+  readonly router: AnyTRPCRouter;
+  readonly peerKey: string;
+  readonly log: Log;
+}
+
+/** The peers listener: procedures over one lasting WebSocket for each peer that has the key. */
+export default class TrpcPeerServer {
+  private readonly options: TrpcPeerServerOptions;
+
+  private readonly server: Server;
+
+  private readonly sockets: WebSocketServer;
+
+  constructor(options: TrpcPeerServerOptions) {
+    this.options = options;
+    this.sockets = new WebSocketServer({ noServer: true, maxPayload: maxPeerMessageBytes });
+    // tRPC ends nothing on a broken frame by itself; without a listener ws would throw.
+    this.sockets.on('connection', (socket) => {
+      socket.on('error', (error) => {
+        options.log.warn('peers: connection failed', { error: error.message });
+        socket.terminate();
+      });
+    });
+    applyWSSHandler({
+      wss: this.sockets,
+      router: options.router,
+      createContext: ({ req }) => ({ callerName: String(req.headers['pistachiohoist-host']) }),
+    });
+    this.server = createServer((_request, response) => {
+      response.writeHead(426, { 'content-type': 'application/json', upgrade: 'websocket' });
+      response.end(JSON.stringify({ error: 'message_invalid', message: 'expected a WebSocket' }));
+    });
+    this.server.on('upgrade', (request, socket, head) => this.acceptPeer(request, socket, head));
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) =>
+      writeClientError(error, socket),
+    );
+  }
+
+  openListener(address: ListenAddress): Promise<void> {
+    return openServer(this.server, address, 'listen.peers');
+  }
+
+  /** Ends all connections. */
+  closeListener(): Promise<void> {
+    this.sockets.clients.forEach((socket) => socket.terminate());
+    this.server.closeAllConnections();
+    return new Promise((resolve) => {
+      this.server.close(() => resolve());
+    });
+  }
+
+  private acceptPeer(request: IncomingMessage, socket: Duplex, head: Buffer): void {
+    const given = request.headers.authorization ?? '';
+    if (!compareKeys(given, `Bearer ${this.options.peerKey}`)) {
+      this.options.log.warn('peers: connection refused: wrong peer key', {
+        address: request.socket.remoteAddress,
+      });
+      const body = JSON.stringify({ error: 'unauthorized', message: 'expected the peer key' });
+      socket.end(
+        `HTTP/1.1 ${errorAnswers.unauthorized.status} Unauthorized\r\n` +
+          'content-type: application/json\r\nconnection: close\r\n' +
+          `content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
+      );
+      return;
+    }
+    this.sockets.handleUpgrade(request, socket, head, (peer) => {
+      this.sockets.emit('connection', peer, request);
+    });
+  }
+}
--- /dev/null
+++ b/src/adapters/yaml/parseSettings.ts
@@ -0,0 +1,99 @@
+import { z } from 'zod';
+
+import type Result from '../../domain/errors/Result.ts';
+import type DaemonSettings from '../../domain/settings/DaemonSettings.ts';
+import listenAddressSchema, { addressTextSchema } from './listenAddressSchema.ts';
+import parseYaml from './parseYaml.ts';
+
+const nameExpected = 'expected 1 to 63 lower-case letters, digits or hyphens';
+const nameSchema = z.string(nameExpected).regex(/^[a-z0-9][a-z0-9-]{0,62}$/, nameExpected);
+const keySchema = z.string('expected a text of at least 16 characters').min(16, {
+  error: 'expected a text of at least 16 characters',
+});
+
+const common = {
+  host: nameSchema,
+  failure_domain: nameSchema,
+  control: z
+    .array(z.strictObject({ host: nameSchema, address: addressTextSchema }), {
+      error: 'expected a list of control hosts, each with host and address',
+    })
+    .min(1, 'expected at least one control host')
+    .max(9, 'expected at most 9 control hosts')
+    .refine((hosts) => new Set(hosts.map(({ host }) => host)).size === hosts.length, {
+      error: 'expected a different host name for each control host',
+    }),
+  peer_key: keySchema,
+  log_level: z
+    .enum(['error', 'warn', 'info', 'debug'], 'expected one of error, warn, info, debug')
+    .default('info'),
+  stop_grace_ms: z
+    .int('expected a whole number from 0 to 60000')
+    .min(0, 'expected a whole number from 0 to 60000')
+    .max(60_000, 'expected a whole number from 0 to 60000')
+    .default(2000),
+};
+
+const entrySchema = z.strictObject({
+  ...common,
+  role: z.literal('entry'),
+  listen: z.strictObject({
+    callers: listenAddressSchema,
+    platform: listenAddressSchema,
+    peers: listenAddressSchema,
+  }),
+});
+
+const controlSchema = z.strictObject({
+  ...common,
+  role: z.literal('control'),
+  listen: z.strictObject({
+    operators: listenAddressSchema,
+    platform: listenAddressSchema,
+    peers: listenAddressSchema,
+  }),
+  operator_key: keySchema,
+  data_folder: z.string('expected the path of a folder').min(1, 'expected the path of a folder'),
+});
+
+const settingsSchema = z
+  .discriminatedUnion('role', [entrySchema, controlSchema], {
+    error: 'expected one of entry, control',
+  })
+  .refine(
+    (settings) =>
+      settings.role === 'entry' || settings.control.some(({ host }) => host === settings.host),
+    { error: 'expected the list to name this host', path: ['control'] },
+  );
+
+/** Reads and checks the settings of a daemon; `name` is the path that errors name. */
+export default function parseSettings(name: string, text: string): Result<DaemonSettings> {
+  const parsed = parseYaml({
+    name,
+    text,
+    schema: settingsSchema,
+    failureKind: 'settings_invalid',
+  });
+  if (!parsed.ok) return parsed;
+  const settings = parsed.value;
+  return {
+    ok: true,
+    value: {
+      host: settings.host,
+      failureDomain: settings.failure_domain,
+      role: settings.role,
+      listen: {
+        platform: settings.listen.platform,
+        peers: settings.listen.peers,
+        callers: settings.role === 'entry' ? settings.listen.callers : undefined,
+        operators: settings.role === 'control' ? settings.listen.operators : undefined,
+      },
+      control: settings.control,
+      peerKey: settings.peer_key,
+      operatorKey: settings.role === 'control' ? settings.operator_key : undefined,
+      dataFolder: settings.role === 'control' ? settings.data_folder : undefined,
+      logLevel: settings.log_level,
+      stopGraceMs: settings.stop_grace_ms,
+    },
+  };
+}
--- /dev/null
+++ b/src/adapters/yaml/parseYaml.ts
@@ -0,0 +1,53 @@
+import { parseDocument } from 'yaml';
+import type { z } from 'zod';
+
+import type Result from '../../domain/errors/Result.ts';
+
+/** Where a YAML text came from and what it must look like. */
+export interface YamlSource<Output> {
+  /** Named in errors, usually the path of the file. */
+  readonly name: string;
+  readonly text: string;
+  readonly schema: z.ZodType<Output>;
+  readonly failureKind: 'settings_invalid' | 'preset_invalid';
+}
+
+function readPath(document: unknown, path: readonly PropertyKey[]): unknown {
+  return path.reduce<unknown>(
+    (value, key) =>
+      typeof value === 'object' && value !== null
+        ? (value as Record<PropertyKey, unknown>)[key]
+        : undefined,
+    document,
+  );
+}
+
+function describeIssue(document: unknown, issue: z.core.$ZodIssue): string {
+  const isUnknownKey = issue.code === 'unrecognized_keys';
+  const path = isUnknownKey ? [...issue.path, issue.keys[0] ?? ''] : issue.path;
+  const key = path.length > 0 ? path.map(String).join('.') : '(top level)';
+  const value = JSON.stringify(readPath(document, path)) ?? 'missing';
+  const expected = isUnknownKey ? 'no such key is allowed here' : issue.message;
+  return `key ${key}: value ${value}: ${expected}`;
+}
+
+/** Reads and checks a YAML document; a failure names source, key, value and what is allowed. */
+export default function parseYaml<Output>(source: YamlSource<Output>): Result<Output> {
+  const fail = (detail: string): Result<Output> => ({
+    ok: false,
+    failure: { kind: source.failureKind, message: `${source.name}: ${detail}` },
+  });
+  const document = parseDocument(source.text);
+  const [syntaxError] = document.errors;
+  if (syntaxError) return fail(syntaxError.message.split('\n')[0] ?? 'not valid YAML');
+  let content: unknown;
+  try {
+    content = document.toJS({ maxAliasCount: 100 });
+  } catch (error) {
+    return fail((error as Error).message);
+  }
+  const parsed = source.schema.safeParse(content);
+  if (parsed.success) return { ok: true, value: parsed.data };
+  const [issue] = parsed.error.issues;
+  return fail(issue ? describeIssue(content, issue) : 'not valid');
+}
--- /dev/null
+++ b/src/application/requests/RequestHandler.ts
@@ -0,0 +1,203 @@
+import { createHash } from 'node:crypto';
+
+import type { StoredAnswer } from '../../domain/claims/Claim.ts';
+import type Failure from '../../domain/errors/Failure.ts';
+import type Outcome from '../../domain/errors/Outcome.ts';
+import type Result from '../../domain/errors/Result.ts';
+import type { RouteSettings, ServiceSettings } from '../../domain/presets/Preset.ts';
+import BudgetRetryPolicy from '../../domain/requests/BudgetRetryPolicy.ts';
+import OnceRetryPolicy from '../../domain/requests/OnceRetryPolicy.ts';
+import RetryBudget from '../../domain/requests/RetryBudget.ts';
+import type Clock from '../../ports/Clock.ts';
+import type RandomSource from '../../ports/RandomSource.ts';
+import type { UpstreamAnswer } from '../../ports/UpstreamClient.ts';
+import type ClaimGate from '../claims/ClaimGate.ts';
+import type { ClaimTicket } from '../claims/ClaimGate.ts';
+import type ActivePreset from './ActivePreset.ts';
+import type CallerRequest from './CallerRequest.ts';
+import type { CallerAnswer } from './CallerRequest.ts';
+import type RequestObserver from './RequestObserver.ts';
+import type UpstreamDispatcher from './UpstreamDispatcher.ts';
+import type { DispatchEnd } from './UpstreamDispatcher.ts';
+import listEndToEndHeaders from './listEndToEndHeaders.ts';
+import createDeadline from './createDeadline.ts';
+import createFailureAnswer from './createFailureAnswer.ts';
+
+/** What the handler needs. */
+export interface RequestHandlerOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly activePreset: ActivePreset;
+  readonly claims: ClaimGate;
+  readonly dispatcher: UpstreamDispatcher;
+  readonly observer: RequestObserver;
+}
+
+/** A request whose head was accepted. */
+export interface OpenedRequest {
+  readonly route: RouteSettings;
+  readonly receivedAt: number;
+  readonly deadline: number;
+}
+
+type Header = readonly [string, string];
+
+/** Answers callers' requests; front ends call it with whole requests. */
+export default class RequestHandler {
+  private readonly options: RequestHandlerOptions;
+
+  private readonly budgets = new Map<string, RetryBudget>();
+
+  constructor(options: RequestHandlerOptions) {
+    this.options = options;
+  }
+
+  /** Finds the route and the deadline from the head of a request, before its body is read. */
+  openRequest(head: {
+    readonly method: string;
+    readonly target: string;
+    readonly headers: readonly Header[];
+  }): Result<OpenedRequest> {
+    const { activePreset, clock } = this.options;
+    const call = `${head.method} ${head.target}`;
+    const fail = (kind: 'host_not_ready' | 'route_unknown', detail: string) =>
+      ({ ok: false, failure: { kind, message: `${call}: ${detail}` } }) as const;
+    if (!activePreset.routeTable) {
+      return fail('host_not_ready', 'this host has not confirmed the active preset yet');
+    }
+    const path = head.target.split('?', 1)[0] ?? head.target;
+    const route = activePreset.routeTable.findRoute(head.method, path);
+    if (!route) return fail('route_unknown', 'no route of the active preset matches');
+    const receivedAt = clock.now();
+    const deadline = createDeadline({
+      headers: head.headers,
+      now: receivedAt,
+      longestMs: route.deadlineMs,
+    });
+    if (!deadline.ok) return deadline;
+    return { ok: true, value: { route, receivedAt, deadline: deadline.value } };
+  }
+
+  /** Answers one request. Never rejects. */
+  async handleRequest(request: CallerRequest): Promise<CallerAnswer> {
+    const { answer, attempts } = await this.runRequest(request);
+    this.options.observer.recordRequest({
+      service: request.route.service,
+      startedAt: request.receivedAt,
+      endedAt: this.options.clock.now(),
+      status: answer.status,
+      errorKind: answer.errorKind,
+      attempts,
+    });
+    return answer;
+  }
+
+  private async runRequest(
+    request: CallerRequest,
+  ): Promise<{ readonly answer: CallerAnswer; readonly attempts: number }> {
+    const service = this.options.activePreset.state?.preset.services[request.route.service];
+    if (!service) {
+      const message = `${request.method} ${request.target}: the active preset has no service "${request.route.service}"`;
+      return { answer: createFailureAnswer({ kind: 'route_unknown', message }), attempts: 0 };
+    }
+    return request.route.repeat === 'never'
+      ? this.runOnce(request, service)
+      : this.runRepeatable(request, service);
+  }
+
+  private async runRepeatable(request: CallerRequest, service: ServiceSettings) {
+    const budget = this.getBudget(request.route.service);
+    budget.addRequest(service.retryShare);
+    const policy = new BudgetRetryPolicy(budget);
+    const end = await this.options.dispatcher.dispatchRequest(request, service, policy);
+    return { answer: this.createAnswer(end), attempts: end.attempts };
+  }
+
+  private async runOnce(request: CallerRequest, service: ServiceSettings) {
+    const key = this.readKey(request);
+    if (!key.ok) return { answer: createFailureAnswer(key.failure), attempts: 0 };
+    const claim = await this.options.claims.requestClaim({
+      key: key.value,
+      fingerprint: this.createFingerprint(request),
+      deadline: request.deadline,
+    });
+    if (claim.kind === 'refused') {
+      return { answer: createFailureAnswer(claim.failure), attempts: 0 };
+    }
+    if (claim.kind === 'replayed') {
+      return { answer: this.replayAnswer(claim.answer), attempts: 0 };
+    }
+    const policy = new OnceRetryPolicy();
+    const end = await this.options.dispatcher.dispatchRequest(request, service, policy);
+    this.completeClaim(claim.ticket, end);
+    return { answer: this.createAnswer(end), attempts: end.attempts };
+  }
+
+  private completeClaim(ticket: ClaimTicket, end: DispatchEnd): void {
+    if (end.outcome.kind === 'answered') {
+      ticket.completeRan(this.createStoredAnswer(end.outcome.answer));
+    } else if (this.createAnswer(end).outcome === 'not-run') {
+      ticket.completeNotRun();
+    } else {
+      ticket.completeUnknown();
+    }
+  }
+
+  private readKey(request: CallerRequest): Result<string> {
+    const key = request.headers.find(([name]) => name === 'idempotency-key')?.[1];
+    if (key !== undefined) return { ok: true, value: key };
+    if (request.route.key === 'generated') {
+      return { ok: true, value: this.options.random.createKey(request.receivedAt) };
+    }
+    const failure: Failure = {
+      kind: 'key_required',
+      message: `${request.method} ${request.target}: header Idempotency-Key is missing: expected a UUID version 7`,
+    };
+    return { ok: false, failure };
+  }
+
+  private createFingerprint(request: CallerRequest): string {
+    return createHash('sha256')
+      .update(`${request.method} ${request.target}\n`)
+      .update(request.body)
+      .digest('hex');
+  }
+
+  private createStoredAnswer(answer: UpstreamAnswer): StoredAnswer {
+    return {
+      status: answer.status,
+      headers: listEndToEndHeaders(answer.headers),
+      body: Buffer.from(answer.body).toString('base64'),
+    };
+  }
+
+  private replayAnswer(stored: StoredAnswer): CallerAnswer {
+    return {
+      status: stored.status,
+      headers: stored.headers,
+      body: Buffer.from(stored.body, 'base64'),
+      outcome: 'ran',
+      errorKind: undefined,
+    };
+  }
+
+  private createAnswer({ outcome }: DispatchEnd): CallerAnswer {
+    if (outcome.kind === 'failed') return createFailureAnswer(outcome.failure);
+    const ran: Outcome = 'ran';
+    return {
+      status: outcome.answer.status,
+      headers: listEndToEndHeaders(outcome.answer.headers),
+      body: outcome.answer.body,
+      outcome: ran,
+      errorKind: undefined,
+    };
+  }
+
+  private getBudget(service: string): RetryBudget {
+    const known = this.budgets.get(service);
+    if (known) return known;
+    const budget = new RetryBudget();
+    this.budgets.set(service, budget);
+    return budget;
+  }
+}
--- /dev/null
+++ b/src/application/requests/describeUpstreamFailure.ts
@@ -0,0 +1,34 @@
+import type ErrorKind from '../../domain/errors/ErrorKind.ts';
+import type Failure from '../../domain/errors/Failure.ts';
+import type UpstreamRecord from '../../domain/membership/UpstreamRecord.ts';
+import type { NotSentReason, SentFailure, UpstreamResult } from '../../ports/UpstreamClient.ts';
+import type CallerRequest from './CallerRequest.ts';
+
+type PlainKind = Exclude<ErrorKind, 'revision_conflict' | 'not_leader'>;
+
+const kinds: Readonly<Record<NotSentReason | SentFailure, PlainKind>> = {
+  unreachable: 'upstream_unreachable',
+  forbidden: 'deadline_passed',
+  deadline_passed: 'deadline_passed',
+  cancelled: 'caller_gone',
+  timed_out: 'upstream_timeout',
+  reset: 'upstream_reset',
+  truncated: 'answer_truncated',
+  mismatched: 'answer_mismatched',
+  too_large: 'answer_too_large',
+};
+
+/** The failure that a caller sees when an upstream gave no answer for it. */
+export default function describeUpstreamFailure(
+  request: CallerRequest,
+  record: UpstreamRecord,
+  result: UpstreamResult,
+): Failure {
+  const call = `${request.method} ${request.target} at upstream "${record.upstream}"`;
+  if (result.kind === 'answered') {
+    const message = `${call}: the upstream refused the request without running it`;
+    return { kind: 'upstream_refused', message };
+  }
+  const phase = result.kind === 'not_sent' ? 'not sent' : 'failed after it was sent';
+  return { kind: kinds[result.reason], message: `${call}: ${phase}: ${result.reason}` };
+}
--- /dev/null
+++ b/src/domain/claims/Claim.ts
@@ -0,0 +1,42 @@
+import type Failure from '../errors/Failure.ts';
+
+/** An upstream's answer as it is kept for a repeated request. */
+export interface StoredAnswer {
+  readonly status: number;
+  readonly headers: readonly (readonly [string, string])[];
+  /** Base64 of the body. */
+  readonly body: string;
+}
+
+/** Asks for the right to run the operation of a key once. */
+export interface ClaimRequest {
+  readonly kind: 'claim';
+  /** A UUID version 7, in lower case. */
+  readonly key: string;
+  /** SHA-256 of method, path and body, in hexadecimal. */
+  readonly fingerprint: string;
+  /** Entry host and its incarnation, for example `entry-1/1733310000000`. */
+  readonly holder: string;
+  /** Random id of this attempt; a resent claim repeats it. */
+  readonly attempt: string;
+}
+
+/** How an attempt ended; only its holder sends it. */
+export interface ClaimCompletion {
+  readonly kind: 'complete';
+  readonly key: string;
+  readonly attempt: string;
+  readonly result: 'ran' | 'unknown' | 'not_run';
+  /** Set for `ran` when the answer is small enough to be kept. */
+  readonly answer: StoredAnswer | undefined;
+}
+
+/** One change to the claims. */
+export type ClaimChange = ClaimRequest | ClaimCompletion;
+
+/** The answer to one claim change. */
+export type ClaimDecision =
+  | { readonly kind: 'granted' }
+  | { readonly kind: 'recorded' }
+  | { readonly kind: 'replayed'; readonly answer: StoredAnswer }
+  | { readonly kind: 'refused'; readonly failure: Failure };
--- /dev/null
+++ b/src/domain/control/ControlCommand.ts
@@ -0,0 +1,45 @@
+import type { ClaimChange, ClaimDecision } from '../claims/Claim.ts';
+import type Result from '../errors/Result.ts';
+import type Preset from '../presets/Preset.ts';
+
+/** Stores a preset under a name. */
+export interface PutPreset {
+  readonly kind: 'put_preset';
+  readonly name: string;
+  readonly preset: Preset;
+  /** Revision at which the preset last changed, 0 for a new one. */
+  readonly basedOn: number;
+  readonly changeId: string;
+  readonly operator: string;
+}
+
+/** Puts a stored preset in force. */
+export interface UsePreset {
+  readonly kind: 'use_preset';
+  readonly name: string;
+  /** Revision at which the choice in force last changed, 0 when none was made. */
+  readonly basedOn: number;
+  readonly changeId: string;
+  readonly operator: string;
+}
+
+/** Decides a batch of claim changes in order. */
+export interface ChangeClaims {
+  readonly kind: 'change_claims';
+  readonly changes: readonly ClaimChange[];
+}
+
+/** A command of the control group's log. */
+type ControlCommand = PutPreset | UsePreset | ChangeClaims;
+
+export type { ControlCommand as default };
+
+/** Revision that a preset change was accepted at. */
+export interface AcceptedChange {
+  readonly revision: number;
+}
+
+/** What applying a command gives its proposer. */
+export type ControlReply =
+  | { readonly kind: 'preset_change'; readonly result: Result<AcceptedChange> }
+  | { readonly kind: 'claims'; readonly decisions: readonly ClaimDecision[] };
--- /dev/null
+++ b/src/domain/errors/errorAnswers.ts
@@ -0,0 +1,70 @@
+import type ErrorKind from './ErrorKind.ts';
+import type Outcome from './Outcome.ts';
+
+/** The HTTP status of an error kind and what it says about the operation. */
+export interface ErrorAnswer {
+  readonly status: number;
+  readonly outcome: Outcome;
+}
+
+const refuse = (status: number): ErrorAnswer => ({ status, outcome: 'not-run' });
+const leaveOpen = (status: number): ErrorAnswer => ({ status, outcome: 'unknown' });
+
+/**
+ * The answer for each error kind. 'not-run' stands only where no byte of the operation can have
+ * left.
+ */
+const errorAnswers: Readonly<Record<ErrorKind, ErrorAnswer>> = {
+  request_malformed: refuse(400),
+  route_unknown: refuse(404),
+  headers_too_large: refuse(431),
+  body_too_large: refuse(413),
+  deadline_invalid: refuse(400),
+  deadline_passed: refuse(504),
+  host_not_ready: refuse(503),
+  host_stopping: refuse(503),
+  caller_gone: leaveOpen(499),
+
+  key_required: refuse(400),
+  key_invalid: refuse(400),
+  key_mismatch: refuse(422),
+  key_expired: leaveOpen(409),
+  operation_in_progress: leaveOpen(409),
+  operation_outcome_unknown: leaveOpen(409),
+  answer_not_kept: { status: 409, outcome: 'ran' },
+  claims_unavailable: refuse(503),
+  claims_full: refuse(503),
+
+  no_upstream: refuse(503),
+  upstream_unreachable: refuse(502),
+  upstream_refused: refuse(503),
+  upstream_timeout: leaveOpen(504),
+  upstream_reset: leaveOpen(502),
+  answer_truncated: leaveOpen(502),
+  answer_mismatched: leaveOpen(502),
+  answer_too_large: leaveOpen(502),
+
+  announcement_invalid: refuse(400),
+  announcement_stale: refuse(409),
+
+  unauthorized: refuse(401),
+  preset_invalid: refuse(400),
+  preset_unknown: refuse(404),
+  service_unknown: refuse(404),
+  revision_conflict: refuse(409),
+  change_id_reused: refuse(409),
+  not_leader: refuse(503),
+  no_quorum: leaveOpen(503),
+  wrong_replica: refuse(409),
+  message_invalid: refuse(400),
+  peer_unreachable: leaveOpen(503),
+
+  settings_invalid: refuse(500),
+  address_in_use: refuse(500),
+  data_folder_unusable: refuse(500),
+  log_damaged: refuse(500),
+
+  internal: leaveOpen(500),
+};
+
+export default errorAnswers;
--- /dev/null
+++ b/src/domain/presets/PresetState.ts
@@ -0,0 +1,10 @@
+import type Preset from './Preset.ts';
+
+/** The preset in force at a committed revision; a higher revision of the same group replaces it. */
+export default interface PresetState {
+  /** Random id of the control group that committed the revision. */
+  readonly groupId: string;
+  readonly revision: number;
+  readonly name: string;
+  readonly preset: Preset;
+}
--- /dev/null
+++ b/src/domain/requests/AnswerObservation.ts
@@ -0,0 +1,21 @@
+/** How a request to an upstream ended, as evidence of the upstream's health. */
+export type AnswerClass =
+  | 'good'
+  | 'failed'
+  | 'truncated'
+  | 'mismatched'
+  | 'timed_out'
+  | 'unreachable'
+  | 'shed'
+  | 'cancelled';
+
+/** One finished request to one upstream. */
+export default interface AnswerObservation {
+  readonly service: string;
+  readonly upstream: string;
+  readonly answerClass: AnswerClass;
+  readonly startedAt: number;
+  readonly endedAt: number;
+  /** Slots in use that the answer reported, when it did. */
+  readonly reportedLoad: number | undefined;
+}
--- /dev/null
+++ b/src/ports/Clock.ts
@@ -0,0 +1,10 @@
+/** The time of this process. */
+export default interface Clock {
+  /** Milliseconds since the epoch; never goes back within a process. */
+  now(): number;
+  /**
+   * Resolves at the deadline, at once when it has passed, or early when the signal aborts. Never
+   * rejects.
+   */
+  sleepUntil(deadline: number, signal?: AbortSignal): Promise<void>;
+}
--- /dev/null
+++ b/src/ports/UpstreamClient.ts
@@ -0,0 +1,46 @@
+/** One request to one upstream. */
+export interface UpstreamRequest {
+  readonly address: string;
+  readonly method: string;
+  /** Path with query. */
+  readonly path: string;
+  readonly headers: readonly (readonly [string, string])[];
+  readonly body: Uint8Array;
+  readonly requestId: string;
+  readonly deadline: number;
+  readonly maxAnswerBytes: number;
+  /** Whether the answer must repeat the request id. */
+  readonly echoRequestId: boolean;
+  /** Aborts when the caller no longer waits. */
+  readonly signal: AbortSignal;
+  /** Asked in the last synchronous step before the first byte can leave; false sends nothing. */
+  readonly mayDispatch: () => boolean;
+}
+
+/** A whole answer whose length was checked. */
+export interface UpstreamAnswer {
+  readonly status: number;
+  readonly headers: readonly (readonly [string, string])[];
+  readonly body: Uint8Array;
+}
+
+/** Why nothing was sent. */
+export type NotSentReason = 'unreachable' | 'forbidden' | 'cancelled' | 'deadline_passed';
+
+/** How a request failed after its first byte may have left. */
+export type SentFailure =
+  'timed_out' | 'reset' | 'truncated' | 'mismatched' | 'too_large' | 'cancelled';
+
+/** How one request to one upstream ended. */
+export type UpstreamResult =
+  | { readonly kind: 'answered'; readonly answer: UpstreamAnswer }
+  | { readonly kind: 'not_sent'; readonly reason: NotSentReason }
+  | { readonly kind: 'failed'; readonly reason: SentFailure };
+
+/** Sends requests to upstreams. */
+export default interface UpstreamClient {
+  /** Never rejects; every end is a result. */
+  sendRequest(request: UpstreamRequest): Promise<UpstreamResult>;
+  /** Closes idle connections and waits for open requests. */
+  close(): Promise<void>;
+}
