Measure service levels and merge them over hosts

Cause: the burn report needs counts and histograms that can be added over hosts; averages of per-host rates hide a bad host with much traffic. Change: ring counters for 5 min, 1 h, 6 h and 3 days, burn rates, hdr histograms, Prometheus text, a peers' procedure that hands out the measurements, and a reporter that names hosts that did not answer; settings and environment checks. Conclusion: the operators' tool can print the report once the control host wires it.

--- /dev/null
+++ b/src/adapters/metrics/HdrLatencyRecorder.ts
@@ -0,0 +1,58 @@
+import { build, decodeFromCompressedBase64, encodeIntoCompressedBase64 } from 'hdr-histogram-js';
+import type { Histogram } from 'hdr-histogram-js';
+
+import type LatencyRecorder from '../../ports/LatencyRecorder.ts';
+import type { HistogramMerger, LatencySummary } from '../../ports/LatencyRecorder.ts';
+
+const unitsPerMs = 1000;
+const longestMs = 600_000;
+
+function createHistogram(): Histogram {
+  return build({
+    bitBucketSize: 32,
+    autoResize: true,
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: 2 * unitsPerMs,
+    numberOfSignificantValueDigits: 2,
+    useWebAssembly: false,
+  });
+}
+
+/** Records latencies in microseconds with two significant digits. */
+export default class HdrLatencyRecorder implements LatencyRecorder, HistogramMerger {
+  private readonly histograms = new Map<string, Histogram>();
+
+  recordLatency(service: string, elapsedMs: number): void {
+    const bounded = Math.min(Math.max(elapsedMs, 0), longestMs);
+    this.getHistogram(service).recordValue(Math.round(bounded * unitsPerMs));
+  }
+
+  encodeHistogram(service: string): string {
+    const histogram = this.histograms.get(service);
+    return histogram ? encodeIntoCompressedBase64(histogram) : '';
+  }
+
+  mergeHistograms(encoded: readonly string[]): LatencySummary {
+    const merged = createHistogram();
+    encoded
+      .filter((text) => text !== '')
+      .forEach((text) => merged.add(decodeFromCompressedBase64(text, 32)));
+    const read = (percentile: number): number =>
+      merged.getValueAtPercentile(percentile) / unitsPerMs;
+    return {
+      count: merged.totalCount,
+      p50: read(50),
+      p90: read(90),
+      p99: read(99),
+      max: merged.maxValue / unitsPerMs,
+    };
+  }
+
+  private getHistogram(service: string): Histogram {
+    const known = this.histograms.get(service);
+    if (known) return known;
+    const histogram = createHistogram();
+    this.histograms.set(service, histogram);
+    return histogram;
+  }
+}
--- /dev/null
+++ b/src/adapters/metrics/PrometheusMetrics.ts
@@ -0,0 +1,73 @@
+import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client';
+
+import type RequestObserver from '../../application/requests/RequestObserver.ts';
+import type { AnsweredRequest } from '../../application/requests/RequestObserver.ts';
+
+const durationBucketsSeconds = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
+
+/** Values that are read when the metrics are asked for. */
+export interface PrometheusSources {
+  readonly readRevision: () => number;
+  readonly countLiveHosts: () => number;
+  readonly countUpstreams: () => number;
+}
+
+/** Metrics of this host as Prometheus text. */
+export default class PrometheusMetrics implements RequestObserver {
+  private readonly registry = new Registry();
+
+  private readonly requests: Counter<'service' | 'status' | 'error'>;
+
+  private readonly attempts: Counter<'service'>;
+
+  private readonly durations: Histogram<'service'>;
+
+  constructor(sources: PrometheusSources) {
+    const registers = [this.registry];
+    collectDefaultMetrics({ register: this.registry });
+    this.requests = new Counter({
+      name: 'pistachiohoist_requests_total',
+      help: 'Requests of callers by service, status and error kind.',
+      labelNames: ['service', 'status', 'error'],
+      registers,
+    });
+    this.attempts = new Counter({
+      name: 'pistachiohoist_upstream_attempts_total',
+      help: 'Attempts at upstreams by service.',
+      labelNames: ['service'],
+      registers,
+    });
+    this.durations = new Histogram({
+      name: 'pistachiohoist_request_duration_seconds',
+      help: 'Time from the head of a request to its answer.',
+      labelNames: ['service'],
+      buckets: durationBucketsSeconds,
+      registers,
+    });
+    this.addGauge('preset_revision', 'Active preset revision.', sources.readRevision);
+    this.addGauge('live_hosts', 'Hosts with a valid lease.', sources.countLiveHosts);
+    this.addGauge('upstreams', 'Upstreams with a valid lease.', sources.countUpstreams);
+  }
+
+  recordRequest(request: AnsweredRequest): void {
+    const service = request.service ?? '';
+    const error = request.errorKind ?? '';
+    this.requests.inc({ service, status: String(request.status), error });
+    this.attempts.inc({ service }, request.attempts);
+    this.durations.observe({ service }, (request.endedAt - request.startedAt) / 1000);
+  }
+
+  /** Text of the Prometheus exposition format. */
+  renderText(): Promise<string> {
+    return this.registry.metrics();
+  }
+
+  private addGauge(name: string, help: string, readValue: () => number): void {
+    const gauge: Gauge = new Gauge({
+      name: `pistachiohoist_${name}`,
+      help,
+      registers: [this.registry],
+      collect: () => gauge.set(readValue()),
+    });
+  }
+}
--- /dev/null
+++ b/src/adapters/trpc/createMetricsRouter.ts
@@ -0,0 +1,12 @@
+import type { RemoteSnapshot } from '../../ports/MetricsLink.ts';
+import { procedure, router } from './trpcBase.ts';
+
+/** What the router serves. */
+export interface SnapshotSource {
+  takeSnapshot(): RemoteSnapshot;
+}
+
+/** Procedures that hand out the measurements of this host. */
+export default function createMetricsRouter(source: SnapshotSource) {
+  return router({ takeSnapshot: procedure.mutation(() => source.takeSnapshot()) });
+}
--- /dev/null
+++ b/src/adapters/trpc/metricsMessages.ts
@@ -0,0 +1,21 @@
+import { z } from 'zod';
+
+const countsSchema = z.object({ good: z.number().min(0), bad: z.number().min(0) });
+
+/** Answer of `metrics.takeSnapshot`. */
+export const snapshotSchema = z.object({
+  host: z.string(),
+  startedAt: z.number(),
+  services: z.array(
+    z.object({
+      service: z.string(),
+      counts: z.object({
+        '5m': countsSchema,
+        '1h': countsSchema,
+        '6h': countsSchema,
+        '3d': countsSchema,
+      }),
+      histogram: z.string(),
+    }),
+  ),
+});
--- a/src/adapters/yaml/parseYaml.ts
+++ b/src/adapters/yaml/parseYaml.ts
@@ -26,7 +26,8 @@
   const isUnknownKey = issue.code === 'unrecognized_keys';
   const path = isUnknownKey ? [...issue.path, issue.keys[0] ?? ''] : issue.path;
   const key = path.length > 0 ? path.map(String).join('.') : '(top level)';
-  const value = JSON.stringify(readPath(document, path)) ?? 'missing';
+  const isSecret = String(path.at(-1)).endsWith('_key') && !isUnknownKey;
+  const value = isSecret ? '(hidden)' : (JSON.stringify(readPath(document, path)) ?? 'missing');
   const expected = isUnknownKey ? 'no such key is allowed here' : issue.message;
   return `key ${key}: value ${value}: ${expected}`;
 }
--- /dev/null
+++ b/src/application/metrics/BurnReporter.ts
@@ -0,0 +1,90 @@
+import computeBurn, { mergeCounts } from '../../domain/metrics/computeBurn.ts';
+import type { ServiceBurn } from '../../domain/metrics/computeBurn.ts';
+import type { WindowCounts } from '../../domain/metrics/BurnWindow.ts';
+import type Preset from '../../domain/presets/Preset.ts';
+import type Clock from '../../ports/Clock.ts';
+import type { HistogramMerger, LatencySummary } from '../../ports/LatencyRecorder.ts';
+import type MetricsLink from '../../ports/MetricsLink.ts';
+import type { RemoteSnapshot } from '../../ports/MetricsLink.ts';
+
+const askMs = 2000;
+
+/** Service levels of one service, merged over all hosts that answered. */
+export interface ServiceReport extends ServiceBurn {
+  readonly service: string;
+  readonly goodShare: number;
+  readonly withinMs: number;
+  readonly counts: WindowCounts;
+  readonly latency: LatencySummary;
+}
+
+/** The service-level burn of the fleet. */
+export interface BurnReport {
+  readonly createdAt: number;
+  readonly services: readonly ServiceReport[];
+  readonly hosts: readonly string[];
+  /** Hosts that could not be asked; their requests are missing in the report. */
+  readonly missingHosts: readonly string[];
+}
+
+/** What the reporter needs. */
+export interface BurnReporterOptions {
+  readonly clock: Clock;
+  readonly merger: HistogramMerger;
+  /** The entry hosts to ask. */
+  readonly listEntryHosts: () => readonly string[];
+  readonly openLink: (host: string) => MetricsLink | undefined;
+  readonly readPreset: () => Preset | undefined;
+}
+
+/** Asks every entry host for its measurements and merges them. */
+export default class BurnReporter {
+  private readonly options: BurnReporterOptions;
+
+  constructor(options: BurnReporterOptions) {
+    this.options = options;
+  }
+
+  async createReport(): Promise<BurnReport> {
+    const { clock, listEntryHosts, readPreset } = this.options;
+    const hosts = listEntryHosts();
+    const deadline = clock.now() + askMs;
+    const answers = await Promise.all(hosts.map((host) => this.requestSnapshot(host, deadline)));
+    const snapshots = answers.filter((answer) => answer !== undefined);
+    const services = Object.entries(readPreset()?.services ?? {}).map(([service, settings]) =>
+      this.createServiceReport(service, settings.objective, snapshots),
+    );
+    return {
+      createdAt: clock.now(),
+      services,
+      hosts: snapshots.map(({ host }) => host),
+      missingHosts: hosts.filter((_, index) => answers[index] === undefined),
+    };
+  }
+
+  private async requestSnapshot(
+    host: string,
+    deadline: number,
+  ): Promise<RemoteSnapshot | undefined> {
+    const answer = await this.options.openLink(host)?.requestSnapshot(deadline);
+    return answer?.ok ? answer.value : undefined;
+  }
+
+  private createServiceReport(
+    service: string,
+    objective: { readonly goodShare: number; readonly withinMs: number },
+    snapshots: readonly RemoteSnapshot[],
+  ): ServiceReport {
+    const measured = snapshots
+      .flatMap((snapshot) => snapshot.services)
+      .filter((item) => item.service === service);
+    const counts = mergeCounts(measured.map((item) => item.counts));
+    return {
+      service,
+      ...objective,
+      ...computeBurn(counts, objective.goodShare),
+      counts,
+      latency: this.options.merger.mergeHistograms(measured.map((item) => item.histogram)),
+    };
+  }
+}
--- /dev/null
+++ b/src/daemon/checkEnvironment.ts
@@ -0,0 +1,26 @@
+import { createServer } from 'node:http';
+
+import openDataFolder from '../adapters/disk/openDataFolder.ts';
+import closeServer from '../adapters/http/closeServer.ts';
+import openServer from '../adapters/http/openServer.ts';
+import FailureError from '../domain/errors/FailureError.ts';
+import type DaemonSettings from '../domain/settings/DaemonSettings.ts';
+import type { ListenAddress } from '../domain/settings/DaemonSettings.ts';
+
+async function checkAddress(name: string, address: ListenAddress): Promise<void> {
+  const server = createServer();
+  await openServer(server, address, `listen.${name}`);
+  await closeServer(server);
+}
+
+/** Checks addresses and data folder without starting the daemon; rejects with a `FailureError`. */
+export default async function checkEnvironment(settings: DaemonSettings): Promise<void> {
+  if (settings.dataFolder !== undefined) {
+    const folder = await openDataFolder(settings.dataFolder);
+    if (!folder.ok) throw new FailureError(folder.failure);
+  }
+  const addresses = Object.entries(settings.listen).filter(([, address]) => address !== undefined);
+  await Promise.all(
+    addresses.map(([name, address]) => checkAddress(name, address as ListenAddress)),
+  );
+}
