Start a fleet of separate processes for the example and for tests

Cause: the example, the load bench and tests of whole processes all need daemons on free loopback ports. Conclusion: one launcher serves example, bench and tests.

--- /dev/null
+++ b/examples/fleet/ManagedProcess.ts
@@ -0,0 +1,66 @@
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+
+const longestKeptBytes = 200_000;
+
+/** One process of the example, started and stopped by the script. */
+export default class ManagedProcess {
+  readonly name: string;
+
+  private readonly child: ChildProcess;
+
+  private text = '';
+
+  private readonly ended: Promise<number | string>;
+
+  constructor(name: string, args: readonly string[]) {
+    this.name = name;
+    this.child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'] });
+    const keep = (chunk: Buffer): void => {
+      this.text = (this.text + chunk.toString()).slice(-longestKeptBytes);
+    };
+    this.child.stdout?.on('data', keep);
+    this.child.stderr?.on('data', keep);
+    this.ended = new Promise((resolve) => {
+      this.child.once('exit', (code, signal) => resolve(code ?? signal ?? 'unknown'));
+    });
+  }
+
+  /** What the process wrote last. */
+  get output(): string {
+    return this.text;
+  }
+
+  get isRunning(): boolean {
+    return this.child.exitCode === null && this.child.signalCode === null;
+  }
+
+  /** The exit code or the signal that ended the process. */
+  waitEnd(): Promise<number | string> {
+    return this.ended;
+  }
+
+  /** Asks the process to stop and returns its exit code. */
+  stop(): Promise<number | string> {
+    return this.endWith('SIGTERM');
+  }
+
+  /** Ends the process at once. */
+  kill(): Promise<number | string> {
+    return this.endWith('SIGKILL');
+  }
+
+  /** Stops the process in place, as a frozen host does. */
+  freeze(): void {
+    this.child.kill('SIGSTOP');
+  }
+
+  resume(): void {
+    this.child.kill('SIGCONT');
+  }
+
+  private endWith(signal: NodeJS.Signals): Promise<number | string> {
+    if (this.isRunning) this.child.kill(signal);
+    return this.ended;
+  }
+}
--- /dev/null
+++ b/examples/fleet/ProcessFleet.ts
@@ -0,0 +1,166 @@
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { fileURLToPath } from 'node:url';
+
+import { request } from 'undici';
+import { stringify } from 'yaml';
+
+import ManagedProcess from './ManagedProcess.ts';
+import findFreePorts from './findFreePorts.ts';
+
+const root = fileURLToPath(new URL('../..', import.meta.url));
+const peerKey = 'example-peer-key-0001';
+const operatorKey = 'example-operator-key-0001';
+
+/** Where a host of the fleet listens. */
+export interface FleetHost {
+  readonly host: string;
+  readonly callers: string;
+  readonly operators: string;
+  readonly platform: string;
+  readonly peers: string;
+}
+
+/** What a run of the operators' tool printed. */
+export interface ToolRun {
+  readonly code: number | string;
+  readonly output: string;
+}
+
+/** A fleet of separate processes on loopback: control hosts, entry hosts and stand-in upstreams. */
+export default class ProcessFleet {
+  readonly controlHosts: FleetHost[] = [];
+
+  readonly entryHosts: FleetHost[] = [];
+
+  private readonly processes = new Map<string, ManagedProcess>();
+
+  private readonly folder: string;
+
+  private constructor(folder: string) {
+    this.folder = folder;
+  }
+
+  /** Reserves ports and writes the settings of all hosts; starts nothing. */
+  static async createFleet(sizes: {
+    readonly controlHosts: number;
+    readonly entryHosts: number;
+  }): Promise<ProcessFleet> {
+    const fleet = new ProcessFleet(await mkdtemp(path.join(tmpdir(), 'pistachiohoist-')));
+    const ports = [...(await findFreePorts(4 * (sizes.controlHosts + sizes.entryHosts)))];
+    const takeAddress = (): string => `127.0.0.1:${ports.pop()}`;
+    const createHost = (host: string): FleetHost => ({
+      host,
+      callers: takeAddress(),
+      operators: takeAddress(),
+      platform: takeAddress(),
+      peers: takeAddress(),
+    });
+    Array.from({ length: sizes.controlHosts }, (_, index) => `control-${index + 1}`).forEach(
+      (host) => fleet.controlHosts.push(createHost(host)),
+    );
+    Array.from({ length: sizes.entryHosts }, (_, index) => `entry-${index + 1}`).forEach((host) =>
+      fleet.entryHosts.push(createHost(host)),
+    );
+    await fleet.writeSettings();
+    return fleet;
+  }
+
+  getPath(name: string): string {
+    return path.join(this.folder, name);
+  }
+
+  getProcess(name: string): ManagedProcess {
+    const found = this.processes.get(name);
+    if (!found) throw new Error(`process "${name}" was not started`);
+    return found;
+  }
+
+  startHost(host: string): ManagedProcess {
+    const daemon = path.join(root, 'dist/daemon/main.js');
+    return this.startProcess(host, [daemon, '--config', this.getPath(`${host}.yaml`)]);
+  }
+
+  startAllHosts(): void {
+    [...this.controlHosts, ...this.entryHosts].forEach(({ host }) => this.startHost(host));
+  }
+
+  startProcess(name: string, args: readonly string[]): ManagedProcess {
+    const started = new ManagedProcess(name, args);
+    this.processes.set(name, started);
+    return started;
+  }
+
+  /** Runs the operators' tool against all control hosts. */
+  async runTool(args: readonly string[]): Promise<ToolRun> {
+    const servers = this.controlHosts.flatMap(({ operators }) => ['--server', operators]);
+    const tool = path.join(root, 'dist/cli/main.js');
+    const key = ['--key-file', this.getPath('operator.key')];
+    const run = new ManagedProcess('tool', [tool, ...args, ...servers, ...key]);
+    const code = await run.waitEnd();
+    return { code, output: run.output };
+  }
+
+  /** Resolves when the condition holds; rejects with its description after the deadline. */
+  async waitUntil(
+    description: string,
+    condition: () => Promise<boolean>,
+    timeoutMs = 30_000,
+  ): Promise<void> {
+    const deadline = Date.now() + timeoutMs;
+    while (!(await condition())) {
+      if (Date.now() > deadline) throw new Error(`${description}: not reached in ${timeoutMs} ms`);
+      await new Promise((resolve) => {
+        setTimeout(resolve, 50);
+      });
+    }
+  }
+
+  async isReady(host: FleetHost): Promise<boolean> {
+    try {
+      const answer = await request(`http://${host.platform}/ready`);
+      await answer.body.dump();
+      return answer.statusCode === 200;
+    } catch {
+      return false;
+    }
+  }
+
+  /** Stops every process, upstreams last, and returns the exit codes by name. */
+  async stopAll(): Promise<Readonly<Record<string, number | string>>> {
+    const entries = await Promise.all(
+      [...this.processes].map(async ([name, running]) => [name, await running.stop()] as const),
+    );
+    await rm(this.folder, { recursive: true, force: true });
+    return Object.fromEntries(entries);
+  }
+
+  private async writeSettings(): Promise<void> {
+    const control = this.controlHosts.map(({ host, peers }) => ({ host, address: peers }));
+    const common = { control, peer_key: peerKey, stop_grace_ms: 200 };
+    const domains = ['north', 'centre', 'south'];
+    const controlSettings = this.controlHosts.map((host, index) => ({
+      ...common,
+      host: host.host,
+      failure_domain: domains[index % domains.length],
+      role: 'control',
+      listen: { operators: host.operators, platform: host.platform, peers: host.peers },
+      operator_key: operatorKey,
+      data_folder: this.getPath(`${host.host}.data`),
+    }));
+    const entrySettings = this.entryHosts.map((host, index) => ({
+      ...common,
+      host: host.host,
+      failure_domain: domains[index % domains.length],
+      role: 'entry',
+      listen: { callers: host.callers, platform: host.platform, peers: host.peers },
+    }));
+    await Promise.all(
+      [...controlSettings, ...entrySettings].map((settings) =>
+        writeFile(this.getPath(`${settings.host}.yaml`), stringify(settings)),
+      ),
+    );
+    await writeFile(this.getPath('operator.key'), `${operatorKey}\n`, { mode: 0o600 });
+  }
+}
