--- /dev/null
+++ b/examples/fleet/startExampleFleet.ts
@@ -0,0 +1,124 @@
+import { writeFile } from 'node:fs/promises';
+import { fileURLToPath } from 'node:url';
+
+import { stringify } from 'yaml';
+
+import ProcessFleet from './ProcessFleet.ts';
+import findFreePorts from './findFreePorts.ts';
+
+/** One stand-in upstream of the example. */
+export interface ExampleUpstream {
+  readonly name: string;
+  readonly service: string;
+  readonly address: string;
+  /** Address of the listener that switches its faults. */
+  readonly control: string;
+}
+
+/** Sizes of the example. */
+export interface ExampleSizes {
+  readonly controlHosts: number;
+  readonly entryHosts: number;
+  /** Stand-in upstreams of each of the two services. */
+  readonly upstreams: number;
+  readonly latencyMs: number;
+}
+
+/** A running example. */
+export interface ExampleFleet {
+  readonly hosts: ProcessFleet;
+  readonly upstreams: readonly ExampleUpstream[];
+  readonly stopAll: () => Promise<Readonly<Record<string, number | string>>>;
+}
+
+const standIn = fileURLToPath(new URL('../../tests/stand-in/standInUpstream.mjs', import.meta.url));
+
+/** The preset of the example; `deadlineMs` is what the example changes while it runs. */
+export function createExamplePreset(sizes: ExampleSizes, deadlineMs: number): string {
+  const service = {
+    upstreams: sizes.upstreams,
+    floor: Math.max(1, Math.ceil(sizes.upstreams / 2)),
+    detection: 'fast',
+    ramp_ms: 0,
+    objective: { good_share: 0.99, within_ms: 500 },
+  };
+  return stringify({
+    fleet: { entry_hosts: sizes.entryHosts },
+    services: { history: service, bookings: service },
+    routes: [
+      {
+        method: 'GET',
+        path: '/history/:filter',
+        service: 'history',
+        repeat: 'allowed',
+        deadline_ms: deadlineMs,
+      },
+      {
+        method: 'POST',
+        path: '/bookings',
+        service: 'bookings',
+        repeat: 'never',
+        deadline_ms: deadlineMs,
+      },
+    ],
+  });
+}
+
+async function startUpstreams(
+  hosts: ProcessFleet,
+  sizes: ExampleSizes,
+): Promise<readonly ExampleUpstream[]> {
+  const names = ['history', 'bookings'].flatMap((service) =>
+    Array.from({ length: sizes.upstreams }, (_, index) => ({
+      service,
+      name: `${service}-${index + 1}`,
+    })),
+  );
+  const ports = await findFreePorts(2 * names.length);
+  const domains = ['north', 'centre', 'south'];
+  return names.map(({ service, name }, index) => {
+    const address = `127.0.0.1:${ports[2 * index]}`;
+    const control = `127.0.0.1:${ports[2 * index + 1]}`;
+    hosts.startProcess(name, [
+      standIn,
+      ...['--service', service, '--upstream', name, '--address', address, '--control', control],
+      ...['--failure-domain', domains[index % domains.length] ?? ''],
+      ...['--announce', hosts.entryHosts.map(({ platform }) => platform).join(',')],
+      ...['--latency-ms', String(sizes.latencyMs)],
+    ]);
+    return { name, service, address, control };
+  });
+}
+
+/** Stores a preset with the operators' tool and puts it in use; throws with the tool's output. */
+export async function applyPreset(
+  hosts: ProcessFleet,
+  change: { readonly name: string; readonly text: string; readonly basedOn: number },
+): Promise<void> {
+  const file = hosts.getPath(`${change.name}.preset.yaml`);
+  await writeFile(file, change.text);
+  const put = await hosts.runTool([
+    ...['preset', 'put', change.name, file, '--based-on', String(change.basedOn)],
+  ]);
+  if (put.code !== 0) throw new Error(`preset put ended with ${put.code}: ${put.output}`);
+}
+
+/** Starts all processes, stores a first preset, and waits until every entry host is ready. */
+export async function startExampleFleet(sizes: ExampleSizes): Promise<ExampleFleet> {
+  const hosts = await ProcessFleet.createFleet(sizes);
+  hosts.startAllHosts();
+  const upstreams = await startUpstreams(hosts, sizes);
+  await hosts.waitUntil('the control group leads', async () => {
+    const list = await hosts.runTool(['preset', 'list']);
+    return list.code === 0;
+  });
+  const text = createExamplePreset(sizes, 5000);
+  await applyPreset(hosts, { name: 'ordinary', text, basedOn: 0 });
+  const use = await hosts.runTool(['preset', 'use', 'ordinary', '--based-on', '0']);
+  if (use.code !== 0) throw new Error(`preset use ended with ${use.code}: ${use.output}`);
+  await hosts.waitUntil('every entry host is ready', async () => {
+    const ready = await Promise.all(hosts.entryHosts.map((host) => hosts.isReady(host)));
+    return ready.every(Boolean);
+  });
+  return { hosts, upstreams, stopAll: () => hosts.stopAll() };
+}
