Add the log store of the control group

A length without its own checksum was ruled out: a damaged length would look like a torn last record and hide all records after it. The port's `rename` is now `setName`, because class methods begin with a listed verb.

--- /dev/null
+++ b/src/application/replication/DocumentFile.ts
@@ -0,0 +1,54 @@
+import FailureError from '../../domain/errors/FailureError.ts';
+import type Disk from '../../ports/Disk.ts';
+import decodeRecords from './decodeRecords.ts';
+import encodeRecord from './encodeRecord.ts';
+
+/** A file with one record that is replaced as a whole. */
+export default class DocumentFile<Value> {
+  readonly name: string;
+
+  private readonly disk: Disk;
+
+  constructor(disk: Disk, name: string) {
+    this.disk = disk;
+    this.name = name;
+  }
+
+  /** Undefined when it was never written; throws `log_damaged`. */
+  async readDocument(): Promise<Value | undefined> {
+    const content = await this.disk.read(this.name);
+    return content && this.parseDocument(content);
+  }
+
+  /** Replaces the document; it is on the synced disk afterwards. */
+  async writeDocument(value: Value): Promise<void> {
+    const content = encodeRecord(value);
+    await this.useStaged(await this.writeStaged(content));
+  }
+
+  /** Writes and syncs content beside the document; returns the name of the file. */
+  async writeStaged(content: Uint8Array): Promise<string> {
+    const staged = `${this.name}.new`;
+    await this.disk.write(staged, content);
+    await this.disk.sync(staged);
+    return staged;
+  }
+
+  /** Puts a synced file in the place of the document. */
+  async useStaged(staged: string): Promise<void> {
+    await this.disk.setName(staged, this.name);
+    await this.disk.syncFolder();
+  }
+
+  /** Throws `log_damaged` unless the content is one whole record. */
+  parseDocument(content: Uint8Array): Value {
+    const { records, tail } = decodeRecords(content);
+    if (records.length === 1 && records[0] && tail === 'complete') {
+      return records[0].value as Value;
+    }
+    throw new FailureError({
+      kind: 'log_damaged',
+      message: `file "${this.name}" of ${content.byteLength} bytes: expected one record with a valid checksum`,
+    });
+  }
+}
--- /dev/null
+++ b/src/application/replication/ReplicaStore.ts
@@ -0,0 +1,138 @@
+import FailureError from '../../domain/errors/FailureError.ts';
+import type { Member, ReplicaGroup } from '../../domain/replication/ReplicaConfiguration.ts';
+import type ReplicaSnapshot from '../../domain/replication/ReplicaSnapshot.ts';
+import type ReplicaVote from '../../domain/replication/ReplicaVote.ts';
+import type Disk from '../../ports/Disk.ts';
+import type Log from '../../ports/Log.ts';
+import type RandomSource from '../../ports/RandomSource.ts';
+import DocumentFile from './DocumentFile.ts';
+import LogStore from './LogStore.ts';
+import type { LogStart } from './LogStore.ts';
+
+/** What a data folder belongs to. */
+export interface ReplicaIdentity extends Member {
+  /** Undefined until the group has formed or was joined. */
+  readonly group: ReplicaGroup | undefined;
+}
+
+/** Where the parts of an opened data folder come from. */
+export interface ReplicaStoreOptions {
+  readonly disk: Disk;
+  readonly host: string;
+  readonly random: RandomSource;
+  readonly log: Log;
+}
+
+/** Name of the file that collects the pieces of a received snapshot. */
+export const receivedSnapshotName = 'snapshot.part';
+
+function createStart(identity: ReplicaIdentity, snapshot: ReplicaSnapshot | undefined): LogStart {
+  if (snapshot) {
+    const { state, ...start } = snapshot;
+    return start;
+  }
+  const configuration = { voters: identity.group?.founders ?? [] };
+  return { index: 0, term: 0, proposedAt: 0, commandIndex: 0, configuration };
+}
+
+/** The files of one replica: identity, vote, snapshot and log. Writes run one at a time. */
+export default class ReplicaStore {
+  readonly snapshotFile: DocumentFile<ReplicaSnapshot>;
+
+  private readonly identityFile: DocumentFile<ReplicaIdentity>;
+
+  private readonly voteFile: DocumentFile<ReplicaVote>;
+
+  private readonly disk: Disk;
+
+  private currentIdentity: ReplicaIdentity;
+
+  private currentVote: ReplicaVote = { term: 0, votedFor: undefined };
+
+  private logStore: LogStore;
+
+  private constructor(disk: Disk, identity: ReplicaIdentity) {
+    this.disk = disk;
+    this.identityFile = new DocumentFile(disk, 'identity');
+    this.voteFile = new DocumentFile(disk, 'vote');
+    this.snapshotFile = new DocumentFile(disk, 'snapshot');
+    this.currentIdentity = identity;
+    this.logStore = new LogStore(disk, createStart(identity, undefined));
+  }
+
+  /**
+   * Opens a data folder, or gives a fresh one a random replica id. Throws `log_damaged`, and
+   * `data_folder_unusable` for the folder of another host.
+   */
+  static async openStore(options: ReplicaStoreOptions): Promise<ReplicaStore> {
+    const { disk, host, random, log } = options;
+    const store = new ReplicaStore(disk, { replicaId: random.createId(), host, group: undefined });
+    const identity = await store.identityFile.readDocument();
+    if (identity && identity.host !== host) {
+      throw new FailureError({
+        kind: 'data_folder_unusable',
+        message: `data folder: it belongs to host "${identity.host}": expected "${host}"`,
+      });
+    }
+    if (identity) await store.loadFiles(identity, log);
+    else await store.createIdentity();
+    return store;
+  }
+
+  get identity(): ReplicaIdentity {
+    return this.currentIdentity;
+  }
+
+  get vote(): ReplicaVote {
+    return this.currentVote;
+  }
+
+  get log(): LogStore {
+    return this.logStore;
+  }
+
+  /** Binds the folder to a group; the founders are the voters at index 0. */
+  async saveGroup(group: ReplicaGroup): Promise<void> {
+    const identity = { ...this.currentIdentity, group };
+    await this.identityFile.writeDocument(identity);
+    this.currentIdentity = identity;
+    this.logStore = new LogStore(this.disk, createStart(identity, undefined));
+  }
+
+  async saveVote(vote: ReplicaVote): Promise<void> {
+    await this.voteFile.writeDocument(vote);
+    this.currentVote = vote;
+  }
+
+  /** Puts a staged snapshot of this log in use and drops the entries that it covers. */
+  async useSnapshot(staged: string, snapshot: ReplicaSnapshot): Promise<void> {
+    await this.snapshotFile.useStaged(staged);
+    await this.logStore.dropThrough(createStart(this.currentIdentity, snapshot));
+  }
+
+  /** Puts a received snapshot in use in place of the log. */
+  async installSnapshot(snapshot: ReplicaSnapshot): Promise<void> {
+    await this.snapshotFile.useStaged(receivedSnapshotName);
+    await this.logStore.resetTo(createStart(this.currentIdentity, snapshot));
+  }
+
+  private async loadFiles(identity: ReplicaIdentity, log: Log): Promise<void> {
+    this.currentIdentity = identity;
+    this.currentVote = (await this.voteFile.readDocument()) ?? this.currentVote;
+    const snapshot = await this.snapshotFile.readDocument();
+    this.logStore = new LogStore(this.disk, createStart(identity, snapshot));
+    await this.logStore.loadEntries(log);
+  }
+
+  private async createIdentity(): Promise<void> {
+    const names = await this.disk.list();
+    const unexpected = names.find((name) => !name.endsWith('.new'));
+    if (unexpected !== undefined) {
+      throw new FailureError({
+        kind: 'data_folder_unusable',
+        message: `data folder: file "${unexpected}" without an identity: expected an empty folder`,
+      });
+    }
+    await this.identityFile.writeDocument(this.currentIdentity);
+  }
+}
--- /dev/null
+++ b/src/application/replication/decodeRecords.ts
@@ -0,0 +1,60 @@
+import { computeChecksum, recordHeader } from './encodeRecord.ts';
+
+/** A record of a file. */
+export interface DecodedRecord {
+  readonly value: unknown;
+  /** Size with its header. */
+  readonly size: number;
+}
+
+/** The valid records at the start of a file and what follows them. */
+export interface DecodedRecords {
+  readonly records: readonly DecodedRecord[];
+  /** End of the last valid record. */
+  readonly validBytes: number;
+  /** `torn`: only an incomplete record follows. `damaged`: a valid record comes after a bad one. */
+  readonly tail: 'complete' | 'torn' | 'damaged';
+}
+
+function hasChecksum(content: Buffer, expected: Buffer): boolean {
+  return computeChecksum(content, expected.length).equals(expected);
+}
+
+function readRecord(content: Buffer, offset: number): DecodedRecord | undefined {
+  const { lengthOffset, payloadSumOffset, headerSumOffset, bytes } = recordHeader;
+  const header = content.subarray(offset, offset + bytes);
+  if (header.length < bytes) return undefined;
+  const headerSum = header.subarray(headerSumOffset);
+  if (!hasChecksum(header.subarray(0, headerSumOffset), headerSum)) return undefined;
+  const size = bytes + header.readUInt32LE(lengthOffset);
+  if (offset + size > content.length) return undefined;
+  const payload = content.subarray(offset + bytes, offset + size);
+  const payloadSum = header.subarray(payloadSumOffset, headerSumOffset);
+  if (!hasChecksum(payload, payloadSum)) return undefined;
+  return { value: JSON.parse(payload.toString()), size };
+}
+
+function hasRecordAfter(content: Buffer, offset: number): boolean {
+  let start = content.indexOf(recordHeader.mark, offset + 1);
+  while (start >= 0) {
+    if (readRecord(content, start)) return true;
+    start = content.indexOf(recordHeader.mark, start + 1);
+  }
+  return false;
+}
+
+/** Reads the records of a file up to the first one that is not valid. */
+export default function decodeRecords(bytes: Uint8Array): DecodedRecords {
+  const content = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+  const records: DecodedRecord[] = [];
+  let validBytes = 0;
+  let record = readRecord(content, validBytes);
+  while (record) {
+    records.push(record);
+    validBytes += record.size;
+    record = readRecord(content, validBytes);
+  }
+  if (validBytes === content.length) return { records, validBytes, tail: 'complete' };
+  const tail = hasRecordAfter(content, validBytes) ? 'damaged' : 'torn';
+  return { records, validBytes, tail };
+}
--- /dev/null
+++ b/src/domain/replication/decideGroup.ts
@@ -0,0 +1,37 @@
+import type { Member, ReplicaGroup } from './ReplicaConfiguration.ts';
+
+/** What a host without a group learned from another host. */
+export interface HostStatus {
+  readonly host: string;
+  readonly replicaId: string;
+  readonly group: ReplicaGroup | undefined;
+}
+
+/** What a host without a group does next. */
+export type GroupDecision =
+  | { readonly kind: 'wait' }
+  | { readonly kind: 'join'; readonly group: ReplicaGroup }
+  | { readonly kind: 'form'; readonly founders: readonly Member[] }
+  | { readonly kind: 'conflict'; readonly groupIds: readonly string[] };
+
+/**
+ * A host joins a group that exists. Only the first configured host forms a group, and only when
+ * every configured host reported an empty folder.
+ */
+export default function decideGroup(options: {
+  readonly own: Member;
+  /** All configured hosts in the order of the settings, this one included. */
+  readonly hosts: readonly string[];
+  /** Reports of the other hosts that answered. */
+  readonly statuses: readonly HostStatus[];
+}): GroupDecision {
+  const { own, hosts, statuses } = options;
+  const groups = statuses.flatMap(({ group }) => (group ? [group] : []));
+  const groupIds = [...new Set(groups.map(({ groupId }) => groupId))];
+  if (groupIds.length > 1) return { kind: 'conflict', groupIds };
+  if (groups[0]) return { kind: 'join', group: groups[0] };
+  const known = [own, ...statuses.map(({ host, replicaId }) => ({ host, replicaId }))];
+  const founders = hosts.flatMap((host) => known.find((member) => member.host === host) ?? []);
+  const mayForm = hosts[0] === own.host && founders.length === hosts.length;
+  return mayForm ? { kind: 'form', founders } : { kind: 'wait' };
+}
--- a/src/ports/Disk.ts
+++ b/src/ports/Disk.ts
@@ -14,6 +14,7 @@
   sync(name: string): Promise<void>;
   /** Makes created, renamed and removed names last. */
   syncFolder(): Promise<void>;
-  rename(from: string, to: string): Promise<void>;
+  /** Gives a file another name, in place of any file that had it; not synced. */
+  setName(from: string, to: string): Promise<void>;
   remove(name: string): Promise<void>;
 }
