Add the replica of the control group's log

Cause: presets and claims need one committed order that survives the loss of hosts. Ruled out: a state machine with events in and actions out; each peer has a task that awaits its link, and decisions are methods of domain classes.

--- /dev/null
+++ b/src/application/replication/ElectionTask.ts
@@ -0,0 +1,139 @@
+import type { Member } from '../../domain/replication/ReplicaConfiguration.ts';
+import computeMajorityValue from '../../domain/replication/computeMajorityValue.ts';
+import type ReplicaContext from './ReplicaContext.ts';
+import { longestElectionMs, messageTimeoutMs, shortestElectionMs } from './replicaTimes.ts';
+
+/** What a candidate asks its peers. */
+interface Ballot {
+  readonly kind: 'pre_vote' | 'vote';
+  readonly term: number;
+  readonly isTransfer: boolean;
+}
+
+/** Starts elections when no leader is heard, and steps down when no majority is. */
+export default class ElectionTask<Command, Reply> {
+  private readonly context: ReplicaContext<Command, Reply>;
+
+  /** Term in which the leader asked this replica to take over. */
+  private transferTerm: number | undefined;
+
+  private openCalls: Promise<void>[] = [];
+
+  constructor(context: ReplicaContext<Command, Reply>) {
+    this.context = context;
+  }
+
+  /** Runs until the replica stops. */
+  async runElections(): Promise<void> {
+    const { context } = this;
+    while (!context.isStopped) {
+      if (context.leadership) await this.watchQuorum();
+      else await this.watchLeader();
+    }
+    await Promise.all(this.openCalls);
+  }
+
+  /** Starts an election without waiting for the timeout, unless the term has passed. */
+  startTransfer(term: number): void {
+    this.transferTerm = term;
+    this.context.changes.announceChange();
+  }
+
+  private async watchQuorum(): Promise<void> {
+    const { context } = this;
+    const { leadership } = context;
+    if (!leadership) return;
+    const deadline = leadership.computeQuorumDeadline(context.configuration, longestElectionMs);
+    if (context.now >= deadline) {
+      context.options.log.warn('replication: stepping down: no majority was heard', {
+        term: leadership.term,
+      });
+      context.endLeadership();
+      return;
+    }
+    await context.changes.waitUntil(() => !leadership.isActive, deadline);
+  }
+
+  private async watchLeader(): Promise<void> {
+    const { context } = this;
+    const span = longestElectionMs - shortestElectionMs;
+    const timeoutMs = shortestElectionMs + context.options.random.next() * span;
+    while (context.now < context.electionFrom + timeoutMs) {
+      await context.changes.waitUntil(
+        () => context.isStopped || this.hasTransfer(),
+        context.electionFrom + timeoutMs,
+      );
+      if (context.isStopped || this.hasTransfer()) break;
+    }
+    if (context.isStopped) return;
+    const isTransfer = this.hasTransfer();
+    this.transferTerm = undefined;
+    context.electionFrom = context.now;
+    if (context.isVoter) await this.runElection(isTransfer);
+  }
+
+  private hasTransfer(): boolean {
+    return this.transferTerm === this.context.term;
+  }
+
+  private async runElection(isTransfer: boolean): Promise<void> {
+    const { context } = this;
+    const { term } = context;
+    const ballot = { term: term + 1, isTransfer };
+    if (!isTransfer && !(await this.requestVotes({ kind: 'pre_vote', ...ballot }))) return;
+    const isCandidate = await this.startCandidacy(term, isTransfer);
+    if (!isCandidate || !(await this.requestVotes({ kind: 'vote', ...ballot }))) return;
+    await context.runSerial(async () => {
+      if (context.role === 'candidate' && context.term === ballot.term) context.startLeadership();
+    });
+  }
+
+  private startCandidacy(term: number, isTransfer: boolean): Promise<boolean> {
+    const { context } = this;
+    return context.runSerial(async () => {
+      const hasLeader = context.now < context.leaderHeardAt + shortestElectionMs;
+      if (context.term !== term || context.leadership || (hasLeader && !isTransfer)) return false;
+      // Entries in memory count for the vote, so they have to outlive a crash.
+      await context.log.syncEntries();
+      await context.store.saveVote({ term: term + 1, votedFor: context.own.replicaId });
+      context.role = 'candidate';
+      context.leader = undefined;
+      context.electionFrom = context.now;
+      return true;
+    });
+  }
+
+  /** Whether a majority granted the ballot before the deadline. */
+  private async requestVotes(ballot: Ballot): Promise<boolean> {
+    const { context } = this;
+    const granted = new Set([context.own.replicaId]);
+    const isWon = (): boolean =>
+      computeMajorityValue(context.configuration, ({ replicaId }) =>
+        granted.has(replicaId) ? 1 : 0,
+      ) === 1;
+    if (isWon()) return true;
+    const ended = new AbortController();
+    const deadline = context.now + messageTimeoutMs;
+    const calls = context.configuration.voters.map(async (voter) => {
+      if (await this.requestVote(ballot, voter, deadline)) granted.add(voter.replicaId);
+      if (isWon()) ended.abort();
+    });
+    const all = Promise.all(calls).then(() => ended.abort());
+    // Calls that are still open after the election was won end by their deadline.
+    this.openCalls = [all, Promise.all(this.openCalls).then(() => undefined)];
+    await context.options.clock.sleepUntil(deadline, ended.signal);
+    return isWon();
+  }
+
+  private async requestVote(ballot: Ballot, voter: Member, deadline: number): Promise<boolean> {
+    const { context } = this;
+    const link = context.options.links.find(({ host }) => host === voter.host);
+    if (!link || voter.replicaId === context.own.replicaId) return false;
+    const { lastIndex, lastTerm } = context.log;
+    const head = context.createHead(voter.replicaId, ballot.term);
+    const answer = await link.requestVote({ ...head, ...ballot, lastIndex, lastTerm }, deadline);
+    if (!answer.ok) return false;
+    await context.acceptTerm(answer.value.term);
+    return answer.value.isGranted;
+  }
+}
--- /dev/null
+++ b/src/application/replication/GroupTask.ts
@@ -0,0 +1,74 @@
+import type { ReplicaGroup } from '../../domain/replication/ReplicaConfiguration.ts';
+import decideGroup from '../../domain/replication/decideGroup.ts';
+import type ReplicaContext from './ReplicaContext.ts';
+import { groupPollMs, messageTimeoutMs } from './replicaTimes.ts';
+
+/** Finds the group that this host belongs to, or forms it when all hosts are empty. */
+export default class GroupTask<Command, Reply> {
+  private readonly context: ReplicaContext<Command, Reply>;
+
+  constructor(context: ReplicaContext<Command, Reply>) {
+    this.context = context;
+  }
+
+  /** Runs until this host has a group or the replica stops. */
+  async runGroup(): Promise<void> {
+    const { context } = this;
+    while (!context.isStopped && !context.store.identity.group) {
+      const pollAt = context.now + groupPollMs;
+      await this.decideNext();
+      await context.changes.waitUntil(
+        () => context.isStopped || context.store.identity.group !== undefined,
+        pollAt,
+      );
+    }
+  }
+
+  /** Stores a group unless this host already has one. */
+  async joinGroup(group: ReplicaGroup): Promise<void> {
+    const { context } = this;
+    await context.runSerial(async () => {
+      if (context.store.identity.group) return;
+      await context.store.saveGroup(group);
+      context.electionFrom = context.now;
+      context.options.log.info('replication: group stored', { group: group.groupId });
+      context.changes.announceChange();
+    });
+  }
+
+  private async decideNext(): Promise<void> {
+    const { own, options } = this.context;
+    const deadline = this.context.now + messageTimeoutMs;
+    const answers = await Promise.all(
+      options.links.map(async (link) => ({ link, status: await link.requestStatus(deadline) })),
+    );
+    const statuses = answers.flatMap(({ link, status }) =>
+      status.ok && status.value.host === link.host ? [status.value] : [],
+    );
+    const decision = decideGroup({ own, hosts: options.hosts, statuses });
+    if (decision.kind === 'conflict') {
+      options.log.error('replication: the configured hosts belong to different groups', {
+        groups: decision.groupIds.join(' '),
+      });
+    }
+    if (decision.kind === 'join') await this.joinGroup(decision.group);
+    if (decision.kind === 'form') {
+      await this.createGroup({ groupId: options.random.createId(), founders: decision.founders });
+    }
+  }
+
+  /**
+   * The first host stores the group before it proposes it, so that a crash halfway continues with
+   * the same group. Hosts that miss the proposal find the group when they poll.
+   */
+  private async createGroup(group: ReplicaGroup): Promise<void> {
+    const { links } = this.context.options;
+    await this.joinGroup(group);
+    const deadline = this.context.now + messageTimeoutMs;
+    await Promise.all(
+      group.founders.map(({ host, replicaId }) =>
+        links.find((link) => link.host === host)?.sendGroup({ to: replicaId, group }, deadline),
+      ),
+    );
+  }
+}
--- /dev/null
+++ b/src/application/replication/LeadershipTransfer.ts
@@ -0,0 +1,42 @@
+import type Leadership from '../../domain/replication/Leadership.ts';
+import type { Member } from '../../domain/replication/ReplicaConfiguration.ts';
+import type ReplicaContext from './ReplicaContext.ts';
+import { longestElectionMs, messageTimeoutMs } from './replicaTimes.ts';
+
+/** Hands leadership to a follower that has the whole log, so that no election timeout passes. */
+export default class LeadershipTransfer<Command, Reply> {
+  private readonly context: ReplicaContext<Command, Reply>;
+
+  constructor(context: ReplicaContext<Command, Reply>) {
+    this.context = context;
+  }
+
+  /** Resolves when this replica no longer leads, or at the deadline. */
+  async runTransfer(deadline: number): Promise<void> {
+    const { context } = this;
+    const { leadership } = context;
+    if (!leadership) return;
+    await context.changes.waitUntil(
+      () =>
+        !leadership.isActive || (context.applier.isIdle && this.findHeir(leadership) !== undefined),
+      deadline,
+    );
+    const heir = this.findHeir(leadership);
+    const link = context.options.links.find(({ host }) => host === heir?.host);
+    if (!leadership.isActive || !heir || !link) return;
+    const head = context.createHead(heir.replicaId, leadership.term);
+    await link.transferLeadership(head, Math.min(deadline, context.now + messageTimeoutMs));
+    await context.changes.waitUntil(
+      () => !leadership.isActive,
+      Math.min(deadline, context.now + longestElectionMs),
+    );
+  }
+
+  private findHeir(leadership: Leadership): Member | undefined {
+    const { log, configuration, own } = this.context;
+    const voterIds = configuration.voters.map(({ replicaId }) => replicaId);
+    return leadership
+      .listCaughtUp(log.lastIndex, this.context.now - longestElectionMs)
+      .find(({ replicaId }) => replicaId !== own.replicaId && voterIds.includes(replicaId));
+  }
+}
--- /dev/null
+++ b/src/application/replication/MessageHandler.ts
@@ -0,0 +1,173 @@
+import FailureError from '../../domain/errors/FailureError.ts';
+import type Result from '../../domain/errors/Result.ts';
+import type { HostStatus } from '../../domain/replication/decideGroup.ts';
+import decideVote from '../../domain/replication/decideVote.ts';
+import type {
+  AppendAnswer,
+  AppendRequest,
+  GroupRequest,
+  MessageHead,
+  SnapshotAnswer,
+  SnapshotRequest,
+  VoteAnswer,
+  VoteRequest,
+} from '../../ports/ReplicationLink.ts';
+import type ElectionTask from './ElectionTask.ts';
+import type GroupTask from './GroupTask.ts';
+import type ReplicaContext from './ReplicaContext.ts';
+import type ReplicationHandler from './ReplicationHandler.ts';
+import SnapshotReceiver from './SnapshotReceiver.ts';
+import { shortestElectionMs } from './replicaTimes.ts';
+
+/** Answers the messages of other replicas, one at a time. */
+export default class MessageHandler<Command, Reply> implements ReplicationHandler {
+  private readonly context: ReplicaContext<Command, Reply>;
+
+  private readonly elections: ElectionTask<Command, Reply>;
+
+  private readonly groups: GroupTask<Command, Reply>;
+
+  private readonly receiver: SnapshotReceiver<Command, Reply>;
+
+  constructor(options: {
+    readonly context: ReplicaContext<Command, Reply>;
+    readonly elections: ElectionTask<Command, Reply>;
+    readonly groups: GroupTask<Command, Reply>;
+  }) {
+    this.context = options.context;
+    this.elections = options.elections;
+    this.groups = options.groups;
+    this.receiver = new SnapshotReceiver(options.context);
+  }
+
+  async answerStatus(): Promise<Result<HostStatus>> {
+    return { ok: true, value: this.context.store.identity };
+  }
+
+  async answerGroup(request: GroupRequest): Promise<Result<void>> {
+    const { context } = this;
+    const { replicaId, group } = context.store.identity;
+    const isOther = group !== undefined && group.groupId !== request.group.groupId;
+    if (request.to !== replicaId || isOther) return this.refuse('join the group', request.to);
+    return this.runAnswer(() => this.groups.joinGroup(request.group));
+  }
+
+  answerVote(request: VoteRequest): Promise<Result<VoteAnswer>> {
+    const { context } = this;
+    return this.answer(request, async () => {
+      const { lastIndex, lastTerm } = context.log;
+      const hasLeader =
+        context.leadership !== undefined ||
+        context.now < context.leaderHeardAt + shortestElectionMs;
+      const { vote } = context.store;
+      const decision = decideVote({
+        ...request,
+        candidateId: request.from,
+        own: { vote, lastIndex, lastTerm, hasLeader },
+      });
+      if (decision.vote.term > vote.term) await context.followTerm(decision.vote.term, undefined);
+      if (decision.vote.votedFor !== context.store.vote.votedFor) {
+        await context.store.saveVote(decision.vote);
+      }
+      if (decision.isGranted && request.kind === 'vote') context.electionFrom = context.now;
+      return { term: context.term, isGranted: decision.isGranted };
+    });
+  }
+
+  answerAppend(request: AppendRequest): Promise<Result<AppendAnswer>> {
+    return this.answer(request, async () => {
+      if (!(await this.followLeader(request))) return this.createAppendAnswer(false, 0);
+      const { log } = this.context;
+      const { previousIndex, entries } = request;
+      const previousTerm = log.readTerm(previousIndex);
+      // Entries up to the commit index match those of every later leader.
+      const isMatching =
+        previousIndex <= this.context.commitIndex || previousTerm === request.previousTerm;
+      if (!isMatching) {
+        return this.createAppendAnswer(false, this.findLastPossibleMatch(previousIndex));
+      }
+      await this.storeEntries(request);
+      const matchIndex = previousIndex + entries.length;
+      this.context.commitThrough(Math.min(request.commitIndex, matchIndex));
+      return this.createAppendAnswer(true, matchIndex);
+    });
+  }
+
+  answerSnapshot(request: SnapshotRequest): Promise<Result<SnapshotAnswer>> {
+    return this.answer(request, async () => {
+      const isCurrent = await this.followLeader(request);
+      const receivedBytes = isCurrent ? await this.receiver.acceptPiece(request) : 0;
+      return { term: this.context.term, receivedBytes };
+    });
+  }
+
+  answerTransfer(request: MessageHead): Promise<Result<void>> {
+    return this.answer(request, async () => this.elections.startTransfer(request.term));
+  }
+
+  /** Whether the sender leads a term that is not older than the own one. */
+  private async followLeader(request: MessageHead): Promise<boolean> {
+    const { context } = this;
+    const { term, from, fromHost } = request;
+    if (term < context.term) return false;
+    if (term === context.term && context.leadership) {
+      throw new Error(`two leaders in term ${term}: "${fromHost}" and this host`);
+    }
+    await context.followTerm(term, { replicaId: from, host: fromHost });
+    context.leaderHeardAt = context.now;
+    context.electionFrom = context.now;
+    return true;
+  }
+
+  private async storeEntries({ entries }: AppendRequest): Promise<void> {
+    const { context } = this;
+    const { log } = context;
+    const missing = entries.filter(
+      ({ index, term }) => index > context.commitIndex && log.readTerm(index) !== term,
+    );
+    const [first] = missing;
+    if (first && first.index <= log.lastIndex) await log.truncateFrom(first.index);
+    missing.forEach((entry) => log.addEntry(entry));
+    await log.syncEntries();
+  }
+
+  /** Skips the whole term that conflicts, so that a long wrong tail takes few messages. */
+  private findLastPossibleMatch(previousIndex: number): number {
+    const { log, commitIndex } = this.context;
+    if (previousIndex > log.lastIndex) return log.lastIndex;
+    const conflictingTerm = log.readTerm(previousIndex);
+    let index = previousIndex - 1;
+    while (index > commitIndex && log.readTerm(index) === conflictingTerm) index -= 1;
+    return index;
+  }
+
+  private createAppendAnswer(isAccepted: boolean, index: number): AppendAnswer {
+    return { term: this.context.term, isAccepted, index };
+  }
+
+  private answer<Value>(head: MessageHead, work: () => Promise<Value>): Promise<Result<Value>> {
+    return this.runAnswer(async () => {
+      const { replicaId, group } = this.context.store.identity;
+      if (head.to === replicaId && head.groupId === group?.groupId) {
+        return this.context.runSerial(work);
+      }
+      const refusal = this.refuse(`message of "${head.fromHost}"`, head.to);
+      throw new FailureError(refusal.failure);
+    });
+  }
+
+  private async runAnswer<Value>(work: () => Promise<Value>): Promise<Result<Value>> {
+    try {
+      return { ok: true, value: await work() };
+    } catch (error) {
+      if (error instanceof FailureError) return { ok: false, failure: error.failure };
+      return { ok: false, failure: { kind: 'internal', message: (error as Error).message } };
+    }
+  }
+
+  private refuse(call: string, to: string) {
+    const { replicaId, host, group } = this.context.store.identity;
+    const message = `${call}: it is meant for replica ${to}: host "${host}" has replica ${replicaId} of group ${group?.groupId ?? 'none'}`;
+    return { ok: false, failure: { kind: 'wrong_replica', message } } as const;
+  }
+}
--- /dev/null
+++ b/src/application/replication/PeerTask.ts
@@ -0,0 +1,150 @@
+import type Leadership from '../../domain/replication/Leadership.ts';
+import type { PeerProgress } from '../../domain/replication/Leadership.ts';
+import type ReplicationLink from '../../ports/ReplicationLink.ts';
+import type ReplicaContext from './ReplicaContext.ts';
+import SnapshotSender from './SnapshotSender.ts';
+import { heartbeatMs, messageTimeoutMs } from './replicaTimes.ts';
+
+// Entries beyond this size wait for the next message.
+const batchBytes = 1_048_576;
+
+/** What the leader does next for one peer. */
+type NextStep = 'find_replica' | 'send_snapshot' | 'send_entries';
+
+/** Replicates the log to one peer while this replica leads. One message is open at a time. */
+export default class PeerTask<Command, Reply> {
+  private readonly context: ReplicaContext<Command, Reply>;
+
+  private readonly link: ReplicationLink;
+
+  private readonly snapshotSender: SnapshotSender<Command, Reply>;
+
+  /** False after a call without an answer; the next one waits for the heartbeat. */
+  private isReachable = true;
+
+  private sentRound = 0;
+
+  private sentCommitIndex = 0;
+
+  constructor(context: ReplicaContext<Command, Reply>, link: ReplicationLink) {
+    this.context = context;
+    this.link = link;
+    this.snapshotSender = new SnapshotSender(context, link);
+  }
+
+  /** Runs until the replica stops. */
+  async runPeer(): Promise<void> {
+    const { context } = this;
+    while (!context.isStopped) {
+      const { leadership } = context;
+      if (leadership) await this.sendLog(leadership);
+      else {
+        const isReady = (): boolean => context.isStopped || context.leadership !== undefined;
+        await context.changes.waitUntil(isReady, Infinity);
+      }
+    }
+  }
+
+  private async sendLog(leadership: Leadership): Promise<void> {
+    const { context, link } = this;
+    const voter = context.configuration.voters.find(({ host }) => host === link.host);
+    if (voter) leadership.setPeer(voter);
+    while (leadership.isActive) {
+      const sentAt = context.now;
+      this.isReachable = await this.sendNext(leadership);
+      await context.changes.waitUntil(
+        () => !leadership.isActive || (this.isReachable && this.hasWork(leadership)),
+        sentAt + heartbeatMs,
+      );
+    }
+  }
+
+  private hasWork(leadership: Leadership): boolean {
+    const progress = leadership.findProgress(this.link.host);
+    if (!progress) return false;
+    return (
+      progress.nextIndex <= this.context.log.lastIndex ||
+      this.sentRound < leadership.round ||
+      this.sentCommitIndex < Math.min(this.context.commitIndex, progress.matchIndex)
+    );
+  }
+
+  /** Returns whether the peer answered. */
+  private async sendNext(leadership: Leadership): Promise<boolean> {
+    const progress = leadership.findProgress(this.link.host);
+    const step = this.chooseStep(progress);
+    if (!progress || step === 'find_replica') return this.findReplica(leadership);
+    if (step === 'send_entries') return this.sendEntries(leadership, progress);
+    const answer = await this.snapshotSender.sendPiece(leadership, progress);
+    return answer.ok || this.handleFailure(leadership, answer.failure.kind);
+  }
+
+  private chooseStep(progress: PeerProgress | undefined): NextStep {
+    if (!progress) return 'find_replica';
+    const hasPrevious = this.context.log.readTerm(progress.nextIndex - 1) !== undefined;
+    return hasPrevious ? 'send_entries' : 'send_snapshot';
+  }
+
+  private async sendEntries(leadership: Leadership, progress: PeerProgress): Promise<boolean> {
+    const { context, link } = this;
+    const previousIndex = progress.nextIndex - 1;
+    const { round } = leadership;
+    const { commitIndex, now: sentAt } = context;
+    const answer = await link.sendEntries(
+      {
+        ...context.createHead(progress.replicaId, leadership.term),
+        previousIndex,
+        previousTerm: context.log.readTerm(previousIndex) ?? 0,
+        entries: context.log.listEntries(progress.nextIndex, batchBytes),
+        commitIndex,
+      },
+      sentAt + messageTimeoutMs,
+    );
+    if (!answer.ok) return this.handleFailure(leadership, answer.failure.kind);
+    await context.acceptTerm(answer.value.term);
+    if (!leadership.isActive) return true;
+    Object.assign(progress, { contactAt: sentAt, confirmedRound: round });
+    this.sentRound = round;
+    this.sentCommitIndex = commitIndex;
+    if (answer.value.isAccepted) {
+      progress.matchIndex = Math.max(progress.matchIndex, answer.value.index);
+      progress.nextIndex = progress.matchIndex + 1;
+      context.commitMajority();
+    } else {
+      const { index } = answer.value;
+      progress.nextIndex = Math.max(progress.matchIndex, Math.min(index, previousIndex - 1)) + 1;
+    }
+    context.changes.announceChange();
+    return true;
+  }
+
+  private async handleFailure(leadership: Leadership, kind: string): Promise<boolean> {
+    if (kind === 'wrong_replica') await this.findReplica(leadership);
+    return false;
+  }
+
+  /** Learns which replica lives on the peer; one without a group is offered this one. */
+  private async findReplica(leadership: Leadership): Promise<boolean> {
+    const { context, link } = this;
+    const status = await link.requestStatus(context.now + messageTimeoutMs);
+    if (!status.ok) return false;
+    const { host, replicaId, group } = status.value;
+    const own = context.store.identity.group;
+    if (!own || host !== link.host || (group && group.groupId !== own.groupId)) {
+      context.options.log.warn('replication: the peer belongs to another host or group', {
+        expected: link.host,
+        found: host,
+        group: group?.groupId,
+      });
+      return false;
+    }
+    const deadline = context.now + messageTimeoutMs;
+    if (!group && !(await link.sendGroup({ to: replicaId, group: own }, deadline)).ok) return false;
+    if (!leadership.isActive) return false;
+    if (leadership.findProgress(host)?.replicaId === replicaId) return true;
+    context.options.log.info('replication: following a new replica', { host, replicaId });
+    leadership.setPeer({ host, replicaId });
+    context.changes.announceChange();
+    return true;
+  }
+}
--- /dev/null
+++ b/src/application/replication/Replica.ts
@@ -0,0 +1,214 @@
+import type Failure from '../../domain/errors/Failure.ts';
+import type Result from '../../domain/errors/Result.ts';
+import type {
+  AppendRequest,
+  GroupRequest,
+  MessageHead,
+  SnapshotRequest,
+  VoteRequest,
+} from '../../ports/ReplicationLink.ts';
+import type CommandLog from './CommandLog.ts';
+import ElectionTask from './ElectionTask.ts';
+import GroupTask from './GroupTask.ts';
+import LeadershipTransfer from './LeadershipTransfer.ts';
+import MembershipTask from './MembershipTask.ts';
+import MessageHandler from './MessageHandler.ts';
+import PeerTask from './PeerTask.ts';
+import ReplicaContext from './ReplicaContext.ts';
+import type { ReplicaOptions, ReplicaRole } from './ReplicaContext.ts';
+import ReplicaStore from './ReplicaStore.ts';
+import type ReplicationHandler from './ReplicationHandler.ts';
+import SnapshotTask from './SnapshotTask.ts';
+import WriterTask from './WriterTask.ts';
+
+// Peer messages hold 16 MiB; a command is smaller by enough for JSON inside JSON.
+const maxCommandBytes = 4_194_304;
+
+/**
+ * One replica of the control group's log. Based on the Raft protocol (Ongaro and Ousterhout, "In
+ * Search of an Understandable Consensus Algorithm", 2014) with pre-vote and single-server
+ * membership changes.
+ */
+export default class Replica<Command, Reply>
+  implements CommandLog<Command, Reply>, ReplicationHandler
+{
+  private readonly context: ReplicaContext<Command, Reply>;
+
+  private readonly handler: MessageHandler<Command, Reply>;
+
+  private readonly elections: ElectionTask<Command, Reply>;
+
+  private readonly groups: GroupTask<Command, Reply>;
+
+  private isClosing = false;
+
+  private ended: Promise<unknown> = Promise.resolve();
+
+  private constructor(context: ReplicaContext<Command, Reply>) {
+    this.context = context;
+    this.elections = new ElectionTask(context);
+    this.groups = new GroupTask(context);
+    const { elections, groups } = this;
+    this.handler = new MessageHandler({ context, elections, groups });
+  }
+
+  /**
+   * Opens the data folder and starts the tasks. Rejects with a `FailureError` of kind
+   * `log_damaged` or `data_folder_unusable`.
+   */
+  static async startReplica<Command, Reply>(
+    options: ReplicaOptions<Command, Reply>,
+  ): Promise<Replica<Command, Reply>> {
+    const store = await ReplicaStore.openStore(options);
+    const context = new ReplicaContext(options, store);
+    const snapshot = await store.snapshotFile.readDocument();
+    if (snapshot) {
+      context.applier.restoreSnapshot(snapshot);
+      context.commitIndex = snapshot.index;
+    }
+    const replica = new Replica(context);
+    replica.startTasks();
+    return replica;
+  }
+
+  get groupId(): string | undefined {
+    return this.context.store.identity.group?.groupId;
+  }
+
+  get replicaId(): string {
+    return this.context.own.replicaId;
+  }
+
+  get leader(): string | undefined {
+    return this.context.leader?.host;
+  }
+
+  get role(): ReplicaRole {
+    return this.context.role;
+  }
+
+  get term(): number {
+    return this.context.term;
+  }
+
+  /** Host names of the voters, by the newest configuration in the log. */
+  get voters(): readonly string[] {
+    return this.context.configuration.voters.map(({ host }) => host);
+  }
+
+  get appliedIndex(): number {
+    return this.context.applier.commandIndex;
+  }
+
+  async proposeCommand(command: Command, deadline: number): Promise<Result<Reply>> {
+    const { context } = this;
+    if (!context.leadership || this.isClosing) return this.refuseNotLeader('propose');
+    const size = Buffer.byteLength(JSON.stringify(command));
+    if (size > maxCommandBytes) {
+      const message = `propose: the command has ${size} bytes: expected at most ${maxCommandBytes}`;
+      return { ok: false, failure: { kind: 'message_invalid', message } };
+    }
+    const index = context.addContent({ kind: 'command', command });
+    const answered = new AbortController();
+    const reply = context.applier.waitReply(index).finally(() => answered.abort());
+    await context.options.clock.sleepUntil(deadline, answered.signal);
+    context.applier.dropProposal(index, {
+      kind: 'no_quorum',
+      message: `propose: no majority stored entry ${index} by the deadline: it may still be committed`,
+    });
+    return reply;
+  }
+
+  async confirmRead(deadline: number): Promise<Result<void>> {
+    const { context } = this;
+    const { leadership } = context;
+    if (!leadership) return this.refuseNotLeader('confirm a read');
+    const waitFor = (isMet: () => boolean): Promise<void> =>
+      context.changes.waitUntil(() => !leadership.isActive || isMet(), deadline);
+    // Until then this leader may not know the newest commit index.
+    await waitFor(() => context.commitIndex >= leadership.startIndex);
+    if (leadership.isActive && context.commitIndex >= leadership.startIndex) {
+      leadership.round += 1;
+      const { round } = leadership;
+      const isConfirmed = (): boolean => leadership.hasConfirmed(round, context.configuration);
+      context.changes.announceChange();
+      await waitFor(isConfirmed);
+      if (leadership.isActive && isConfirmed()) return { ok: true, value: undefined };
+    }
+    const message = `confirm a read: no majority followed host "${context.own.host}" by the deadline`;
+    return { ok: false, failure: { kind: 'no_quorum', message } };
+  }
+
+  async waitApplied(afterIndex: number, deadline: number): Promise<void> {
+    const { context } = this;
+    await context.changes.waitUntil(
+      () => context.isStopped || this.appliedIndex > afterIndex,
+      deadline,
+    );
+  }
+
+  /** Finishes accepted proposals, hands leadership over and ends all tasks. */
+  async stop(deadline: number): Promise<void> {
+    const { context } = this;
+    this.isClosing = true;
+    if (context.leadership) await new LeadershipTransfer(context).runTransfer(deadline);
+    context.stop();
+    await this.ended;
+  }
+
+  /** Resolves when the replica has ended: with a failure when it stopped by itself. */
+  async waitEnded(): Promise<Result<void>> {
+    await this.ended;
+    const { failure } = this.context;
+    return failure ? { ok: false, failure } : { ok: true, value: undefined };
+  }
+
+  answerStatus() {
+    return this.handler.answerStatus();
+  }
+
+  answerGroup(request: GroupRequest) {
+    return this.handler.answerGroup(request);
+  }
+
+  answerVote(request: VoteRequest) {
+    return this.handler.answerVote(request);
+  }
+
+  answerAppend(request: AppendRequest) {
+    return this.handler.answerAppend(request);
+  }
+
+  answerSnapshot(request: SnapshotRequest) {
+    return this.handler.answerSnapshot(request);
+  }
+
+  answerTransfer(request: MessageHead) {
+    return this.handler.answerTransfer(request);
+  }
+
+  private startTasks(): void {
+    const { context } = this;
+    const peers = context.options.links.map((link) => new PeerTask(context, link));
+    const tasks = [
+      this.groups.runGroup(),
+      this.elections.runElections(),
+      new WriterTask(context).runWriter(),
+      new SnapshotTask(context).runSnapshots(),
+      new MembershipTask(context).runMembership(),
+      ...peers.map((peer) => peer.runPeer()),
+    ];
+    // A task that fails stops the replica, and that ends the others.
+    this.ended = Promise.all(
+      tasks.map((task) => task.catch((error: Error) => context.fail(error))),
+    ).then(() => {
+      context.options.log.info('replication: ended', { failure: context.failure?.message });
+    });
+  }
+
+  private refuseNotLeader(call: string): { readonly ok: false; readonly failure: Failure } {
+    const { own, leader } = this.context;
+    const message = `${call}: host "${own.host}" does not lead; leader: ${leader?.host ?? 'unknown'}`;
+    return { ok: false, failure: { kind: 'not_leader', message, leader: leader?.host } };
+  }
+}
--- /dev/null
+++ b/src/application/replication/ReplicaContext.ts
@@ -0,0 +1,225 @@
+import type Failure from '../../domain/errors/Failure.ts';
+import FailureError from '../../domain/errors/FailureError.ts';
+import Leadership from '../../domain/replication/Leadership.ts';
+import type { EntryContent } from '../../domain/replication/LogEntry.ts';
+import type { Member } from '../../domain/replication/ReplicaConfiguration.ts';
+import type ReplicaConfiguration from '../../domain/replication/ReplicaConfiguration.ts';
+import type ReplicatedState from '../../domain/replication/ReplicatedState.ts';
+import type Clock from '../../ports/Clock.ts';
+import type Disk from '../../ports/Disk.ts';
+import type Log from '../../ports/Log.ts';
+import type RandomSource from '../../ports/RandomSource.ts';
+import type ReplicationLink from '../../ports/ReplicationLink.ts';
+import ChangeNotifier from './ChangeNotifier.ts';
+import CommandApplier from './CommandApplier.ts';
+import type LogStore from './LogStore.ts';
+import type ReplicaStore from './ReplicaStore.ts';
+import SerialRunner from './SerialRunner.ts';
+
+/** What a replica needs. */
+export interface ReplicaOptions<Command, Reply> {
+  /** Host name of this replica. */
+  readonly host: string;
+  /** All control hosts in the order of the settings, this one included. */
+  readonly hosts: readonly string[];
+  /** One link to each of the other control hosts. */
+  readonly links: readonly ReplicationLink[];
+  readonly disk: Disk;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: Log;
+  readonly state: ReplicatedState<Command, Reply>;
+  /** A snapshot is taken after this many entries; 4,096 by default. */
+  readonly snapshotEntries?: number;
+  /** A snapshot is taken after log records of this size; 16 MiB by default. */
+  readonly snapshotBytes?: number;
+  /** Size of the pieces that a snapshot is sent in; 1 MiB by default. */
+  readonly pieceBytes?: number;
+}
+
+/** The part that a replica has in its group. */
+export type ReplicaRole = 'follower' | 'candidate' | 'leader';
+
+/** What the tasks of one replica share. Methods marked so are called within `serial`. */
+export default class ReplicaContext<Command = unknown, Reply = unknown> {
+  readonly options: ReplicaOptions<Command, Reply>;
+
+  readonly store: ReplicaStore;
+
+  /** Everything that writes to the store runs within it. */
+  readonly serial = new SerialRunner();
+
+  /** Announces every change that a task of this replica may wait for. */
+  readonly changes: ChangeNotifier;
+
+  readonly applier: CommandApplier<Command, Reply>;
+
+  role: ReplicaRole = 'follower';
+
+  leader: Member | undefined;
+
+  leadership: Leadership | undefined;
+
+  commitIndex = 0;
+
+  /** The election timeout counts from here. */
+  electionFrom: number;
+
+  leaderHeardAt = -Infinity;
+
+  isStopped = false;
+
+  /** Why the replica stopped by itself. */
+  failure: Failure | undefined;
+
+  constructor(options: ReplicaOptions<Command, Reply>, store: ReplicaStore) {
+    this.options = options;
+    this.store = store;
+    this.changes = new ChangeNotifier(options.clock);
+    this.applier = new CommandApplier(options.state);
+    this.electionFrom = options.clock.now();
+  }
+
+  get now(): number {
+    return this.options.clock.now();
+  }
+
+  get own(): Member {
+    return this.store.identity;
+  }
+
+  get log(): LogStore {
+    return this.store.log;
+  }
+
+  get term(): number {
+    return this.store.vote.term;
+  }
+
+  get configuration(): ReplicaConfiguration {
+    return this.log.configuration.configuration;
+  }
+
+  get isVoter(): boolean {
+    return this.configuration.voters.some(({ replicaId }) => replicaId === this.own.replicaId);
+  }
+
+  /** The replica that a message is meant for, and its sender. */
+  createHead(to: string, term: number) {
+    const { replicaId, host, group } = this.store.identity;
+    return { groupId: group?.groupId ?? '', to, from: replicaId, fromHost: host, term };
+  }
+
+  /** Follows a term that is at least as new as the own one. Within `serial`. */
+  async followTerm(term: number, leader: Member | undefined): Promise<void> {
+    if (term > this.term) {
+      this.endLeadership();
+      await this.store.saveVote({ term, votedFor: undefined });
+      this.leader = undefined;
+    }
+    if (this.role === 'candidate') this.role = 'follower';
+    if (leader) this.leader = leader;
+  }
+
+  /** Steps down when an answer names a newer term. */
+  async acceptTerm(term: number): Promise<void> {
+    if (term <= this.term) return;
+    const following = this.runSerial(async () => {
+      if (term > this.term) await this.followTerm(term, undefined);
+    });
+    // A failed write has stopped this replica; its tasks end by themselves.
+    await following.catch(() => undefined);
+  }
+
+  /** Leads the current term; the entry that starts it makes older entries committable. */
+  startLeadership(): void {
+    const { log, term, now } = this;
+    const startIndex = log.lastIndex + 1;
+    const { replicaId: ownId } = this.own;
+    this.role = 'leader';
+    this.leader = this.own;
+    this.leadership = new Leadership({ term, ownId, startIndex, now });
+    this.options.log.info('replication: leading', { term, index: startIndex });
+    this.addContent({ kind: 'term_start' });
+  }
+
+  /** Returns to follower; waiting proposals may still be committed by the next leader. */
+  endLeadership(): void {
+    this.role = 'follower';
+    if (!this.leadership) return;
+    this.leadership.isActive = false;
+    this.leadership = undefined;
+    this.leader = undefined;
+    this.electionFrom = this.now;
+    this.options.log.info('replication: no longer leading', { term: this.term });
+    this.applier.failProposals({
+      kind: 'no_quorum',
+      message: `propose: host "${this.own.host}" no longer leads term ${this.term}: the command may still be committed`,
+    });
+    this.changes.announceChange();
+  }
+
+  /** Adds an entry of this leader; the tasks write and send it. */
+  addContent(content: EntryContent): number {
+    const entry = this.log.addContent(this.term, content, this.now);
+    this.changes.announceChange();
+    return entry.index;
+  }
+
+  /** Commits what a majority has on synced disks; only an entry of the own term proves it. */
+  commitMajority(): void {
+    const { leadership, log } = this;
+    if (!leadership) return;
+    const index = leadership.computeMajorityIndex(this.configuration, log.syncedIndex);
+    if (index > this.commitIndex && log.readTerm(index) === leadership.term) {
+      this.commitThrough(index);
+    }
+  }
+
+  commitThrough(index: number): void {
+    if (index <= this.commitIndex) return;
+    this.commitIndex = index;
+    this.applier.applyThrough(index, this.log);
+    this.changes.announceChange();
+  }
+
+  /** Runs work on the store; stops the replica when it throws. */
+  async runSerial<Value>(work: () => Promise<Value>): Promise<Value> {
+    return this.serial.runNext(async () => {
+      if (this.isStopped) throw this.createStopError();
+      try {
+        return await work();
+      } catch (error) {
+        this.fail(error as Error);
+        throw error;
+      }
+    });
+  }
+
+  /**
+   * Stops this replica after an unexpected error. After a failed write or sync the content of the
+   * disk is not known, so nothing may be acknowledged any more.
+   */
+  fail(error: Error): void {
+    if (this.isStopped) return;
+    this.failure =
+      error instanceof FailureError
+        ? error.failure
+        : { kind: 'internal', message: `replica of host "${this.own.host}": ${error.message}` };
+    this.options.log.error('replication: stopped by an error', { error: error.message });
+    this.stop();
+  }
+
+  stop(): void {
+    this.isStopped = true;
+    this.endLeadership();
+    this.changes.announceChange();
+  }
+
+  createStopError(): FailureError {
+    return new FailureError({
+      kind: 'host_stopping',
+      message: `replica of host "${this.own.host}": it has stopped`,
+    });
+  }
+}
--- /dev/null
+++ b/src/application/replication/SnapshotSender.ts
@@ -0,0 +1,75 @@
+import type Result from '../../domain/errors/Result.ts';
+import type Leadership from '../../domain/replication/Leadership.ts';
+import type { PeerProgress } from '../../domain/replication/Leadership.ts';
+import type ReplicationLink from '../../ports/ReplicationLink.ts';
+import type { LogStart } from './LogStore.ts';
+import type ReplicaContext from './ReplicaContext.ts';
+
+const defaultPieceBytes = 1_048_576;
+// The last piece is answered after the peer has synced and loaded the whole file.
+const pieceTimeoutMs = 5000;
+
+interface SendingSnapshot {
+  readonly start: LogStart;
+  readonly content: Uint8Array;
+  readonly replicaId: string;
+  offset: number;
+}
+
+/** Sends the snapshot of this replica to one peer that lags behind the log. */
+export default class SnapshotSender<Command, Reply> {
+  private readonly context: ReplicaContext<Command, Reply>;
+
+  private readonly link: ReplicationLink;
+
+  private sending: SendingSnapshot | undefined;
+
+  constructor(context: ReplicaContext<Command, Reply>, link: ReplicationLink) {
+    this.context = context;
+    this.link = link;
+  }
+
+  /** Sends the next piece; after the last one the peer continues with entries. */
+  async sendPiece(leadership: Leadership, progress: PeerProgress): Promise<Result<void>> {
+    const { context, link } = this;
+    const sending = await this.loadSnapshot(progress.replicaId);
+    const { content, offset, start } = sending;
+    const sentAt = context.now;
+    const end = offset + (context.options.pieceBytes ?? defaultPieceBytes);
+    const answer = await link.sendSnapshot(
+      {
+        ...context.createHead(progress.replicaId, leadership.term),
+        snapshotIndex: start.index,
+        snapshotTerm: start.term,
+        offset,
+        size: content.byteLength,
+        piece: Buffer.from(content.subarray(offset, end)).toString('base64'),
+      },
+      sentAt + pieceTimeoutMs,
+    );
+    if (!answer.ok) return answer;
+    await context.acceptTerm(answer.value.term);
+    if (!leadership.isActive) return { ok: true, value: undefined };
+    progress.contactAt = sentAt;
+    sending.offset = answer.value.receivedBytes;
+    if (sending.offset >= content.byteLength) {
+      this.sending = undefined;
+      progress.matchIndex = Math.max(progress.matchIndex, start.index);
+      progress.nextIndex = progress.matchIndex + 1;
+    }
+    context.changes.announceChange();
+    return { ok: true, value: undefined };
+  }
+
+  /** The file is kept until it was sent, while newer snapshots may replace it on the disk. */
+  private async loadSnapshot(replicaId: string): Promise<SendingSnapshot> {
+    if (this.sending?.replicaId === replicaId) return this.sending;
+    const { context } = this;
+    return context.runSerial(async () => {
+      const content = await context.options.disk.read(context.store.snapshotFile.name);
+      if (!content) throw new Error('the log has a start but the snapshot file is missing');
+      this.sending = { start: context.log.snapshotStart, content, replicaId, offset: 0 };
+      return this.sending;
+    });
+  }
+}
--- /dev/null
+++ b/src/application/replication/SnapshotTask.ts
@@ -0,0 +1,46 @@
+import type ReplicaContext from './ReplicaContext.ts';
+import encodeRecord from './encodeRecord.ts';
+
+const defaultSnapshotEntries = 4096;
+const defaultSnapshotBytes = 16_777_216;
+
+/** Takes snapshots, so that the log and the time of a restart stay bounded. */
+export default class SnapshotTask<Command, Reply> {
+  private readonly context: ReplicaContext<Command, Reply>;
+
+  constructor(context: ReplicaContext<Command, Reply>) {
+    this.context = context;
+  }
+
+  /** Runs until the replica stops. */
+  async runSnapshots(): Promise<void> {
+    const { context } = this;
+    while (!context.isStopped) {
+      await context.changes.waitUntil(() => context.isStopped || this.isDue(), Infinity);
+      if (!context.isStopped) await this.storeSnapshot();
+    }
+  }
+
+  private isDue(): boolean {
+    const { applier, log, options } = this.context;
+    const entries = applier.appliedIndex - log.snapshotStart.index;
+    if (entries <= 0) return false;
+    return (
+      entries >= (options.snapshotEntries ?? defaultSnapshotEntries) ||
+      log.bytesSinceSnapshot >= (options.snapshotBytes ?? defaultSnapshotBytes)
+    );
+  }
+
+  private async storeSnapshot(): Promise<void> {
+    const { context } = this;
+    const { snapshotFile } = context.store;
+    const snapshot = context.applier.takeSnapshot(context.log);
+    // Written beside the log, so that entries are not held up by a large state.
+    const staged = await snapshotFile.writeStaged(encodeRecord(snapshot));
+    await context.runSerial(async () => {
+      if (context.log.snapshotStart.index >= snapshot.index) return;
+      await context.store.useSnapshot(staged, snapshot);
+      context.options.log.info('replication: snapshot stored', { index: snapshot.index });
+    });
+  }
+}
