Add the replication procedures between peers

Cause: replicas talk over the peers' tRPC connection. Ruled out: tRPC input parsers, which throw for malformed messages; the procedures answer `message_invalid` as data.

--- /dev/null
+++ b/src/adapters/trpc/createReplicationRouter.ts
@@ -0,0 +1,64 @@
+import { z } from 'zod';
+
+import type Result from '../../domain/errors/Result.ts';
+import type ReplicationHandler from '../../application/replication/ReplicationHandler.ts';
+import {
+  appendRequestSchema,
+  groupRequestSchema,
+  headSchema,
+  snapshotRequestSchema,
+  voteRequestSchema,
+} from './replicationMessages.ts';
+import { procedure, router } from './trpcBase.ts';
+
+/** Builds a procedure whose answer is always data; a malformed input gives `message_invalid`. */
+function createProcedure<Input, Output>(options: {
+  readonly path: string;
+  readonly schema: z.ZodType<Input>;
+  readonly answer: (input: Input) => Promise<Result<Output>>;
+}) {
+  const { path, schema, answer } = options;
+  return procedure.input(z.unknown()).mutation(async ({ input, ctx }): Promise<Result<Output>> => {
+    const parsed = schema.safeParse(input);
+    if (parsed.success) return answer(parsed.data);
+    const detail = z.prettifyError(parsed.error);
+    const message = `${path} of host "${ctx.callerName}": ${detail}`;
+    return { ok: false, failure: { kind: 'message_invalid', message } };
+  });
+}
+
+/** Procedures that other replicas call, to be mounted as `replication`. */
+export default function createReplicationRouter(handler: ReplicationHandler) {
+  return router({
+    status: createProcedure({
+      path: 'replication.status',
+      schema: z.unknown(),
+      answer: () => handler.answerStatus(),
+    }),
+    group: createProcedure({
+      path: 'replication.group',
+      schema: groupRequestSchema,
+      answer: (request) => handler.answerGroup(request),
+    }),
+    vote: createProcedure({
+      path: 'replication.vote',
+      schema: voteRequestSchema,
+      answer: (request) => handler.answerVote(request),
+    }),
+    append: createProcedure({
+      path: 'replication.append',
+      schema: appendRequestSchema,
+      answer: (request) => handler.answerAppend(request),
+    }),
+    snapshot: createProcedure({
+      path: 'replication.snapshot',
+      schema: snapshotRequestSchema,
+      answer: (request) => handler.answerSnapshot(request),
+    }),
+    transfer: createProcedure({
+      path: 'replication.transfer',
+      schema: headSchema,
+      answer: (request) => handler.answerTransfer(request),
+    }),
+  });
+}
--- /dev/null
+++ b/src/adapters/trpc/replicationMessages.ts
@@ -0,0 +1,130 @@
+import { z } from 'zod';
+
+import type Failure from '../../domain/errors/Failure.ts';
+import type Result from '../../domain/errors/Result.ts';
+import type LogEntry from '../../domain/replication/LogEntry.ts';
+import type { HostStatus } from '../../domain/replication/decideGroup.ts';
+import type {
+  AppendAnswer,
+  AppendRequest,
+  GroupRequest,
+  MessageHead,
+  SnapshotAnswer,
+  SnapshotRequest,
+  VoteAnswer,
+  VoteRequest,
+} from '../../ports/ReplicationLink.ts';
+
+const count = z.int().nonnegative();
+const memberSchema = z.object({ replicaId: z.string(), host: z.string() });
+const groupSchema = z.object({ groupId: z.string(), founders: z.array(memberSchema) });
+
+const head = {
+  groupId: z.string(),
+  to: z.string(),
+  from: z.string(),
+  fromHost: z.string(),
+  term: count,
+};
+
+const contentSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('command'), command: z.unknown() }),
+  z.object({
+    kind: z.literal('configuration'),
+    configuration: z.object({ voters: z.array(memberSchema) }),
+  }),
+  z.object({ kind: z.literal('term_start') }),
+]);
+
+const entrySchema: z.ZodType<LogEntry> = z.object({
+  index: count,
+  term: count,
+  proposedAt: z.number(),
+  content: contentSchema,
+});
+
+/** Message of a leader that asks its follower to take over. */
+export const headSchema: z.ZodType<MessageHead> = z.object(head);
+
+/** Proposal of a group to an empty host. */
+export const groupRequestSchema: z.ZodType<GroupRequest> = z.object({
+  to: z.string(),
+  group: groupSchema,
+});
+
+/** Request for a vote or a pre-vote. */
+export const voteRequestSchema: z.ZodType<VoteRequest> = z.object({
+  ...head,
+  kind: z.enum(['pre_vote', 'vote']),
+  lastIndex: count,
+  lastTerm: count,
+  isTransfer: z.boolean(),
+});
+
+/** Entries of the log. */
+export const appendRequestSchema: z.ZodType<AppendRequest> = z.object({
+  ...head,
+  previousIndex: count,
+  previousTerm: count,
+  entries: z.array(entrySchema),
+  commitIndex: count,
+});
+
+/** A piece of a snapshot. */
+export const snapshotRequestSchema: z.ZodType<SnapshotRequest> = z.object({
+  ...head,
+  snapshotIndex: count,
+  snapshotTerm: count,
+  offset: count,
+  size: count,
+  piece: z.base64(),
+});
+
+const failureSchema: z.ZodType<Failure> = z.object({
+  kind: z.enum([
+    'wrong_replica',
+    'message_invalid',
+    'host_stopping',
+    'data_folder_unusable',
+    'log_damaged',
+    'internal',
+  ]),
+  message: z.string(),
+});
+
+function createResultSchema<Value>(value: z.ZodType<Value>) {
+  return z.discriminatedUnion('ok', [
+    z.object({ ok: z.literal(true), value }),
+    z.object({ ok: z.literal(false), failure: failureSchema }),
+  ]) as z.ZodType<Result<Value>>;
+}
+
+/** Answer without a value; JSON leaves undefined values out. */
+export const emptyAnswerSchema: z.ZodType<Result<void>> = z.discriminatedUnion('ok', [
+  z.object({ ok: z.literal(true) }).transform((): Result<void> => ({ ok: true, value: undefined })),
+  z.object({ ok: z.literal(false), failure: failureSchema }),
+]);
+
+/** Answer to a status request. */
+export const statusAnswerSchema = createResultSchema<HostStatus>(
+  z.object({
+    host: z.string(),
+    replicaId: z.string(),
+    group: groupSchema.optional(),
+  }) as unknown as z.ZodType<HostStatus>,
+);
+
+/** Answer to a vote request. */
+export const voteAnswerSchema = createResultSchema<VoteAnswer>(
+  z.object({ term: count, isGranted: z.boolean() }),
+);
+
+/** Answer to entries. */
+export const appendAnswerSchema = createResultSchema<AppendAnswer>(
+  z.object({ term: count, isAccepted: z.boolean(), index: count }),
+);
+
+/** Answer to a piece of a snapshot. */
+export const snapshotAnswerSchema = createResultSchema<SnapshotAnswer>(
+  z.object({ term: count, receivedBytes: count }),
+);
