Add membership, gossip, announcements and preset distribution

Cause: hosts need one view of upstreams, hosts and the active preset without an external store and without static lists. Ruled out: a lease deadline as part of a version (a host that cuts leases would be offered the record for ever, and each time extend it); a sequence before `leaving` in a version (two hosts that accept `leaving` and a later `serving` at the same time would not agree); digests in both directions of an exchange (the answer names only the keys it lacks).

--- /dev/null
+++ b/src/adapters/http/PlatformFrontEnd.ts
@@ -0,0 +1,137 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { Duplex } from 'node:stream';
+
+import type AnnouncementService from '../../application/membership/AnnouncementService.ts';
+import createFailureAnswer from '../../application/requests/createFailureAnswer.ts';
+import type Failure from '../../domain/errors/Failure.ts';
+import type { HostStateName } from '../../domain/membership/HostRecord.ts';
+import type { ListenAddress } from '../../domain/settings/DaemonSettings.ts';
+import type Log from '../../ports/Log.ts';
+import type MetricsSource from '../../ports/MetricsSource.ts';
+import closeServer from './closeServer.ts';
+import openServer from './openServer.ts';
+import parseAnnouncement from './parseAnnouncement.ts';
+import readBody from './readBody.ts';
+import writeClientError from './writeClientError.ts';
+
+const maxAnnouncementBytes = 4096;
+const requestTimeoutMs = 5000;
+
+/** What the platform listener serves. */
+export interface PlatformFrontEndOptions {
+  readonly log: Log;
+  readonly metrics: MetricsSource;
+  /** Life of this host; `/ready` answers 200 only in `ready`. */
+  readonly readState: () => HostStateName;
+  /** Set on entry hosts. */
+  readonly announcements?: AnnouncementService;
+}
+
+/** The listener for the platform's probes, for metrics and for announcements of upstreams. */
+export default class PlatformFrontEnd {
+  private readonly options: PlatformFrontEndOptions;
+
+  private readonly server: Server;
+
+  constructor(options: PlatformFrontEndOptions) {
+    this.options = options;
+    this.server = createServer({ requestTimeout: requestTimeoutMs }, (request, response) => {
+      this.serveRequest(request, response).catch((error: Error) => {
+        options.log.error('membership: a request of the platform failed', { error: error.message });
+        response.destroy();
+      });
+    });
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) =>
+      writeClientError(error, socket),
+    );
+  }
+
+  openListener(address: ListenAddress): Promise<void> {
+    return openServer(this.server, address, 'listen.platform');
+  }
+
+  /** The address that the listener got; tests listen on port 0. */
+  get address(): AddressInfo {
+    return this.server.address() as AddressInfo;
+  }
+
+  /** Accepts no new connections and resolves when every open request was answered. */
+  closeListener(): Promise<void> {
+    return closeServer(this.server);
+  }
+
+  private async serveRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const [path = ''] = (request.url ?? '').split('?', 1);
+    const call = `${request.method} ${path}`;
+    if (call === 'GET /health') this.writeText(response, 'ok\n');
+    else if (call === 'GET /ready') this.writeReadiness(response);
+    else if (call === 'GET /metrics') {
+      this.writeText(response, await this.options.metrics.renderMetrics());
+    } else if (call === 'POST /announce' && this.options.announcements) {
+      await this.serveAnnouncement(request, response, this.options.announcements);
+    } else {
+      response.shouldKeepAlive = false;
+      this.writeFailure(response, {
+        kind: 'route_unknown',
+        message: `${call}: expected GET /health, GET /ready, GET /metrics, or POST /announce on an entry host`,
+      });
+    }
+  }
+
+  private async serveAnnouncement(
+    request: IncomingMessage,
+    response: ServerResponse,
+    announcements: AnnouncementService,
+  ): Promise<void> {
+    const body = await readBody(request, maxAnnouncementBytes);
+    if (!body.ok) {
+      response.shouldKeepAlive = false;
+      this.writeFailure(response, body.failure);
+      return;
+    }
+    const announcement = parseAnnouncement(body.value);
+    const accepted = announcement.ok
+      ? announcements.acceptAnnouncement(announcement.value)
+      : announcement;
+    if (!accepted.ok) {
+      this.writeFailure(response, accepted.failure);
+      return;
+    }
+    const leaseDeadline = Math.floor(accepted.value.leaseDeadline);
+    const text = JSON.stringify({ lease_deadline: leaseDeadline });
+    response.writeHead(200, { 'content-type': 'application/json' }).end(text);
+  }
+
+  private writeReadiness(response: ServerResponse): void {
+    const state = this.options.readState();
+    if (state === 'ready') this.writeText(response, 'ready\n');
+    else if (state === 'starting') {
+      this.writeFailure(response, {
+        kind: 'host_not_ready',
+        message: 'GET /ready: this host has not finished its start',
+      });
+    } else {
+      this.writeFailure(response, {
+        kind: 'host_stopping',
+        message: 'GET /ready: this host is stopping',
+      });
+    }
+  }
+
+  private writeText(response: ServerResponse, text: string): void {
+    response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4; charset=utf-8' });
+    response.end(text);
+  }
+
+  private writeFailure(response: ServerResponse, failure: Failure): void {
+    const answer = createFailureAnswer(failure);
+    response.writeHead(answer.status, {
+      ...Object.fromEntries(answer.headers),
+      'content-length': answer.body.byteLength,
+      'pistachiohoist-error': failure.kind,
+    });
+    response.end(answer.body);
+  }
+}
--- a/src/adapters/trpc/TrpcPeerConnection.ts
+++ b/src/adapters/trpc/TrpcPeerConnection.ts
@@ -29,6 +29,8 @@
   /** Checks the peer's answer. */
   readonly output: z.ZodType<Output>;
   readonly deadline: number;
+  /** Ends the call early. */
+  readonly signal?: AbortSignal;
 }
 
 /** One lasting WebSocket to one peer, opened again whenever it breaks. */
@@ -68,14 +70,19 @@
     });
     const overdue = new AbortController();
     const answered = new AbortController();
+    const onAbort = (): void => overdue.abort();
+    call.signal?.addEventListener('abort', onAbort, { once: true });
+    if (call.signal?.aborted) overdue.abort();
     const watch = clock.sleepUntil(call.deadline, answered.signal).then(() => overdue.abort());
     try {
       const answer = await this.client.mutation(call.path, call.input, { signal: overdue.signal });
       const parsed = call.output.safeParse(answer);
       return parsed.success ? { ok: true, value: parsed.data } : fail('the answer is malformed');
     } catch (error) {
+      if (call.signal?.aborted) return fail('the call was ended');
       return fail(overdue.signal.aborted ? 'no answer by the deadline' : (error as Error).message);
     } finally {
+      call.signal?.removeEventListener('abort', onAbort);
       answered.abort();
       await watch;
     }
--- /dev/null
+++ b/src/adapters/trpc/TrpcPeerDialer.ts
@@ -0,0 +1,67 @@
+import type { PeerAddress } from '../../domain/membership/choosePeers.ts';
+import type Clock from '../../ports/Clock.ts';
+import type PeerDialer from '../../ports/PeerDialer.ts';
+import TrpcPeerConnection from './TrpcPeerConnection.ts';
+
+/** A connection that several links use; it closes when the last one has released it. */
+export interface SharedPeerConnection {
+  readonly connection: TrpcPeerConnection;
+  readonly release: () => void;
+}
+
+/** Options of the connections to all peers. */
+export interface TrpcPeerDialerOptions {
+  readonly peerKey: string;
+  readonly ownHost: string;
+  readonly clock: Clock;
+}
+
+interface OpenConnection {
+  readonly connection: TrpcPeerConnection;
+  users: number;
+}
+
+/** Opens one connection per peer address and shares it among the links to that peer. */
+export default class TrpcPeerDialer {
+  private readonly options: TrpcPeerDialerOptions;
+
+  private readonly open = new Map<string, OpenConnection>();
+
+  constructor(options: TrpcPeerDialerOptions) {
+    this.options = options;
+  }
+
+  /** A dialer for links of one kind, for example `(shared) => new TrpcGossipLink(shared)`. */
+  createDialer<Link>(buildLink: (shared: SharedPeerConnection) => Link): PeerDialer<Link> {
+    return { openLink: (peer) => buildLink(this.takeConnection(peer)) };
+  }
+
+  /** The connection to the peer; every taker releases it once. */
+  takeConnection({ address }: PeerAddress): SharedPeerConnection {
+    const entry = this.open.get(address) ?? this.openConnection(address);
+    entry.users += 1;
+    let isReleased = false;
+    const release = (): void => {
+      if (isReleased) return;
+      isReleased = true;
+      entry.users -= 1;
+      if (entry.users > 0) return;
+      entry.connection.close();
+      if (this.open.get(address) === entry) this.open.delete(address);
+    };
+    return { connection: entry.connection, release };
+  }
+
+  /** Ends all connections; later calls on their links fail. */
+  close(): void {
+    this.open.forEach(({ connection }) => connection.close());
+    this.open.clear();
+  }
+
+  private openConnection(address: string): OpenConnection {
+    const connection = new TrpcPeerConnection({ ...this.options, address });
+    const entry = { connection, users: 0 };
+    this.open.set(address, entry);
+    return entry;
+  }
+}
--- /dev/null
+++ b/src/adapters/trpc/TrpcPresetLink.ts
@@ -0,0 +1,54 @@
+import type Result from '../../domain/errors/Result.ts';
+import type PresetState from '../../domain/presets/PresetState.ts';
+import type PresetLink from '../../ports/PresetLink.ts';
+import type { ConfirmationAsker } from '../../ports/PresetLink.ts';
+import createAnswerSchema from './createAnswerSchema.ts';
+import { presetStateSchema } from './presetMessages.ts';
+import type { SharedPeerConnection } from './TrpcPeerDialer.ts';
+
+// The control host answers at the deadline itself; its clock may be 500 ms behind.
+const answerGraceMs = 1000;
+
+const confirmAnswerSchema = createAnswerSchema(presetStateSchema);
+const watchAnswerSchema = createAnswerSchema(presetStateSchema.optional());
+
+/** The presets of a control host over the connection to it. */
+export default class TrpcPresetLink implements PresetLink {
+  private readonly shared: SharedPeerConnection;
+
+  private readonly closed = new AbortController();
+
+  constructor(shared: SharedPeerConnection) {
+    this.shared = shared;
+  }
+
+  async watchState(
+    afterRevision: number,
+    deadline: number,
+  ): Promise<Result<PresetState | undefined>> {
+    const answer = await this.shared.connection.requestPeer({
+      path: 'presets.watch',
+      input: { afterRevision, deadline },
+      output: watchAnswerSchema,
+      deadline: deadline + answerGraceMs,
+      signal: this.closed.signal,
+    });
+    return answer.ok ? answer.value : answer;
+  }
+
+  async confirmState(deadline: number, asker: ConfirmationAsker): Promise<Result<PresetState>> {
+    const answer = await this.shared.connection.requestPeer({
+      path: 'presets.confirm',
+      input: { deadline, asker },
+      output: confirmAnswerSchema,
+      deadline: deadline + answerGraceMs,
+      signal: this.closed.signal,
+    });
+    return answer.ok ? answer.value : answer;
+  }
+
+  close(): void {
+    this.closed.abort();
+    this.shared.release();
+  }
+}
--- /dev/null
+++ b/src/adapters/trpc/createPresetRouter.ts
@@ -0,0 +1,45 @@
+import type PresetSource from '../../application/presets/PresetSource.ts';
+import type Result from '../../domain/errors/Result.ts';
+import type PresetState from '../../domain/presets/PresetState.ts';
+import type Clock from '../../ports/Clock.ts';
+import { createMalformedInput } from './createAnswerSchema.ts';
+import { confirmInputSchema, watchInputSchema } from './presetMessages.ts';
+import { procedure, router } from './trpcBase.ts';
+
+// Bounds how long a caller with a wrong clock can keep a call open.
+const longestCallMs = 60_000;
+
+/** What the procedures need. */
+export interface PresetRouterOptions {
+  readonly clock: Clock;
+  /** The source of this control host. */
+  readonly source: PresetSource;
+  /** Asks the leader when this control host is not the leader. */
+  readonly forwarding: PresetSource;
+}
+
+/** The procedures `presets.*` of a control host's peers listener; mount under the key `presets`. */
+export default function createPresetRouter({ clock, source, forwarding }: PresetRouterOptions) {
+  const createDeadline = (deadline: number): number =>
+    Math.min(deadline, clock.now() + longestCallMs);
+  return router({
+    watch: procedure
+      .input((input: unknown) => input)
+      .mutation(async ({ input }): Promise<Result<PresetState | undefined>> => {
+        const parsed = watchInputSchema.safeParse(input);
+        if (!parsed.success) return createMalformedInput('presets.watch', parsed.error);
+        const { afterRevision, deadline } = parsed.data;
+        const value = await source.watchState(afterRevision, createDeadline(deadline));
+        return { ok: true, value };
+      }),
+    confirm: procedure
+      .input((input: unknown) => input)
+      .mutation(async ({ input }): Promise<Result<PresetState>> => {
+        const parsed = confirmInputSchema.safeParse(input);
+        if (!parsed.success) return createMalformedInput('presets.confirm', parsed.error);
+        const { asker, deadline } = parsed.data;
+        const asked = asker === 'entry' ? forwarding : source;
+        return asked.confirmState(createDeadline(deadline));
+      }),
+  });
+}
--- /dev/null
+++ b/src/adapters/trpc/gossipMessages.ts
@@ -0,0 +1,55 @@
+import { z } from 'zod';
+
+import type HostRecord from '../../domain/membership/HostRecord.ts';
+import type UpstreamRecord from '../../domain/membership/UpstreamRecord.ts';
+import type { GossipMessage } from '../../ports/GossipLink.ts';
+import { addressTextSchema } from '../yaml/listenAddressSchema.ts';
+
+const nameSchema = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/);
+const countSchema = z.int().min(0);
+const instantSchema = z.number().min(0);
+
+const upstreamRecordSchema: z.ZodType<UpstreamRecord> = z.object({
+  service: nameSchema,
+  upstream: nameSchema,
+  address: addressTextSchema,
+  failureDomain: nameSchema,
+  slots: z.int().min(1).max(10_000),
+  incarnation: countSchema,
+  sequence: countSchema,
+  state: z.enum(['starting', 'serving', 'leaving']),
+  servingSince: instantSchema,
+  leaseDeadline: instantSchema,
+});
+
+const hostRecordSchema: z.ZodType<HostRecord> = z.object({
+  host: nameSchema,
+  role: z.enum(['entry', 'control']),
+  peerAddress: addressTextSchema,
+  failureDomain: nameSchema,
+  incarnation: countSchema,
+  sequence: countSchema,
+  state: z.enum(['starting', 'ready', 'stopping']),
+  revision: countSchema,
+  presetName: z.string().max(63),
+  leaseDeadline: instantSchema,
+});
+
+const topicNameSchema = z.enum(['upstreams', 'hosts', 'verdicts', 'preset']);
+const digestSchema = z.record(z.string().max(256), z.array(z.number()).max(8));
+
+/** One message of `gossip.exchange` and its answer; the topics check the records themselves. */
+export const gossipMessageSchema: z.ZodType<GossipMessage> = z.object({
+  digests: z.partialRecord(topicNameSchema, digestSchema),
+  records: z.partialRecord(topicNameSchema, z.array(z.unknown())),
+});
+
+/** Returns a record of an upstream that a peer sent when it is well-formed. */
+export function checkUpstreamRecord(value: unknown): UpstreamRecord | undefined {
+  return upstreamRecordSchema.safeParse(value).data;
+}
+
+/** Returns a record of a host that a peer sent when it is well-formed. */
+export function checkHostRecord(value: unknown): HostRecord | undefined {
+  return hostRecordSchema.safeParse(value).data;
+}
--- /dev/null
+++ b/src/application/membership/AnnouncementService.ts
@@ -0,0 +1,86 @@
+import type Result from '../../domain/errors/Result.ts';
+import { longestLeaseMs } from '../../domain/membership/Directory.ts';
+import type UpstreamDirectory from '../../domain/membership/UpstreamDirectory.ts';
+import type { UpstreamStateName } from '../../domain/membership/UpstreamRecord.ts';
+import compareVersions from '../../domain/membership/compareVersions.ts';
+import type Clock from '../../ports/Clock.ts';
+
+/** What an upstream says about itself, with all fields checked. */
+export interface Announcement {
+  readonly service: string;
+  readonly upstream: string;
+  readonly address: string;
+  readonly failureDomain: string;
+  readonly slots: number;
+  readonly incarnation: number;
+  readonly sequence: number;
+  readonly state: UpstreamStateName;
+  /** From 1000 to 60000. */
+  readonly leaseMs: number;
+}
+
+/** The answer to an accepted announcement. */
+export interface AcceptedAnnouncement {
+  readonly leaseDeadline: number;
+}
+
+/** What the service needs. */
+export interface AnnouncementServiceOptions {
+  readonly clock: Clock;
+  readonly upstreams: UpstreamDirectory;
+  /** Told after a change that other hosts must learn at once. */
+  readonly sendNews: () => void;
+}
+
+/** Takes announcements of upstreams into the directory. */
+export default class AnnouncementService {
+  private readonly options: AnnouncementServiceOptions;
+
+  constructor(options: AnnouncementServiceOptions) {
+    this.options = options;
+  }
+
+  /**
+   * Accepts an announcement that is newer than the last one; `announcement_stale` otherwise. The
+   * last announcement sent again gets its first answer and does not renew the lease.
+   */
+  acceptAnnouncement(announcement: Announcement): Result<AcceptedAnnouncement> {
+    const { clock, upstreams, sendNews } = this.options;
+    const { leaseMs, ...fields } = announcement;
+    const now = clock.now();
+    const key = `${fields.service}/${fields.upstream}`;
+    const held = upstreams.getRecord(key);
+    const isRepeat =
+      held?.incarnation === fields.incarnation &&
+      held.sequence === fields.sequence &&
+      held.state === fields.state;
+    if (isRepeat) return { ok: true, value: { leaseDeadline: held.leaseDeadline } };
+    const stale = this.describeStale(announcement, upstreams.getLastVersion(key));
+    if (stale !== undefined) {
+      return { ok: false, failure: { kind: 'announcement_stale', message: stale } };
+    }
+    // A leaving record outlives every lease given before it, so that no host that learns of it
+    // late counts the upstream as serving.
+    const leaseDeadline = now + (fields.state === 'leaving' ? longestLeaseMs : leaseMs);
+    const servingSince = fields.state === 'serving' ? now : 0;
+    const outcome = upstreams.putRecord({ ...fields, servingSince, leaseDeadline }, now);
+    if (outcome === 'news') sendNews();
+    return { ok: true, value: { leaseDeadline } };
+  }
+
+  private describeStale(
+    { incarnation, sequence, state, ...names }: Announcement,
+    last: readonly number[] | undefined,
+  ): string | undefined {
+    if (!last) return undefined;
+    const [lastIncarnation = 0, leaving = 0, lastSequence = 0] = last;
+    const call = `announcement of ${names.service}/${names.upstream}`;
+    if (incarnation === lastIncarnation && leaving === 1 && state !== 'leaving') {
+      return `${call}: state "${state}" after leaving: expected an incarnation above ${lastIncarnation}`;
+    }
+    if (compareVersions([incarnation, sequence], [lastIncarnation, lastSequence]) > 0) {
+      return undefined;
+    }
+    return `${call}: incarnation ${incarnation} sequence ${sequence}: expected more than incarnation ${lastIncarnation} sequence ${lastSequence}`;
+  }
+}
--- /dev/null
+++ b/src/application/membership/Gossip.ts
@@ -0,0 +1,280 @@
+import type HostDirectory from '../../domain/membership/HostDirectory.ts';
+import type GossipTopic from '../../domain/membership/GossipTopic.ts';
+import type { GossipDigest, GossipTopicName } from '../../domain/membership/GossipTopic.ts';
+import choosePeers from '../../domain/membership/choosePeers.ts';
+import type { PeerAddress } from '../../domain/membership/choosePeers.ts';
+import { listLacking } from '../../domain/membership/compareVersions.ts';
+import type Clock from '../../ports/Clock.ts';
+import type GossipLink from '../../ports/GossipLink.ts';
+import type { GossipMessage } from '../../ports/GossipLink.ts';
+import type Log from '../../ports/Log.ts';
+import type PeerDialer from '../../ports/PeerDialer.ts';
+import GossipPeerTask from './GossipPeerTask.ts';
+
+const peerCount = 6;
+const exchangeTimeoutMs = 1000;
+const partitionedAfterMs = 3000;
+const checkIntervalMs = 250;
+const turnMs = 5000;
+
+/** Records whose leases expire. */
+export interface ExpiringRecords {
+  setExpirySuspended(isSuspended: boolean): void;
+  dropExpired(now: number): readonly unknown[];
+}
+
+/** What gossip needs. */
+export interface GossipOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly ownHost: string;
+  /** Control hosts of the settings. */
+  readonly seeds: readonly PeerAddress[];
+  readonly hosts: HostDirectory;
+  /** All topics that are exchanged, the host directory among them. */
+  readonly topics: readonly GossipTopic[];
+  /** Directories whose expired records are dropped unless this host is partitioned. */
+  readonly expiring: readonly ExpiringRecords[];
+  readonly dialer: PeerDialer<GossipLink>;
+}
+
+/** Counters for the metrics. */
+export interface GossipCounts {
+  readonly exchanges: number;
+  readonly failedExchanges: number;
+  readonly peers: number;
+  readonly answeringPeers: number;
+  readonly isPartitioned: boolean;
+}
+
+/** Keeps the records of all topics equal on all hosts, with one task for each peer. */
+export default class Gossip {
+  private readonly options: GossipOptions;
+
+  private readonly tasks = new Map<string, GossipPeerTask>();
+
+  private readonly running = new Set<Promise<void>>();
+
+  private lastHeardAt: number;
+
+  private exchanges = 0;
+
+  private failedExchanges = 0;
+
+  private chosenFor = '';
+
+  private wasPartitioned = false;
+
+  constructor(options: GossipOptions) {
+    this.options = options;
+    this.lastHeardAt = options.clock.now();
+  }
+
+  /** Runs until the signal aborts and all tasks have ended. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock } = this.options;
+    this.lastHeardAt = clock.now();
+    while (!signal.aborted) {
+      this.checkPartition();
+      this.dropExpired();
+      this.updatePeers();
+      await clock.sleepUntil(clock.now() + checkIntervalMs, signal);
+    }
+    this.tasks.forEach((task) => task.stop());
+    await Promise.all(this.running);
+  }
+
+  /** Begins an exchange with every peer at once; called after a record of this host changed. */
+  sendNews(): void {
+    this.tasks.forEach((task) => task.sendNews());
+  }
+
+  /** Whether peers are known and none was heard for 3 s. */
+  isPartitioned(): boolean {
+    const isSilent = this.options.clock.now() - this.lastHeardAt >= partitionedAfterMs;
+    return isSilent && this.listKnown().length > 0;
+  }
+
+  /** Answers a peer's exchange: takes its records, returns what it lacks and asks for the rest. */
+  answerExchange(message: GossipMessage): GossipMessage {
+    this.mergeMessage(message);
+    const now = this.options.clock.now();
+    const compared = this.options.topics.flatMap((topic) => {
+      const digest = message.digests[topic.name];
+      return digest ? [{ topic, digest }] : [];
+    });
+    const digests = compared.map(
+      ({ topic, digest }) => [topic.name, listLacking(topic.listVersions(now), digest)] as const,
+    );
+    const isComplete = digests.every(([, lacking]) => Object.keys(lacking).length === 0);
+    if (isComplete) this.lastHeardAt = now;
+    return this.createMessage(
+      digests.filter(([, lacking]) => Object.keys(lacking).length > 0),
+      compared.map(({ topic, digest }) => [topic.name, topic.listNewer(digest, now)]),
+    );
+  }
+
+  /** Counters since the start. */
+  getCounts(): GossipCounts {
+    const tasks = [...this.tasks.values()];
+    return {
+      exchanges: this.exchanges,
+      failedExchanges: this.failedExchanges,
+      peers: tasks.length,
+      answeringPeers: tasks.filter(({ isAnswering }) => isAnswering).length,
+      isPartitioned: this.isPartitioned(),
+    };
+  }
+
+  private async exchangeOnce(task: GossipPeerTask): Promise<boolean> {
+    const { clock, topics, log } = this.options;
+    const now = clock.now();
+    const request = this.createMessage(
+      topics.map((topic) => [topic.name, topic.listVersions(now)]),
+      [],
+    );
+    const answer = await this.sendMessage(task, request);
+    if (answer) {
+      this.mergeMessage(answer);
+      this.lastHeardAt = clock.now();
+      const lacking = this.listRequested(answer);
+      // The answer to the records carries nothing; a lost one is made up for by the next exchange.
+      if (lacking.length > 0) await this.sendMessage(task, this.createMessage([], lacking));
+    }
+    const isAnswering = answer !== undefined;
+    if (task.isAnswering !== isAnswering && !task.isStopped) {
+      const text = isAnswering ? 'peer answers' : 'peer does not answer';
+      log.info(`membership: ${text}`, { peer: task.peer.host, address: task.peer.address });
+    }
+    return isAnswering;
+  }
+
+  private async sendMessage(
+    task: GossipPeerTask,
+    message: GossipMessage,
+  ): Promise<GossipMessage | undefined> {
+    this.exchanges += 1;
+    const deadline = this.options.clock.now() + exchangeTimeoutMs;
+    const answer = await task.link.exchangeRecords(message, deadline);
+    if (answer.ok) return answer.value;
+    this.failedExchanges += 1;
+    return undefined;
+  }
+
+  // Only the keys that the peer asked for are sent.
+  private listRequested(answer: GossipMessage) {
+    const now = this.options.clock.now();
+    return this.options.topics.flatMap((topic) => {
+      const requested = answer.digests[topic.name];
+      if (!requested) return [];
+      const known = { ...topic.listVersions(now), ...requested };
+      const records = topic.listNewer(known, now);
+      return records.length > 0 ? [[topic.name, records] as const] : [];
+    });
+  }
+
+  private mergeMessage(message: GossipMessage): void {
+    const now = this.options.clock.now();
+    const hasNews = this.options.topics
+      .map((topic) => topic.mergeRecords(message.records[topic.name] ?? [], now))
+      .includes(true);
+    if (hasNews) this.sendNews();
+  }
+
+  private createMessage(
+    digests: readonly (readonly [GossipTopicName, GossipDigest])[],
+    records: readonly (readonly [GossipTopicName, readonly unknown[]])[],
+  ): GossipMessage {
+    return {
+      digests: Object.fromEntries(digests),
+      records: Object.fromEntries(records.filter(([, list]) => list.length > 0)),
+    };
+  }
+
+  private checkPartition(): void {
+    const isPartitioned = this.isPartitioned();
+    if (isPartitioned !== this.wasPartitioned) {
+      const text = isPartitioned
+        ? 'no peer was heard for 3 s; no record is dropped until one is heard'
+        : 'a peer was heard again';
+      this.options.log.warn(`membership: ${text}`);
+    }
+    this.wasPartitioned = isPartitioned;
+    this.options.expiring.forEach((records) => records.setExpirySuspended(isPartitioned));
+  }
+
+  private dropExpired(): void {
+    const now = this.options.clock.now();
+    const dropped = this.options.expiring.flatMap((records) => records.dropExpired(now));
+    if (dropped.length === 0) return;
+    this.options.log.info('membership: dropped records with expired leases', {
+      count: dropped.length,
+    });
+  }
+
+  private listLive(): readonly PeerAddress[] {
+    const { hosts, clock, ownHost } = this.options;
+    return hosts
+      .listLive(clock.now())
+      .filter(({ host }) => host !== ownHost)
+      .map(({ host, peerAddress }) => ({ host, address: peerAddress }));
+  }
+
+  private listKnown(): readonly PeerAddress[] {
+    return [...this.listLive(), ...this.options.seeds].filter(
+      ({ host }) => host !== this.options.ownHost,
+    );
+  }
+
+  private updatePeers(): void {
+    const { hosts, clock, ownHost, seeds } = this.options;
+    const live = this.listLive();
+    const isLive = new Set(live.map(({ host }) => host));
+    const lost = hosts.listLost().map(({ host, peerAddress }) => ({ host, address: peerAddress }));
+    const missing = [
+      ...new Map([...lost, ...seeds].map((peer) => [peer.host, peer])).values(),
+    ].filter(({ host }) => !isLive.has(host));
+    const turn = missing.length > 0 ? Math.floor(clock.now() / turnMs) : 0;
+    const choice = { ownHost, live, missing, count: peerCount, turn };
+    const key = JSON.stringify(choice);
+    if (key === this.chosenFor) return;
+    this.chosenFor = key;
+    this.startTasks(choosePeers(choice));
+  }
+
+  private startTasks(peers: readonly PeerAddress[]): void {
+    const wanted = new Map(peers.map((peer) => [`${peer.host} ${peer.address}`, peer]));
+    [...this.tasks].forEach(([key, task]) => {
+      if (wanted.has(key)) return;
+      this.tasks.delete(key);
+      task.stop();
+    });
+    wanted.forEach((peer, key) => {
+      if (!this.tasks.has(key)) this.tasks.set(key, this.startTask(peer));
+    });
+  }
+
+  private startTask(peer: PeerAddress): GossipPeerTask {
+    const task = new GossipPeerTask({
+      peer,
+      clock: this.options.clock,
+      link: this.options.dialer.openLink(peer),
+      exchangeOnce: (own) => this.exchangeOnce(own),
+    });
+    const ended = this.runTask(task);
+    this.running.add(ended);
+    ended.then(() => this.running.delete(ended)).catch(() => undefined);
+    return task;
+  }
+
+  private async runTask(task: GossipPeerTask): Promise<void> {
+    const { host: peer } = task.peer;
+    try {
+      await task.run();
+      this.options.log.debug('membership: the task of a peer ended', { peer });
+    } catch (error) {
+      const { message } = error as Error;
+      this.options.log.error('membership: the task of a peer failed', { peer, error: message });
+    }
+  }
+}
--- /dev/null
+++ b/src/application/membership/HostHeartbeat.ts
@@ -0,0 +1,76 @@
+import type HostDirectory from '../../domain/membership/HostDirectory.ts';
+import type HostRecord from '../../domain/membership/HostRecord.ts';
+import type { HostStateName } from '../../domain/membership/HostRecord.ts';
+import type Clock from '../../ports/Clock.ts';
+
+const leaseMs = 10_000;
+const beatIntervalMs = 1000;
+
+/** The part of the host record that changes while the host runs. */
+export interface HostStatus {
+  readonly state: HostStateName;
+  /** Active revision, 0 when there is none. */
+  readonly revision: number;
+  readonly presetName: string;
+}
+
+/** What the heartbeat needs. */
+export interface HostHeartbeatOptions {
+  readonly clock: Clock;
+  readonly hosts: HostDirectory;
+  readonly host: Pick<HostRecord, 'host' | 'role' | 'peerAddress' | 'failureDomain'>;
+  readonly readStatus: () => HostStatus;
+  /** Told after the state changed, so that peers learn it at once. */
+  readonly sendNews: () => void;
+}
+
+/** Renews the record of this host. */
+export default class HostHeartbeat {
+  private readonly options: HostHeartbeatOptions;
+
+  private incarnation: number;
+
+  private sequence = 0;
+
+  private lastState: HostStateName | undefined;
+
+  constructor(options: HostHeartbeatOptions) {
+    this.options = options;
+    this.incarnation = Math.floor(options.clock.now());
+  }
+
+  /** Renews every second until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock } = this.options;
+    while (!signal.aborted) {
+      this.renewRecord();
+      await clock.sleepUntil(clock.now() + beatIntervalMs, signal);
+    }
+  }
+
+  /** Renews the record now, for example right after the state changed to `stopping`. */
+  renewRecord(): void {
+    const { clock, hosts, host, readStatus, sendNews } = this.options;
+    const now = clock.now();
+    this.updateIncarnation();
+    this.sequence += 1;
+    const status = readStatus();
+    const { incarnation, sequence } = this;
+    const leaseDeadline = now + leaseMs;
+    hosts.putRecord({ ...host, ...status, incarnation, sequence, leaseDeadline }, now);
+    if (status.state !== this.lastState) sendNews();
+    this.lastState = status.state;
+  }
+
+  // Peers may hold a record of an earlier process whose clock ran ahead of this one's.
+  private updateIncarnation(): void {
+    const { hosts, host } = this.options;
+    const [incarnation = 0, sequence = 0] = hosts.getLastVersion(host.host) ?? [];
+    if (incarnation > this.incarnation) {
+      this.incarnation = incarnation + 1;
+      this.sequence = 0;
+    } else if (incarnation === this.incarnation) {
+      this.sequence = Math.max(this.sequence, sequence);
+    }
+  }
+}
--- /dev/null
+++ b/src/application/presets/PresetFollower.ts
@@ -0,0 +1,195 @@
+import type GossipTopic from '../../domain/membership/GossipTopic.ts';
+import type { GossipDigest } from '../../domain/membership/GossipTopic.ts';
+import type { PeerAddress } from '../../domain/membership/choosePeers.ts';
+import { isNewerThanDigest } from '../../domain/membership/compareVersions.ts';
+import type PresetState from '../../domain/presets/PresetState.ts';
+import type Clock from '../../ports/Clock.ts';
+import type Log from '../../ports/Log.ts';
+import type PeerDialer from '../../ports/PeerDialer.ts';
+import type PresetLink from '../../ports/PresetLink.ts';
+import type RouteTable from '../../ports/RouteTable.ts';
+import type { RouteTableBuilder } from '../../ports/RouteTable.ts';
+import type ActivePreset from '../requests/ActivePreset.ts';
+
+const watchMs = 10_000;
+const confirmTimeoutMs = 2000;
+const retryIntervalMs = 500;
+// Before the confirmation the right group is unknown; peers of another group must not fill memory.
+const maxUnconfirmedGroups = 4;
+
+/** What the follower needs. */
+export interface PresetFollowerOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly routeTableBuilder: RouteTableBuilder;
+  /** Control hosts of the settings. */
+  readonly controlHosts: readonly PeerAddress[];
+  readonly dialer: PeerDialer<PresetLink>;
+  /** Returns a state that a peer sent when it is well-formed. */
+  readonly checkState: (value: unknown) => PresetState | undefined;
+  /** Told when a newer state is to be passed on and when one became active. */
+  readonly sendNews: () => void;
+}
+
+/**
+ * Follows the active preset on an entry host. No state is active until one linearizable read
+ * through the control group has confirmed a revision: the peers of a restarted host may all be
+ * older than what the host had shown before.
+ */
+export default class PresetFollower implements ActivePreset, GossipTopic {
+  readonly name = 'preset';
+
+  private readonly options: PresetFollowerOptions;
+
+  /** Newest state known of each group; after the confirmation, of the confirmed group only. */
+  private readonly newest = new Map<string, PresetState>();
+
+  private confirmed: { readonly groupId: string; readonly revision: number } | undefined;
+
+  private active: { readonly state: PresetState; readonly routeTable: RouteTable } | undefined;
+
+  private malformed = 0;
+
+  private foreign = 0;
+
+  constructor(options: PresetFollowerOptions) {
+    this.options = options;
+  }
+
+  get state(): PresetState | undefined {
+    return this.active?.state;
+  }
+
+  get routeTable(): RouteTable | undefined {
+    return this.active?.routeTable;
+  }
+
+  /** Whether a confirmed revision, or a higher one, is active. */
+  isReady(): boolean {
+    return this.active !== undefined;
+  }
+
+  /** Numbers of ignored states: malformed ones, and those of another control group. */
+  getCounts(): { readonly malformed: number; readonly foreign: number } {
+    return { malformed: this.malformed, foreign: this.foreign };
+  }
+
+  /** Follows every control host until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { controlHosts, log } = this.options;
+    const tasks = controlHosts.map(async (peer) => {
+      try {
+        await this.followControlHost(peer, signal);
+      } catch (error) {
+        const { message } = error as Error;
+        log.error('presets: following a control host failed', { peer: peer.host, error: message });
+      }
+    });
+    await Promise.all(tasks);
+  }
+
+  listVersions(): GossipDigest {
+    return Object.fromEntries(
+      [...this.newest.values()].map(({ groupId, revision }) => [groupId, [revision]]),
+    );
+  }
+
+  listNewer(digest: GossipDigest): readonly PresetState[] {
+    return [...this.newest.values()].filter(({ groupId, revision }) =>
+      isNewerThanDigest(digest, groupId, [revision]),
+    );
+  }
+
+  mergeRecords(records: readonly unknown[]): boolean {
+    const states = records.map((record) => this.options.checkState(record));
+    const wellFormed = states.filter((state) => state !== undefined);
+    this.malformed += states.length - wellFormed.length;
+    return wellFormed.map((state) => this.putState(state)).includes(true);
+  }
+
+  private async followControlHost(peer: PeerAddress, signal: AbortSignal): Promise<void> {
+    const { clock } = this.options;
+    const link = this.options.dialer.openLink(peer);
+    signal.addEventListener('abort', () => link.close(), { once: true });
+    while (!signal.aborted) {
+      const startedAt = clock.now();
+      const isAnswered = this.confirmed
+        ? await this.watchOnce(link, startedAt + watchMs)
+        : await this.confirmOnce(link);
+      if (!isAnswered) await clock.sleepUntil(startedAt + retryIntervalMs, signal);
+    }
+  }
+
+  private async confirmOnce(link: PresetLink): Promise<boolean> {
+    const { clock } = this.options;
+    const answer = await link.confirmState(clock.now() + confirmTimeoutMs, 'entry');
+    if (answer.ok) {
+      this.acceptConfirmation(answer.value);
+      return true;
+    }
+    // Without a majority a control host can still offer its state to the peers of this host.
+    await this.watchOnce(link, clock.now() + retryIntervalMs);
+    return false;
+  }
+
+  private async watchOnce(link: PresetLink, deadline: number): Promise<boolean> {
+    const answer = await link.watchState(this.getNewestRevision(), deadline);
+    if (!answer.ok) return false;
+    if (answer.value && this.putState(answer.value)) this.options.sendNews();
+    return true;
+  }
+
+  private getNewestRevision(): number {
+    return Math.max(0, ...[...this.newest.values()].map(({ revision }) => revision));
+  }
+
+  private acceptConfirmation(state: PresetState): void {
+    if (this.confirmed) return;
+    const { groupId, revision } = state;
+    this.confirmed = { groupId, revision };
+    this.options.log.info('presets: the control group confirmed a revision', { revision });
+    [...this.newest.keys()]
+      .filter((other) => other !== groupId)
+      .forEach((other) => this.newest.delete(other));
+    this.putState(state);
+    this.applyNewest();
+    this.options.sendNews();
+  }
+
+  private putState(state: PresetState): boolean {
+    const { groupId, revision } = state;
+    const held = this.newest.get(groupId);
+    if (held && held.revision >= revision) return false;
+    if (this.confirmed ? groupId !== this.confirmed.groupId : this.isFull(held)) {
+      this.foreign += 1;
+      return false;
+    }
+    this.newest.set(groupId, state);
+    this.applyNewest();
+    return true;
+  }
+
+  private isFull(held: PresetState | undefined): boolean {
+    return !held && this.newest.size >= maxUnconfirmedGroups;
+  }
+
+  private applyNewest(): void {
+    const { confirmed } = this;
+    const state = confirmed && this.newest.get(confirmed.groupId);
+    if (!state || state.revision < confirmed.revision) return;
+    if (this.active && state.revision <= this.active.state.revision) return;
+    const { log, routeTableBuilder } = this.options;
+    const { revision, name } = state;
+    try {
+      const routeTable = routeTableBuilder.buildRouteTable(state.preset.routes);
+      this.active = { state, routeTable };
+      log.info('presets: activated a revision', { revision, preset: name });
+    } catch (error) {
+      const { message } = error as Error;
+      log.error('presets: the routes of a revision are invalid; the last one stays active', {
+        revision,
+        error: message,
+      });
+    }
+  }
+}
--- /dev/null
+++ b/src/domain/membership/Directory.ts
@@ -0,0 +1,147 @@
+import type GossipTopic from './GossipTopic.ts';
+import type { GossipDigest, GossipTopicName } from './GossipTopic.ts';
+import compareVersions, { isNewerThanDigest } from './compareVersions.ts';
+
+/** Longest time that a lease may lie ahead; bounds what a wrong clock or a bad peer can do. */
+export const longestLeaseMs = 60_000;
+
+// Ten times the longest lease: every copy of a dropped record has expired everywhere by then.
+const tombstoneMs = 10 * longestLeaseMs;
+
+/** A record that counts until its lease deadline. */
+export interface LeasedRecord {
+  readonly leaseDeadline: number;
+}
+
+/** What differs between the kinds of records. */
+export interface RecordRules<Held extends LeasedRecord> {
+  readonly name: GossipTopicName;
+  getKey(record: Held): string;
+  getVersion(record: Held): readonly number[];
+  /** The newer record, with what it takes over from the one held. */
+  mergeRecord(held: Held | undefined, next: Held): Held;
+  /** Whether the change must reach other hosts before the next regular exchange. */
+  isNews(held: Held, next: Held, now: number): boolean;
+  /** The record when it is well-formed. */
+  checkRecord(value: unknown): Held | undefined;
+}
+
+/** What became of an offered record. */
+export type PutOutcome = 'ignored' | 'renewed' | 'news';
+
+interface Tombstone<Held> {
+  readonly version: readonly number[];
+  readonly record: Held;
+  readonly keptUntil: number;
+}
+
+/** Versioned records with leases; the newest version of each key wins on every host. */
+export default class Directory<Held extends LeasedRecord> implements GossipTopic {
+  readonly name: GossipTopicName;
+
+  private readonly rules: RecordRules<Held>;
+
+  private readonly records = new Map<string, Held>();
+
+  private readonly tombstones = new Map<string, Tombstone<Held>>();
+
+  private isSuspended = false;
+
+  private malformed = 0;
+
+  constructor(rules: RecordRules<Held>) {
+    this.rules = rules;
+    this.name = rules.name;
+  }
+
+  /** Number of malformed records that peers sent. */
+  get malformedCount(): number {
+    return this.malformed;
+  }
+
+  /** While suspended, no record is dropped and expired ones count as valid. */
+  setExpirySuspended(isSuspended: boolean): void {
+    this.isSuspended = isSuspended;
+  }
+
+  getRecord(key: string): Held | undefined {
+    return this.records.get(key);
+  }
+
+  /** Version last held of a key, also when the record was dropped since. */
+  getLastVersion(key: string): readonly number[] | undefined {
+    const held = this.records.get(key);
+    return held ? this.rules.getVersion(held) : this.tombstones.get(key)?.version;
+  }
+
+  /** Records with a valid lease, in no particular order. */
+  listRecords(now: number): readonly Held[] {
+    return [...this.records.values()].filter((record) => this.isValid(record, now));
+  }
+
+  /** Records dropped in the last 10 minutes. */
+  listDropped(): readonly Held[] {
+    return [...this.tombstones.values()].map(({ record }) => record);
+  }
+
+  /** Takes the record when it is newer than anything known of its key. */
+  putRecord(given: Held, now: number): PutOutcome {
+    const key = this.rules.getKey(given);
+    const held = this.records.get(key);
+    const leaseDeadline = Math.min(given.leaseDeadline, now + longestLeaseMs);
+    const record = this.rules.mergeRecord(held, { ...given, leaseDeadline });
+    const version = this.rules.getVersion(record);
+    const known = this.getLastVersion(key);
+    if (known && compareVersions(version, known) <= 0) return 'ignored';
+    if (record.leaseDeadline <= now) {
+      // The newest statement about the key has expired, so an older one must not count either.
+      this.removeRecord(key, record, now);
+      return 'ignored';
+    }
+    this.tombstones.delete(key);
+    this.records.set(key, record);
+    return !held || this.rules.isNews(held, record, now) ? 'news' : 'renewed';
+  }
+
+  /** Drops the records whose lease has passed and returns them. */
+  dropExpired(now: number): readonly Held[] {
+    [...this.tombstones].forEach(([key, { keptUntil }]) => {
+      if (keptUntil <= now) this.tombstones.delete(key);
+    });
+    if (this.isSuspended) return [];
+    const expired = [...this.records].filter(([, { leaseDeadline }]) => leaseDeadline <= now);
+    expired.forEach(([key, record]) => this.removeRecord(key, record, now));
+    return expired.map(([, record]) => record);
+  }
+
+  // Tombstones are listed too, so that no peer offers a dropped version again and again.
+  listVersions(): GossipDigest {
+    return Object.fromEntries([
+      ...[...this.tombstones].map(([key, { version }]) => [key, version] as const),
+      ...[...this.records].map(([key, record]) => [key, this.rules.getVersion(record)] as const),
+    ]);
+  }
+
+  listNewer(digest: GossipDigest): readonly Held[] {
+    return [...this.records]
+      .filter(([key, record]) => isNewerThanDigest(digest, key, this.rules.getVersion(record)))
+      .map(([, record]) => record);
+  }
+
+  mergeRecords(records: readonly unknown[], now: number): boolean {
+    const checked = records.map((record) => this.rules.checkRecord(record));
+    const wellFormed = checked.filter((record) => record !== undefined);
+    this.malformed += checked.length - wellFormed.length;
+    return wellFormed.map((record) => this.putRecord(record, now)).includes('news');
+  }
+
+  private isValid(record: Held, now: number): boolean {
+    return this.isSuspended || record.leaseDeadline > now;
+  }
+
+  private removeRecord(key: string, record: Held, now: number): void {
+    this.records.delete(key);
+    const version = this.rules.getVersion(record);
+    this.tombstones.set(key, { version, record, keptUntil: now + tombstoneMs });
+  }
+}
--- a/src/domain/membership/GossipTopic.ts
+++ b/src/domain/membership/GossipTopic.ts
@@ -15,8 +15,9 @@
   /** Records that are newer here than in the other side's digest, or missing there. */
   listNewer(digest: GossipDigest, now: number): readonly unknown[];
   /**
-   * Takes the records that are newer than those held; returns true when any was. Ignores
-   * malformed ones.
+   * Takes the records that are newer than those held and ignores malformed ones. Returns true when
+   * any of them should be passed on at once; a renewal that only extends a lease may wait for the
+   * next regular exchange.
    */
   mergeRecords(records: readonly unknown[], now: number): boolean;
 }
--- /dev/null
+++ b/src/domain/membership/HostDirectory.ts
@@ -0,0 +1,52 @@
+import Directory from './Directory.ts';
+import type { RecordRules } from './Directory.ts';
+import type HostRecord from './HostRecord.ts';
+
+/** Returns the record when it is well-formed. */
+export type HostRecordChecker = (value: unknown) => HostRecord | undefined;
+
+class HostRules implements RecordRules<HostRecord> {
+  readonly name = 'hosts';
+
+  readonly checkRecord: HostRecordChecker;
+
+  constructor(checkRecord: HostRecordChecker) {
+    this.checkRecord = checkRecord;
+  }
+
+  getKey({ host }: HostRecord): string {
+    return host;
+  }
+
+  getVersion({ incarnation, sequence }: HostRecord): readonly number[] {
+    return [incarnation, sequence];
+  }
+
+  mergeRecord(_held: HostRecord | undefined, next: HostRecord): HostRecord {
+    return next;
+  }
+
+  // A changed revision waits for the regular exchange: after a preset change every host has one.
+  isNews(held: HostRecord, next: HostRecord): boolean {
+    return held.state !== next.state || held.peerAddress !== next.peerAddress;
+  }
+}
+
+/** What hosts of the fleet last said about themselves. */
+export default class HostDirectory extends Directory<HostRecord> {
+  constructor(options: { readonly checkRecord: HostRecordChecker }) {
+    super(new HostRules(options.checkRecord));
+  }
+
+  /** Hosts under a valid lease that are not stopping, by name. */
+  listLive(now: number): readonly HostRecord[] {
+    return this.listRecords(now)
+      .filter(({ state }) => state !== 'stopping')
+      .sort((left, right) => (left.host < right.host ? -1 : 1));
+  }
+
+  /** Hosts that were dropped in the last 10 minutes without having said that they stop. */
+  listLost(): readonly HostRecord[] {
+    return this.listDropped().filter(({ state }) => state !== 'stopping');
+  }
+}
--- /dev/null
+++ b/src/domain/membership/UpstreamDirectory.ts
@@ -0,0 +1,60 @@
+import Directory from './Directory.ts';
+import type { RecordRules } from './Directory.ts';
+import type UpstreamRecord from './UpstreamRecord.ts';
+
+// With less time left than this, a renewal must not wait for regular exchanges over three hops.
+const shortLeaseMs = 2000;
+
+/** Returns the record when it is well-formed. */
+export type UpstreamRecordChecker = (value: unknown) => UpstreamRecord | undefined;
+
+class UpstreamRules implements RecordRules<UpstreamRecord> {
+  readonly name = 'upstreams';
+
+  readonly checkRecord: UpstreamRecordChecker;
+
+  constructor(checkRecord: UpstreamRecordChecker) {
+    this.checkRecord = checkRecord;
+  }
+
+  getKey({ service, upstream }: UpstreamRecord): string {
+    return `${service}/${upstream}`;
+  }
+
+  // `leaving` stands before the sequence, so within an incarnation it wins over any other state,
+  // also over one with a higher sequence that another host accepted at the same time.
+  getVersion({ incarnation, state, sequence }: UpstreamRecord): readonly number[] {
+    return [incarnation, state === 'leaving' ? 1 : 0, sequence];
+  }
+
+  mergeRecord(held: UpstreamRecord | undefined, next: UpstreamRecord): UpstreamRecord {
+    const isSameRun = held?.incarnation === next.incarnation && held.servingSince > 0;
+    if (!isSameRun) return next;
+    const servingSince = Math.min(held.servingSince, next.servingSince || held.servingSince);
+    return { ...next, servingSince };
+  }
+
+  isNews(held: UpstreamRecord, next: UpstreamRecord, now: number): boolean {
+    return (
+      held.incarnation !== next.incarnation ||
+      held.state !== next.state ||
+      held.address !== next.address ||
+      held.slots !== next.slots ||
+      held.leaseDeadline - now < shortLeaseMs
+    );
+  }
+}
+
+/** What upstreams last announced. */
+export default class UpstreamDirectory extends Directory<UpstreamRecord> {
+  constructor(options: { readonly checkRecord: UpstreamRecordChecker }) {
+    super(new UpstreamRules(options.checkRecord));
+  }
+
+  /** Upstreams of the service that are serving under a valid lease, by name. */
+  listServing(service: string, now: number): readonly UpstreamRecord[] {
+    return this.listRecords(now)
+      .filter((record) => record.service === service && record.state === 'serving')
+      .sort((left, right) => (left.upstream < right.upstream ? -1 : 1));
+  }
+}
--- /dev/null
+++ b/src/ports/GossipLink.ts
@@ -0,0 +1,20 @@
+import type Result from '../domain/errors/Result.ts';
+import type { GossipDigest, GossipTopicName } from '../domain/membership/GossipTopic.ts';
+
+/** What one host tells a peer. */
+export interface GossipMessage {
+  /** Versions held, by topic; a topic that is absent is not compared. */
+  readonly digests: Readonly<Partial<Record<GossipTopicName, GossipDigest>>>;
+  /** Records that the peer is known to lack, by topic. */
+  readonly records: Readonly<Partial<Record<GossipTopicName, readonly unknown[]>>>;
+}
+
+/** The connection to one peer as gossip uses it. */
+export default interface GossipLink {
+  /**
+   * Sends digests and records. The answer holds the records that this side lacks, and the versions
+   * of the records that the peer lacks.
+   */
+  exchangeRecords(message: GossipMessage, deadline: number): Promise<Result<GossipMessage>>;
+  close(): void;
+}
--- /dev/null
+++ b/tests/membership/gossip.test.ts
@@ -0,0 +1,113 @@
+import { afterEach, describe, expect, it } from 'vitest';
+
+import FakeFleet from '../fixtures/FakeFleet.ts';
+
+describe('gossip', () => {
+  let fleet: FakeFleet;
+
+  afterEach(() => fleet.stopAll());
+
+  function listServingHosts(): string[] {
+    return fleet
+      .listHosts()
+      .filter(({ upstreams }) => upstreams.listServing('history', fleet.clock.now()).length > 0)
+      .map(({ name }) => name);
+  }
+
+  // Guards against a drain that depends on one link (R5).
+  it('should tell all 46 hosts within 3 s that an upstream is leaving when a link is cut one way', async () => {
+    fleet = new FakeFleet({ controlHosts: 3, entryHosts: 43 });
+    await fleet.clock.advanceBy(5000);
+    fleet.announce('e1', { sequence: 1 });
+    await fleet.clock.advanceBy(3000);
+    expect(listServingHosts()).toHaveLength(46);
+    // e1 can no longer send to the peers it chose, except to one.
+    const chosen = [...fleet.network.exchanges.keys()].filter((key) => key.startsWith('e1>'));
+    chosen.slice(1).forEach((direction) => fleet.network.cuts.add(direction));
+
+    fleet.announce('e1', { sequence: 2, state: 'leaving' });
+    await fleet.clock.advanceBy(3000);
+
+    expect(listServingHosts()).toEqual([]);
+  });
+
+  // Guards against a cut-off host that drops upstreams which are healthy.
+  it('should drop nothing on a host that hears nobody, and drop the expired once it hears again', async () => {
+    fleet = new FakeFleet({ controlHosts: 3, entryHosts: 5 });
+    await fleet.clock.advanceBy(2000);
+    fleet.announce('e1', { leaseMs: 5000 });
+    await fleet.clock.advanceBy(1000);
+    fleet.network.cutOff('e2', fleet.hosts.keys());
+
+    await fleet.clock.advanceBy(60_000);
+    const { hosts, upstreams, gossip } = fleet.getHost('e2');
+    expect(gossip.isPartitioned()).toBe(true);
+    expect(upstreams.listServing('history', fleet.clock.now())).toHaveLength(1);
+    expect(hosts.listLive(fleet.clock.now())).toHaveLength(8);
+    expect(fleet.getHost('e3').upstreams.listServing('history', fleet.clock.now())).toEqual([]);
+    expect(fleet.getHost('e3').hosts.listLive(fleet.clock.now())).toHaveLength(7);
+
+    fleet.network.cuts.clear();
+    await fleet.clock.advanceBy(8000);
+    expect(upstreams.listServing('history', fleet.clock.now())).toEqual([]);
+    expect(fleet.getHost('e3').hosts.listLive(fleet.clock.now())).toHaveLength(8);
+  });
+
+  // Guards against two halves of a fleet that forget each other for good.
+  it('should join two halves that were split for longer than the leases', async () => {
+    fleet = new FakeFleet({ controlHosts: 1, entryHosts: 17 });
+    await fleet.clock.advanceBy(3000);
+    const names = [...fleet.hosts.keys()];
+    const half = names.filter((_, index) => index % 2 === 0);
+    half.forEach((name) =>
+      fleet.network.cutOff(
+        name,
+        names.filter((other) => !half.includes(other)),
+      ),
+    );
+    await fleet.clock.advanceBy(30_000);
+    expect(fleet.getHost('e1').hosts.listLive(fleet.clock.now())).toHaveLength(9);
+
+    fleet.network.cuts.clear();
+    await fleet.clock.advanceBy(15_000);
+
+    fleet.listHosts().forEach(({ hosts }) => {
+      expect(hosts.listLive(fleet.clock.now())).toHaveLength(18);
+    });
+  });
+
+  // Guards against hosts that count a host that stopped in order until its lease ends.
+  it('should withdraw the record of a host that stops in order', async () => {
+    fleet = new FakeFleet({ controlHosts: 3, entryHosts: 5 });
+    // Between two exchanges.
+    await fleet.clock.advanceBy(3250);
+    const host = fleet.getHost('e4');
+    fleet.hosts.delete('e4');
+    // Its listener is closed, so peers cannot ask it.
+    fleet.network.handlers.delete('e4');
+
+    const stopped = host.stop(true);
+    await fleet.clock.advanceBy(1500);
+    await stopped;
+
+    fleet.listHosts().forEach(({ hosts }) => {
+      expect(hosts.listLive(fleet.clock.now()).map((live) => live.host)).not.toContain('e4');
+    });
+  });
+
+  // Guards against peers that keep the record of an earlier process with a clock that ran ahead.
+  it('should replace the record of an earlier process with a higher incarnation', async () => {
+    fleet = new FakeFleet({ controlHosts: 1, entryHosts: 2 });
+    await fleet.clock.advanceBy(1500);
+    const [held] = fleet.getHost('c1').hosts.listRecords(fleet.clock.now());
+    if (!held) throw new Error('no record');
+    const earlier = { ...held, host: 'e1', incarnation: held.incarnation + 60_000 };
+    fleet.getHost('c1').hosts.mergeRecords([earlier], fleet.clock.now());
+
+    await fleet.clock.advanceBy(3000);
+
+    const record = fleet.getHost('c1').hosts.getRecord('e1');
+    expect(record?.incarnation).toBe(earlier.incarnation + 1);
+    expect(record?.peerAddress).toBe('127.0.2.1:7000');
+  });
+});
