Add a stand-in upstream for tests

Cause: tests of the fleet need upstreams that fail gray and change while they run. Change: tests/stand-in/standInUpstream.mjs is a program that announces itself, has a bounded number of slots and switches its faults through a control listener. Conclusion: usable by tests of requests, membership and detection.

--- /dev/null
+++ b/tests/stand-in/standInUpstream.mjs
@@ -0,0 +1,308 @@
+// An upstream for tests: announces itself, answers requests with a bounded number of slots, and
+// switches its faults while it runs through a control listener:
+//   GET /behaviour, POST /behaviour (JSON fields to change), GET /runs (runs by idempotency key),
+//   GET /counts, POST /drain.
+import { once } from 'node:events';
+import { createServer, request as sendHttp } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { parseArgs } from 'node:util';
+
+const { values: options } = parseArgs({
+  options: {
+    service: { type: 'string', default: 'history' },
+    upstream: { type: 'string', default: 'history-1' },
+    'failure-domain': { type: 'string', default: 'north' },
+    address: { type: 'string', default: '127.0.0.1:0' },
+    control: { type: 'string', default: '127.0.0.1:0' },
+    // Announce addresses of entry hosts, separated by commas.
+    announce: { type: 'string', default: '' },
+    slots: { type: 'string', default: '4' },
+    queue: { type: 'string', default: '64' },
+    'startup-ms': { type: 'string', default: '0' },
+    'latency-ms': { type: 'string', default: '25' },
+    'lease-ms': { type: 'string', default: '3000' },
+  },
+});
+const slots = Number(options.slots);
+const longestQueue = Number(options.queue);
+const latencyMs = Number(options['latency-ms']);
+const leaseMs = Number(options['lease-ms']);
+const entryHosts = options.announce.split(',').filter((address) => address !== '');
+const announceTimeoutMs = 500;
+const pollMs = 10;
+
+// Shares are from 0 to 1; faults hit evenly spaced requests, so that counts repeat exactly.
+const behaviour = {
+  slowFactor: 1,
+  failShare: 0,
+  wrongShare: 0,
+  truncateShare: 0,
+  lateShare: 0,
+  lateMs: 200,
+  resetBeforeShare: 0,
+  resetAfterShare: 0,
+  // Faults are active and inactive in turn for this time; 0 keeps them active.
+  flapMs: 0,
+  shed: false,
+  // The health endpoint reports health whatever the faults are.
+  healthLies: false,
+};
+const counts = { received: 0, ran: 0, shed: 0, cancelled: 0, faults: 0 };
+const runs = new Map();
+const drawn = new Map();
+const waiting = [];
+const startedAt = Date.now();
+let running = 0;
+let open = 0;
+let sequence = 0;
+let state = 'starting';
+const leaving = new AbortController();
+
+function isFaultTime() {
+  if (behaviour.flapMs <= 0) return true;
+  return Math.floor((Date.now() - startedAt) / behaviour.flapMs) % 2 === 0;
+}
+
+// True for the given share of the calls with this name.
+function drawFault(name) {
+  const share = behaviour[name];
+  if (share <= 0 || !isFaultTime()) return false;
+  const count = (drawn.get(name) ?? 0) + 1;
+  drawn.set(name, count);
+  const isHit = Math.floor(count * share + 1e-9) > Math.floor((count - 1) * share + 1e-9);
+  if (isHit) counts.faults += 1;
+  return isHit;
+}
+
+function hasFaults() {
+  const hasShare = Object.entries(behaviour).some(([name, v]) => name.endsWith('Share') && v > 0);
+  return behaviour.shed || (isFaultTime() && (behaviour.slowFactor > 1 || hasShare));
+}
+
+function writeJson(response, status, value, headers = {}) {
+  const body = Buffer.from(JSON.stringify(value));
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': body.byteLength,
+    ...(state === 'leaving' ? { connection: 'close' } : {}),
+    ...headers,
+  });
+  response.end(body);
+}
+
+const readBody = async (request) => Buffer.concat(await request.toArray());
+
+function refuseRequest(response, reason) {
+  counts.shed += 1;
+  const headers = {
+    'retry-after': '1',
+    'pistachiohoist-outcome': 'not-run',
+    'pistachiohoist-load': String(running),
+  };
+  writeJson(response, 503, { error: reason }, headers);
+}
+
+// Resolves true when a slot is taken, false when the caller cancelled first.
+function takeSlot(signal) {
+  if (signal.aborted) return Promise.resolve(false);
+  if (running < slots) {
+    running += 1;
+    return Promise.resolve(true);
+  }
+  return new Promise((resolve) => {
+    const entry = {
+      resolve,
+      cancel: () => {
+        waiting.splice(waiting.indexOf(entry), 1);
+        resolve(false);
+      },
+    };
+    entry.grant = () => {
+      signal.removeEventListener('abort', entry.cancel);
+      resolve(true);
+    };
+    signal.addEventListener('abort', entry.cancel, { once: true });
+    waiting.push(entry);
+  });
+}
+
+function releaseSlot() {
+  const next = waiting.shift();
+  if (next) next.grant();
+  else running -= 1;
+}
+
+async function runOperation(request, body, signal) {
+  const key =
+    request.headers['idempotency-key'] ?? request.headers['pistachiohoist-request-id'] ?? 'none';
+  counts.ran += 1;
+  runs.set(key, (runs.get(key) ?? 0) + 1);
+  const isSlow = behaviour.slowFactor > 1 && isFaultTime();
+  try {
+    await sleep(latencyMs * (isSlow ? behaviour.slowFactor : 1), undefined, { signal });
+  } catch {
+    counts.cancelled += 1;
+  }
+  return {
+    service: options.service,
+    upstream: options.upstream,
+    method: request.method,
+    target: request.url,
+    requestId: request.headers['pistachiohoist-request-id'],
+    bodyBytes: body.byteLength,
+  };
+}
+
+async function writeOperationAnswer(request, response, value) {
+  if (drawFault('resetAfterShare')) {
+    request.socket.resetAndDestroy();
+    return;
+  }
+  if (drawFault('lateShare')) {
+    const deadline = Number(request.headers['pistachiohoist-deadline'] ?? Date.now());
+    await sleep(Math.max(0, deadline - Date.now()) + behaviour.lateMs);
+  }
+  const headers = {
+    'pistachiohoist-request-id': request.headers['pistachiohoist-request-id'] ?? '',
+    'pistachiohoist-load': String(running),
+  };
+  if (drawFault('truncateShare')) {
+    response.writeHead(200, { ...headers, 'content-length': '1000' });
+    response.write('{"part":', () => request.socket.destroy());
+  } else if (drawFault('wrongShare')) {
+    const wrong = { ...headers, 'pistachiohoist-request-id': 'request-of-another-caller' };
+    writeJson(response, 200, { ...value, target: '/wrong', requestId: 'wrong' }, wrong);
+  } else if (drawFault('failShare')) {
+    writeJson(response, 500, { error: 'fault' }, headers);
+  } else {
+    writeJson(response, 200, value, headers);
+  }
+}
+
+async function serveOperation(request, response) {
+  counts.received += 1;
+  if (drawFault('resetBeforeShare')) {
+    request.socket.resetAndDestroy();
+    return;
+  }
+  const caller = new AbortController();
+  response.once('close', () => caller.abort());
+  const body = await readBody(request);
+  if (behaviour.shed || waiting.length >= longestQueue) {
+    refuseRequest(response, 'shedding load');
+    return;
+  }
+  if (!(await takeSlot(caller.signal))) {
+    counts.cancelled += 1;
+    return;
+  }
+  try {
+    const deadline = Number(request.headers['pistachiohoist-deadline'] ?? Infinity);
+    if (Date.now() >= deadline) {
+      refuseRequest(response, 'deadline passed');
+      return;
+    }
+    const value = await runOperation(request, body, caller.signal);
+    if (!caller.signal.aborted) await writeOperationAnswer(request, response, value);
+  } finally {
+    releaseSlot();
+  }
+}
+
+async function serveRequest(request, response) {
+  if (request.url === '/health') {
+    const isHealthy = behaviour.healthLies || (state === 'serving' && !hasFaults());
+    writeJson(response, isHealthy ? 200 : 503, { state, healthy: isHealthy, load: running });
+    return;
+  }
+  open += 1;
+  await serveOperation(request, response).finally(() => {
+    open -= 1;
+  });
+}
+
+function openServer(listener, address) {
+  const [ip, port] = address.split(':');
+  const server = createServer((request, response) => {
+    listener(request, response).catch(() => response.destroy());
+  });
+  server.keepAliveTimeout = 60_000;
+  server.listen(Number(port), ip);
+  return once(server, 'listening').then(() => server);
+}
+
+function sendAnnouncement(entryHost, announcement) {
+  return new Promise((resolve) => {
+    const request = sendHttp(`http://${entryHost}/announce`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      timeout: announceTimeoutMs,
+    });
+    request.on('response', (response) => {
+      response.resume();
+      resolve(response.statusCode === 200 || response.statusCode === 204);
+    });
+    request.on('timeout', () => request.destroy());
+    request.on('error', () => resolve(false));
+    request.end(JSON.stringify(announcement));
+  });
+}
+
+// Tries the entry hosts in turn until one accepts the announcement.
+async function announceState(address) {
+  sequence += 1;
+  const announcement = {
+    service: options.service,
+    upstream: options.upstream,
+    address,
+    failure_domain: options['failure-domain'],
+    slots,
+    incarnation: startedAt,
+    sequence,
+    state,
+    lease_ms: leaseMs,
+  };
+  for (let index = 0; index < entryHosts.length; index += 1) {
+    const entryHost = entryHosts[(sequence + index) % entryHosts.length];
+    if (await sendAnnouncement(entryHost, announcement)) return;
+  }
+}
+
+const server = await openServer(serveRequest, options.address);
+const address = `${server.address().address}:${server.address().port}`;
+
+// Announces `leaving`, answers what is open, and keeps serving for the 3 s during which entry
+// hosts may still send requests.
+async function drain() {
+  if (state === 'leaving') return;
+  state = 'leaving';
+  leaving.abort();
+  await announceState(address);
+  await sleep(entryHosts.length > 0 ? 3000 : 0);
+  while (open > 0) await sleep(pollMs);
+  [server, control].forEach((each) => {
+    each.close();
+    each.closeAllConnections();
+  });
+}
+
+async function serveControl(request, response) {
+  const call = `${request.method} ${request.url}`;
+  if (call === 'POST /behaviour') Object.assign(behaviour, JSON.parse(await readBody(request)));
+  if (call === 'POST /drain') drain();
+  const values = { '/runs': Object.fromEntries(runs), '/counts': { ...counts, running, open } };
+  writeJson(response, 200, values[request.url] ?? { ...behaviour, state, address });
+}
+
+const control = await openServer(serveControl, options.control);
+process.on('SIGTERM', drain);
+const controlAddress = `${control.address().address}:${control.address().port}`;
+process.stdout.write(`${JSON.stringify({ address, control: controlAddress })}\n`);
+
+await announceState(address);
+await sleep(Number(options['startup-ms']), undefined, { signal: leaving.signal }).catch(() => {});
+if (state === 'starting') state = 'serving';
+while (state === 'serving') {
+  await announceState(address);
+  await sleep(leaseMs / 3, undefined, { signal: leaving.signal }).catch(() => {});
+}
