Drain the stand-in upstream by its open requests

Cause: a request counted as ended before its answer was flushed. Change: count open requests by the close event of their answers.

--- a/tests/stand-in/standInUpstream.mjs
+++ b/tests/stand-in/standInUpstream.mjs
@@ -1,7 +1,6 @@
-// An upstream for tests: announces itself, answers requests with a bounded number of slots, and
-// switches its faults while it runs through a control listener:
-//   GET /behaviour, POST /behaviour (JSON fields to change), GET /runs (runs by idempotency key),
-//   GET /counts, POST /drain.
+// An upstream for tests: announces itself, answers with a bounded number of slots, and switches its
+// faults through a control listener: GET /behaviour, POST /behaviour (JSON fields to change),
+// GET /runs (runs by idempotency key), GET /counts, POST /drain.
 import { once } from 'node:events';
 import { createServer, request as sendHttp } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -23,13 +22,10 @@
     'lease-ms': { type: 'string', default: '3000' },
   },
 });
-const slots = Number(options.slots);
-const longestQueue = Number(options.queue);
-const latencyMs = Number(options['latency-ms']);
-const leaseMs = Number(options['lease-ms']);
+const [slots, longestQueue] = [Number(options.slots), Number(options.queue)];
+const [latencyMs, leaseMs] = [Number(options['latency-ms']), Number(options['lease-ms'])];
 const entryHosts = options.announce.split(',').filter((address) => address !== '');
 const announceTimeoutMs = 500;
-const pollMs = 10;
 
 // Shares are from 0 to 1; faults hit evenly spaced requests, so that counts repeat exactly.
 const behaviour = {
@@ -104,15 +100,16 @@
 
 // Resolves true when a slot is taken, false when the caller cancelled first.
 function takeSlot(signal) {
-  if (signal.aborted) return Promise.resolve(false);
+  if (signal.aborted) return false;
   if (running < slots) {
     running += 1;
-    return Promise.resolve(true);
+    return true;
   }
   return new Promise((resolve) => {
     const entry = {
       resolve,
       cancel: () => {
+        counts.cancelled += 1;
         waiting.splice(waiting.indexOf(entry), 1);
         resolve(false);
       },
@@ -192,10 +189,7 @@
     refuseRequest(response, 'shedding load');
     return;
   }
-  if (!(await takeSlot(caller.signal))) {
-    counts.cancelled += 1;
-    return;
-  }
+  if (!(await takeSlot(caller.signal))) return;
   try {
     const deadline = Number(request.headers['pistachiohoist-deadline'] ?? Infinity);
     if (Date.now() >= deadline) {
@@ -216,9 +210,10 @@
     return;
   }
   open += 1;
-  await serveOperation(request, response).finally(() => {
+  response.once('close', () => {
     open -= 1;
   });
+  await serveOperation(request, response);
 }
 
 function openServer(listener, address) {
@@ -271,19 +266,16 @@
 const server = await openServer(serveRequest, options.address);
 const address = `${server.address().address}:${server.address().port}`;
 
-// Announces `leaving`, answers what is open, and keeps serving for the 3 s during which entry
-// hosts may still send requests.
+// Keeps serving for the 3 s during which entry hosts may still send requests.
 async function drain() {
   if (state === 'leaving') return;
   state = 'leaving';
   leaving.abort();
   await announceState(address);
   await sleep(entryHosts.length > 0 ? 3000 : 0);
-  while (open > 0) await sleep(pollMs);
-  [server, control].forEach((each) => {
-    each.close();
-    each.closeAllConnections();
-  });
+  while (open > 0) await sleep(10);
+  server.close().closeAllConnections();
+  control.close().closeAllConnections();
 }
 
 async function serveControl(request, response) {
