Report not-run whenever nothing left, and keep unknown over retries

Cause: caller_gone answered unknown also before the dispatch; a retry that was not sent hid an earlier attempt that may have run; a whole 5xx answer counted as ran; a request could wait for a connection while its upstream left; an answer with another final coding than chunked passed as whole; a 304 with a length failed; a body above its limit destroyed the connection before the 413. An attempt of a repeatable request ends after half of the time that is left while another upstream and a retry are available.

--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -1,15 +1,17 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { Server as NetServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 
-import type Failure from '../../domain/errors/Failure.ts';
-import type { ListenAddress } from '../../domain/settings/DaemonSettings.ts';
 import createFailureAnswer from '../../application/requests/createFailureAnswer.ts';
 import type { CallerAnswer } from '../../application/requests/CallerRequest.ts';
 import type RequestHandler from '../../application/requests/RequestHandler.ts';
+import type Failure from '../../domain/errors/Failure.ts';
+import type { ListenAddress } from '../../domain/settings/DaemonSettings.ts';
+import type Clock from '../../ports/Clock.ts';
 import type Log from '../../ports/Log.ts';
-import closeServer from './closeServer.ts';
+import CallerConnections from './CallerConnections.ts';
 import openServer from './openServer.ts';
 import readBody from './readBody.ts';
 import writeClientError from './writeClientError.ts';
@@ -17,9 +19,26 @@
 const maxHeaderBytes = 16_384;
 // Longer than the idle timeout of common load balancers (60 s), so that they close first.
 const keepAliveTimeoutMs = 75_000;
+const defaultHeadersTimeoutMs = 10_000;
+// How often Node.js looks for callers that send their headers too slowly.
+const headersCheckMs = 500;
+// Time for a refused caller to stop sending. Closing with unread bytes would reset the connection
+// before the caller has read the answer.
+const discardMs = 500;
+// Time for callers to read their answers after the last deadline of a stopping host.
+const flushMs = 5000;
 
 type Header = readonly [string, string];
 
+/** What the front end needs. */
+export interface HttpFrontEndOptions {
+  readonly handler: RequestHandler;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Longest time for the headers of a request; 10 s unless set. */
+  readonly headersTimeoutMs?: number;
+}
+
 function readHeaders(request: IncomingMessage): Header[] {
   const texts = request.rawHeaders;
   return texts
@@ -27,31 +46,56 @@
     .map((name, index) => [name.toLowerCase(), texts[2 * index + 1] ?? ''] as const);
 }
 
+function hasBody(method: string | undefined, status: number): boolean {
+  return method !== 'HEAD' && status !== 204 && status !== 304;
+}
+
 /** Accepts callers' HTTP requests and writes their answers. */
 export default class HttpFrontEnd {
-  private readonly handler: RequestHandler;
-
-  private readonly log: Log;
+  private readonly options: HttpFrontEndOptions;
 
   private readonly server: Server;
 
+  private readonly connections = new CallerConnections();
+
   private isStopping = false;
 
-  constructor(options: { readonly handler: RequestHandler; readonly log: Log }) {
-    this.handler = options.handler;
-    this.log = options.log;
+  private latestDeadline = 0;
+
+  constructor(options: HttpFrontEndOptions) {
+    this.options = options;
     this.server = createServer(
-      { maxHeaderSize: maxHeaderBytes, keepAliveTimeout: keepAliveTimeoutMs },
+      {
+        maxHeaderSize: maxHeaderBytes,
+        keepAliveTimeout: keepAliveTimeoutMs,
+        headersTimeout: options.headersTimeoutMs ?? defaultHeadersTimeoutMs,
+        connectionsCheckingInterval: headersCheckMs,
+        // The request's own deadline bounds its body.
+        requestTimeout: 0,
+        // Checked here, so that the refusal carries its error kind.
+        requireHostHeader: false,
+      },
       (request, response) => {
         this.serveRequest(request, response).catch((error: Error) => {
-          this.log.error('requests: serving failed', { error: error.message });
+          this.options.log.error('requests: serving failed', { error: error.message });
           response.destroy();
         });
       },
     );
-    this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) =>
-      writeClientError(error, socket),
+    // Node.js would silently drop headers above this count; their bytes are limited already.
+    this.server.maxHeadersCount = 0;
+    this.server.on('connection', (socket) => this.connections.addConnection(socket));
+    this.server.on('clientError', (error, socket) => this.refuseBytes(error, socket));
+    this.server.on('connect', (_request, socket) =>
+      this.refuseBytes(new Error('method CONNECT is not served'), socket),
     );
+    this.server.on('checkExpectation', (request, response) => {
+      if (!this.connections.acceptRequest(request.socket, response)) return;
+      const message = `${request.method} ${request.url}: header Expect: value "${request.headers.expect}": expected 100-continue`;
+      this.refuseRequest(request, response, { kind: 'request_malformed', message }).catch(() =>
+        response.destroy(),
+      );
+    });
   }
 
   openListener(address: ListenAddress): Promise<void> {
@@ -63,54 +107,112 @@
     return this.server.address() as AddressInfo;
   }
 
-  /** Accepts no new connections and resolves when every open request was answered. */
-  closeListener(): Promise<void> {
+  /** From now on the answers tell callers to close their connections. */
+  startClose(): void {
     this.isStopping = true;
-    return closeServer(this.server);
+  }
+
+  /**
+   * Accepts no new connections and resolves when every open request was answered, at the latest
+   * some seconds after the last deadline.
+   */
+  async closeListener(): Promise<void> {
+    this.startClose();
+    const closed = new AbortController();
+    // The close method of http.Server destroys connections whose last answer is still being sent.
+    NetServer.prototype.close.call(this.server, () => closed.abort());
+    this.connections.closeIdle();
+    const { clock, log } = this.options;
+    await clock.sleepUntil(Math.max(clock.now(), this.latestDeadline) + flushMs, closed.signal);
+    // Stops the interval that looks for slow headers.
+    this.server.close();
+    if (closed.signal.aborted) return;
+    log.warn('requests: closing connections whose callers did not read their answers');
+    this.connections.closeAll();
   }
 
   private async serveRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (!this.connections.acceptRequest(request.socket, response)) return;
+    const caller = new AbortController();
+    response.once('close', () => caller.abort());
     const head = {
       method: request.method ?? '',
       target: request.url ?? '',
       headers: readHeaders(request),
     };
-    const opened = this.handler.openRequest(head);
+    const hosts = head.headers.filter(([name]) => name === 'host').length;
+    if (hosts > 1 || (hosts === 0 && request.httpVersion === '1.1')) {
+      const message = `${head.method} ${head.target}: header Host is given ${hosts} times: expected once`;
+      await this.refuseRequest(request, response, { kind: 'request_malformed', message });
+      return;
+    }
+    const opened = this.options.handler.openRequest(head);
     if (!opened.ok) {
-      this.refuseRequest(response, opened.failure);
+      await this.refuseRequest(request, response, opened.failure);
       return;
     }
-    const body = await readBody(request, opened.value.route.maxBodyBytes);
+    const { deadline, route } = opened.value;
+    this.latestDeadline = Math.max(this.latestDeadline, deadline);
+    const { clock } = this.options;
+    const body = await readBody(request, { maxBytes: route.maxBodyBytes, deadline, clock });
     if (!body.ok) {
-      this.refuseRequest(response, body.failure);
+      await this.refuseRequest(request, response, body.failure);
       return;
     }
-    const caller = new AbortController();
-    response.once('close', () => caller.abort());
-    const answer = await this.handler.handleRequest({
+    const answer = await this.options.handler.handleRequest({
       ...head,
       ...opened.value,
       body: body.value,
       signal: caller.signal,
     });
-    this.writeAnswer(response, answer);
+    if (this.isStopping) this.markLast(request, response);
+    this.writeAnswer(request, response, answer);
+    response.end();
+  }
+
+  // A caller would take an error for the answer to a request that is still open.
+  private refuseBytes(error: NodeJS.ErrnoException, socket: Duplex): void {
+    if (this.connections.hasOpenRequest(socket as Socket)) socket.destroy();
+    else writeClientError(error, socket);
+  }
+
+  // The rest of a body is not wanted, so the connection can't carry another request after it.
+  private async refuseRequest(
+    request: IncomingMessage,
+    response: ServerResponse,
+    failure: Failure,
+  ): Promise<void> {
+    const announcesBody =
+      request.headers['transfer-encoding'] !== undefined ||
+      Number(request.headers['content-length'] ?? 0) !== 0;
+    if (announcesBody || this.isStopping) this.markLast(request, response);
+    this.writeAnswer(request, response, createFailureAnswer(failure));
+    if (announcesBody && !request.complete) {
+      const ended = new AbortController();
+      ['end', 'close'].forEach((event) => request.once(event, () => ended.abort()));
+      request.resume();
+      await this.options.clock.sleepUntil(this.options.clock.now() + discardMs, ended.signal);
+    }
+    response.end();
   }
 
-  // The body was not read, so the connection can't carry another request.
-  private refuseRequest(response: ServerResponse, failure: Failure): void {
-    response.shouldKeepAlive = false;
-    this.writeAnswer(response, createFailureAnswer(failure));
+  private markLast(request: IncomingMessage, response: ServerResponse): void {
+    if (this.connections.markLast(request.socket, response)) response.shouldKeepAlive = false;
   }
 
-  private writeAnswer(response: ServerResponse, answer: CallerAnswer): void {
-    if (this.isStopping) response.shouldKeepAlive = false;
+  private writeAnswer(
+    request: IncomingMessage,
+    response: ServerResponse,
+    answer: CallerAnswer,
+  ): void {
+    const isBodied = hasBody(request.method, answer.status);
     const headers = [
       ...answer.headers.flat(),
-      ...['content-length', String(answer.body.byteLength)],
+      ...(isBodied ? ['content-length', String(answer.body.byteLength)] : []),
       ...['pistachiohoist-outcome', answer.outcome],
       ...(answer.errorKind ? ['pistachiohoist-error', answer.errorKind] : []),
     ];
     response.writeHead(answer.status, headers);
-    response.end(answer.body);
+    if (isBodied) response.write(answer.body);
   }
 }
--- a/src/adapters/http/UpstreamExchange.ts
+++ b/src/adapters/http/UpstreamExchange.ts
@@ -8,6 +8,12 @@
   UpstreamResult,
 } from '../../ports/UpstreamClient.ts';
 
+// undici refuses a request with such a code before it opens a connection for it.
+const malformedCodes: ReadonlySet<string> = new Set([
+  'UND_ERR_INVALID_ARG',
+  'UND_ERR_NOT_SUPPORTED',
+]);
+
 type CancelReason = 'cancelled' | 'timed_out';
 
 /** One request on its connection, followed until its answer is whole or failed. */
@@ -50,10 +56,12 @@
     else this.refuseDispatch(reason === 'cancelled' ? 'cancelled' : 'deadline_passed');
   }
 
-  // undici calls this synchronously right before it writes the request to the socket.
+  // undici calls this synchronously right before it writes the request to the socket, also when the
+  // request waited in its queue. A second call would write the same request again.
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
-    if (this.isEnded) controller.abort(new Error('request ended before it was sent'));
+    if (this.isDispatched) this.failAnswer('reset');
+    else if (this.isEnded) controller.abort(new Error('request ended before it was sent'));
     else if (this.clock.now() >= this.request.deadline) this.refuseDispatch('deadline_passed');
     else if (!this.request.mayDispatch()) this.refuseDispatch('forbidden');
     else this.isDispatched = true;
@@ -69,9 +77,10 @@
       const echoed = this.findHeader('pistachiohoist-request-id');
       if (echoed !== this.request.requestId) this.failAnswer('mismatched');
     }
-    const isEndedByClose =
-      length === undefined && this.findHeader('transfer-encoding') === undefined;
-    if (isEndedByClose && this.mayHaveBody()) this.failAnswer('truncated');
+    // undici takes the length on a 304 for that of a body and would fail the whole answer.
+    if (!this.mayHaveBody()) this.endAnswer();
+    // A body with neither ends with the connection, which a truncated one does too.
+    else if (length === undefined && !this.isChunked()) this.failAnswer('truncated');
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -83,25 +92,15 @@
 
   onResponseEnd(): void {
     if (this.isEnded) return;
-    const isShort =
-      this.mayHaveBody() &&
-      this.expectedBytes !== undefined &&
-      this.receivedBytes !== this.expectedBytes;
-    if (isShort) {
-      this.failAnswer('truncated');
-      return;
-    }
-    const answer = {
-      status: this.status,
-      headers: this.headers,
-      body: Buffer.concat(this.chunks),
-    };
-    this.endExchange({ kind: 'answered', answer });
+    const isShort = this.expectedBytes !== undefined && this.receivedBytes !== this.expectedBytes;
+    if (isShort) this.failAnswer('truncated');
+    else this.endAnswer();
   }
 
-  onResponseError(): void {
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
     if (!this.isDispatched) {
-      this.endExchange({ kind: 'not_sent', reason: 'unreachable' });
+      const isMalformed = malformedCodes.has((error as NodeJS.ErrnoException).code ?? '');
+      this.endExchange({ kind: 'not_sent', reason: isMalformed ? 'malformed' : 'unreachable' });
     } else if (this.status === 0) {
       this.endExchange({ kind: 'failed', reason: 'reset' });
     } else {
@@ -109,6 +108,14 @@
     }
   }
 
+  // RFC 9112, section 6.3: only a final chunked coding delimits the body of a response.
+  private isChunked(): boolean {
+    const codings = this.headers
+      .filter(([name]) => name === 'transfer-encoding')
+      .flatMap(([, value]) => value.split(','));
+    return codings.at(-1)?.trim().toLowerCase() === 'chunked';
+  }
+
   private mayHaveBody(): boolean {
     return this.request.method !== 'HEAD' && this.status !== 204 && this.status !== 304;
   }
@@ -124,6 +131,15 @@
     return this.headers.find(([name]) => name === wanted)?.[1];
   }
 
+  private endAnswer(): void {
+    const answer = {
+      status: this.status,
+      headers: this.headers,
+      body: Buffer.concat(this.chunks),
+    };
+    this.endExchange({ kind: 'answered', answer });
+  }
+
   private refuseDispatch(reason: NotSentReason): void {
     this.endExchange({ kind: 'not_sent', reason });
     this.controller?.abort(new Error(`request not sent: ${reason}`));
--- a/src/adapters/http/readBody.ts
+++ b/src/adapters/http/readBody.ts
@@ -1,33 +1,56 @@
 import type { IncomingMessage } from 'node:http';
 
 import type Result from '../../domain/errors/Result.ts';
+import type Clock from '../../ports/Clock.ts';
 
-/** Reads the whole body of a request; refuses it past the limit and when the caller breaks off. */
+type Refusal = 'body_too_large' | 'deadline_passed' | 'request_malformed';
+
+/** What bounds the body of a request. */
+export interface BodyLimits {
+  readonly maxBytes: number;
+  /** Instant by which the body must be whole. */
+  readonly deadline: number;
+  readonly clock: Clock;
+}
+
+/**
+ * Reads the whole body of a request; refuses it past its limits and when the caller breaks off. A
+ * refusal leaves the connection open for the answer.
+ */
 export default async function readBody(
   request: IncomingMessage,
-  maxBytes: number,
+  limits: BodyLimits,
 ): Promise<Result<Uint8Array>> {
-  const call = `${request.method} ${request.url}`;
-  const tooLarge = {
+  const details: Readonly<Record<Refusal, string>> = {
+    body_too_large: `the body is too large: expected at most ${limits.maxBytes} bytes`,
+    deadline_passed: 'the deadline passed before the body was whole',
+    request_malformed: 'the caller closed the connection before the body was whole',
+  };
+  const refuse = (kind: Refusal): Result<Uint8Array> => ({
     ok: false,
-    failure: {
-      kind: 'body_too_large',
-      message: `${call}: the body is too large: expected at most ${maxBytes} bytes`,
-    },
-  } as const;
-  if (Number(request.headers['content-length'] ?? 0) > maxBytes) return tooLarge;
+    failure: { kind, message: `${request.method} ${request.url}: ${details[kind]}` },
+  });
+  if (Number(request.headers['content-length'] ?? 0) > limits.maxBytes) {
+    return refuse('body_too_large');
+  }
+  const ended = new AbortController();
   const chunks: Buffer[] = [];
   let size = 0;
-  try {
-    for await (const chunk of request) {
-      const bytes = chunk as Buffer;
-      size += bytes.byteLength;
-      if (size > maxBytes) return tooLarge;
-      chunks.push(bytes);
-    }
-  } catch {
-    const message = `${call}: the caller closed the connection before the body was whole`;
-    return { ok: false, failure: { kind: 'request_malformed', message } };
-  }
-  return { ok: true, value: Buffer.concat(chunks) };
+  const result = await new Promise<Result<Uint8Array>>((resolve) => {
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.byteLength;
+      if (size > limits.maxBytes) resolve(refuse('body_too_large'));
+      else chunks.push(chunk);
+    });
+    request.once('end', () => resolve({ ok: true, value: Buffer.concat(chunks) }));
+    request.once('error', () => resolve(refuse('request_malformed')));
+    request.once('close', () => resolve(refuse('request_malformed')));
+    limits.clock
+      .sleepUntil(limits.deadline, ended.signal)
+      .then(() => resolve(refuse('deadline_passed')))
+      .catch(() => undefined);
+  });
+  ended.abort();
+  request.removeAllListeners('data');
+  return result;
 }
--- a/src/adapters/http/writeClientError.ts
+++ b/src/adapters/http/writeClientError.ts
@@ -1,10 +1,22 @@
 import type { Duplex } from 'node:stream';
 
+import type ErrorKind from '../../domain/errors/ErrorKind.ts';
 import errorAnswers from '../../domain/errors/errorAnswers.ts';
 import createFailureAnswer from '../../application/requests/createFailureAnswer.ts';
 
+type ClientErrorKind = Extract<
+  ErrorKind,
+  'request_malformed' | 'request_timeout' | 'headers_too_large'
+>;
+
+const kinds: Readonly<Record<string, ClientErrorKind>> = {
+  HPE_HEADER_OVERFLOW: 'headers_too_large',
+  ERR_HTTP_REQUEST_TIMEOUT: 'request_timeout',
+};
+
 const reasons: Readonly<Record<number, string>> = {
   400: 'Bad Request',
+  408: 'Request Timeout',
   431: 'Request Header Fields Too Large',
 };
 
@@ -14,7 +26,7 @@
     socket.destroy();
     return;
   }
-  const kind = error.code === 'HPE_HEADER_OVERFLOW' ? 'headers_too_large' : 'request_malformed';
+  const kind = kinds[error.code ?? ''] ?? 'request_malformed';
   const { status } = errorAnswers[kind];
   const { body, outcome } = createFailureAnswer({ kind, message: `request: ${error.message}` });
   const head = [
--- a/src/application/requests/RequestHandler.ts
+++ b/src/application/requests/RequestHandler.ts
@@ -19,9 +19,11 @@
 import type RequestObserver from './RequestObserver.ts';
 import type UpstreamDispatcher from './UpstreamDispatcher.ts';
 import type { DispatchEnd } from './UpstreamDispatcher.ts';
-import listEndToEndHeaders from './listEndToEndHeaders.ts';
 import createDeadline from './createDeadline.ts';
 import createFailureAnswer from './createFailureAnswer.ts';
+import describeUnsent from './describeUnsent.ts';
+import isOriginForm from './isOriginForm.ts';
+import listEndToEndHeaders from './listEndToEndHeaders.ts';
 
 /** What the handler needs. */
 export interface RequestHandlerOptions {
@@ -42,6 +44,11 @@
 
 type Header = readonly [string, string];
 
+// A server error tells that the upstream failed, not how much of the operation it ran before.
+function decideAnswerOutcome(status: number): Outcome {
+  return status >= 500 ? 'unknown' : 'ran';
+}
+
 /** Answers callers' requests; front ends call it with whole requests. */
 export default class RequestHandler {
   private readonly options: RequestHandlerOptions;
@@ -60,8 +67,13 @@
   }): Result<OpenedRequest> {
     const { activePreset, clock } = this.options;
     const call = `${head.method} ${head.target}`;
-    const fail = (kind: 'host_not_ready' | 'route_unknown', detail: string) =>
-      ({ ok: false, failure: { kind, message: `${call}: ${detail}` } }) as const;
+    const fail = (
+      kind: 'request_malformed' | 'host_not_ready' | 'route_unknown' | 'deadline_passed',
+      detail: string,
+    ) => ({ ok: false, failure: { kind, message: `${call}: ${detail}` } }) as const;
+    if (!isOriginForm(head.target)) {
+      return fail('request_malformed', 'expected a path that begins with / and has valid escapes');
+    }
     if (!activePreset.routeTable) {
       return fail('host_not_ready', 'this host has not confirmed the active preset yet');
     }
@@ -75,12 +87,18 @@
       longestMs: route.deadlineMs,
     });
     if (!deadline.ok) return deadline;
+    if (deadline.value <= receivedAt) {
+      return fail('deadline_passed', 'the deadline passed before the request arrived');
+    }
     return { ok: true, value: { route, receivedAt, deadline: deadline.value } };
   }
 
   /** Answers one request. Never rejects. */
   async handleRequest(request: CallerRequest): Promise<CallerAnswer> {
-    const { answer, attempts } = await this.runRequest(request);
+    const { answer, attempts } = await this.runRequest(request).catch((error: Error) => ({
+      answer: this.createInternalAnswer(request, error),
+      attempts: 0,
+    }));
     this.options.observer.recordRequest({
       service: request.route.service,
       startedAt: request.receivedAt,
@@ -106,15 +124,16 @@
   }
 
   private async runRepeatable(request: CallerRequest, service: ServiceSettings) {
-    const budget = this.getBudget(request.route.service);
-    budget.addRequest(service.retryShare);
-    const policy = new BudgetRetryPolicy(budget);
+    const policy = new BudgetRetryPolicy(this.addToBudget(request, service));
     const end = await this.options.dispatcher.dispatchRequest(request, service, policy);
     return { answer: this.createAnswer(end), attempts: end.attempts };
   }
 
   private async runOnce(request: CallerRequest, service: ServiceSettings) {
     const key = this.readKey(request);
+    // Without this check a caller that left would still cost a claim and its release.
+    const unsent = describeUnsent(request, this.options.clock.now());
+    if (unsent) return { answer: createFailureAnswer(unsent), attempts: 0 };
     if (!key.ok) return { answer: createFailureAnswer(key.failure), attempts: 0 };
     const claim = await this.options.claims.requestClaim({
       key: key.value,
@@ -127,24 +146,42 @@
     if (claim.kind === 'replayed') {
       return { answer: this.replayAnswer(claim.answer), attempts: 0 };
     }
-    const policy = new OnceRetryPolicy();
-    const end = await this.options.dispatcher.dispatchRequest(request, service, policy);
-    this.completeClaim(claim.ticket, end);
+    const end = await this.dispatchClaimed(request, service, claim.ticket);
     return { answer: this.createAnswer(end), attempts: end.attempts };
   }
 
-  private completeClaim(ticket: ClaimTicket, end: DispatchEnd): void {
+  private async dispatchClaimed(
+    request: CallerRequest,
+    service: ServiceSettings,
+    ticket: ClaimTicket,
+  ): Promise<DispatchEnd> {
+    const policy = new OnceRetryPolicy(this.addToBudget(request, service));
+    let end: DispatchEnd;
+    try {
+      end = await this.options.dispatcher.dispatchRequest(request, service, policy);
+    } catch (error) {
+      // A claim that is never completed would hold its key until it expires.
+      ticket.completeUnknown();
+      throw error;
+    }
     if (end.outcome.kind === 'answered') {
       ticket.completeRan(this.createStoredAnswer(end.outcome.answer));
-    } else if (this.createAnswer(end).outcome === 'not-run') {
-      ticket.completeNotRun();
-    } else {
+    } else if (end.mayHaveRun) {
       ticket.completeUnknown();
+    } else {
+      ticket.completeNotRun();
     }
+    return end;
   }
 
   private readKey(request: CallerRequest): Result<string> {
-    const key = request.headers.find(([name]) => name === 'idempotency-key')?.[1];
+    const [key, ...others] = request.headers
+      .filter(([name]) => name === 'idempotency-key')
+      .map(([, value]) => value);
+    if (others.length > 0) {
+      const message = `${request.method} ${request.target}: header Idempotency-Key is given ${others.length + 1} times: expected once`;
+      return { ok: false, failure: { kind: 'key_invalid', message } };
+    }
     if (key !== undefined) return { ok: true, value: key };
     if (request.route.key === 'generated') {
       return { ok: true, value: this.options.random.createKey(request.receivedAt) };
@@ -176,28 +213,31 @@
       status: stored.status,
       headers: stored.headers,
       body: Buffer.from(stored.body, 'base64'),
-      outcome: 'ran',
+      outcome: decideAnswerOutcome(stored.status),
       errorKind: undefined,
     };
   }
 
+  private createInternalAnswer({ method, target }: CallerRequest, error: Error): CallerAnswer {
+    const message = `${method} ${target}: the request failed by a fault of this host: ${error.message}`;
+    return createFailureAnswer({ kind: 'internal', message });
+  }
+
   private createAnswer({ outcome }: DispatchEnd): CallerAnswer {
     if (outcome.kind === 'failed') return createFailureAnswer(outcome.failure);
-    const ran: Outcome = 'ran';
     return {
       status: outcome.answer.status,
       headers: listEndToEndHeaders(outcome.answer.headers),
       body: outcome.answer.body,
-      outcome: ran,
+      outcome: decideAnswerOutcome(outcome.answer.status),
       errorKind: undefined,
     };
   }
 
-  private getBudget(service: string): RetryBudget {
-    const known = this.budgets.get(service);
-    if (known) return known;
-    const budget = new RetryBudget();
-    this.budgets.set(service, budget);
+  private addToBudget({ route }: CallerRequest, service: ServiceSettings): RetryBudget {
+    const budget = this.budgets.get(route.service) ?? new RetryBudget();
+    this.budgets.set(route.service, budget);
+    budget.addRequest(service.retryShare);
     return budget;
   }
 }
--- a/src/application/requests/UpstreamDispatcher.ts
+++ b/src/application/requests/UpstreamDispatcher.ts
@@ -1,8 +1,8 @@
 import type Failure from '../../domain/errors/Failure.ts';
 import type { ServiceSettings } from '../../domain/presets/Preset.ts';
-import type { AnswerClass } from '../../domain/requests/AnswerObservation.ts';
 import type Balancer from '../../domain/requests/Balancer.ts';
 import type RetryPolicy from '../../domain/requests/RetryPolicy.ts';
+import SheddingRecord from '../../domain/requests/SheddingRecord.ts';
 import type { UpstreamEnd } from '../../domain/requests/UpstreamEnd.ts';
 import type UsableUpstream from '../../domain/requests/UsableUpstream.ts';
 import type Clock from '../../ports/Clock.ts';
@@ -13,8 +13,10 @@
 import type CallerRequest from './CallerRequest.ts';
 import type LoadTracker from './LoadTracker.ts';
 import type UpstreamPool from './UpstreamPool.ts';
-import listEndToEndHeaders from './listEndToEndHeaders.ts';
+import decideAttempt from './decideAttempt.ts';
+import describeUnsent from './describeUnsent.ts';
 import describeUpstreamFailure from './describeUpstreamFailure.ts';
+import listEndToEndHeaders from './listEndToEndHeaders.ts';
 
 /** What the dispatcher needs. */
 export interface UpstreamDispatcherOptions {
@@ -28,10 +30,11 @@
   readonly failureDomain: string;
 }
 
-/** How the last attempt of a request ended. */
+/** How a request ended. */
 export interface DispatchEnd {
-  readonly end: UpstreamEnd;
   readonly attempts: number;
+  /** False only when it is certain that no upstream ran any part of the operation. */
+  readonly mayHaveRun: boolean;
   readonly outcome:
     | { readonly kind: 'answered'; readonly answer: UpstreamAnswer }
     | { readonly kind: 'failed'; readonly failure: Failure };
@@ -39,51 +42,21 @@
 
 interface Attempt {
   readonly end: UpstreamEnd;
+  readonly mayHaveRun: boolean;
   readonly outcome: DispatchEnd['outcome'];
 }
 
-const answerClasses: Readonly<Record<string, AnswerClass>> = {
-  timed_out: 'timed_out',
-  reset: 'failed',
-  truncated: 'truncated',
-  mismatched: 'mismatched',
-  too_large: 'good',
-  cancelled: 'cancelled',
-  unreachable: 'unreachable',
-  forbidden: 'cancelled',
-  deadline_passed: 'cancelled',
-};
-
-function hasNotRun(answer: UpstreamAnswer): boolean {
-  return answer.headers.some(
-    ([name, value]) => name === 'pistachiohoist-outcome' && value === 'not-run',
-  );
-}
-
-function readReportedLoad(answer: UpstreamAnswer): number | undefined {
-  const text = answer.headers.find(([name]) => name === 'pistachiohoist-load')?.[1];
-  return text !== undefined && /^\d{1,6}$/.test(text) ? Number(text) : undefined;
-}
-
-function decideEnd(result: UpstreamResult): UpstreamEnd {
-  if (result.kind === 'answered') {
-    if (hasNotRun(result.answer)) return 'not_run';
-    return result.answer.status >= 500 ? 'faulty_answer' : 'good_answer';
-  }
-  if (result.kind === 'not_sent') return result.reason === 'unreachable' ? 'not_run' : 'given_up';
-  return result.reason === 'cancelled' || result.reason === 'timed_out' ? 'given_up' : 'unknown';
-}
-
-function decideAnswerClass(result: UpstreamResult): AnswerClass {
-  if (result.kind !== 'answered') return answerClasses[result.reason] ?? 'failed';
-  if (hasNotRun(result.answer)) return 'shed';
-  return result.answer.status >= 500 ? 'failed' : 'good';
+// A later attempt that did not run must not hide an earlier one that may have run.
+function chooseReported(earlier: Attempt | undefined, later: Attempt): Attempt {
+  return earlier?.mayHaveRun && !later.mayHaveRun ? earlier : later;
 }
 
 /** Sends a request to chosen upstreams, one after another, as far as the retry policy allows. */
 export default class UpstreamDispatcher {
   private readonly options: UpstreamDispatcherOptions;
 
+  private readonly sheddingRecords = new Map<string, SheddingRecord>();
+
   constructor(options: UpstreamDispatcherOptions) {
     this.options = options;
   }
@@ -95,36 +68,72 @@
     policy: RetryPolicy,
   ): Promise<DispatchEnd> {
     const tried = new Set<string>();
-    let last: Attempt | undefined;
-    while (last === undefined || policy.mayRetry(last.end)) {
-      const chosen = this.chooseUpstream(request.route.service, tried);
-      if (!chosen) break;
+    const unsent = describeUnsent(request, this.options.clock.now());
+    if (unsent) return { ...this.failUnsent(unsent), attempts: 0 };
+    let chosen = this.chooseUpstream(request, tried);
+    let reported: Attempt | undefined;
+    while (chosen) {
       tried.add(chosen.record.upstream);
-      last = await this.sendAttempt(request, service, chosen);
+      const attempt = await this.sendAttempt(request, service, {
+        chosen,
+        deadline: policy.computeAttemptDeadline({
+          now: this.options.clock.now(),
+          deadline: request.deadline,
+          hasAlternative: this.listUntried(request, tried).length > 0,
+        }),
+      });
+      reported = chooseReported(reported, attempt);
+      chosen = this.mayTryAgain(request) ? this.chooseUpstream(request, tried) : undefined;
+      // The policy spends budget, so it is asked last.
+      if (chosen && !policy.mayRetry(attempt.end)) chosen = undefined;
     }
-    if (last) return { ...last, attempts: tried.size };
+    if (reported) return { ...reported, attempts: tried.size };
     const message = `${request.method} ${request.target}: service "${request.route.service}" has no usable upstream`;
-    const outcome = { kind: 'failed', failure: { kind: 'no_upstream', message } } as const;
-    return { end: 'not_run', attempts: 0, outcome };
+    return { ...this.failUnsent({ kind: 'no_upstream', message }), attempts: 0 };
+  }
+
+  private failUnsent(failure: Failure): Attempt {
+    return { end: 'not_run', mayHaveRun: false, outcome: { kind: 'failed', failure } };
+  }
+
+  private listUntried(
+    request: CallerRequest,
+    tried: ReadonlySet<string>,
+  ): readonly UsableUpstream[] {
+    return this.options.pool
+      .listUsable(request.route.service)
+      .filter(({ record }) => !tried.has(record.upstream));
   }
 
-  private chooseUpstream(service: string, tried: ReadonlySet<string>): UsableUpstream | undefined {
-    const { balancer, clock, random, pool, failureDomain, loadTracker } = this.options;
+  private chooseUpstream(
+    request: CallerRequest,
+    tried: ReadonlySet<string>,
+  ): UsableUpstream | undefined {
+    const { balancer, clock, random, failureDomain, loadTracker } = this.options;
     return balancer.chooseUpstream({
-      candidates: pool.listUsable(service).filter(({ record }) => !tried.has(record.upstream)),
-      readLoad: (upstream) => loadTracker.readLoad(service, upstream),
+      candidates: this.listUntried(request, tried),
+      readLoad: (upstream) => loadTracker.readLoad(request.route.service, upstream),
       now: clock.now(),
       random: () => random.next(),
       failureDomain,
     });
   }
 
+  private mayTryAgain(request: CallerRequest): boolean {
+    if (describeUnsent(request, this.options.clock.now())) return false;
+    const { service } = request.route;
+    const upstreams = this.options.pool.listUsable(service).map(({ record }) => record.upstream);
+    const now = this.options.clock.now();
+    return !this.getSheddingRecord(service).isWholeServiceShedding(upstreams, now);
+  }
+
   private async sendAttempt(
     request: CallerRequest,
     service: ServiceSettings,
-    { record }: UsableUpstream,
+    { chosen, deadline }: { readonly chosen: UsableUpstream; readonly deadline: number },
   ): Promise<Attempt> {
     const { clock, random, upstreamClient, observer, loadTracker } = this.options;
+    const { record } = chosen;
     const requestId = random.createId();
     const startedAt = clock.now();
     const names = { service: record.service, upstream: record.upstream };
@@ -137,22 +146,56 @@
       headers: listEndToEndHeaders(request.headers),
       body: request.body,
       requestId,
-      deadline: request.deadline,
+      deadline,
       maxAnswerBytes: request.route.maxAnswerBytes,
       echoRequestId: service.echoRequestId,
       signal: request.signal,
-      mayDispatch: () => !request.signal.aborted && clock.now() < request.deadline,
+      mayDispatch: () =>
+        !describeUnsent(request, this.options.clock.now()) && this.isStillUsable(chosen),
     });
     const endedAt = clock.now();
-    const reportedLoad = result.kind === 'answered' ? readReportedLoad(result.answer) : undefined;
+    const unsent = describeUnsent(request, this.options.clock.now());
+    const { end, answerClass, reportedLoad } = decideAttempt(result, unsent !== undefined);
     loadTracker.recordEnd({ ...names, reportedLoad, now: endedAt });
-    const answerClass = decideAnswerClass(result);
     observer.recordEnd(requestId, { ...names, answerClass, startedAt, endedAt, reportedLoad });
-    const end = decideEnd(result);
-    if (result.kind === 'answered' && end !== 'not_run') {
-      return { end, outcome: { kind: 'answered', answer: result.answer } };
+    if (result.kind === 'answered') {
+      const sheddingRecord = this.getSheddingRecord(record.service);
+      sheddingRecord.recordAnswer(record.upstream, answerClass === 'shed', endedAt);
+      const { answer } = result;
+      if (end !== 'not_run')
+        return { end, mayHaveRun: true, outcome: { kind: 'answered', answer } };
     }
-    const failure = describeUpstreamFailure(request, record, result);
-    return { end, outcome: { kind: 'failed', failure } };
+    const failure = this.describeFailure(request, chosen, result, unsent);
+    return { end, mayHaveRun: result.kind === 'failed', outcome: { kind: 'failed', failure } };
+  }
+
+  private describeFailure(
+    request: CallerRequest,
+    { record }: UsableUpstream,
+    result: UpstreamResult,
+    unsent: Failure | undefined,
+  ): Failure {
+    const isForbidden = result.kind === 'not_sent' && result.reason === 'forbidden';
+    if (isForbidden && unsent) return unsent;
+    return describeUpstreamFailure(request, record, result);
+  }
+
+  // An upstream can leave or be ejected while the request waits for a connection.
+  private isStillUsable({ record }: UsableUpstream): boolean {
+    return this.options.pool
+      .listUsable(record.service)
+      .some(
+        (usable) =>
+          usable.record.upstream === record.upstream &&
+          usable.record.incarnation === record.incarnation,
+      );
+  }
+
+  private getSheddingRecord(service: string): SheddingRecord {
+    const known = this.sheddingRecords.get(service);
+    if (known) return known;
+    const sheddingRecord = new SheddingRecord();
+    this.sheddingRecords.set(service, sheddingRecord);
+    return sheddingRecord;
   }
 }
--- a/src/application/requests/createDeadline.ts
+++ b/src/application/requests/createDeadline.ts
@@ -9,10 +9,13 @@
   readonly longestMs: number;
 }): Result<number> {
   const latest = options.now + options.longestMs;
-  const text = options.headers.find(([name]) => name === headerName)?.[1];
+  const [text, ...others] = options.headers
+    .filter(([name]) => name === headerName)
+    .map(([, value]) => value);
   if (text === undefined) return { ok: true, value: latest };
-  if (!/^\d{1,16}$/.test(text)) {
-    const message = `${headerName}: value "${text}": expected milliseconds since the Unix epoch`;
+  if (others.length > 0 || !/^\d{1,16}$/.test(text)) {
+    const value = [text, ...others].join(', ');
+    const message = `${headerName}: value "${value}": expected one number of milliseconds since the Unix epoch`;
     return { ok: false, failure: { kind: 'deadline_invalid', message } };
   }
   return { ok: true, value: Math.min(latest, Number(text)) };
--- /dev/null
+++ b/src/application/requests/decideAttempt.ts
@@ -0,0 +1,47 @@
+import type { AnswerClass } from '../../domain/requests/AnswerObservation.ts';
+import type { UpstreamEnd } from '../../domain/requests/UpstreamEnd.ts';
+import type { NotSentReason, SentFailure, UpstreamResult } from '../../ports/UpstreamClient.ts';
+import readAnswerSignals from './readAnswerSignals.ts';
+
+const answerClasses: Readonly<Record<NotSentReason | SentFailure, AnswerClass>> = {
+  timed_out: 'timed_out',
+  reset: 'failed',
+  truncated: 'truncated',
+  mismatched: 'mismatched',
+  too_large: 'good',
+  cancelled: 'cancelled',
+  unreachable: 'unreachable',
+  forbidden: 'cancelled',
+  deadline_passed: 'cancelled',
+  malformed: 'cancelled',
+};
+
+/** What the end of an attempt means for the request and for the upstream's health. */
+export interface AttemptDecision {
+  readonly end: UpstreamEnd;
+  readonly answerClass: AnswerClass;
+  readonly reportedLoad: number | undefined;
+}
+
+/** Decides what the result of an attempt means. `isOver`: the caller or its deadline is gone. */
+export default function decideAttempt(result: UpstreamResult, isOver: boolean): AttemptDecision {
+  if (result.kind === 'answered') {
+    const { hasNotRun, isShed, reportedLoad } = readAnswerSignals(result.answer);
+    const isFaulty = result.answer.status >= 500;
+    const answerEnd = isFaulty ? 'faulty_answer' : 'good_answer';
+    const ownClass = isFaulty ? 'failed' : 'good';
+    return {
+      end: hasNotRun ? 'not_run' : answerEnd,
+      answerClass: isShed ? 'shed' : ownClass,
+      reportedLoad,
+    };
+  }
+  // Another upstream would get the same request and give the same large answer.
+  const isFinal = isOver || result.reason === 'malformed' || result.reason === 'too_large';
+  const openEnd = result.kind === 'not_sent' ? 'not_run' : 'unknown';
+  return {
+    end: isFinal ? 'given_up' : openEnd,
+    answerClass: answerClasses[result.reason],
+    reportedLoad: undefined,
+  };
+}
--- a/src/application/requests/describeUpstreamFailure.ts
+++ b/src/application/requests/describeUpstreamFailure.ts
@@ -6,11 +6,18 @@
 
 type PlainKind = Exclude<ErrorKind, 'revision_conflict' | 'not_leader'>;
 
-const kinds: Readonly<Record<NotSentReason | SentFailure, PlainKind>> = {
+// Each of these kinds answers not-run.
+const notSentKinds: Readonly<Record<NotSentReason, PlainKind>> = {
   unreachable: 'upstream_unreachable',
-  forbidden: 'deadline_passed',
+  forbidden: 'no_upstream',
   deadline_passed: 'deadline_passed',
   cancelled: 'caller_gone',
+  malformed: 'request_malformed',
+};
+
+// Each of these kinds answers unknown.
+const sentKinds: Readonly<Record<SentFailure, PlainKind>> = {
+  cancelled: 'caller_gone_after_dispatch',
   timed_out: 'upstream_timeout',
   reset: 'upstream_reset',
   truncated: 'answer_truncated',
@@ -29,6 +36,10 @@
     const message = `${call}: the upstream refused the request without running it`;
     return { kind: 'upstream_refused', message };
   }
-  const phase = result.kind === 'not_sent' ? 'not sent' : 'failed after it was sent';
-  return { kind: kinds[result.reason], message: `${call}: ${phase}: ${result.reason}` };
+  return result.kind === 'not_sent'
+    ? { kind: notSentKinds[result.reason], message: `${call}: not sent: ${result.reason}` }
+    : {
+        kind: sentKinds[result.reason],
+        message: `${call}: failed after it was sent: ${result.reason}`,
+      };
 }
--- /dev/null
+++ b/src/application/requests/isOriginForm.ts
@@ -0,0 +1,13 @@
+/**
+ * Whether a request target is a path with an optional query (RFC 9112, section 3.2.1) whose escapes
+ * can be decoded. Absolute and authority forms belong to other kinds of proxies.
+ */
+export default function isOriginForm(target: string): boolean {
+  if (!target.startsWith('/') || target.includes('#')) return false;
+  try {
+    decodeURIComponent(target.split('?', 1)[0] ?? target);
+    return true;
+  } catch {
+    return false;
+  }
+}
--- a/src/domain/errors/ErrorKind.ts
+++ b/src/domain/errors/ErrorKind.ts
@@ -2,6 +2,7 @@
 type ErrorKind =
   // Requests of callers.
   | 'request_malformed'
+  | 'request_timeout'
   | 'route_unknown'
   | 'headers_too_large'
   | 'body_too_large'
@@ -10,6 +11,7 @@
   | 'host_not_ready'
   | 'host_stopping'
   | 'caller_gone'
+  | 'caller_gone_after_dispatch'
   // Idempotency keys and claims.
   | 'key_required'
   | 'key_invalid'
--- a/src/domain/errors/errorAnswers.ts
+++ b/src/domain/errors/errorAnswers.ts
@@ -16,6 +16,7 @@
  */
 const errorAnswers: Readonly<Record<ErrorKind, ErrorAnswer>> = {
   request_malformed: refuse(400),
+  request_timeout: refuse(408),
   route_unknown: refuse(404),
   headers_too_large: refuse(431),
   body_too_large: refuse(413),
@@ -23,7 +24,8 @@
   deadline_passed: refuse(504),
   host_not_ready: refuse(503),
   host_stopping: refuse(503),
-  caller_gone: leaveOpen(499),
+  caller_gone: refuse(499),
+  caller_gone_after_dispatch: leaveOpen(499),
 
   key_required: refuse(400),
   key_invalid: refuse(400),
--- a/src/domain/requests/BudgetRetryPolicy.ts
+++ b/src/domain/requests/BudgetRetryPolicy.ts
@@ -1,5 +1,6 @@
 import type RetryBudget from './RetryBudget.ts';
 import type RetryPolicy from './RetryPolicy.ts';
+import type { AttemptTimes } from './RetryPolicy.ts';
 import type { UpstreamEnd } from './UpstreamEnd.ts';
 
 /** For operations that may repeat: another try after any fault while the service's budget lasts. */
@@ -14,4 +15,14 @@
     if (end === 'good_answer' || end === 'given_up') return false;
     return this.budget.takeRetry();
   }
+
+  /**
+   * Half of the time that is left, so that the next upstream has as much time as this one had. A
+   * silent upstream would otherwise use up the whole deadline. Without a retry to spend, the
+   * attempt keeps the whole deadline.
+   */
+  computeAttemptDeadline({ now, deadline, hasAlternative }: AttemptTimes): number {
+    if (!hasAlternative || !this.budget.hasRetry()) return deadline;
+    return now + (deadline - now) / 2;
+  }
 }
--- a/src/domain/requests/OnceRetryPolicy.ts
+++ b/src/domain/requests/OnceRetryPolicy.ts
@@ -1,9 +1,22 @@
+import type RetryBudget from './RetryBudget.ts';
 import type RetryPolicy from './RetryPolicy.ts';
+import type { AttemptTimes } from './RetryPolicy.ts';
 import type { UpstreamEnd } from './UpstreamEnd.ts';
 
 /** For operations that must not repeat: another try only where nothing can have run. */
 export default class OnceRetryPolicy implements RetryPolicy {
+  private readonly budget: RetryBudget;
+
+  constructor(budget: RetryBudget) {
+    this.budget = budget;
+  }
+
   mayRetry(end: UpstreamEnd): boolean {
-    return end === 'not_run';
+    return end === 'not_run' && this.budget.takeRetry();
+  }
+
+  /** The whole deadline: after a timeout the operation may have run and no attempt may follow. */
+  computeAttemptDeadline({ deadline }: AttemptTimes): number {
+    return deadline;
   }
 }
--- a/src/domain/requests/RetryBudget.ts
+++ b/src/domain/requests/RetryBudget.ts
@@ -10,9 +10,14 @@
     this.tokens = Math.min(mostTokens, this.tokens + retryShare);
   }
 
+  /** Whether a retry would be allowed now. */
+  hasRetry(): boolean {
+    return this.tokens >= 1;
+  }
+
   /** Takes the token of one retry; false when the budget is spent. */
   takeRetry(): boolean {
-    if (this.tokens < 1) return false;
+    if (!this.hasRetry()) return false;
     this.tokens -= 1;
     return true;
   }
--- a/src/domain/requests/RetryPolicy.ts
+++ b/src/domain/requests/RetryPolicy.ts
@@ -1,6 +1,18 @@
 import type { UpstreamEnd } from './UpstreamEnd.ts';
 
-/** Decides whether a request may be sent to another upstream after an attempt ended. */
+/** What an attempt's deadline depends on. */
+export interface AttemptTimes {
+  readonly now: number;
+  /** Deadline of the whole request. */
+  readonly deadline: number;
+  /** Whether another upstream could still answer after this attempt. */
+  readonly hasAlternative: boolean;
+}
+
+/** Decides whether and when a request may be sent to another upstream. */
 export default interface RetryPolicy {
+  /** True when another attempt may follow; takes its share of the retry budget. */
   mayRetry(end: UpstreamEnd): boolean;
+  /** Instant at which an attempt ends without an answer. */
+  computeAttemptDeadline(times: AttemptTimes): number;
 }
--- a/src/ports/UpstreamClient.ts
+++ b/src/ports/UpstreamClient.ts
@@ -24,8 +24,9 @@
   readonly body: Uint8Array;
 }
 
-/** Why nothing was sent. */
-export type NotSentReason = 'unreachable' | 'forbidden' | 'cancelled' | 'deadline_passed';
+/** Why nothing was sent; `malformed`: the request can't be written as HTTP. */
+export type NotSentReason =
+  'unreachable' | 'forbidden' | 'cancelled' | 'deadline_passed' | 'malformed';
 
 /** How a request failed after its first byte may have left. */
 export type SentFailure =
--- /dev/null
+++ b/tests/requests/upstreamAnswers.test.ts
@@ -0,0 +1,188 @@
+import { afterEach, describe, expect, it } from 'vitest';
+
+import UndiciUpstreamClient from '../../src/adapters/http/UndiciUpstreamClient.ts';
+import SystemClock from '../../src/adapters/system/SystemClock.ts';
+import type { UpstreamRequest, UpstreamResult } from '../../src/ports/UpstreamClient.ts';
+import RawUpstream from '../fixtures/RawUpstream.ts';
+import type { RawRequest } from '../fixtures/RawUpstream.ts';
+
+const clock = new SystemClock();
+const ok = 'HTTP/1.1 200 OK\r\n';
+
+function describeResult(result: UpstreamResult): string {
+  if (result.kind !== 'answered') return `${result.kind} ${result.reason}`;
+  return `${result.answer.status} ${Buffer.from(result.answer.body).toString()}`;
+}
+
+describe('answers of upstreams', () => {
+  const upstreams: RawUpstream[] = [];
+  const clients: UndiciUpstreamClient[] = [];
+
+  async function startUpstream(answer: (request: RawRequest) => void) {
+    const upstream = new RawUpstream(answer);
+    upstreams.push(upstream);
+    const address = await upstream.open();
+    const client = new UndiciUpstreamClient({ clock, connectionsPerUpstream: 1 });
+    clients.push(client);
+    const send = (requestId: string, changes: Partial<UpstreamRequest> = {}) =>
+      client.sendRequest({
+        address,
+        method: 'GET',
+        path: '/history/1',
+        headers: [],
+        body: new Uint8Array(),
+        requestId,
+        deadline: clock.now() + 10_000,
+        maxAnswerBytes: 1000,
+        echoRequestId: false,
+        signal: new AbortController().signal,
+        mayDispatch: () => true,
+        ...changes,
+      });
+    return { upstream, send };
+  }
+
+  afterEach(async () => {
+    upstreams.splice(0).forEach((upstream) => upstream.close());
+    await Promise.all(clients.splice(0).map((client) => client.close()));
+  });
+
+  // Each row guards against passing on an answer as whole when it is not, or refusing a whole one.
+  it.each([
+    ['ends before its length', 'close', `${ok}content-length: 9\r\n\r\npart`, 'failed truncated'],
+    [
+      'is reset before its length',
+      'reset',
+      `${ok}content-length: 9\r\n\r\npart`,
+      'failed truncated',
+    ],
+    [
+      'ends before its last chunk',
+      'close',
+      `${ok}transfer-encoding: chunked\r\n\r\n4\r\npart\r\n`,
+      'failed truncated',
+    ],
+    ['ends by close without a length', 'close', `${ok}\r\npart`, 'failed truncated'],
+    [
+      'ends by close with another coding',
+      'close',
+      `${ok}transfer-encoding: gzip\r\n\r\npart`,
+      'failed truncated',
+    ],
+    ['ends inside its head', 'close', `${ok}content-le`, 'failed reset'],
+    [
+      'has two lengths',
+      'close',
+      `${ok}content-length: 4\r\ncontent-length: 9\r\n\r\npart`,
+      'failed reset',
+    ],
+    ['is no HTTP', 'close', 'hello there\r\n\r\n', 'failed reset'],
+    ['is an upgrade', 'keep', 'HTTP/1.1 101 Upgrade\r\nupgrade: x\r\n\r\n', 'failed reset'],
+    [
+      'is above the limit',
+      'keep',
+      `${ok}content-length: 1001\r\n\r\n${'x'.repeat(1001)}`,
+      'failed too_large',
+    ],
+    ['is longer than its length', 'keep', `${ok}content-length: 4\r\n\r\npartmore`, '200 part'],
+    [
+      'has a length and closes',
+      'close',
+      `${ok}connection: close\r\ncontent-length: 4\r\n\r\npart`,
+      '200 part',
+    ],
+    [
+      'follows early hints',
+      'keep',
+      `HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n${ok}content-length: 4\r\n\r\npart`,
+      '200 part',
+    ],
+    [
+      'has trailers',
+      'keep',
+      `${ok}transfer-encoding: chunked\r\n\r\n4\r\npart\r\n0\r\nx-sum: 1\r\n\r\n`,
+      '200 part',
+    ],
+    ['has status 204', 'keep', 'HTTP/1.1 204 None\r\n\r\n', '204 '],
+    ['has status 304', 'keep', 'HTTP/1.1 304 Same\r\ncontent-length: 9\r\n\r\n', '304 '],
+  ] as const)('should decide on an answer that %s (%s)', async (_title, end, bytes, expected) => {
+    const { send, upstream } = await startUpstream(({ socket, index }) => {
+      if (index > 0) {
+        socket.write(`${ok}content-length: 6\r\n\r\nsecond`);
+        return;
+      }
+      socket.write(bytes, () => {
+        if (end === 'close') socket.end();
+        if (end === 'reset') setTimeout(() => socket.resetAndDestroy(), 20);
+      });
+    });
+
+    expect(describeResult(await send('one'))).toBe(expected);
+    // What is left of the first answer must not become the answer of the next request.
+    expect(describeResult(await send('two'))).toBe('200 second');
+    expect(upstream.requestIds).toEqual(['one', 'two']);
+  });
+
+  it('should take the head of an answer to HEAD as whole', async () => {
+    const { send } = await startUpstream(({ socket }) =>
+      socket.write(`${ok}content-length: 9\r\n\r\n`),
+    );
+
+    expect(describeResult(await send('one', { method: 'HEAD' }))).toBe('200 ');
+  });
+
+  // Guards against merging headers that may stand several times.
+  it('should keep each of several equal headers', async () => {
+    const { send } = await startUpstream(({ socket }) =>
+      socket.write(`${ok}set-cookie: a=1\r\nset-cookie: b=2\r\ncontent-length: 0\r\n\r\n`),
+    );
+
+    const result = await send('one');
+
+    const headers = result.kind === 'answered' ? result.answer.headers : [];
+    expect(headers.filter(([name]) => name === 'set-cookie').map(([, value]) => value)).toEqual([
+      'a=1',
+      'b=2',
+    ]);
+  });
+
+  // Guards against passing on the answer to another caller's request.
+  it('should refuse an answer with the id of another request', async () => {
+    const { send } = await startUpstream(({ socket, requestId }) => {
+      const echoed = requestId === 'one' ? 'other' : requestId;
+      socket.write(`${ok}pistachiohoist-request-id: ${echoed}\r\ncontent-length: 2\r\n\r\nok`);
+    });
+
+    const echoRequestId = true;
+    expect(describeResult(await send('one', { echoRequestId }))).toBe('failed mismatched');
+    expect(describeResult(await send('two', { echoRequestId }))).toBe('200 ok');
+  });
+
+  // Guards against giving the late answer of one request to the next on the same connection.
+  it('should close the connection of an answer that comes after the deadline', async () => {
+    const { send, upstream } = await startUpstream(({ socket, requestId, index }) => {
+      const answer = `${ok}content-length: 3\r\n\r\n${requestId}`;
+      setTimeout(() => socket.write(answer), index === 0 ? 120 : 0);
+    });
+
+    const late = await send('one', { deadline: clock.now() + 50 });
+
+    expect(describeResult(late)).toBe('failed timed_out');
+    expect(describeResult(await send('two'))).toBe('200 two');
+    expect(upstream.connections).toBe(2);
+  });
+
+  // Guards against taking bytes that nobody asked for as the answer of the next request.
+  it('should close an idle connection that sends an answer nobody asked for', async () => {
+    const { send, upstream } = await startUpstream(({ socket, requestId, index }) => {
+      socket.write(`${ok}content-length: 3\r\n\r\n${requestId}`);
+      if (index === 0) setTimeout(() => socket.write(`${ok}content-length: 4\r\n\r\nfake`), 20);
+    });
+
+    await send('one');
+    await clock.sleepUntil(clock.now() + 100);
+
+    expect(describeResult(await send('two'))).toBe('200 two');
+    expect(upstream.connections).toBe(2);
+  });
+});
