Add gray detection, ejection leases and the floor

Cause: nothing yet notices upstreams that fail gray, and all upstreams count as usable. Ruled out: one threshold per host (44 to 48 hosts share the traffic of an upstream, so each sees too little); verdicts keyed by service alone (versions of two judges have no common order; keyed by service and judge, leases end by time).

--- /dev/null
+++ b/src/application/detection/EjectingUpstreamPool.ts
@@ -0,0 +1,52 @@
+import chooseEjected from '../../domain/detection/chooseEjected.ts';
+import computeWeight from '../../domain/detection/computeWeight.ts';
+import type VerdictBook from '../../domain/detection/VerdictBook.ts';
+import isServing from '../../domain/membership/isServing.ts';
+import type UpstreamSource from '../../domain/membership/UpstreamSource.ts';
+import type UsableUpstream from '../../domain/requests/UsableUpstream.ts';
+import type Clock from '../../ports/Clock.ts';
+import type ActivePreset from '../requests/ActivePreset.ts';
+import type UpstreamPool from '../requests/UpstreamPool.ts';
+
+/** What the pool needs. */
+export interface EjectingUpstreamPoolOptions {
+  readonly clock: Clock;
+  readonly activePreset: ActivePreset;
+  readonly upstreams: UpstreamSource;
+  readonly verdicts: VerdictBook;
+}
+
+/** The upstreams that this host's directory shows as serving, without those that are ejected. */
+export default class EjectingUpstreamPool implements UpstreamPool {
+  private readonly options: EjectingUpstreamPoolOptions;
+
+  constructor(options: EjectingUpstreamPoolOptions) {
+    this.options = options;
+  }
+
+  listUsable(service: string): readonly UsableUpstream[] {
+    const { clock, activePreset, upstreams, verdicts } = this.options;
+    const settings = activePreset.state?.preset.services[service];
+    if (!settings) return [];
+    const now = clock.now();
+    const serving = upstreams
+      .listUpstreams(service, now)
+      .filter((record) => isServing(record, now));
+    const ejected = chooseEjected({
+      serving,
+      ejections: verdicts.listEjections(service, now),
+      floor: settings.floor,
+    });
+    const probations = verdicts.listProbations(service, now);
+    return serving
+      .filter(({ upstream }) => !ejected.has(upstream))
+      .map((record) => {
+        const onProbation = probations.some(
+          ({ upstream, incarnation }) =>
+            upstream === record.upstream && incarnation === record.incarnation,
+        );
+        const weight = computeWeight({ record, onProbation, rampMs: settings.rampMs, now });
+        return { record, weight };
+      });
+  }
+}
--- /dev/null
+++ b/src/domain/detection/EvidenceCollector.ts
@@ -0,0 +1,112 @@
+import type { AnswerClass } from '../requests/AnswerObservation.ts';
+import type AnswerObservation from '../requests/AnswerObservation.ts';
+import type { UpstreamEvidence } from './Evidence.ts';
+import { getLatencyBucket } from './latencyBuckets.ts';
+
+interface OpenEntry {
+  readonly upstream: string;
+  readonly startedAt: number;
+  isOverdue: boolean;
+}
+
+interface Counts {
+  failed: number;
+  overdue: number;
+  readonly latencies: Map<number, number>;
+  readonly lateLatencies: Map<number, number>;
+}
+
+interface ServiceCounts {
+  slowBoundMs: number | undefined;
+  readonly open: Map<string, OpenEntry>;
+  upstreams: Map<string, Counts>;
+}
+
+// Shedding and cancelling say nothing about a fault of the upstream.
+const kinds: Readonly<Record<AnswerClass, 'good' | 'failed' | 'none'>> = {
+  good: 'good',
+  failed: 'failed',
+  truncated: 'failed',
+  mismatched: 'failed',
+  timed_out: 'failed',
+  unreachable: 'failed',
+  shed: 'none',
+  cancelled: 'none',
+};
+
+/** Counts of one host's requests to upstreams since they were last taken. */
+export default class EvidenceCollector {
+  private readonly services = new Map<string, ServiceCounts>();
+
+  recordStart(request: {
+    readonly requestId: string;
+    readonly service: string;
+    readonly upstream: string;
+    readonly startedAt: number;
+  }): void {
+    const { requestId, service, upstream, startedAt } = request;
+    this.getService(service).open.set(requestId, { upstream, startedAt, isOverdue: false });
+  }
+
+  recordEnd(requestId: string, observation: AnswerObservation): void {
+    const service = this.getService(observation.service);
+    const isOverdue = service.open.get(requestId)?.isOverdue ?? false;
+    service.open.delete(requestId);
+    const kind = kinds[observation.answerClass];
+    if (kind === 'none') return;
+    const counts = this.getCounts(service, observation.upstream);
+    if (kind === 'failed') {
+      counts.failed += 1;
+      return;
+    }
+    const latencies = isOverdue ? counts.lateLatencies : counts.latencies;
+    const bucket = getLatencyBucket(observation.endedAt - observation.startedAt);
+    latencies.set(bucket, (latencies.get(bucket) ?? 0) + 1);
+  }
+
+  /** Sets the latency from which an open request counts as slow. */
+  setSlowBound(service: string, slowBoundMs: number | undefined): void {
+    this.getService(service).slowBoundMs = slowBoundMs;
+  }
+
+  /** Takes the counts of a service, with the requests that passed the slow bound while open. */
+  takeEvidence(service: string, now: number): readonly UpstreamEvidence[] {
+    const counts = this.getService(service);
+    this.markOverdue(counts, now);
+    const { upstreams } = counts;
+    counts.upstreams = new Map();
+    return [...upstreams].map(([upstream, { failed, overdue, latencies, lateLatencies }]) => ({
+      upstream,
+      failed,
+      overdue,
+      latencies: [...latencies].flat(),
+      lateLatencies: [...lateLatencies].flat(),
+    }));
+  }
+
+  private markOverdue(service: ServiceCounts, now: number): void {
+    const { slowBoundMs } = service;
+    if (slowBoundMs === undefined) return;
+    service.open.forEach((entry) => {
+      if (entry.isOverdue || now - entry.startedAt < slowBoundMs) return;
+      entry.isOverdue = true;
+      this.getCounts(service, entry.upstream).overdue += 1;
+    });
+  }
+
+  private getService(service: string): ServiceCounts {
+    const known = this.services.get(service);
+    if (known) return known;
+    const counts = { slowBoundMs: undefined, open: new Map(), upstreams: new Map() };
+    this.services.set(service, counts);
+    return counts;
+  }
+
+  private getCounts(service: ServiceCounts, upstream: string): Counts {
+    const known = service.upstreams.get(upstream);
+    if (known) return known;
+    const counts = { failed: 0, overdue: 0, latencies: new Map(), lateLatencies: new Map() };
+    service.upstreams.set(upstream, counts);
+    return counts;
+  }
+}
--- /dev/null
+++ b/src/domain/detection/IssuedDeadlines.ts
@@ -0,0 +1,25 @@
+import { clockAllowanceMs } from './clockAllowance.ts';
+
+/**
+ * The last deadline that a judge issued for each upstream, also for those whose ejection it no
+ * longer wants: some host may observe it until then.
+ */
+export default class IssuedDeadlines {
+  private readonly deadlines = new Map<string, number>();
+
+  recordDeadline(upstream: string, deadline: number): void {
+    this.deadlines.set(upstream, Math.max(deadline, this.deadlines.get(upstream) ?? 0));
+  }
+
+  /** Whether some host, whose clock may be late, may still observe an ejection. */
+  mayBeObserved(upstream: string, now: number): boolean {
+    const deadline = this.deadlines.get(upstream);
+    return deadline !== undefined && deadline + clockAllowanceMs > now;
+  }
+
+  dropOld(now: number): void {
+    this.deadlines.forEach((_deadline, upstream) => {
+      if (!this.mayBeObserved(upstream, now)) this.deadlines.delete(upstream);
+    });
+  }
+}
--- /dev/null
+++ b/src/domain/membership/HostSource.ts
@@ -0,0 +1,7 @@
+import type HostRecord from './HostRecord.ts';
+
+/** The host records that this host holds. */
+export default interface HostSource {
+  /** Records of all roles and states whose lease has not expired, with the host's own record. */
+  listHosts(now: number): readonly HostRecord[];
+}
--- /dev/null
+++ b/src/domain/membership/UpstreamSource.ts
@@ -0,0 +1,7 @@
+import type UpstreamRecord from './UpstreamRecord.ts';
+
+/** The upstream records that this host holds. */
+export default interface UpstreamSource {
+  /** All records of a service whose lease has not expired, in any state. */
+  listUpstreams(service: string, now: number): readonly UpstreamRecord[];
+}
--- /dev/null
+++ b/tests/detection/ejections.test.ts
@@ -0,0 +1,95 @@
+import { describe, expect, it } from 'vitest';
+
+import chooseEjected from '../../src/domain/detection/chooseEjected.ts';
+import EjectionLedger from '../../src/domain/detection/EjectionLedger.ts';
+import GrantedMajority from '../../src/domain/detection/GrantedMajority.ts';
+import JudgeGrants from '../../src/domain/detection/JudgeGrants.ts';
+import { createUpstream } from '../fixtures/createRecords.ts';
+
+const serving = ['a', 'b', 'c', 'd', 'e'].map((upstream) => createUpstream({ upstream }));
+const lease = (now: number, names: Record<string, number>, floor = 3) => ({
+  now,
+  serving,
+  floor,
+  latestDeadline: now + 2500,
+  suspects: Object.entries(names).map(([upstream, severity]) => ({ upstream, severity })),
+});
+const listNames = (ejections: readonly { readonly upstream: string }[]) =>
+  ejections.map(({ upstream }) => upstream).sort();
+
+describe('grants', () => {
+  // Guards against a grant that this host gave before it restarted and forgot.
+  it('should grant nothing in the first three seconds', () => {
+    const grants = new JudgeGrants({ startedAt: 1000 });
+    const judge = { host: 'x', incarnation: 1 };
+
+    expect(grants.grantJudge('history', judge, 3999)).toBeUndefined();
+    expect(grants.grantJudge('history', judge, 4000)).toBe(7000);
+  });
+
+  // Guards against a restarted judge that ejects more beside the ejections it forgot.
+  it('should treat a restarted judge as another one until the promise ends', () => {
+    const grants = new JudgeGrants({ startedAt: 0 });
+    grants.grantJudge('history', { host: 'x', incarnation: 1 }, 5000);
+
+    expect(grants.grantJudge('history', { host: 'x', incarnation: 2 }, 7999)).toBeUndefined();
+    expect(grants.grantJudge('history', { host: 'x', incarnation: 2 }, 8000)).toBe(11_000);
+  });
+
+  it('should end ejections before the majority does, by the clock allowance', () => {
+    const majority = new GrantedMajority();
+    [4000, 2000, 3000].forEach((deadline, index) => majority.recordGrant(`r${index}`, deadline));
+
+    expect(majority.computeLatestDeadline(5)).toBe(1500);
+    expect(majority.computeLatestDeadline(6)).toBe(0);
+  });
+});
+
+describe('EjectionLedger', () => {
+  it('should eject the worst upstreams when the floor allows only some', () => {
+    const { ejections } = new EjectionLedger().decideEjections(
+      lease(0, { a: 0.3, b: 2, c: 1, d: 0.5 }),
+    );
+
+    expect(listNames(ejections)).toEqual(['b', 'c']);
+  });
+
+  // Guards against counting an ejection as over while a host may still observe its lease.
+  it('should count a displaced ejection until its last deadline has passed', () => {
+    const ledger = new EjectionLedger();
+    ledger.decideEjections(lease(0, { a: 0.1 }, 4));
+
+    expect(ledger.decideEjections(lease(100, { b: 2 }, 4)).ejections).toEqual([]);
+    expect(listNames(ledger.decideEjections(lease(3100, { b: 2 }, 4)).ejections)).toEqual(['b']);
+  });
+
+  // Guards against an upstream that alternates between good and bad and comes back each time.
+  it('should double the time of repeated ejections up to the bound', () => {
+    const times = { firstHoldMs: 1000, longestHoldMs: 3000, probationMs: 500, forgetMs: 60_000 };
+    const ledger = new EjectionLedger({ times });
+    const lengths = [0, 10_000, 20_000, 30_000].map((now) => {
+      const { ejections } = ledger.decideEjections(lease(now, { a: 1 }));
+      ledger.decideEjections(lease(now + 5000, {}));
+      return (ejections[0]?.heldUntil ?? 0) - now;
+    });
+
+    expect(lengths).toEqual([1000, 2000, 3000, 3000]);
+  });
+});
+
+describe('chooseEjected', () => {
+  // Guards against a host with an incomplete directory that leaves out too many.
+  it('should ignore the mildest ejections below the floor of its own directory', () => {
+    const ejections = [0.2, 2].map((severity, index) => ({
+      upstream: ['a', 'b'][index] ?? '',
+      incarnation: 1,
+      severity,
+      deadline: 1,
+      heldUntil: 1,
+      repeats: 0,
+    }));
+
+    const ejected = chooseEjected({ serving: serving.slice(0, 4), ejections, floor: 3 });
+    expect([...ejected]).toEqual(['b']);
+  });
+});
