Fit the directories to detection and the announcements to body limits

Cause: parts built side by side met: readBody takes limits with a deadline, detection reads upstreams and hosts through UpstreamSource and HostSource. Change: the directories implement both interfaces; the platform listener bounds the time of an announcement. Measured: type check passes. Conclusion: the entry host can be composed.

--- a/src/adapters/http/PlatformFrontEnd.ts
+++ b/src/adapters/http/PlatformFrontEnd.ts
@@ -8,6 +8,7 @@
 import type Failure from '../../domain/errors/Failure.ts';
 import type { HostStateName } from '../../domain/membership/HostRecord.ts';
 import type { ListenAddress } from '../../domain/settings/DaemonSettings.ts';
+import type Clock from '../../ports/Clock.ts';
 import type Log from '../../ports/Log.ts';
 import type MetricsSource from '../../ports/MetricsSource.ts';
 import closeServer from './closeServer.ts';
@@ -21,6 +22,7 @@
 
 /** What the platform listener serves. */
 export interface PlatformFrontEndOptions {
+  readonly clock: Clock;
   readonly log: Log;
   readonly metrics: MetricsSource;
   /** Life of this host; `/ready` answers 200 only in `ready`. */
@@ -85,7 +87,12 @@
     response: ServerResponse,
     announcements: AnnouncementService,
   ): Promise<void> {
-    const body = await readBody(request, maxAnnouncementBytes);
+    const { clock } = this.options;
+    const body = await readBody(request, {
+      maxBytes: maxAnnouncementBytes,
+      deadline: clock.now() + requestTimeoutMs,
+      clock,
+    });
     if (!body.ok) {
       response.shouldKeepAlive = false;
       this.writeFailure(response, body.failure);
--- a/src/domain/membership/HostDirectory.ts
+++ b/src/domain/membership/HostDirectory.ts
@@ -1,6 +1,7 @@
 import Directory from './Directory.ts';
 import type { RecordRules } from './Directory.ts';
 import type HostRecord from './HostRecord.ts';
+import type HostSource from './HostSource.ts';
 
 /** Returns the record when it is well-formed. */
 export type HostRecordChecker = (value: unknown) => HostRecord | undefined;
@@ -33,11 +34,15 @@
 }
 
 /** What hosts of the fleet last said about themselves. */
-export default class HostDirectory extends Directory<HostRecord> {
+export default class HostDirectory extends Directory<HostRecord> implements HostSource {
   constructor(options: { readonly checkRecord: HostRecordChecker }) {
     super(new HostRules(options.checkRecord));
   }
 
+  listHosts(now: number): readonly HostRecord[] {
+    return this.listRecords(now);
+  }
+
   /** Hosts under a valid lease that are not stopping, by name. */
   listLive(now: number): readonly HostRecord[] {
     return this.listRecords(now)
--- a/src/domain/membership/UpstreamDirectory.ts
+++ b/src/domain/membership/UpstreamDirectory.ts
@@ -1,6 +1,7 @@
 import Directory from './Directory.ts';
 import type { RecordRules } from './Directory.ts';
 import type UpstreamRecord from './UpstreamRecord.ts';
+import type UpstreamSource from './UpstreamSource.ts';
 
 // With less time left than this, a renewal must not wait for regular exchanges over three hops.
 const shortLeaseMs = 2000;
@@ -46,11 +47,15 @@
 }
 
 /** What upstreams last announced. */
-export default class UpstreamDirectory extends Directory<UpstreamRecord> {
+export default class UpstreamDirectory extends Directory<UpstreamRecord> implements UpstreamSource {
   constructor(options: { readonly checkRecord: UpstreamRecordChecker }) {
     super(new UpstreamRules(options.checkRecord));
   }
 
+  listUpstreams(service: string, now: number): readonly UpstreamRecord[] {
+    return this.listRecords(now).filter((record) => record.service === service);
+  }
+
   /** Upstreams of the service that are serving under a valid lease, by name. */
   listServing(service: string, now: number): readonly UpstreamRecord[] {
     return this.listRecords(now)
--- a/tests/docs/errorsPage.test.ts
+++ b/tests/docs/errorsPage.test.ts
@@ -1,4 +1,4 @@
-import { readFileSync } from 'node:fs';
+import { readFile } from 'node:fs/promises';
 
 import { describe, expect, it } from 'vitest';
 
@@ -6,8 +6,8 @@
 
 describe('docs/errors.md', () => {
   // Guards against an operators' page that names another status or outcome than the program gives.
-  it('should list every error kind with its status and outcome', () => {
-    const page = readFileSync(new URL('../../docs/errors.md', import.meta.url), 'utf8');
+  it('should list every error kind with its status and outcome', async () => {
+    const page = await readFile(new URL('../../docs/errors.md', import.meta.url), 'utf8');
     const rows = page.split('\n').filter((line) => line.startsWith('| `'));
     const expected = Object.entries(errorAnswers).map(
       ([kind, { status, outcome }]) => `| \`${kind}\` | ${status} | ${outcome} |`,
