--- a/src/adapters/http/CallerConnections.ts
+++ b/src/adapters/http/CallerConnections.ts
@@ -10,6 +10,8 @@
 
 /** The callers' connections and their open requests. */
 export default class CallerConnections {
+  private closesIdle = false;
+
   private readonly states = new Map<Socket, ConnectionState>();
 
   addConnection(socket: Socket): void {
@@ -24,7 +26,11 @@
     state.open.add(response);
     state.newest = response;
     // An answer is open until its last byte was handed to the operating system.
-    response.once('close', () => state.open.delete(response));
+    response.once('close', () => {
+      state.open.delete(response);
+      // The last answer can have been written before the stop began.
+      if (this.closesIdle && state.open.size === 0) socket.end();
+    });
     return true;
   }
 
@@ -43,7 +49,9 @@
     return (this.states.get(socket)?.open.size ?? 0) > 0;
   }
 
+  /** Closes connections without an open request, now and whenever one becomes idle. */
   closeIdle(): void {
+    this.closesIdle = true;
     [...this.states]
       .filter(([, { open }]) => open.size === 0)
       .forEach(([socket]) => socket.destroy());
--- /dev/null
+++ b/src/application/lifecycle/Shutdown.ts
@@ -0,0 +1,77 @@
+import type Clock from '../../ports/Clock.ts';
+import type Log from '../../ports/Log.ts';
+import type {
+  ClaimCompletions,
+  HostRecordOwner,
+  ReadinessSwitch,
+  StoppableListener,
+} from './ShutdownParts.ts';
+
+// Several elections and batches of the control group; callers have their answers already.
+const claimsMs = 10_000;
+
+/** What a graceful stop needs. */
+export interface ShutdownOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly readiness: ReadinessSwitch;
+  /** Listeners that serve callers. */
+  readonly listeners: readonly StoppableListener[];
+  readonly claims: ClaimCompletions;
+  readonly hostRecord: HostRecordOwner;
+  /** Time for the platform's load balancer to notice that this host is not ready. */
+  readonly stopGraceMs: number;
+}
+
+/** Ends the work of an entry host without interrupting a request; docs/design.md, section 5.1. */
+export default class Shutdown {
+  private readonly options: ShutdownOptions;
+
+  private stopped: Promise<void> | undefined;
+
+  constructor(options: ShutdownOptions) {
+    this.options = options;
+  }
+
+  /**
+   * Resolves when the process may exit. Never rejects. Further calls wait for the same stop, so
+   * that a second signal doesn't shorten it.
+   */
+  stopHost(): Promise<void> {
+    this.stopped ??= this.runSteps();
+    return this.stopped;
+  }
+
+  private async runSteps(): Promise<void> {
+    const { clock, log, readiness, listeners, claims, hostRecord, stopGraceMs } = this.options;
+    const graceDeadline = clock.now() + stopGraceMs;
+    log.info('lifecycle: stopping, /ready answers 503', { graceDeadline });
+    readiness.markStopping();
+    // Connections that are busy now close with their next answer. One that is closed while it is
+    // idle could carry a request that is already on its way.
+    listeners.forEach((listener) => listener.startClose());
+    await this.runStep('announcing the stop', () => hostRecord.announceStopping());
+    await clock.sleepUntil(graceDeadline);
+    log.info('lifecycle: accepting no new connections');
+    await Promise.all(
+      listeners.map((listener) =>
+        this.runStep('closing a listener', () => listener.closeListener()),
+      ),
+    );
+    log.info('lifecycle: every request was answered');
+    await this.runStep('delivering claim completions', () =>
+      claims.waitIdle(clock.now() + claimsMs),
+    );
+    await this.runStep('withdrawing the host record', () => hostRecord.removeRecord());
+    log.info('lifecycle: stopped');
+  }
+
+  // A step that fails must not keep the later ones from running.
+  private async runStep(name: string, step: () => Promise<void>): Promise<void> {
+    try {
+      await step();
+    } catch (error) {
+      this.options.log.error(`lifecycle: ${name} failed`, { error: (error as Error).message });
+    }
+  }
+}
--- /dev/null
+++ b/src/application/lifecycle/ShutdownParts.ts
@@ -0,0 +1,27 @@
+/** Decides what `/ready` answers. */
+export interface ReadinessSwitch {
+  /** From now on the host is not ready; the platform's load balancer takes it out of rotation. */
+  markStopping(): void;
+}
+
+/** A listener that can end without cutting off a request. */
+export interface StoppableListener {
+  /** From now on answers tell callers to close their connections. */
+  startClose(): void;
+  /** Accepts no new connections and resolves when every open request was answered. */
+  closeListener(): Promise<void>;
+}
+
+/** The part of the claim gate that a stop needs. */
+export interface ClaimCompletions {
+  /** Resolves when all completions were recorded, or at the deadline. */
+  waitIdle(deadline: number): Promise<void>;
+}
+
+/** Owns what this host says about itself to its peers. */
+export interface HostRecordOwner {
+  /** Tells the peers that this host is stopping. */
+  announceStopping(): Promise<void>;
+  /** Withdraws the host record. */
+  removeRecord(): Promise<void>;
+}
--- /dev/null
+++ b/tests/requests/hostShutdown.test.ts
@@ -0,0 +1,75 @@
+import { describe, expect, it } from 'vitest';
+
+import Shutdown from '../../src/application/lifecycle/Shutdown.ts';
+import FakeClock from '../fixtures/FakeClock.ts';
+import SilentLog from '../fixtures/SilentLog.ts';
+
+function createStop(options: { readonly failing?: string } = {}) {
+  const clock = new FakeClock();
+  const start = clock.now();
+  const steps: string[] = [];
+  const run = async (name: string): Promise<void> => {
+    steps.push(`${clock.now() - start} ${name}`);
+    if (name === options.failing) throw new Error('refused');
+  };
+  const shutdown = new Shutdown({
+    clock,
+    log: new SilentLog(),
+    readiness: { markStopping: () => steps.push(`${clock.now() - start} not ready`) },
+    listeners: [
+      {
+        startClose: () => steps.push(`${clock.now() - start} connection: close`),
+        closeListener: async () => {
+          await run('listener closed');
+          await clock.sleepUntil(start + 5000);
+          await run('requests answered');
+        },
+      },
+    ],
+    claims: { waitIdle: () => run('claims delivered') },
+    hostRecord: {
+      announceStopping: () => run('announced'),
+      removeRecord: () => run('record withdrawn'),
+    },
+    stopGraceMs: 1000,
+  });
+  return { clock, steps, shutdown };
+}
+
+const expectedSteps = [
+  '0 not ready',
+  '0 connection: close',
+  '0 announced',
+  '1000 listener closed',
+  '5000 requests answered',
+  '5000 claims delivered',
+  '5000 record withdrawn',
+];
+
+describe('shutdown', () => {
+  // Guards against closing before the load balancer has noticed, and against withdrawing the host
+  // while requests are open.
+  it('should run its steps in order and wait for open requests', async () => {
+    const { clock, steps, shutdown } = createStop();
+
+    const stopped = shutdown.stopHost();
+    const second = shutdown.stopHost();
+    await clock.advanceBy(4999);
+    expect(steps).toEqual(expectedSteps.slice(0, 4));
+    await clock.advanceBy(1);
+    await Promise.all([stopped, second]);
+
+    expect(steps).toEqual(expectedSteps);
+  });
+
+  // Guards against a failed step that keeps claim completions from being delivered.
+  it('should run the other steps when one fails', async () => {
+    const { clock, steps, shutdown } = createStop({ failing: 'announced' });
+
+    const stopped = shutdown.stopHost();
+    await clock.advanceBy(6000);
+    await stopped;
+
+    expect(steps).toEqual(expectedSteps);
+  });
+});
