--- a/src/adapters/metrics/PrometheusMetrics.ts
+++ b/src/adapters/metrics/PrometheusMetrics.ts
@@ -2,6 +2,7 @@
 
 import type RequestObserver from '../../application/requests/RequestObserver.ts';
 import type { AnsweredRequest } from '../../application/requests/RequestObserver.ts';
+import type MetricsSource from '../../ports/MetricsSource.ts';
 
 const durationBucketsSeconds = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
 
@@ -13,7 +14,7 @@
 }
 
 /** Metrics of this host as Prometheus text. */
-export default class PrometheusMetrics implements RequestObserver {
+export default class PrometheusMetrics implements RequestObserver, MetricsSource {
   private readonly registry = new Registry();
 
   private readonly requests: Counter<'service' | 'status' | 'error'>;
@@ -58,7 +59,7 @@
   }
 
   /** Text of the Prometheus exposition format. */
-  renderText(): Promise<string> {
+  renderMetrics(): Promise<string> {
     return this.registry.metrics();
   }
 
--- a/src/application/membership/HostHeartbeat.ts
+++ b/src/application/membership/HostHeartbeat.ts
@@ -28,7 +28,7 @@
 export default class HostHeartbeat {
   private readonly options: HostHeartbeatOptions;
 
-  private incarnation: number;
+  private ownIncarnation: number;
 
   private sequence = 0;
 
@@ -36,7 +36,12 @@
 
   constructor(options: HostHeartbeatOptions) {
     this.options = options;
-    this.incarnation = Math.floor(options.clock.now());
+    this.ownIncarnation = Math.floor(options.clock.now());
+  }
+
+  /** Start instant of this process as its record names it. */
+  get incarnation(): number {
+    return this.ownIncarnation;
   }
 
   /** Renews every second until the signal aborts. */
@@ -55,7 +60,7 @@
     this.updateIncarnation();
     this.sequence += 1;
     const status = readStatus();
-    const { incarnation, sequence } = this;
+    const { ownIncarnation: incarnation, sequence } = this;
     const leaseDeadline = now + leaseMs;
     hosts.putRecord({ ...host, ...status, incarnation, sequence, leaseDeadline }, now);
     if (status.state !== this.lastState) sendNews();
@@ -66,10 +71,10 @@
   private updateIncarnation(): void {
     const { hosts, host } = this.options;
     const [incarnation = 0, sequence = 0] = hosts.getLastVersion(host.host) ?? [];
-    if (incarnation > this.incarnation) {
-      this.incarnation = incarnation + 1;
+    if (incarnation > this.ownIncarnation) {
+      this.ownIncarnation = incarnation + 1;
       this.sequence = 0;
-    } else if (incarnation === this.incarnation) {
+    } else if (incarnation === this.ownIncarnation) {
       this.sequence = Math.max(this.sequence, sequence);
     }
   }
--- /dev/null
+++ b/src/daemon/EntryHost.ts
@@ -0,0 +1,243 @@
+import FindMyWayRouteTableBuilder from '../adapters/http/FindMyWayRouteTableBuilder.ts';
+import HttpFrontEnd from '../adapters/http/HttpFrontEnd.ts';
+import PlatformFrontEnd from '../adapters/http/PlatformFrontEnd.ts';
+import UndiciUpstreamClient from '../adapters/http/UndiciUpstreamClient.ts';
+import HdrLatencyRecorder from '../adapters/metrics/HdrLatencyRecorder.ts';
+import PrometheusMetrics from '../adapters/metrics/PrometheusMetrics.ts';
+import TrpcClaimLink from '../adapters/trpc/TrpcClaimLink.ts';
+import TrpcPeerServer from '../adapters/trpc/TrpcPeerServer.ts';
+import TrpcPresetLink from '../adapters/trpc/TrpcPresetLink.ts';
+import { parseVerdict } from '../adapters/trpc/detectionMessages.ts';
+import createDetectionRouter from '../adapters/trpc/createDetectionRouter.ts';
+import createGossipRouter from '../adapters/trpc/createGossipRouter.ts';
+import createMetricsRouter from '../adapters/trpc/createMetricsRouter.ts';
+import { checkPresetState } from '../adapters/trpc/presetMessages.ts';
+import { router } from '../adapters/trpc/trpcBase.ts';
+import ClaimClient from '../application/claims/ClaimClient.ts';
+import Shutdown from '../application/lifecycle/Shutdown.ts';
+import AnnouncementService from '../application/membership/AnnouncementService.ts';
+import ServiceLevelObserver from '../application/metrics/ServiceLevelObserver.ts';
+import PresetFollower from '../application/presets/PresetFollower.ts';
+import LoadTracker from '../application/requests/LoadTracker.ts';
+import RequestHandler from '../application/requests/RequestHandler.ts';
+import type RequestObserver from '../application/requests/RequestObserver.ts';
+import UpstreamDispatcher from '../application/requests/UpstreamDispatcher.ts';
+import VerdictBook from '../domain/detection/VerdictBook.ts';
+import type { HostStateName } from '../domain/membership/HostRecord.ts';
+import ServiceLevelBook from '../domain/metrics/ServiceLevelBook.ts';
+import RandomBalancer from '../domain/requests/RandomBalancer.ts';
+import type DaemonSettings from '../domain/settings/DaemonSettings.ts';
+import type Clock from '../ports/Clock.ts';
+import type Log from '../ports/Log.ts';
+import type RandomSource from '../ports/RandomSource.ts';
+import type Daemon from './Daemon.ts';
+import EntryDetection from './EntryDetection.ts';
+import PeerNetwork from './PeerNetwork.ts';
+import TaskGroup from './TaskGroup.ts';
+
+// An upstream has some 400 connections for 48 hosts.
+const connectionsPerUpstream = 8;
+
+/** What a daemon is built from. */
+export interface DaemonOptions {
+  readonly settings: DaemonSettings;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: Log;
+}
+
+/** Composition root of a daemon with the role `entry`. */
+export default class EntryHost implements Daemon {
+  private readonly options: DaemonOptions;
+
+  private readonly tasks: TaskGroup;
+
+  private readonly network: PeerNetwork;
+
+  private readonly presets: PresetFollower;
+
+  private readonly detection: EntryDetection;
+
+  private readonly claims: ClaimClient;
+
+  private readonly upstreamClient: UndiciUpstreamClient;
+
+  private readonly callers: HttpFrontEnd;
+
+  private readonly platform: PlatformFrontEnd;
+
+  private readonly peers: TrpcPeerServer;
+
+  private readonly shutdown: Shutdown;
+
+  private isStopping = false;
+
+  private constructor(options: DaemonOptions) {
+    const { settings, clock, random, log } = options;
+    this.options = options;
+    this.tasks = new TaskGroup({ log });
+    this.presets = this.createPresetFollower();
+    const verdicts = new VerdictBook({ parseVerdict });
+    this.network = new PeerNetwork({
+      settings,
+      clock,
+      log,
+      readStatus: () => ({
+        state: this.getState(),
+        revision: this.presets.state?.revision ?? 0,
+        presetName: this.presets.state?.name ?? '',
+      }),
+      topics: [this.presets, verdicts],
+    });
+    const { network, presets } = this;
+    this.detection = new EntryDetection({ settings, clock, log, network, presets, verdicts });
+    const { dialer, heartbeat } = network;
+    const holder = `${settings.host}/${heartbeat.incarnation}`;
+    const links = settings.control.map((peer) => {
+      const { connection } = dialer.takeConnection(peer);
+      return new TrpcClaimLink({ host: peer.host, connection });
+    });
+    this.claims = new ClaimClient({ clock, random, log, holder, links });
+    this.upstreamClient = new UndiciUpstreamClient({ clock, connectionsPerUpstream });
+    const serviceLevels = new ServiceLevelObserver({
+      host: settings.host,
+      clock,
+      activePreset: presets,
+      book: new ServiceLevelBook(),
+      latencies: new HdrLatencyRecorder(),
+    });
+    const metrics = this.createMetrics();
+    this.callers = new HttpFrontEnd({
+      handler: this.createRequestHandler([serviceLevels, metrics]),
+      clock,
+      log,
+    });
+    this.platform = new PlatformFrontEnd({
+      clock,
+      log,
+      metrics,
+      readState: () => this.getState(),
+      announcements: new AnnouncementService({
+        clock,
+        upstreams: network.upstreams,
+        sendNews: () => network.gossip.sendNews(),
+      }),
+    });
+    this.peers = new TrpcPeerServer({
+      router: router({
+        gossip: createGossipRouter({ gossip: network.gossip }),
+        detection: createDetectionRouter({ judge: this.detection.judge }),
+        metrics: createMetricsRouter(serviceLevels),
+      }),
+      peerKey: settings.peerKey,
+      log,
+    });
+    this.shutdown = this.createShutdown();
+  }
+
+  /** Opens the listeners and starts the tasks; rejects with a `FailureError`. */
+  static async startHost(options: DaemonOptions): Promise<EntryHost> {
+    const host = new EntryHost(options);
+    const { callers, platform, peers } = options.settings.listen;
+    await host.peers.openListener(peers);
+    await host.platform.openListener(platform);
+    if (callers) await host.callers.openListener(callers);
+    host.startTasks();
+    return host;
+  }
+
+  async stop(): Promise<void> {
+    await this.shutdown.stopHost();
+    await this.tasks.stop();
+    await this.upstreamClient.close();
+    await this.platform.closeListener();
+    await this.peers.closeListener();
+    this.network.dialer.close();
+  }
+
+  // Every part of an entry host recovers by itself.
+  waitFailed(): Promise<string> {
+    return new Promise(() => undefined);
+  }
+
+  private startTasks(): void {
+    const { tasks } = this;
+    this.network.startTasks(tasks);
+    this.detection.startTasks(tasks);
+    tasks.startTask('presets', (signal) => this.presets.run(signal));
+    tasks.startTask('claims', (signal) => this.claims.run(signal));
+  }
+
+  private getState(): HostStateName {
+    if (this.isStopping) return 'stopping';
+    return this.presets.isReady() ? 'ready' : 'starting';
+  }
+
+  private createPresetFollower(): PresetFollower {
+    const { settings, clock, log } = this.options;
+    return new PresetFollower({
+      clock,
+      log,
+      routeTableBuilder: new FindMyWayRouteTableBuilder(),
+      controlHosts: settings.control,
+      dialer: {
+        openLink: (peer) => new TrpcPresetLink(this.network.dialer.takeConnection(peer)),
+      },
+      checkState: checkPresetState,
+      sendNews: () => {
+        // The host record carries the active revision, so it is renewed with it.
+        this.network.heartbeat.renewRecord();
+        this.network.gossip.sendNews();
+      },
+    });
+  }
+
+  private createRequestHandler(observers: readonly RequestObserver[]): RequestHandler {
+    const { settings, clock, random } = this.options;
+    const { presets: activePreset, claims, upstreamClient, detection } = this;
+    const dispatcher = new UpstreamDispatcher({
+      clock,
+      random,
+      upstreamClient,
+      balancer: new RandomBalancer(),
+      pool: detection.pool,
+      observer: detection.reporter,
+      loadTracker: new LoadTracker(),
+      failureDomain: settings.failureDomain,
+    });
+    const observer: RequestObserver = {
+      recordRequest: (request) => observers.forEach((item) => item.recordRequest(request)),
+    };
+    return new RequestHandler({ clock, random, activePreset, claims, dispatcher, observer });
+  }
+
+  private createMetrics(): PrometheusMetrics {
+    const { clock } = this.options;
+    return new PrometheusMetrics({
+      readRevision: () => this.presets.state?.revision ?? 0,
+      countLiveHosts: () => this.network.listLive().length,
+      countUpstreams: () => this.network.upstreams.listRecords(clock.now()).length,
+    });
+  }
+
+  private createShutdown(): Shutdown {
+    const { settings, clock, log } = this.options;
+    const { heartbeat } = this.network;
+    return new Shutdown({
+      clock,
+      log,
+      readiness: {
+        markStopping: () => {
+          this.isStopping = true;
+        },
+      },
+      listeners: [this.callers],
+      claims: this.claims,
+      hostRecord: {
+        announceStopping: async () => heartbeat.renewRecord(),
+        removeRecord: async () => heartbeat.renewRecord(),
+      },
+      stopGraceMs: settings.stopGraceMs,
+    });
+  }
+}
--- /dev/null
+++ b/src/daemon/TaskGroup.ts
@@ -0,0 +1,34 @@
+import type Log from '../ports/Log.ts';
+
+/** Owns the tasks of a daemon: starts them, awaits them and logs how each ended. */
+export default class TaskGroup {
+  private readonly log: Log;
+
+  private readonly stopping = new AbortController();
+
+  private readonly running: Promise<void>[] = [];
+
+  constructor(options: { readonly log: Log }) {
+    this.log = options.log;
+  }
+
+  /** Starts a task that runs until its signal aborts. */
+  startTask(name: string, run: (signal: AbortSignal) => Promise<void>): void {
+    this.running.push(this.runTask(name, run));
+  }
+
+  /** Tells all tasks to end and resolves when they have. */
+  async stop(): Promise<void> {
+    this.stopping.abort();
+    await Promise.all(this.running);
+  }
+
+  private async runTask(name: string, run: (signal: AbortSignal) => Promise<void>): Promise<void> {
+    try {
+      await run(this.stopping.signal);
+      this.log.debug('lifecycle: a task ended', { task: name });
+    } catch (error) {
+      this.log.error('lifecycle: a task failed', { task: name, error: (error as Error).message });
+    }
+  }
+}
--- /dev/null
+++ b/src/daemon/main.ts
@@ -0,0 +1,90 @@
+#!/usr/bin/env node
+import { parseArgs } from 'node:util';
+
+import SystemClock from '../adapters/system/SystemClock.ts';
+import SystemRandomSource from '../adapters/system/SystemRandomSource.ts';
+import WinstonLog from '../adapters/winston/WinstonLog.ts';
+import FailureError from '../domain/errors/FailureError.ts';
+import ControlHost from './ControlHost.ts';
+import type Daemon from './Daemon.ts';
+import EntryHost from './EntryHost.ts';
+import checkEnvironment from './checkEnvironment.ts';
+import readSettings from './readSettings.ts';
+
+const usage = `Usage: pistachiohoistd --config FILE [--check-config]
+
+  --config FILE    settings of this daemon (YAML); see docs/configuration.md
+  --check-config   check the settings, addresses and data folder, then exit
+  --help           show this text
+
+Exit codes: 0 stopped or checked, 1 failed while running, 2 wrong use or settings.
+`;
+const exitFailed = 1;
+const exitRefused = 2;
+
+function refuseStart(message: string): never {
+  process.stderr.write(`pistachiohoistd: ${message}\n`);
+  process.exit(exitRefused);
+}
+
+function parseCommandLine(): { readonly file: string; readonly isCheck: boolean } {
+  try {
+    const { values } = parseArgs({
+      options: {
+        config: { type: 'string' },
+        'check-config': { type: 'boolean', default: false },
+        help: { type: 'boolean', default: false },
+      },
+    });
+    if (values.help) {
+      process.stdout.write(usage);
+      process.exit(0);
+    }
+    if (values.config === undefined) return refuseStart('option --config is missing; see --help');
+    return { file: values.config, isCheck: values['check-config'] };
+  } catch (error) {
+    return refuseStart(`${(error as Error).message}; see --help`);
+  }
+}
+
+function waitSignal(): Promise<string> {
+  return new Promise((resolve) => {
+    (['SIGTERM', 'SIGINT'] as const).forEach((signal) => process.on(signal, () => resolve(signal)));
+  });
+}
+
+async function startDaemon(file: string, isCheck: boolean): Promise<void> {
+  const read = await readSettings(file);
+  if (!read.ok) refuseStart(read.failure.message);
+  const settings = read.value;
+  const log = new WinstonLog({ host: settings.host, level: settings.logLevel });
+  const options = {
+    settings,
+    clock: new SystemClock(),
+    random: new SystemRandomSource(),
+    log,
+  };
+  let daemon: Daemon;
+  try {
+    await checkEnvironment(settings);
+    if (isCheck) return;
+    daemon = await (settings.role === 'entry'
+      ? EntryHost.startHost(options)
+      : ControlHost.startHost(options));
+  } catch (error) {
+    if (error instanceof FailureError) refuseStart(`${file}: ${error.message}`);
+    throw error;
+  }
+  log.info('lifecycle: started', { role: settings.role });
+  const signalled = waitSignal().then((signal) => {
+    log.info('lifecycle: signal received', { signal });
+    return undefined;
+  });
+  const failure = await Promise.race([signalled, daemon.waitFailed()]);
+  if (failure !== undefined) log.error('lifecycle: failed', { error: failure });
+  await daemon.stop();
+  process.exit(failure === undefined ? 0 : exitFailed);
+}
+
+const { file, isCheck } = parseCommandLine();
+await startDaemon(file, isCheck);
