Add the claim book

Cause: an operation that must not be repeated needs one deterministic decision about who may run its idempotency key, on every replica of the control group. Ruled out: taking a key over from a holder that is suspected to have failed (the operation could run twice); a scan of all records for expiry at each command; keeping released attempts for a fixed time only (a process pause can delay a claim message by any time). Change: IdempotencyKey reads UUID version 7 keys; ClaimBook decides claims and completions; ClaimTable groups keys by minute, so that expiry looks at whole minutes. Released attempts count as records until their key expires. The sum of kept answers is bounded at 32 Mi characters; above it an operation is recorded without its answer. Measured: npx vitest run tests/claims/claimBook.test.ts passes. With the mechanism disabled a test fails each time: expiry scan at each command ("expected 60000 to be less than or equal to 1"), horizon that goes back ("expected 'granted' to be 'key_expired'"), same attempt refused ("should grant a key to one attempt only").

--- /dev/null
+++ b/src/domain/claims/ClaimBook.ts
@@ -0,0 +1,194 @@
+import type ErrorKind from '../errors/ErrorKind.ts';
+import type { CommitPosition } from '../replication/ReplicatedState.ts';
+import type { ClaimChange, ClaimCompletion, ClaimDecision, ClaimRequest } from './Claim.ts';
+import type ClaimBookSnapshot from './ClaimBookSnapshot.ts';
+import type { ClaimRecord } from './ClaimBookSnapshot.ts';
+import ClaimTable from './ClaimTable.ts';
+import type { KeyEntry } from './ClaimTable.ts';
+import IdempotencyKey from './IdempotencyKey.ts';
+import { isStorable } from './measureAnswer.ts';
+
+/** Time for which a key is remembered, counted from its embedded time, in milliseconds. */
+export const claimRetentionMs = 24 * 60 * 60 * 1000;
+
+/** How far the embedded time of a key may be ahead of the leader's time, in milliseconds. */
+export const longestKeyLeadMs = 5 * 60 * 1000;
+
+const maxClaimRecords = 200_000;
+// Control work has 128 MB on a host, and a snapshot needs room next to the book.
+const maxKeptAnswerCharacters = 32 * 1024 * 1024;
+
+/** Bounds of a claim book; all replicas of a group must use the same. */
+export interface ClaimBookOptions {
+  /** Largest number of claimed keys and released attempts together. */
+  readonly maxRecords?: number;
+  /** Largest sum of the kept answers; above it an operation is recorded without its answer. */
+  readonly maxKeptAnswerCharacters?: number;
+}
+
+type ConflictKind = Exclude<ErrorKind, 'revision_conflict' | 'not_leader'>;
+
+const recorded: ClaimDecision = { kind: 'recorded' };
+
+function refuse(kind: ConflictKind, change: ClaimChange, detail: string): ClaimDecision {
+  const message = `${change.kind} of key ${change.key}, attempt ${change.attempt}: ${detail}`;
+  return { kind: 'refused', failure: { kind, message } };
+}
+
+/**
+ * Which attempt holds each idempotency key and what is known of its operation. Deterministic: the
+ * same changes at the same positions give the same book. A key is never taken from its holder.
+ */
+export default class ClaimBook {
+  private readonly limits: Required<ClaimBookOptions>;
+
+  private readonly table = new ClaimTable();
+
+  private horizon = 0;
+
+  constructor(options: ClaimBookOptions = {}) {
+    this.limits = { maxRecords: maxClaimRecords, maxKeptAnswerCharacters, ...options };
+  }
+
+  /** Number of claimed keys and released attempts that are kept. */
+  get recordCount(): number {
+    return this.table.recordCount;
+  }
+
+  /** Decides the changes in order. */
+  applyChanges(
+    changes: readonly ClaimChange[],
+    position: CommitPosition,
+  ): readonly ClaimDecision[] {
+    // The leader's time may go back when the leader changes; an expired key must not come back.
+    this.horizon = Math.max(this.horizon, position.proposedAt - claimRetentionMs);
+    this.table.dropThrough(this.horizon);
+    return changes.map((change) => this.applyChange(change, position.proposedAt));
+  }
+
+  takeSnapshot(): ClaimBookSnapshot {
+    return { horizon: this.horizon, keys: this.table.listKeys() };
+  }
+
+  restoreSnapshot(snapshot: ClaimBookSnapshot): void {
+    this.horizon = snapshot.horizon;
+    this.table.restoreKeys(snapshot.keys);
+  }
+
+  private applyChange(change: ClaimChange, now: number): ClaimDecision {
+    const parsed = IdempotencyKey.parse(change.key);
+    if (!parsed.ok) return { kind: 'refused', failure: parsed.failure };
+    const key = parsed.value;
+    if (key.timestamp <= this.horizon) {
+      return refuse('key_expired', change, 'the key is older than 24 hours; expected a newer key');
+    }
+    const entry = this.table.findEntry(key);
+    // A leader whose clock is behind still has to take the end of a claim that another granted.
+    if (!entry && key.timestamp > now + longestKeyLeadMs) {
+      const ahead = Math.round(key.timestamp - now);
+      return refuse(
+        'key_invalid',
+        change,
+        `its time is ${ahead} ms ahead; expected at most ${longestKeyLeadMs} ms`,
+      );
+    }
+    return change.kind === 'claim'
+      ? this.grantClaim(change, key, entry)
+      : this.completeClaim(change, key, entry);
+  }
+
+  private grantClaim(
+    claim: ClaimRequest,
+    key: IdempotencyKey,
+    entry: KeyEntry | undefined,
+  ): ClaimDecision {
+    if (entry?.released.has(claim.attempt)) {
+      return refuse('claims_unavailable', claim, 'the attempt was already released');
+    }
+    if (entry?.current) return this.decideHeldKey(claim, entry.current);
+    if (this.table.recordCount >= this.limits.maxRecords) return this.refuseFull(claim);
+    const { fingerprint, holder, attempt } = claim;
+    this.table.setCurrent(key, {
+      fingerprint,
+      holder,
+      attempt,
+      state: 'claimed',
+      answer: undefined,
+    });
+    return { kind: 'granted' };
+  }
+
+  private decideHeldKey(claim: ClaimRequest, held: ClaimRecord): ClaimDecision {
+    if (held.fingerprint !== claim.fingerprint) {
+      return refuse('key_mismatch', claim, 'the key was used for another method, path or body');
+    }
+    switch (held.state) {
+      case 'claimed':
+        return held.attempt === claim.attempt
+          ? { kind: 'granted' }
+          : refuse('operation_in_progress', claim, `the key is held by ${held.holder}`);
+      case 'unknown':
+        return refuse(
+          'operation_outcome_unknown',
+          claim,
+          'the operation was dispatched and its outcome is not known',
+        );
+      case 'ran':
+        return held.answer
+          ? { kind: 'replayed', answer: held.answer }
+          : refuse('answer_not_kept', claim, 'the operation ran; its answer was not kept');
+      default:
+        return held.state;
+    }
+  }
+
+  private completeClaim(
+    completion: ClaimCompletion,
+    key: IdempotencyKey,
+    entry: KeyEntry | undefined,
+  ): ClaimDecision {
+    const isReleased = entry?.released.has(completion.attempt) ?? false;
+    const held = entry?.current?.attempt === completion.attempt ? entry.current : undefined;
+    if (completion.result === 'not_run') {
+      if (isReleased) return recorded;
+      return this.releaseAttempt(completion, key, held);
+    }
+    if (!held) return refuse('message_invalid', completion, 'the attempt does not hold the key');
+    // A resent completion must not change what was recorded first.
+    if (held.state === 'claimed') {
+      this.table.setCurrent(key, {
+        ...held,
+        state: completion.result,
+        answer: this.chooseAnswer(completion),
+      });
+    }
+    return recorded;
+  }
+
+  private releaseAttempt(
+    completion: ClaimCompletion,
+    key: IdempotencyKey,
+    held: ClaimRecord | undefined,
+  ): ClaimDecision {
+    if (held && held.state !== 'claimed') {
+      return refuse('message_invalid', completion, `the operation is recorded as ${held.state}`);
+    }
+    if (!held && this.table.recordCount >= this.limits.maxRecords) {
+      return this.refuseFull(completion);
+    }
+    if (held) this.table.setCurrent(key, undefined);
+    // Kept so that a delayed claim message of this attempt cannot hold the key.
+    this.table.addReleased(key, completion.attempt);
+    return recorded;
+  }
+
+  private chooseAnswer({ result, answer }: ClaimCompletion): ClaimRecord['answer'] {
+    if (result !== 'ran' || !answer || !isStorable(answer)) return undefined;
+    return this.table.mayKeep(answer, this.limits.maxKeptAnswerCharacters) ? answer : undefined;
+  }
+
+  private refuseFull(change: ClaimChange): ClaimDecision {
+    const { maxRecords } = this.limits;
+    return refuse('claims_full', change, `${maxRecords} records are kept, which is the limit`);
+  }
+}
--- /dev/null
+++ b/tests/claims/claimBook.test.ts
@@ -0,0 +1,212 @@
+import { v7 } from 'uuid';
+import { describe, expect, it } from 'vitest';
+
+import type { ClaimChange, ClaimDecision } from '../../src/domain/claims/Claim.ts';
+import ClaimBook, { claimRetentionMs } from '../../src/domain/claims/ClaimBook.ts';
+import type { ClaimBookOptions } from '../../src/domain/claims/ClaimBook.ts';
+
+const start = 1_800_000_000_000;
+const fingerprint = 'a'.repeat(64);
+const answer = { status: 201, headers: [['content-type', 'text/plain']], body: 'b2s=' } as const;
+
+function createBook(options?: ClaimBookOptions) {
+  const book = new ClaimBook(options);
+  let index = 0;
+  const apply = (change: ClaimChange, now = start): ClaimDecision => {
+    index += 1;
+    const [decision] = book.applyChanges([change], { index, term: 1, proposedAt: now });
+    return decision ?? { kind: 'recorded' };
+  };
+  return { book, apply };
+}
+
+function claim(key: string, attempt: string, print = fingerprint): ClaimChange {
+  return { kind: 'claim', key, fingerprint: print, holder: 'entry-1/1', attempt };
+}
+
+function complete(
+  key: string,
+  attempt: string,
+  result: 'ran' | 'unknown' | 'not_run',
+  stored: {
+    status: number;
+    headers: readonly (readonly [string, string])[];
+    body: string;
+  } = answer,
+): ClaimChange {
+  return { kind: 'complete', key, attempt, result, answer: result === 'ran' ? stored : undefined };
+}
+
+function getRefusal(decision: ClaimDecision): string {
+  return decision.kind === 'refused' ? decision.failure.kind : decision.kind;
+}
+
+// Counts the starts of iterations over any map or set while the action runs.
+function countScans(action: () => void): number {
+  let scans = 0;
+  const originals = [Map.prototype, Set.prototype].flatMap((prototype) =>
+    (['keys', 'values', 'entries', 'forEach', Symbol.iterator] as const).map((name) => {
+      const original = Reflect.get(prototype, name) as (...values: unknown[]) => unknown;
+      const replacement = function count(this: unknown, ...values: unknown[]) {
+        scans += 1;
+        return original.apply(this, values);
+      };
+      Reflect.set(prototype, name, replacement);
+      return () => Reflect.set(prototype, name, original);
+    }),
+  );
+  action();
+  originals.forEach((restore) => restore());
+  return scans;
+}
+
+describe('ClaimBook', () => {
+  const key = v7({ msecs: start - 1000 });
+
+  // Guards against a second run of an operation whose first request is still open.
+  it('should grant a key to one attempt only, and again to the same attempt', () => {
+    const { apply } = createBook();
+
+    const kinds = [claim(key, 'a'), claim(key, 'b'), claim(key, 'a')].map((change) =>
+      getRefusal(apply(change)),
+    );
+
+    expect(kinds).toEqual(['granted', 'operation_in_progress', 'granted']);
+  });
+
+  it('should refuse a key that was used for another request', () => {
+    const { apply } = createBook();
+    apply(claim(key, 'a'));
+
+    expect(getRefusal(apply(claim(key, 'b', 'b'.repeat(64))))).toBe('key_mismatch');
+  });
+
+  it('should replay the stored answer and report one that was not kept', () => {
+    const { apply } = createBook();
+    const other = v7({ msecs: start });
+    [key, other].forEach((each) => apply(claim(each, `attempt of ${each}`)));
+    apply(complete(key, `attempt of ${key}`, 'ran'));
+    const large = { ...answer, body: Buffer.alloc(4097).toString('base64') };
+    apply(complete(other, `attempt of ${other}`, 'ran', large));
+
+    expect(apply(claim(key, 'b'))).toEqual({ kind: 'replayed', answer });
+    expect(getRefusal(apply(claim(other, 'b')))).toBe('answer_not_kept');
+  });
+
+  it('should keep an answer of exactly 4 KiB', () => {
+    const { apply } = createBook();
+    apply(claim(key, 'a'));
+    apply(complete(key, 'a', 'ran', { ...answer, body: Buffer.alloc(4096).toString('base64') }));
+
+    expect(getRefusal(apply(claim(key, 'b')))).toBe('replayed');
+  });
+
+  it('should keep an operation whose outcome is unknown from running again', () => {
+    const { apply } = createBook();
+    apply(claim(key, 'a'));
+    apply(complete(key, 'a', 'unknown'));
+    // A resent or late release must not free a key whose operation may have run.
+    expect(getRefusal(apply(complete(key, 'a', 'not_run')))).toBe('message_invalid');
+
+    expect(getRefusal(apply(claim(key, 'b')))).toBe('operation_outcome_unknown');
+  });
+
+  // Guards against a release by anyone but the holder, which would let the operation run twice.
+  it('should free a key for its holder only', () => {
+    const { apply } = createBook();
+    apply(claim(key, 'a'));
+    apply(complete(key, 'b', 'not_run'));
+    expect(getRefusal(apply(claim(key, 'c')))).toBe('operation_in_progress');
+    apply(complete(key, 'a', 'not_run'));
+
+    expect(getRefusal(apply(claim(key, 'c')))).toBe('granted');
+  });
+
+  // Guards against a delayed claim message that holds a key for nobody.
+  it('should refuse a claim that arrives after its release', () => {
+    const { apply } = createBook();
+    expect(getRefusal(apply(complete(key, 'a', 'not_run')))).toBe('recorded');
+
+    expect(getRefusal(apply(claim(key, 'a')))).toBe('claims_unavailable');
+    expect(getRefusal(apply(claim(key, 'b')))).toBe('granted');
+  });
+
+  it('should refuse keys that are malformed, of another version or too far ahead', () => {
+    const { apply } = createBook();
+    const texts = ['7', '8b2e2f0a-6d4c-4d6e-9d55-0d2f6c0f9e11', v7({ msecs: start + 300_001 })];
+
+    expect(texts.map((text) => getRefusal(apply(claim(text, 'a'))))).toEqual(
+      texts.map(() => 'key_invalid'),
+    );
+    expect(getRefusal(apply(claim(v7({ msecs: start + 300_000 }), 'a')))).toBe('granted');
+  });
+
+  // Guards against losing the end of a claim that a leader with a faster clock granted.
+  it('should take a completion whose key is ahead of a slow leader', () => {
+    const { apply } = createBook();
+    const ahead = v7({ msecs: start + 290_000 });
+    apply(claim(ahead, 'a'));
+
+    expect(getRefusal(apply(complete(ahead, 'a', 'ran'), start - 60_000))).toBe('recorded');
+  });
+
+  // Guards against running an operation again after its record expired, also when the leader's
+  // time goes back.
+  it('should refuse expired keys for good', () => {
+    const { book, apply } = createBook();
+    apply(claim(key, 'a'));
+    const later = start + claimRetentionMs;
+
+    expect(getRefusal(apply(claim(key, 'b'), later))).toBe('key_expired');
+    expect(getRefusal(apply(claim(key, 'b'), start))).toBe('key_expired');
+    apply(claim(v7({ msecs: later }), 'c'), later + 60_000);
+    expect(book.recordCount).toBe(1);
+  });
+
+  it('should refuse claims above the limit and free room on expiry', () => {
+    const { apply } = createBook({ maxRecords: 2 });
+    const keys = [1, 2, 3].map((offset) => v7({ msecs: start + offset }));
+    const kinds = keys.map((each) => getRefusal(apply(claim(each, each))));
+    expect(kinds).toEqual(['granted', 'granted', 'claims_full']);
+    expect(getRefusal(apply(complete(v7({ msecs: start }), 'x', 'not_run')))).toBe('claims_full');
+    // The holder must be able to end its claim in a full book.
+    expect(getRefusal(apply(complete(keys[0] ?? '', keys[0] ?? '', 'not_run')))).toBe('recorded');
+
+    const later = start + claimRetentionMs + 120_000;
+    expect(getRefusal(apply(claim(v7({ msecs: later }), 'd'), later))).toBe('granted');
+  });
+
+  it('should bound the memory of kept answers', () => {
+    const { apply } = createBook({ maxKeptAnswerCharacters: 5000 });
+    const keys = [1, 2].map((offset) => v7({ msecs: start + offset }));
+    const large = { ...answer, body: Buffer.alloc(3000).toString('base64') };
+    keys.forEach((each) => {
+      apply(claim(each, each));
+      apply(complete(each, each, 'ran', large));
+    });
+
+    expect(keys.map((each) => getRefusal(apply(claim(each, 'b'))))).toEqual([
+      'replayed',
+      'answer_not_kept',
+    ]);
+  });
+
+  // Guards against a scan of all records at each command, which would stall a control host.
+  it('should not go through the records unless a minute of keys has expired', () => {
+    const { book } = createBook();
+    const count = 20_000;
+    const changes = Array.from({ length: count }, (_, index) =>
+      claim(v7({ msecs: start + (index % 1000) }), `a${index}`),
+    );
+    book.applyChanges(changes, { index: 1, term: 1, proposedAt: start });
+
+    const scans = countScans(() =>
+      Array.from({ length: 60_000 }, (_, index) =>
+        book.applyChanges([], { index, term: 1, proposedAt: start + index }),
+      ),
+    );
+    expect(scans).toBeLessThanOrEqual(1);
+    book.applyChanges([], { index: 1, term: 1, proposedAt: start + claimRetentionMs + 60_000 });
+    expect(book.recordCount).toBe(0);
+  });
+});
