--- /dev/null
+++ b/src/adapters/trpc/controlMessages.ts
@@ -0,0 +1,72 @@
+import { z } from 'zod';
+
+import IdempotencyKey from '../../domain/claims/IdempotencyKey.ts';
+import type { ClaimRecord } from '../../domain/claims/ClaimBookSnapshot.ts';
+import type ControlCommand from '../../domain/control/ControlCommand.ts';
+import type { AcceptedChange } from '../../domain/control/ControlCommand.ts';
+import type ControlSnapshot from '../../domain/control/ControlSnapshot.ts';
+import FailureError from '../../domain/errors/FailureError.ts';
+import { claimChangeSchema, storedAnswerSchema } from './claimMessages.ts';
+import { createOptionalSchema, createResultSchema, winnerSchema } from './failureSchema.ts';
+import presetSchema from './presetSchema.ts';
+
+const presetChange = {
+  name: z.string(),
+  basedOn: z.int().min(0),
+  changeId: z.string().min(1),
+  operator: z.string(),
+};
+
+/** A command as the log stores it. */
+export const controlCommandSchema: z.ZodType<ControlCommand> = z.union([
+  z.object({ kind: z.literal('put_preset'), preset: presetSchema, ...presetChange }),
+  z.object({ kind: z.literal('use_preset'), ...presetChange }),
+  z.object({ kind: z.literal('change_claims'), changes: z.array(claimChangeSchema) }),
+]);
+
+/** The revision of an accepted change in a message. */
+export const acceptedChangeSchema: z.ZodType<AcceptedChange> = z.object({
+  revision: z.int().min(1),
+});
+
+const claimRecordSchema: z.ZodType<ClaimRecord> = z.object({
+  fingerprint: z.string(),
+  holder: z.string(),
+  attempt: z.string(),
+  state: z.enum(['claimed', 'ran', 'unknown']),
+  answer: createOptionalSchema(storedAnswerSchema),
+});
+
+const snapshotSchema: z.ZodType<ControlSnapshot> = z.object({
+  claims: z.object({
+    horizon: z.number(),
+    keys: z.array(
+      z.object({
+        key: z.string().refine((key) => IdempotencyKey.parse(key).ok, 'expected a key'),
+        current: createOptionalSchema(claimRecordSchema),
+        released: z.array(z.string()),
+      }),
+    ),
+  }),
+  presets: z.object({
+    presets: z.array(z.object({ ...winnerSchema.shape, name: z.string(), preset: presetSchema })),
+    selection: createOptionalSchema(z.object({ ...winnerSchema.shape, name: z.string() })),
+    changes: z.array(
+      z.object({
+        changeId: z.string(),
+        fingerprint: z.string(),
+        result: createResultSchema(acceptedChangeSchema),
+      }),
+    ),
+  }),
+});
+
+/** Checks the form of a snapshot; throws `log_damaged` that names the first wrong key. */
+export function parseControlSnapshot(snapshot: unknown): ControlSnapshot {
+  const parsed = snapshotSchema.safeParse(snapshot);
+  if (parsed.success) return parsed.data;
+  const [issue] = parsed.error.issues;
+  const key = issue?.path.map(String).join('.') ?? '';
+  const message = `snapshot: key ${key}: ${issue?.message ?? 'not valid'}`;
+  throw new FailureError({ kind: 'log_damaged', message });
+}
--- /dev/null
+++ b/src/adapters/trpc/presetSchema.ts
@@ -0,0 +1,34 @@
+import { z } from 'zod';
+
+import type Preset from '../../domain/presets/Preset.ts';
+import { maxRoutes, routeMethods } from '../../domain/presets/presetLimits.ts';
+
+const serviceSchema = z.object({
+  upstreams: z.int(),
+  floor: z.int(),
+  detection: z.enum(['fast', 'sure']),
+  retryShare: z.number(),
+  rampMs: z.int(),
+  echoRequestId: z.boolean(),
+  objective: z.object({ goodShare: z.number(), withinMs: z.int() }),
+});
+
+const routeSchema = z.object({
+  method: z.enum(routeMethods),
+  path: z.string(),
+  service: z.string(),
+  repeat: z.enum(['allowed', 'never']),
+  key: z.enum(['required', 'generated']),
+  deadlineMs: z.int(),
+  maxBodyBytes: z.int(),
+  maxAnswerBytes: z.int(),
+});
+
+/** A preset in a message; `checkPreset` checks its values. */
+const presetSchema: z.ZodType<Preset> = z.object({
+  fleet: z.object({ entryHosts: z.int() }),
+  services: z.record(z.string(), serviceSchema),
+  routes: z.array(routeSchema).max(maxRoutes),
+});
+
+export default presetSchema;
--- a/src/adapters/yaml/parsePreset.ts
+++ b/src/adapters/yaml/parsePreset.ts
@@ -3,55 +3,61 @@
 import type Result from '../../domain/errors/Result.ts';
 import type Preset from '../../domain/presets/Preset.ts';
 import type { RouteSettings, ServiceSettings } from '../../domain/presets/Preset.ts';
+import presetLimits, {
+  maxRoutes,
+  nameExpected,
+  namePattern,
+  routeMethods,
+} from '../../domain/presets/presetLimits.ts';
+import type { Range } from '../../domain/presets/presetLimits.ts';
 import parseYaml from './parseYaml.ts';
 
-function createIntegerSchema(minimum: number, maximum: number) {
+function createIntegerSchema({ minimum, maximum }: Range) {
   const expected = `expected a whole number from ${minimum} to ${maximum}`;
   return z.int(expected).min(minimum, expected).max(maximum, expected);
 }
 
-function createShareSchema(minimum: number, maximum: number) {
+function createShareSchema({ minimum, maximum }: Range) {
   const expected = `expected a number from ${minimum} to ${maximum}`;
   return z.number(expected).min(minimum, expected).max(maximum, expected);
 }
 
-const nameExpected = 'expected 1 to 63 lower-case letters, digits or hyphens';
-const nameSchema = z.string(nameExpected).regex(/^[a-z0-9][a-z0-9-]{0,62}$/, nameExpected);
+const nameSchema = z.string(nameExpected).regex(namePattern, nameExpected);
 
 const serviceSchema = z.strictObject({
-  upstreams: createIntegerSchema(1, 10_000),
-  floor: createIntegerSchema(0, 10_000),
+  upstreams: createIntegerSchema(presetLimits.upstreams),
+  floor: createIntegerSchema(presetLimits.floor),
   detection: z.enum(['fast', 'sure'], 'expected one of fast, sure').default('sure'),
-  retry_share: createShareSchema(0, 1).default(0.1),
-  ramp_ms: createIntegerSchema(0, 600_000).default(10_000),
+  retry_share: createShareSchema(presetLimits.retry_share).default(0.1),
+  ramp_ms: createIntegerSchema(presetLimits.ramp_ms).default(10_000),
   echo_request_id: z.boolean('expected true or false').default(false),
   objective: z
     .strictObject({
-      good_share: createShareSchema(0.5, 0.99999),
-      within_ms: createIntegerSchema(1, 600_000),
+      good_share: createShareSchema(presetLimits.good_share),
+      within_ms: createIntegerSchema(presetLimits.within_ms),
     })
     .default({ good_share: 0.999, within_ms: 1000 }),
 });
 
-const methods = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE'] as const;
-
 const routeSchema = z.strictObject({
-  method: z.enum(methods, `expected one of ${methods.join(', ')}`),
+  method: z.enum(routeMethods, `expected one of ${routeMethods.join(', ')}`),
   path: z
     .string('expected a path that begins with /')
     .regex(/^\/[^?#\s]*$/, 'expected a path that begins with / and has no query'),
   service: nameSchema,
   repeat: z.enum(['allowed', 'never'], 'expected one of allowed, never'),
   key: z.enum(['required', 'generated'], 'expected one of required, generated').default('required'),
-  deadline_ms: createIntegerSchema(1, 600_000).default(5000),
-  max_body_bytes: createIntegerSchema(0, 16_777_216).default(1_048_576),
-  max_answer_bytes: createIntegerSchema(1, 67_108_864).default(8_388_608),
+  deadline_ms: createIntegerSchema(presetLimits.deadline_ms).default(5000),
+  max_body_bytes: createIntegerSchema(presetLimits.max_body_bytes).default(1_048_576),
+  max_answer_bytes: createIntegerSchema(presetLimits.max_answer_bytes).default(8_388_608),
 });
 
 const presetSchema = z.strictObject({
-  fleet: z.strictObject({ entry_hosts: createIntegerSchema(1, 10_000) }),
+  fleet: z.strictObject({ entry_hosts: createIntegerSchema(presetLimits.entry_hosts) }),
   services: z.record(nameSchema, serviceSchema, 'expected services by name'),
-  routes: z.array(routeSchema, 'expected a list of routes').max(50_000),
+  routes: z
+    .array(routeSchema, 'expected a list of routes')
+    .max(maxRoutes, `expected at most ${maxRoutes} routes`),
 });
 
 function createServiceSettings(service: z.output<typeof serviceSchema>): ServiceSettings {
--- /dev/null
+++ b/src/domain/presets/PresetBook.ts
@@ -0,0 +1,135 @@
+import type { AcceptedChange, PutPreset, UsePreset } from '../control/ControlCommand.ts';
+import type Failure from '../errors/Failure.ts';
+import type { WinningChange } from '../errors/Failure.ts';
+import type Result from '../errors/Result.ts';
+import type { CommitPosition } from '../replication/ReplicatedState.ts';
+import type PresetBookSnapshot from './PresetBookSnapshot.ts';
+import type { PresetRecord, PresetSelection, RememberedChange } from './PresetBookSnapshot.ts';
+import type PresetState from './PresetState.ts';
+import createChangeFingerprint from './createChangeFingerprint.ts';
+
+/** Number of change ids whose first answer is kept. */
+export const maxRememberedChanges = 10_000;
+
+function describeChange(change: PutPreset | UsePreset): string {
+  const verb = change.kind === 'put_preset' ? 'put' : 'use';
+  return `${verb} preset "${change.name}" based on revision ${change.basedOn}`;
+}
+
+function refuseConflict(
+  change: PutPreset | UsePreset,
+  last: WinningChange | undefined,
+): Result<AcceptedChange> {
+  const subject = change.kind === 'put_preset' ? 'the preset' : 'the choice of the active preset';
+  const detail = last
+    ? `${subject} last changed at revision ${last.revision} by ${last.operator}, change ${last.changeId}; expected that revision`
+    : `${subject} was never set; expected revision 0`;
+  const winner = last
+    ? { revision: last.revision, operator: last.operator, changeId: last.changeId }
+    : { revision: 0, operator: '', changeId: '' };
+  const message = `${describeChange(change)}: ${detail}`;
+  return { ok: false, failure: { kind: 'revision_conflict', message, winner } };
+}
+
+/**
+ * The presets by name, which one is active, and the answers to the last changes. A change is
+ * accepted only when it is based on the revision at which its subject last changed.
+ */
+export default class PresetBook {
+  private readonly presets = new Map<string, PresetRecord>();
+
+  private selection: PresetSelection | undefined;
+
+  // In the order of the changes, so that the first key is the oldest.
+  private readonly changes = new Map<string, RememberedChange>();
+
+  /** Decides a change; its revision is its position in the log. */
+  applyChange(change: PutPreset | UsePreset, position: CommitPosition): Result<AcceptedChange> {
+    const fingerprint = createChangeFingerprint(change);
+    const known = this.changes.get(change.changeId);
+    if (known) {
+      return known.fingerprint === fingerprint
+        ? known.result
+        : { ok: false, failure: this.describeReuse(change) };
+    }
+    const result =
+      change.kind === 'put_preset'
+        ? this.putPreset(change, position.index)
+        : this.usePreset(change, position.index);
+    // Refusals are kept too: a resent change must not be accepted after it was refused.
+    this.recordChange({ changeId: change.changeId, fingerprint, result });
+    return result;
+  }
+
+  /** Stored presets, sorted by name. */
+  listPresets(): readonly PresetRecord[] {
+    return [...this.presets.values()].sort((first, second) => (first.name < second.name ? -1 : 1));
+  }
+
+  findPreset(name: string): PresetRecord | undefined {
+    return this.presets.get(name);
+  }
+
+  getSelection(): PresetSelection | undefined {
+    return this.selection;
+  }
+
+  /** The active preset; its revision is that of its last put or of its selection if later. */
+  getActive(): Omit<PresetState, 'groupId'> | undefined {
+    const record = this.selection && this.presets.get(this.selection.name);
+    if (!this.selection || !record) return undefined;
+    const { name, preset } = record;
+    return { revision: Math.max(this.selection.revision, record.revision), name, preset };
+  }
+
+  takeSnapshot(): PresetBookSnapshot {
+    return {
+      presets: this.listPresets(),
+      selection: this.selection,
+      changes: [...this.changes.values()],
+    };
+  }
+
+  restoreSnapshot(snapshot: PresetBookSnapshot): void {
+    this.presets.clear();
+    this.changes.clear();
+    snapshot.presets.forEach((record) => this.presets.set(record.name, record));
+    snapshot.changes.forEach((change) => this.changes.set(change.changeId, change));
+    this.selection = snapshot.selection;
+  }
+
+  private putPreset(change: PutPreset, revision: number): Result<AcceptedChange> {
+    const last = this.presets.get(change.name);
+    if ((last?.revision ?? 0) !== change.basedOn) return refuseConflict(change, last);
+    const { name, preset, operator, changeId } = change;
+    this.presets.set(name, { name, preset, revision, operator, changeId });
+    return { ok: true, value: { revision } };
+  }
+
+  private usePreset(change: UsePreset, revision: number): Result<AcceptedChange> {
+    if (!this.presets.has(change.name)) {
+      const names = this.listPresets().map(({ name }) => name);
+      const message = `${describeChange(change)}: no such preset; expected one of ${names.join(', ')}`;
+      return { ok: false, failure: { kind: 'preset_unknown', message } };
+    }
+    if ((this.selection?.revision ?? 0) !== change.basedOn) {
+      return refuseConflict(change, this.selection);
+    }
+    const { name, operator, changeId } = change;
+    this.selection = { name, revision, operator, changeId };
+    return { ok: true, value: { revision } };
+  }
+
+  private describeReuse(change: PutPreset | UsePreset): Failure {
+    const message = `${describeChange(change)}: change id "${change.changeId}" was used for another change; expected a fresh change id`;
+    return { kind: 'change_id_reused', message };
+  }
+
+  private recordChange(change: RememberedChange): void {
+    this.changes.set(change.changeId, change);
+    const oldest = this.changes.keys().next().value;
+    if (this.changes.size > maxRememberedChanges && oldest !== undefined) {
+      this.changes.delete(oldest);
+    }
+  }
+}
--- /dev/null
+++ b/src/domain/presets/checkPreset.ts
@@ -0,0 +1,129 @@
+import type Result from '../errors/Result.ts';
+import type Preset from './Preset.ts';
+import type { RouteSettings, ServiceSettings } from './Preset.ts';
+import presetLimits, {
+  maxRoutes,
+  nameExpected,
+  namePattern,
+  routeMethods,
+} from './presetLimits.ts';
+import type { Range } from './presetLimits.ts';
+
+// Literal segments, parameters that fill a whole segment, and a wildcard at the end. The router
+// refuses some other patterns only when it builds its table, which is too late.
+const pathPattern =
+  /^\/(?:(?:[A-Za-z0-9._~%!$&'+,;=@-]+|:[A-Za-z_]\w*)\/)*(?:[A-Za-z0-9._~%!$&'+,;=@-]+|:[A-Za-z_]\w*|\*)?$/;
+const pathExpected =
+  'expected a path that begins with /, of literal segments, :parameters and at most a last *';
+
+interface Finding {
+  readonly key: string;
+  readonly value: unknown;
+  readonly expected: string;
+}
+
+type Check = Finding | undefined;
+
+function checkNumber(key: string, value: number, limit: Range, isWhole = true): Check {
+  const isInside = value >= limit.minimum && value <= limit.maximum;
+  if (isInside && (!isWhole || Number.isInteger(value))) return undefined;
+  const noun = isWhole ? 'a whole number' : 'a number';
+  return { key, value, expected: `expected ${noun} from ${limit.minimum} to ${limit.maximum}` };
+}
+
+function checkName(key: string, value: string): Check {
+  return namePattern.test(value) ? undefined : { key, value, expected: nameExpected };
+}
+
+function checkChoice(key: string, value: string, choices: readonly string[]): Check {
+  if (choices.includes(value)) return undefined;
+  return { key, value, expected: `expected one of ${choices.join(', ')}` };
+}
+
+function checkService(name: string, service: ServiceSettings): Check[] {
+  const at = `services.${name}`;
+  const { upstreams, floor, objective } = service;
+  return [
+    checkName('services', name),
+    checkNumber(`${at}.upstreams`, upstreams, presetLimits.upstreams),
+    checkNumber(`${at}.floor`, floor, {
+      ...presetLimits.floor,
+      maximum: Math.min(presetLimits.floor.maximum, upstreams),
+    }),
+    checkChoice(`${at}.detection`, service.detection, ['fast', 'sure']),
+    checkNumber(`${at}.retry_share`, service.retryShare, presetLimits.retry_share, false),
+    checkNumber(`${at}.ramp_ms`, service.rampMs, presetLimits.ramp_ms),
+    checkNumber(`${at}.objective.good_share`, objective.goodShare, presetLimits.good_share, false),
+    checkNumber(`${at}.objective.within_ms`, objective.withinMs, presetLimits.within_ms),
+  ];
+}
+
+function checkRoute(route: RouteSettings, index: number, services: ReadonlySet<string>): Check[] {
+  const at = `routes.${index}`;
+  return [
+    checkChoice(`${at}.method`, route.method, routeMethods),
+    pathPattern.test(route.path)
+      ? undefined
+      : { key: `${at}.path`, value: route.path, expected: pathExpected },
+    services.has(route.service)
+      ? undefined
+      : {
+          key: `${at}.service`,
+          value: route.service,
+          expected: `expected one of the services ${[...services].join(', ')}`,
+        },
+    checkChoice(`${at}.repeat`, route.repeat, ['allowed', 'never']),
+    checkChoice(`${at}.key`, route.key, ['required', 'generated']),
+    checkNumber(`${at}.deadline_ms`, route.deadlineMs, presetLimits.deadline_ms),
+    checkNumber(`${at}.max_body_bytes`, route.maxBodyBytes, presetLimits.max_body_bytes),
+    checkNumber(`${at}.max_answer_bytes`, route.maxAnswerBytes, presetLimits.max_answer_bytes),
+  ];
+}
+
+// Routes that differ only in the names of their parameters match the same requests.
+function createRouteIdentity({ method, path }: RouteSettings): string {
+  return `${method} ${path.replace(/:\w+/g, ':')}`;
+}
+
+function checkDistinct(routes: readonly RouteSettings[]): Check {
+  const first = new Map<string, number>();
+  const second = routes.findIndex((route, index) => {
+    const identity = createRouteIdentity(route);
+    if (first.has(identity)) return true;
+    first.set(identity, index);
+    return false;
+  });
+  const route = routes[second];
+  if (!route) return undefined;
+  return {
+    key: `routes.${second}`,
+    value: `${route.method} ${route.path}`,
+    expected: `expected another method or path than routes.${first.get(createRouteIdentity(route))}`,
+  };
+}
+
+/**
+ * Checks the values of a preset and what its parts say about each other. The failure
+ * (`preset_invalid`) names the first wrong key, its value and what is allowed.
+ */
+export default function checkPreset(name: string, preset: Preset): Result<Preset> {
+  const services = new Set(Object.keys(preset.services));
+  const finding = [
+    checkName('name', name),
+    checkNumber('fleet.entry_hosts', preset.fleet.entryHosts, presetLimits.entry_hosts),
+    ...Object.entries(preset.services).flatMap(([key, service]) => checkService(key, service)),
+    preset.routes.length <= maxRoutes
+      ? undefined
+      : {
+          key: 'routes',
+          value: `${preset.routes.length} routes`,
+          expected: `expected at most ${maxRoutes} routes`,
+        },
+    ...preset.routes.flatMap((route, index) => checkRoute(route, index, services)),
+    checkDistinct(preset.routes),
+  ].find((check) => check !== undefined);
+  if (!finding) return { ok: true, value: preset };
+  const { key, value, expected } = finding;
+  const message = `preset "${name}": key ${key}: value ${JSON.stringify(value)}: ${expected}`;
+  return { ok: false, failure: { kind: 'preset_invalid', message } };
+}
--- /dev/null
+++ b/tests/presets/presetBook.test.ts
@@ -0,0 +1,248 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+
+import { parseControlSnapshot } from '../../src/adapters/trpc/controlMessages.ts';
+import type {
+  AcceptedChange,
+  PutPreset,
+  UsePreset,
+} from '../../src/domain/control/ControlCommand.ts';
+import ControlState from '../../src/domain/control/ControlState.ts';
+import type Result from '../../src/domain/errors/Result.ts';
+import { maxRememberedChanges } from '../../src/domain/presets/PresetBook.ts';
+import createPreset from '../fixtures/createPreset.ts';
+import readFuzzSettings from '../fixtures/readFuzzSettings.ts';
+
+type Change = PutPreset | UsePreset;
+
+function put(changes: Partial<PutPreset> = {}): PutPreset {
+  return {
+    kind: 'put_preset',
+    name: 'ordinary',
+    preset: createPreset(),
+    basedOn: 0,
+    changeId: 'c-1',
+    operator: 'ana',
+    ...changes,
+  };
+}
+
+function use(changes: Partial<UsePreset> = {}): UsePreset {
+  return {
+    kind: 'use_preset',
+    name: 'ordinary',
+    basedOn: 0,
+    changeId: 'u-1',
+    operator: 'ana',
+    ...changes,
+  };
+}
+
+function createState() {
+  let state = new ControlState({ parseSnapshot: parseControlSnapshot });
+  let index = 0;
+  const apply = (change: Change): Result<AcceptedChange> => {
+    index += 1;
+    const reply = state.applyCommand(change, { index, term: 1, proposedAt: 0 });
+    if (reply.kind !== 'preset_change') throw new TypeError(`reply of kind ${reply.kind}`);
+    return reply.result;
+  };
+  const restart = (): void => {
+    const snapshot: unknown = JSON.parse(JSON.stringify(state.takeSnapshot()));
+    state = new ControlState({ parseSnapshot: parseControlSnapshot });
+    state.restoreSnapshot(snapshot);
+  };
+  return { apply, restart, getBook: () => state.presets };
+}
+
+function describeResult(result: Result<AcceptedChange>): string | number {
+  return result.ok ? result.value.revision : result.failure.kind;
+}
+
+describe('PresetBook', () => {
+  // Guards against a lost update by an operator who did not see the last change.
+  it('should refuse a put that is not based on the last one and name the winner', () => {
+    const { apply } = createState();
+    apply(put());
+    apply(put({ basedOn: 1, changeId: 'c-2', operator: 'bea' }));
+
+    const late = apply(put({ basedOn: 1, changeId: 'c-3' }));
+
+    expect(late).toMatchObject({
+      failure: {
+        kind: 'revision_conflict',
+        winner: { revision: 2, operator: 'bea', changeId: 'c-2' },
+      },
+    });
+  });
+
+  it('should compare each preset and the selection on their own', () => {
+    const { apply } = createState();
+    const results = [
+      put(),
+      put({ name: 'peak', changeId: 'c-2' }),
+      use(),
+      use({ name: 'peak', changeId: 'u-2' }),
+      use({ name: 'peak', basedOn: 3, changeId: 'u-3' }),
+      use({ name: 'night', basedOn: 5, changeId: 'u-4' }),
+      put({ basedOn: 1, changeId: 'c-3' }),
+    ].map((change) => describeResult(apply(change)));
+
+    expect(results).toEqual([1, 2, 3, 'revision_conflict', 5, 'preset_unknown', 7]);
+  });
+
+  // Guards against hosts that keep old settings after the active preset was put again.
+  it('should raise the active revision when the active preset is put', () => {
+    const { apply, getBook } = createState();
+    [put(), put({ name: 'peak', changeId: 'c-2' }), use()].forEach(apply);
+    apply(put({ name: 'peak', basedOn: 2, changeId: 'c-3' }));
+    expect(getBook().getActive()?.revision).toBe(3);
+    const preset = createPreset({ fleet: { entryHosts: 9 } });
+    apply(put({ basedOn: 1, changeId: 'c-4', preset }));
+
+    expect(getBook().getActive()).toEqual({ revision: 5, name: 'ordinary', preset });
+    // The selection itself did not change.
+    expect(describeResult(apply(use({ name: 'peak', basedOn: 3, changeId: 'u-2' })))).toBe(6);
+  });
+
+  // Guards against a resent change that is refused, or applied twice, after a snapshot.
+  it('should repeat the first answer to a change id, also after a restart', () => {
+    const { apply, restart, getBook } = createState();
+    const changes = [put(), put({ changeId: 'c-2' }), put({ basedOn: 1, changeId: 'c-3' })];
+    const first = changes.map(apply);
+    restart();
+
+    expect(changes.map(apply)).toEqual(first);
+    expect(getBook().findPreset('ordinary')?.revision).toBe(3);
+  });
+
+  // Guards against a refused change that a late resend makes valid.
+  it('should keep refusing a change whose revision came to be later', () => {
+    const { apply } = createState();
+    const early = put({ basedOn: 2, changeId: 'c-9' });
+    expect(describeResult(apply(early))).toBe('revision_conflict');
+    apply(put({ changeId: 'c-1' }));
+
+    expect(describeResult(apply(put({ basedOn: 2, changeId: 'c-8' })))).toBe(3);
+    expect(describeResult(apply(early))).toBe('revision_conflict');
+  });
+
+  it.each([
+    ['preset', put({ preset: createPreset({ fleet: { entryHosts: 9 } }) })],
+    ['name', put({ name: 'peak' })],
+    ['operator', put({ operator: 'bea' })],
+    ['kind', use({ changeId: 'c-1' })],
+  ])('should refuse a change id that was used with another %s', (_what, change) => {
+    const { apply } = createState();
+    apply(put());
+
+    expect(describeResult(apply(change))).toBe('change_id_reused');
+  });
+
+  it('should take the same content with keys in another order as the same change', () => {
+    const { apply } = createState();
+    apply(put());
+    const { routes, services, fleet } = createPreset();
+
+    expect(describeResult(apply(put({ preset: { routes, services, fleet } })))).toBe(1);
+  });
+
+  it('should remember the last 10,000 change ids and no more', () => {
+    const { apply, restart } = createState();
+    apply(put());
+    Array.from({ length: maxRememberedChanges - 1 }, (_, index) =>
+      apply(use({ name: 'none', changeId: `x-${index}` })),
+    );
+    restart();
+    expect(describeResult(apply(put()))).toBe(1);
+    apply(use({ name: 'none', changeId: 'one more' }));
+
+    expect(describeResult(apply(put()))).toBe('revision_conflict');
+  });
+
+  // Guards against a half-restored state from a damaged file.
+  it('should refuse a damaged snapshot and keep its state', () => {
+    const state = new ControlState({ parseSnapshot: parseControlSnapshot });
+    state.applyCommand(put(), { index: 1, term: 1, proposedAt: 0 });
+    const snapshot = state.takeSnapshot();
+    const damaged = [
+      {},
+      { ...snapshot, claims: { horizon: 0, keys: [{ key: 'no key', released: [] }] } },
+      { ...snapshot, presets: { ...snapshot.presets, changes: [{ changeId: 1 }] } },
+    ];
+
+    damaged.forEach((each) => expect(() => state.restoreSnapshot(each)).toThrow('snapshot: key'));
+    expect(state.takeSnapshot()).toEqual(snapshot);
+  });
+});
+
+const changeArbitrary = fc.record({
+  operator: fc.constantFrom('ana', 'bea', 'cy'),
+  // Each operator numbers its changes from 0, so that ids collide between operators.
+  id: fc.nat({ max: 12 }),
+  isPut: fc.boolean(),
+  name: fc.constantFrom('ordinary', 'peak'),
+  // How old the operator's knowledge is, in changes of the subject.
+  staleness: fc.constantFrom(0, 0, 0, 1, 2),
+  entryHosts: fc.integer({ min: 1, max: 3 }),
+  resends: fc.nat({ max: 2 }),
+  isRestart: fc.boolean(),
+});
+
+describe('operators who race and resend', () => {
+  const settings = readFuzzSettings('presets fuzz', 200);
+
+  // Guards against lost updates, revisions that go back and changes that apply twice.
+  it('should accept exactly the changes that were based on the last one', () => {
+    fc.assert(
+      fc.property(fc.array(changeArbitrary, { maxLength: 60 }), (steps) => {
+        const { apply, restart, getBook } = createState();
+        const revisions = new Map<string, number[]>();
+        const answers = new Map<string, { content: string; answer: string }>();
+        let selected: string | undefined;
+        let lastActive = 0;
+        let index = 0;
+        steps.forEach((step) => {
+          const subject = step.isPut ? `put ${step.name}` : 'use';
+          const known = revisions.get(subject) ?? [0];
+          const basedOn = known.at(-1 - step.staleness) ?? 0;
+          const fields = { name: step.name, basedOn, operator: step.operator };
+          const changeId = `${step.id}`;
+          const preset = createPreset({ fleet: { entryHosts: step.entryHosts } });
+          const change = step.isPut
+            ? put({ ...fields, changeId, preset })
+            : use({ ...fields, changeId });
+          const content = JSON.stringify(change);
+          Array.from({ length: 1 + step.resends }).forEach(() => {
+            index += 1;
+            const remembered = answers.get(changeId);
+            const answer = JSON.stringify(apply(change));
+            if (remembered) {
+              if (remembered.content === content) expect(answer).toBe(remembered.answer);
+              else expect(answer).toContain('change_id_reused');
+              return;
+            }
+            answers.set(changeId, { content, answer });
+            const exists = step.isPut || revisions.has(`put ${step.name}`);
+            const isAccepted = exists && basedOn === known.at(-1);
+            expect(JSON.parse(answer).ok).toBe(isAccepted);
+            if (!isAccepted) return;
+            revisions.set(subject, [...known, index]);
+            if (!step.isPut) selected = step.name;
+          });
+          if (step.isRestart) restart();
+          const active = getBook().getActive();
+          const expected = Math.max(
+            revisions.get('use')?.at(-1) ?? 0,
+            revisions.get(`put ${selected}`)?.at(-1) ?? 0,
+          );
+          expect(active?.name).toBe(selected);
+          if (active) expect(active.revision).toBe(expected);
+          expect(active?.revision ?? 0).toBeGreaterThanOrEqual(lastActive);
+          lastActive = active?.revision ?? 0;
+        });
+      }),
+      settings,
+    );
+  });
+});
