Add the claim client and the claim service

Cause: entry hosts must claim a key durably before dispatch, at few messages and syncs per claim, while messages are lost, delayed and leaders change. Ruled out: one message per claim; dropping a claim that was refused after it was sent twice. Change: ClaimClient sends one batch at a time, releases claims without an answer and resends completions until they are acknowledged; ClaimSender finds the leader or a follower that forwards one hop; ClaimService proposes a batch as one command; ClaimLink with its tRPC adapter and router.

--- /dev/null
+++ b/src/application/claims/ClaimSender.ts
@@ -0,0 +1,109 @@
+import type { ClaimChange, ClaimDecision } from '../../domain/claims/Claim.ts';
+import type Failure from '../../domain/errors/Failure.ts';
+import type Result from '../../domain/errors/Result.ts';
+import type Clock from '../../ports/Clock.ts';
+import type ClaimLink from '../../ports/ClaimLink.ts';
+import type RandomSource from '../../ports/RandomSource.ts';
+
+// A commit takes a few milliseconds; an election takes up to a second, after which the next
+// round finds the new leader.
+const sendTimeoutMs = 1000;
+
+/** What the sender needs. */
+export interface ClaimSenderOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  /** One link to each control host. */
+  readonly links: readonly ClaimLink[];
+}
+
+interface SenderRoute {
+  readonly link: ClaimLink;
+  readonly mayForward: boolean;
+}
+
+/** Finds a way to the leader of the control group for one batch at a time. */
+export default class ClaimSender {
+  private readonly options: ClaimSenderOptions;
+
+  /** The way that worked last. */
+  private route: SenderRoute | undefined;
+
+  private sends = 0;
+
+  constructor(options: ClaimSenderOptions) {
+    this.options = options;
+  }
+
+  /** Number of batches sent so far, each to one control host. */
+  get sendCount(): number {
+    return this.sends;
+  }
+
+  /** The decisions, or the last failure when no way to a leader was found. Never rejects. */
+  async sendChanges(changes: readonly ClaimChange[]): Promise<Result<readonly ClaimDecision[]>> {
+    const known = this.route;
+    if (known) {
+      const answer = await this.sendBatch(known, changes);
+      if (answer.ok) return answer;
+      this.route = undefined;
+      if (answer.failure.kind === 'not_leader') {
+        return this.findLeader(changes, known, answer.failure);
+      }
+    }
+    return this.findLeader(changes, known, undefined);
+  }
+
+  /** Asks each host for itself, hinted leaders first, then followers that may forward. */
+  private async findLeader(
+    changes: readonly ClaimChange[],
+    failed: SenderRoute | undefined,
+    hint: Failure | undefined,
+  ): Promise<Result<readonly ClaimDecision[]>> {
+    const followers = new Set<ClaimLink>();
+    const tried = new Set<ClaimLink>();
+    if (failed && !failed.mayForward) tried.add(failed.link);
+    if (failed && hint) followers.add(failed.link);
+    let failure = hint;
+    let next = this.chooseLink(failure, tried);
+    while (next) {
+      tried.add(next);
+      const answer = await this.sendBatch({ link: next, mayForward: false }, changes);
+      if (answer.ok) return answer;
+      failure = answer.failure;
+      if (failure.kind === 'not_leader') followers.add(next);
+      next = this.chooseLink(failure, tried);
+    }
+    for (const link of followers) {
+      const answer = await this.sendBatch({ link, mayForward: true }, changes);
+      if (answer.ok) return answer;
+      failure = answer.failure;
+    }
+    const message = 'claims: no control host is known';
+    return { ok: false, failure: failure ?? { kind: 'peer_unreachable', message } };
+  }
+
+  private chooseLink(
+    failure: Failure | undefined,
+    tried: ReadonlySet<ClaimLink>,
+  ): ClaimLink | undefined {
+    const { links, random } = this.options;
+    const untried = links.filter((link) => !tried.has(link));
+    const leader = failure?.kind === 'not_leader' ? failure.leader : undefined;
+    return (
+      untried.find(({ host }) => host === leader) ??
+      untried[Math.floor(random.next() * untried.length)]
+    );
+  }
+
+  private async sendBatch(
+    route: SenderRoute,
+    changes: readonly ClaimChange[],
+  ): Promise<Result<readonly ClaimDecision[]>> {
+    this.sends += 1;
+    const deadline = this.options.clock.now() + sendTimeoutMs;
+    const answer = await route.link.sendBatch({ changes, deadline, mayForward: route.mayForward });
+    if (answer.ok) this.route = route;
+    return answer;
+  }
+}
--- /dev/null
+++ b/tests/claims/claimClient.test.ts
@@ -0,0 +1,209 @@
+import { v7 } from 'uuid';
+import { afterEach, describe, expect, it } from 'vitest';
+
+import SystemRandomSource from '../../src/adapters/system/SystemRandomSource.ts';
+import ClaimClient from '../../src/application/claims/ClaimClient.ts';
+import type { ClaimOutcome } from '../../src/application/claims/ClaimGate.ts';
+import type Clock from '../../src/ports/Clock.ts';
+import FakeClaimNetwork from '../fixtures/FakeClaimNetwork.ts';
+import type { MessageFate } from '../fixtures/FakeClaimNetwork.ts';
+import FakeClock from '../fixtures/FakeClock.ts';
+import FakeControlGroup from '../fixtures/FakeControlGroup.ts';
+import SilentLog from '../fixtures/SilentLog.ts';
+
+const hosts = ['control-1', 'control-2', 'control-3'];
+const fingerprint = 'a'.repeat(64);
+const answer = { status: 201, headers: [], body: 'b2s=' } as const;
+
+describe('ClaimClient', () => {
+  const stops: (() => Promise<void>)[] = [];
+
+  function startClient(
+    options: {
+      readonly drawFate?: (from: string, to: string) => MessageFate;
+      readonly maxOpenAttempts?: number;
+      readonly wrapClock?: (clock: FakeClock) => Clock;
+    } = {},
+  ) {
+    const clock = new FakeClock();
+    const group = new FakeControlGroup({ clock, hosts });
+    const network = new FakeClaimNetwork({ clock, hosts, group, ...options });
+    const client = new ClaimClient({
+      clock: options.wrapClock?.(clock) ?? clock,
+      random: new SystemRandomSource(),
+      log: new SilentLog(),
+      holder: 'entry-1/1',
+      links: network.createLinks('entry-1', clock),
+      ...(options.maxOpenAttempts ? { maxOpenAttempts: options.maxOpenAttempts } : {}),
+    });
+    const stop = new AbortController();
+    const task = client.run(stop.signal);
+    stops.push(async () => {
+      stop.abort();
+      await clock.advanceBy(5000);
+      await task;
+    });
+    const request = (key = v7({ msecs: clock.now() }), patienceMs = 5000): Promise<ClaimOutcome> =>
+      client.requestClaim({ key, fingerprint, deadline: clock.now() + patienceMs });
+    const settle = async (outcome: Promise<ClaimOutcome>): Promise<ClaimOutcome> => {
+      await clock.advanceBy(5000);
+      return outcome;
+    };
+    return { clock, group, network, client, request, settle };
+  }
+
+  afterEach(async () => {
+    await Promise.all(stops.splice(0).map((stop) => stop()));
+  });
+
+  function getRefusal(outcome: ClaimOutcome): string {
+    return outcome.kind === 'refused' ? outcome.failure.kind : outcome.kind;
+  }
+
+  // Guards against one message and one sync for each claim.
+  it.each([
+    [1, 1],
+    [16, 1],
+    [256, 1],
+    [1000, 4],
+  ])('should claim %i keys at once with %i batches', async (count, batches) => {
+    const { clock, group, network, request, settle } = startClient();
+    // The first claim finds the leader, so that only the batches are counted.
+    await settle(request());
+    const before = { requests: network.requests, commits: group.commits };
+
+    const claims = Array.from({ length: count }, () => request());
+    await clock.advanceBy(100);
+    const outcomes = await Promise.all(claims);
+    const messages = network.requests - before.requests;
+    const commits = group.commits - before.commits;
+    process.stdout.write(
+      `claims: ${count} at once: ${messages / count} messages and ${commits / count} proposals per claim\n`,
+    );
+
+    expect(outcomes.every(({ kind }) => kind === 'granted')).toBe(true);
+    expect({ messages, commits }).toEqual({ messages: batches, commits: batches });
+  });
+
+  it('should form the next batch of what arrives while one is in flight', async () => {
+    const { clock, network, request, settle } = startClient();
+    await settle(request());
+    const before = network.requests;
+
+    const first = request();
+    await clock.advanceBy(1);
+    const others = Array.from({ length: 15 }, () => request());
+    await clock.advanceBy(1);
+    expect(network.requests - before).toBe(1);
+    await clock.advanceBy(100);
+    await Promise.all([first, ...others]);
+
+    expect(network.requests - before).toBe(2);
+  });
+
+  // Guards against losing claims while only the link to the leader is cut.
+  it('should have a follower forward the batch when the leader is not reachable', async () => {
+    const { network, request, settle } = startClient();
+    network.cutLinks.add('entry-1>control-1');
+
+    expect(getRefusal(await settle(request()))).toBe('granted');
+    const before = network.requests;
+    expect(getRefusal(await settle(request()))).toBe('granted');
+    expect(network.requests - before).toBe(1);
+  });
+
+  it('should follow a leader change', async () => {
+    const { group, request, settle } = startClient();
+    await settle(request());
+    group.electLeader('control-3');
+
+    expect(getRefusal(await settle(request()))).toBe('granted');
+  });
+
+  // Guards against a key that nobody holds: the claim is committed, its answer is lost.
+  it('should release a claim whose answer is lost, until that is acknowledged', async () => {
+    let isLossy = true;
+    const drawFate = (): MessageFate => (isLossy ? { lost: 'answer' } : {});
+    const { clock, client, request, settle } = startClient({ drawFate });
+    const key = v7({ msecs: clock.now() });
+    expect(getRefusal(await settle(request(key, 3000)))).toBe('claims_unavailable');
+    expect(getRefusal(await settle(request(key, 3000)))).toBe('claims_unavailable');
+
+    isLossy = false;
+    await clock.advanceBy(5000);
+    await client.waitIdle(clock.now());
+    expect(getRefusal(await settle(request(key)))).toBe('granted');
+  });
+
+  // Guards against a dispatch after a process pause, when the caller was told nothing was run.
+  it('should refuse a grant when the process stops between the answer and its use', async () => {
+    let stopMs = 60_000;
+    const wrapClock = (clock: FakeClock): Clock => ({
+      now: () => clock.now(),
+      sleepUntil: async (deadline, signal) => {
+        await clock.sleepUntil(deadline, signal);
+        // Only the wait of the claim ends that early before a deadline.
+        const leftMs = deadline - clock.now();
+        if (leftMs > 4000 && leftMs < Infinity) clock.jumpTo(clock.now() + stopMs);
+      },
+    });
+    const { clock, request, settle } = startClient({ wrapClock });
+    const key = v7({ msecs: clock.now() });
+    expect(getRefusal(await settle(request(key)))).toBe('claims_unavailable');
+
+    stopMs = 0;
+    expect(getRefusal(await settle(request(key)))).toBe('granted');
+  });
+
+  it('should resend a completion until it is acknowledged', async () => {
+    let isLossy = false;
+    const drawFate = (): MessageFate => (isLossy ? { lost: 'request' } : {});
+    const { clock, client, request, settle } = startClient({ drawFate });
+    const key = v7({ msecs: clock.now() });
+    const outcome = await settle(request(key));
+    isLossy = true;
+    if (outcome.kind === 'granted') outcome.ticket.completeRan(answer);
+    let isIdle = false;
+    const idle = client.waitIdle(clock.now() + 60_000).then(() => {
+      isIdle = true;
+    });
+    await clock.advanceBy(20_000);
+    expect(isIdle).toBe(false);
+    isLossy = false;
+    await clock.advanceBy(10_000);
+    await idle;
+
+    expect(await settle(request(key))).toEqual({ kind: 'replayed', answer });
+  });
+
+  it('should not send answers above 4 KiB', async () => {
+    const { clock, request, settle } = startClient();
+    const key = v7({ msecs: clock.now() });
+    const outcome = await settle(request(key));
+    const body = Buffer.alloc(4097).toString('base64');
+    if (outcome.kind === 'granted') outcome.ticket.completeRan({ ...answer, body });
+
+    expect(getRefusal(await settle(request(key)))).toBe('answer_not_kept');
+  });
+
+  // Guards against memory that grows while the control group is unreachable.
+  it('should refuse claims above the bound on open attempts', async () => {
+    const { network, request, settle } = startClient({ maxOpenAttempts: 2 });
+    const open = [await settle(request()), await settle(request())];
+    const before = network.requests;
+    expect(getRefusal(await request())).toBe('claims_unavailable');
+    expect(network.requests).toBe(before);
+
+    const [first] = open;
+    if (first?.kind === 'granted') first.ticket.completeUnknown();
+    await settle(Promise.resolve({ kind: 'replayed', answer }));
+    expect(getRefusal(await settle(request()))).toBe('granted');
+  });
+
+  it('should refuse a malformed key without asking the control group', async () => {
+    const { network, request } = startClient();
+
+    expect(getRefusal(await request('7'))).toBe('key_invalid');
+    expect(network.requests).toBe(0);
+  });
+});
--- /dev/null
+++ b/tests/claims/claimFuzz.test.ts
@@ -0,0 +1,218 @@
+import fc from 'fast-check';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { v7 } from 'uuid';
+import { describe, expect, it } from 'vitest';
+
+import ClaimClient from '../../src/application/claims/ClaimClient.ts';
+import type { ClaimOutcome, ClaimTicket } from '../../src/application/claims/ClaimGate.ts';
+import errorAnswers from '../../src/domain/errors/errorAnswers.ts';
+import FakeClaimNetwork from '../fixtures/FakeClaimNetwork.ts';
+import type { MessageFate } from '../fixtures/FakeClaimNetwork.ts';
+import FakeClock from '../fixtures/FakeClock.ts';
+import FakeControlGroup from '../fixtures/FakeControlGroup.ts';
+import PausableClock from '../fixtures/PausableClock.ts';
+import SilentLog from '../fixtures/SilentLog.ts';
+import readFuzzSettings from '../fixtures/readFuzzSettings.ts';
+
+const hosts = ['control-1', 'control-2', 'control-3'];
+const clientCount = 3;
+const keyCount = 4;
+
+type End = 'ran' | 'unknown' | 'not_run' | 'never';
+
+const client = fc.nat({ max: clientCount - 1 });
+const host = fc.constantFrom(...hosts);
+const step = fc.oneof(
+  {
+    weight: 8,
+    arbitrary: fc.record({
+      kind: fc.constant('claim' as const),
+      client,
+      key: fc.nat({ max: keyCount - 1 }),
+      patienceMs: fc.integer({ min: 1, max: 4000 }),
+      runMs: fc.nat({ max: 2000 }),
+      end: fc.constantFrom<End>('ran', 'unknown', 'not_run', 'not_run', 'not_run'),
+    }),
+  },
+  { weight: 4, arbitrary: fc.record({ kind: fc.constant('wait' as const), ms: fc.nat(1500) }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('jump' as const), ms: fc.nat(8000) }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('pause' as const), client }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('resume' as const), client }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('kill' as const), client }) },
+  {
+    weight: 2,
+    arbitrary: fc.record({ kind: fc.constant('elect' as const), host, isCutOff: fc.boolean() }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant('skew' as const),
+      ms: fc.integer({ min: -500, max: 500 }),
+    }),
+  },
+);
+
+type Step = typeof step extends fc.Arbitrary<infer Value> ? Value : never;
+type ClaimStep = Extract<Step, { kind: 'claim' }>;
+
+interface Host {
+  readonly name: string;
+  readonly clock: PausableClock;
+  readonly gate: ClaimClient;
+  readonly stop: AbortController;
+  isDead: boolean;
+}
+
+/** The truth about each key as the callers of the gates see it. */
+class Oracle {
+  /** Granted and not released. */
+  readonly held = new Map<string, { readonly step: ClaimStep; end: End }>();
+
+  recordGrant(key: string, granted: ClaimStep): void {
+    // Invariant: at most one attempt of a key is granted and not released by its holder.
+    expect(this.held.has(key), `key ${key} was granted twice`).toBe(false);
+    this.held.set(key, { step: granted, end: 'never' });
+  }
+
+  recordEnd(key: string, end: End): void {
+    if (end === 'not_run') this.held.delete(key);
+    else this.held.set(key, { ...this.held.get(key)!, end });
+  }
+
+  checkOutcome(key: string, outcome: ClaimOutcome): void {
+    if (outcome.kind === 'replayed') {
+      expect(this.held.get(key)?.end).toBe('ran');
+      expect(outcome.answer.body).toBe(Buffer.from(key).toString('base64'));
+    }
+    if (outcome.kind !== 'refused') return;
+    const { kind } = outcome.failure;
+    // Keys and requests are valid and few, so that no other refusal is right.
+    expect(['claims_unavailable', 'operation_in_progress', 'operation_outcome_unknown']).toContain(
+      kind,
+    );
+    if (kind === 'operation_outcome_unknown') {
+      expect(errorAnswers[kind].outcome).toBe('unknown');
+      expect(this.held.get(key)?.end).toBe('unknown');
+    }
+  }
+}
+
+async function runSteps(steps: readonly Step[], seed: number, lossShare: number) {
+  const generator = xoroshiro128plus(seed);
+  const draw = (): number => uniformFloat64(generator);
+  let isLossy = true;
+  const drawFate = (): MessageFate => {
+    if (!isLossy) return {};
+    const lost = draw() < lossShare ? (['request', 'answer'] as const)[draw() < 0.5 ? 0 : 1] : null;
+    // Most messages are fast; some arrive long after the sender gave up.
+    const drawDelay = (): number => (draw() < 0.8 ? draw() * 20 : draw() * 6000);
+    const fate = { requestMs: drawDelay(), answerMs: drawDelay() };
+    return lost ? { ...fate, lost } : fate;
+  };
+  const clock = new FakeClock();
+  const group = new FakeControlGroup({ clock, hosts, draw });
+  const network = new FakeClaimNetwork({ clock, hosts, group, drawFate });
+  const oracle = new Oracle();
+  let attempts = 0;
+  const createId = (): string => {
+    attempts += 1;
+    return `attempt-${attempts}`;
+  };
+  const random = { next: draw, createId, createKey: () => '' };
+  const keys = Array.from({ length: keyCount }, (_, index) => v7({ msecs: clock.now() + index }));
+  const tasks: Promise<void>[] = [];
+  const entries = Array.from({ length: clientCount }, (_, index): Host => {
+    const name = `entry-${index}`;
+    const hostClock = new PausableClock(clock);
+    const links = network.createLinks(name, hostClock);
+    const log = new SilentLog();
+    const gate = new ClaimClient({ clock: hostClock, random, log, holder: name, links });
+    const stop = new AbortController();
+    tasks.push(gate.run(stop.signal));
+    return { name, clock: hostClock, gate, stop, isDead: false };
+  });
+
+  const endClaim = async (entry: Host, claimed: ClaimStep, ticket: ClaimTicket): Promise<void> => {
+    const key = keys[claimed.key] ?? '';
+    await entry.clock.sleepUntil(clock.now() + claimed.runMs);
+    if (entry.isDead) return;
+    oracle.recordEnd(key, claimed.end);
+    if (claimed.end === 'not_run') ticket.completeNotRun();
+    if (claimed.end === 'unknown') ticket.completeUnknown();
+    const body = Buffer.from(key).toString('base64');
+    if (claimed.end === 'ran') ticket.completeRan({ status: 200, headers: [], body });
+  };
+  const runClaim = async (claimed: ClaimStep): Promise<void> => {
+    const entry = entries[claimed.client];
+    const key = keys[claimed.key] ?? '';
+    if (!entry || entry.isDead) return;
+    const deadline = clock.now() + claimed.patienceMs;
+    const fingerprint = 'a'.repeat(64);
+    const outcome = await entry.gate.requestClaim({ key, fingerprint, deadline });
+    if (entry.isDead) return;
+    oracle.checkOutcome(key, outcome);
+    if (outcome.kind !== 'granted') return;
+    oracle.recordGrant(key, claimed);
+    expect(clock.now()).toBeLessThan(deadline);
+    await endClaim(entry, claimed, outcome.ticket);
+  };
+  const killHost = (entry: Host): void => {
+    Object.assign(entry, { isDead: true });
+    hosts.forEach((to) => network.cutLinks.add(`${entry.name}>${to}`));
+    entry.stop.abort();
+    entry.clock.resume();
+  };
+  const failures: unknown[] = [];
+  for (const current of steps) {
+    if (current.kind === 'claim') {
+      tasks.push(runClaim(current).catch((error: unknown) => void failures.push(error)));
+    }
+    if (current.kind === 'wait') await clock.advanceBy(current.ms);
+    if (current.kind === 'jump') clock.jumpTo(clock.now() + current.ms);
+    if (current.kind === 'pause') entries[current.client]?.clock.pause();
+    if (current.kind === 'resume') entries[current.client]?.clock.resume();
+    // One host stays, so that the end of a run can still be observed.
+    if (current.kind === 'kill' && current.client > 0) killHost(entries[current.client]!);
+    if (current.kind === 'skew') group.clockError = current.ms;
+    if (current.kind === 'elect') {
+      group.electLeader(current.host, current.isCutOff ? group.leader : undefined);
+    }
+  }
+  isLossy = false;
+  group.staleLeader = undefined;
+  entries.forEach((entry) => entry.clock.resume());
+  await clock.advanceBy(30_000);
+  entries.forEach((entry) => entry.stop.abort());
+  await clock.advanceBy(1000);
+  await Promise.all(tasks);
+  if (failures.length > 0) throw failures[0];
+  return { oracle, records: group.state.claims.takeSnapshot().keys, entries, keys };
+}
+
+describe('claims of several hosts', () => {
+  const settings = readFuzzSettings('claims fuzz', 60);
+
+  // Guards against two runs of one operation, and against keys that nobody holds or releases.
+  it('should grant each key to at most one attempt and end every attempt', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(step, { minLength: 5, maxLength: 60 }),
+        fc.integer(),
+        fc.constantFrom(0, 0.1, 0.4),
+        async (steps, seed, lossShare) => {
+          const { oracle, records, entries, keys } = await runSteps(steps, seed, lossShare);
+          keys.forEach((key) => {
+            const record = records.find((each) => each.key === key)?.current;
+            const held = oracle.held.get(key);
+            const holder = entries.find(({ name }) => name === record?.holder);
+            if (holder?.isDead) return;
+            // What was reported as not run must hold no key, and the rest must be recorded.
+            expect(record?.state, `key ${key}`).toBe(held?.end);
+          });
+        },
+      ),
+      settings,
+    );
+  });
+});
