Add the preset service

Cause: operators and entry hosts need preset changes and reads that a majority of the control group confirmed. Ruled out: reads from the state of a follower, which may be old. Change: PresetService puts, uses, lists and shows presets and implements PresetSource (watch and confirm). A wrong preset is refused before it is proposed. Conclusion: reads go through the leader; watchers wake on the first newer active state.

--- /dev/null
+++ b/src/application/presets/PresetService.ts
@@ -0,0 +1,125 @@
+import type ControlCommand from '../../domain/control/ControlCommand.ts';
+import type {
+  AcceptedChange,
+  ControlReply,
+  PutPreset,
+  UsePreset,
+} from '../../domain/control/ControlCommand.ts';
+import type Result from '../../domain/errors/Result.ts';
+import type PresetBook from '../../domain/presets/PresetBook.ts';
+import type { PresetRecord, PresetSelection } from '../../domain/presets/PresetBookSnapshot.ts';
+import type PresetState from '../../domain/presets/PresetState.ts';
+import checkPreset from '../../domain/presets/checkPreset.ts';
+import type Clock from '../../ports/Clock.ts';
+import type CommandLog from '../replication/CommandLog.ts';
+import type PresetSource from './PresetSource.ts';
+
+/** What the service needs. */
+export interface PresetServiceOptions {
+  readonly clock: Clock;
+  readonly log: CommandLog<ControlCommand, ControlReply>;
+  /** The presets of the state that this replica applies. */
+  readonly presets: PresetBook;
+}
+
+/** All presets as operators see them. */
+export interface PresetListing {
+  /** Sorted by name. */
+  readonly presets: readonly Omit<PresetRecord, 'preset'>[];
+  readonly selection: PresetSelection | undefined;
+  /** Revision that every host should have; 0 when no preset was ever active. */
+  readonly activeRevision: number;
+}
+
+/** Changes and reads presets through the replicated log of the control group. */
+export default class PresetService implements PresetSource {
+  private readonly options: PresetServiceOptions;
+
+  constructor(options: PresetServiceOptions) {
+    this.options = options;
+  }
+
+  /**
+   * Stores a preset. `no_quorum` means that the change may still be accepted; the same change id
+   * then returns its answer.
+   */
+  async putPreset(
+    change: Omit<PutPreset, 'kind'>,
+    deadline: number,
+  ): Promise<Result<AcceptedChange>> {
+    const checked = checkPreset(change.name, change.preset);
+    return checked.ok ? this.proposeChange({ ...change, kind: 'put_preset' }, deadline) : checked;
+  }
+
+  /** Makes a stored preset the active one. */
+  usePreset(change: Omit<UsePreset, 'kind'>, deadline: number): Promise<Result<AcceptedChange>> {
+    return this.proposeChange({ ...change, kind: 'use_preset' }, deadline);
+  }
+
+  /** A linearizable list of the presets; only the leader can answer. */
+  async listPresets(deadline: number): Promise<Result<PresetListing>> {
+    const { log, presets } = this.options;
+    const confirmed = await log.confirmRead(deadline);
+    if (!confirmed.ok) return confirmed;
+    const listing = {
+      presets: presets.listPresets().map(({ name, revision, operator, changeId }) => ({
+        name,
+        revision,
+        operator,
+        changeId,
+      })),
+      selection: presets.getSelection(),
+      activeRevision: presets.getActive()?.revision ?? 0,
+    };
+    return { ok: true, value: listing };
+  }
+
+  /** A linearizable read of one preset; only the leader can answer. */
+  async showPreset(name: string, deadline: number): Promise<Result<PresetRecord>> {
+    const { log, presets } = this.options;
+    const confirmed = await log.confirmRead(deadline);
+    if (!confirmed.ok) return confirmed;
+    const record = presets.findPreset(name);
+    if (record) return { ok: true, value: record };
+    const names = presets.listPresets().map((known) => known.name);
+    const message = `show preset "${name}": no such preset; expected one of ${names.join(', ')}`;
+    return { ok: false, failure: { kind: 'preset_unknown', message } };
+  }
+
+  async watchState(afterRevision: number, deadline: number): Promise<PresetState | undefined> {
+    const { clock, log } = this.options;
+    while (clock.now() < deadline) {
+      const { appliedIndex } = log;
+      const state = this.getState();
+      if (state && state.revision > afterRevision) return state;
+      await log.waitApplied(appliedIndex, deadline);
+    }
+    return undefined;
+  }
+
+  async confirmState(deadline: number): Promise<Result<PresetState>> {
+    const confirmed = await this.options.log.confirmRead(deadline);
+    if (!confirmed.ok) return confirmed;
+    const state = this.getState();
+    if (state) return { ok: true, value: state };
+    const message = 'confirm the active preset: no preset is active; expected one to be in use';
+    return { ok: false, failure: { kind: 'preset_unknown', message } };
+  }
+
+  private getState(): PresetState | undefined {
+    const { log, presets } = this.options;
+    const active = presets.getActive();
+    return active && log.groupId !== undefined ? { groupId: log.groupId, ...active } : undefined;
+  }
+
+  private async proposeChange(
+    change: PutPreset | UsePreset,
+    deadline: number,
+  ): Promise<Result<AcceptedChange>> {
+    const committed = await this.options.log.proposeCommand(change, deadline);
+    if (!committed.ok) return committed;
+    if (committed.value.kind === 'preset_change') return committed.value.result;
+    const message = `${change.kind} "${change.name}": the reply is of kind ${committed.value.kind}`;
+    return { ok: false, failure: { kind: 'internal', message } };
+  }
+}
