Drive RequestHandler through random ends against an oracle

Cause: outcomes, claims and retries were tested only by single paths. Ruled out: real sockets for this test; their behaviour is tested apart and is not reproducible. Change: requestEnds.test.ts with a scripted client and claim gate in simulated time; a fault that escapes the dispatcher is logged, answered as internal (unknown) and completes its claim.

--- a/src/application/requests/RequestHandler.ts
+++ b/src/application/requests/RequestHandler.ts
@@ -9,6 +9,7 @@
 import OnceRetryPolicy from '../../domain/requests/OnceRetryPolicy.ts';
 import RetryBudget from '../../domain/requests/RetryBudget.ts';
 import type Clock from '../../ports/Clock.ts';
+import type Log from '../../ports/Log.ts';
 import type RandomSource from '../../ports/RandomSource.ts';
 import type { UpstreamAnswer } from '../../ports/UpstreamClient.ts';
 import type ClaimGate from '../claims/ClaimGate.ts';
@@ -33,6 +34,7 @@
   readonly claims: ClaimGate;
   readonly dispatcher: UpstreamDispatcher;
   readonly observer: RequestObserver;
+  readonly log: Log;
 }
 
 /** A request whose head was accepted. */
@@ -220,6 +222,7 @@
 
   private createInternalAnswer({ method, target }: CallerRequest, error: Error): CallerAnswer {
     const message = `${method} ${target}: the request failed by a fault of this host: ${error.message}`;
+    this.options.log.error('requests: a request failed', { error: error.stack ?? error.message });
     return createFailureAnswer({ kind: 'internal', message });
   }
 
--- /dev/null
+++ b/tests/requests/requestEnds.test.ts
@@ -0,0 +1,195 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+
+import createHandlerPath from '../fixtures/createHandlerPath.ts';
+import type { AttemptScript } from '../fixtures/createHandlerPath.ts';
+
+const seed = Number(process.env.FUZZ_SEED ?? 20_261_204);
+const numRuns = Number(process.env.FUZZ_RUNS ?? 1000);
+
+const attemptArbitrary: fc.Arbitrary<AttemptScript> = fc.record({
+  end: fc.constantFrom(
+    'good',
+    'client_error',
+    'server_error',
+    'shed',
+    'not_run',
+    'unreachable',
+    'reset',
+    'truncated',
+    'mismatched',
+    'too_large',
+    'silent',
+    'upstream_left',
+    'throws',
+  ),
+  waitMs: fc.constantFrom(0, 10, 100, 600),
+  callerLeaves: fc.constantFrom('no', 'no', 'no', 'no', 'before', 'after'),
+});
+
+describe('ends of requests', () => {
+  // Guards against a second dispatch of an operation that may have run, against a reported outcome
+  // that contradicts what happened, and against claims that are completed never or twice.
+  it(`should agree with the oracle (FUZZ_SEED=${seed} FUZZ_RUNS=${numRuns})`, async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(attemptArbitrary, { minLength: 6, maxLength: 6 }),
+        fc.constantFrom('allowed' as const, 'never' as const),
+        fc.constantFrom('granted' as const, 'refused' as const, 'replayed' as const),
+        fc.constantFrom(0, 10, 1000),
+        fc.integer({ min: 0, max: 5 }),
+        async (attempts, repeat, claim, claimMs, upstreams) => {
+          const path = createHandlerPath({ attempts, repeat, claim, claimMs, upstreams });
+          const { answer, left, ran, completions } = await path.runRequest();
+
+          if (repeat === 'never') {
+            expect(left).toBeLessThanOrEqual(1);
+            // Not-run is said exactly when it is certain.
+            if (claim === 'granted' && answer.errorKind !== 'internal') {
+              expect(answer.outcome === 'not-run').toBe(left === 0);
+            }
+          }
+          if (answer.outcome === 'not-run') expect(left).toBe(0);
+          if (answer.outcome === 'ran' && claim !== 'replayed') expect(ran).toBeGreaterThan(0);
+          const expectedCompletions =
+            repeat === 'never' && claim === 'granted' && path.hasClaimed() ? 1 : 0;
+          expect(completions).toHaveLength(expectedCompletions);
+          if (completions[0] === 'not_run') expect(left).toBe(0);
+          if (completions[0] === 'ran') expect(answer.errorKind).toBeUndefined();
+          if (completions.length > 0 && left === 0 && answer.errorKind !== 'internal') {
+            expect(completions).toEqual(['not_run']);
+          }
+        },
+      ),
+      { seed, numRuns },
+    );
+  });
+
+  const rest: AttemptScript[] = Array.from({ length: 5 }, () => ({
+    end: 'unreachable',
+    waitMs: 0,
+    callerLeaves: 'no',
+  }));
+
+  // Guards against not-run after an attempt that may have run, hidden by one that did not.
+  it('should report the attempt that may have run over a later one that did not', async () => {
+    const path = createHandlerPath({
+      attempts: [{ end: 'reset', waitMs: 0, callerLeaves: 'no' }, ...rest],
+      repeat: 'allowed',
+      upstreams: 2,
+    });
+
+    const { answer, attempts } = await path.runRequest();
+
+    expect(attempts).toBe(2);
+    expect([answer.errorKind, answer.outcome]).toEqual(['upstream_reset', 'unknown']);
+  });
+
+  // Guards against storing nothing, or ran, for a server error of an operation that ran in part.
+  it('should pass on and store a server error as unknown', async () => {
+    const attempts: AttemptScript[] = [
+      { end: 'server_error', waitMs: 0, callerLeaves: 'no' },
+      ...rest,
+    ];
+    const path = createHandlerPath({ attempts, repeat: 'never', upstreams: 2 });
+
+    const { answer, completions, storedStatus } = await path.runRequest();
+
+    expect([answer.status, answer.outcome, answer.errorKind]).toEqual([500, 'unknown', undefined]);
+    expect([completions, storedStatus]).toEqual([['ran'], 500]);
+  });
+
+  // Guards against a caller that cannot resend safely: nothing left, so the claim is free again.
+  it.each([
+    ['the caller leaves', 'before', 0, 'caller_gone'],
+    ['the deadline passes', 'no', 2000, 'deadline_passed'],
+  ] as const)(
+    'should release the claim when %s while it is requested',
+    async (_title, callerLeaves, claimMs, kind) => {
+      const attempts = rest.map((attempt) => ({ ...attempt, callerLeaves }));
+      const path = createHandlerPath({ attempts, repeat: 'never', claimMs, upstreams: 2 });
+
+      const { answer, completions, left } = await path.runRequest();
+
+      expect([answer.errorKind, answer.outcome, left]).toEqual([kind, 'not-run', 0]);
+      expect(completions).toEqual(['not_run']);
+    },
+  );
+
+  // Guards against a silent upstream that uses up the time in which another could answer.
+  it('should end an attempt at half of the time left while another upstream can answer', async () => {
+    const attempts: AttemptScript[] = [
+      { end: 'silent', waitMs: 0, callerLeaves: 'no' },
+      { end: 'good', waitMs: 10, callerLeaves: 'no' },
+      ...rest,
+    ];
+    const path = createHandlerPath({ attempts, repeat: 'allowed', upstreams: 2 });
+
+    const { answer, deadlines } = await path.runRequest();
+
+    expect([answer.status, answer.outcome]).toEqual([200, 'ran']);
+    expect(deadlines).toEqual([500, 1000]);
+  });
+
+  // Guards against an early end that no retry can follow.
+  it.each([
+    ['there is no other upstream', 1, 0.1, 0],
+    ['the budget is spent', 3, 0, 20],
+  ])('should keep the whole deadline when %s', async (_title, upstreams, retryShare, before) => {
+    const attempts: AttemptScript[] = [
+      ...Array.from({ length: before }, () => rest[0] as AttemptScript),
+      ...rest.map((attempt) => ({ ...attempt, end: 'silent' as const })),
+    ];
+    const path = createHandlerPath({ attempts, repeat: 'allowed', upstreams, retryShare });
+    let last = await path.runRequest();
+    while (last.attempts > 1) last = await path.runRequest();
+
+    expect(last.deadlines.at(-1)).toBe(last.startedAt + 1000);
+  });
+
+  // Guards against retries that add load to a service that has none to spare.
+  it('should not retry while every upstream sheds load', async () => {
+    const attempts = Array.from({ length: 12 }, () => ({
+      end: 'shed' as const,
+      waitMs: 0,
+      callerLeaves: 'no' as const,
+    }));
+    const path = createHandlerPath({ attempts, repeat: 'allowed', upstreams: 3 });
+
+    const first = await path.runRequest(10);
+    const second = await path.runRequest(10);
+
+    expect([first.attempts, second.attempts]).toEqual([3, 1]);
+  });
+
+  // Guards against sending to an upstream that left while the request waited for a connection.
+  it('should use another upstream when the chosen one left before the dispatch', async () => {
+    const attempts: AttemptScript[] = [
+      { end: 'upstream_left', waitMs: 10, callerLeaves: 'no' },
+      { end: 'good', waitMs: 0, callerLeaves: 'no' },
+      ...rest,
+    ];
+    const path = createHandlerPath({ attempts, repeat: 'never', upstreams: 2 });
+
+    const { answer, attempts: tried, left } = await path.runRequest();
+
+    expect([answer.status, tried, left]).toEqual([200, 2, 1]);
+  });
+
+  // Guards against an operation that may not repeat being tried again after a server error.
+  it('should try each upstream once and only where nothing ran', async () => {
+    const attempts: AttemptScript[] = [
+      { end: 'unreachable', waitMs: 0, callerLeaves: 'no' },
+      { end: 'not_run', waitMs: 0, callerLeaves: 'no' },
+      { end: 'server_error', waitMs: 0, callerLeaves: 'no' },
+      ...rest,
+    ];
+    const path = createHandlerPath({ attempts, repeat: 'never', upstreams: 5 });
+
+    const { triedUpstreams, answer } = await path.runRequest();
+
+    expect(new Set(triedUpstreams).size).toBe(3);
+    expect(triedUpstreams).toHaveLength(3);
+    expect(answer.outcome).toBe('unknown');
+  });
+});
