Compose the control host and start a group from separate processes

Cause: the control role had no composition root. Conclusion: the operators' listener is what remains before a preset can be put.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -159,6 +159,11 @@
       'class-methods-use-this': 'off',
       'no-underscore-dangle': 'error',
       'no-console': 'error',
+      // The programs named in package.json are compiled from src/ to dist/.
+      'n/hashbang': [
+        'error',
+        { convertPath: { 'src/**/*.ts': ['^src/(.+)\\.ts$', 'dist/$1.js'] } },
+      ],
     },
   },
   {
--- /dev/null
+++ b/src/daemon/ControlHost.ts
@@ -0,0 +1,179 @@
+import NodeDisk from '../adapters/disk/NodeDisk.ts';
+import PrometheusMetrics from '../adapters/metrics/PrometheusMetrics.ts';
+import PlatformFrontEnd from '../adapters/http/PlatformFrontEnd.ts';
+import TrpcClaimLink from '../adapters/trpc/TrpcClaimLink.ts';
+import TrpcPeerServer from '../adapters/trpc/TrpcPeerServer.ts';
+import TrpcPresetLink from '../adapters/trpc/TrpcPresetLink.ts';
+import TrpcReplicationLink from '../adapters/trpc/TrpcReplicationLink.ts';
+import { parseControlSnapshot } from '../adapters/trpc/controlMessages.ts';
+import createClaimRouter from '../adapters/trpc/createClaimRouter.ts';
+import createGossipRouter from '../adapters/trpc/createGossipRouter.ts';
+import createPresetRouter from '../adapters/trpc/createPresetRouter.ts';
+import createReplicationRouter from '../adapters/trpc/createReplicationRouter.ts';
+import { router } from '../adapters/trpc/trpcBase.ts';
+import ClaimService from '../application/claims/ClaimService.ts';
+import type { HostStatus } from '../application/membership/HostHeartbeat.ts';
+import ForwardingPresetSource from '../application/presets/ForwardingPresetSource.ts';
+import PresetService from '../application/presets/PresetService.ts';
+import Replica from '../application/replication/Replica.ts';
+import type ControlCommand from '../domain/control/ControlCommand.ts';
+import type { ControlReply } from '../domain/control/ControlCommand.ts';
+import ControlState from '../domain/control/ControlState.ts';
+import type { HostStateName } from '../domain/membership/HostRecord.ts';
+import type Daemon from './Daemon.ts';
+import type { DaemonOptions } from './EntryHost.ts';
+import PeerNetwork from './PeerNetwork.ts';
+import TaskGroup from './TaskGroup.ts';
+
+// Time for accepted proposals to commit and for another host to take over the lead.
+const stopMs = 5000;
+
+type ControlReplica = Replica<ControlCommand, ControlReply>;
+
+interface ControlParts {
+  readonly state: ControlState;
+  readonly network: PeerNetwork;
+  readonly replica: ControlReplica;
+}
+
+/** Composition root of a daemon with the role `control`. */
+export default class ControlHost implements Daemon {
+  private readonly options: DaemonOptions;
+
+  private readonly state: ControlState;
+
+  private readonly replica: ControlReplica;
+
+  private readonly tasks: TaskGroup;
+
+  private readonly network: PeerNetwork;
+
+  private readonly presets: PresetService;
+
+  private readonly platform: PlatformFrontEnd;
+
+  private readonly peers: TrpcPeerServer;
+
+  private isStopping = false;
+
+  private constructor(options: DaemonOptions, parts: ControlParts) {
+    const { settings, clock, log } = options;
+    this.options = options;
+    this.state = parts.state;
+    this.replica = parts.replica;
+    this.network = parts.network;
+    this.tasks = new TaskGroup({ log });
+    const { replica: commandLog, network } = this;
+    this.presets = new PresetService({ clock, log: commandLog, presets: this.state.presets });
+    const others = settings.control.filter(({ host }) => host !== settings.host);
+    const claimLinks = others.map((peer) => {
+      const { connection } = network.dialer.takeConnection(peer);
+      return new TrpcClaimLink({ host: peer.host, connection });
+    });
+    this.platform = new PlatformFrontEnd({
+      clock,
+      log,
+      metrics: this.createMetrics(),
+      readState: () => this.getState(),
+    });
+    this.peers = new TrpcPeerServer({
+      router: router({
+        gossip: createGossipRouter({ gossip: network.gossip }),
+        replication: createReplicationRouter(this.replica),
+        claims: createClaimRouter(new ClaimService({ log: commandLog, links: claimLinks })),
+        presets: createPresetRouter({
+          clock,
+          source: this.presets,
+          forwarding: new ForwardingPresetSource({
+            source: this.presets,
+            controlHosts: others,
+            dialer: network.dialer.createDialer((shared) => new TrpcPresetLink(shared)),
+          }),
+        }),
+      }),
+      peerKey: settings.peerKey,
+      log,
+    });
+  }
+
+  /**
+   * Opens the data folder and the listeners and starts the tasks; rejects with a `FailureError`.
+   */
+  static async startHost(options: DaemonOptions): Promise<ControlHost> {
+    const { settings, clock, random, log } = options;
+    const state = new ControlState({ parseSnapshot: parseControlSnapshot });
+    let host: ControlHost | undefined;
+    const network = new PeerNetwork({
+      settings,
+      clock,
+      log,
+      readStatus: () => host?.readStatus() ?? { state: 'starting', revision: 0, presetName: '' },
+      topics: [],
+    });
+    const others = settings.control.filter((peer) => peer.host !== settings.host);
+    const replica = await Replica.startReplica<ControlCommand, ControlReply>({
+      host: settings.host,
+      hosts: settings.control.map((peer) => peer.host),
+      links: others.map((peer) => {
+        const { connection } = network.dialer.takeConnection(peer);
+        return new TrpcReplicationLink({ host: peer.host, connection });
+      }),
+      disk: await NodeDisk.openFolder(settings.dataFolder ?? ''),
+      clock,
+      random,
+      log,
+      state,
+    });
+    host = new ControlHost(options, { state, network, replica });
+    await host.openListeners();
+    network.startTasks(host.tasks);
+    return host;
+  }
+
+  async stop(): Promise<void> {
+    const { clock } = this.options;
+    this.isStopping = true;
+    this.network.heartbeat.renewRecord();
+    await this.replica.stop(clock.now() + stopMs);
+    await this.tasks.stop();
+    await this.platform.closeListener();
+    await this.peers.closeListener();
+    this.network.dialer.close();
+  }
+
+  async waitFailed(): Promise<string> {
+    const ended = await this.replica.waitEnded();
+    if (!ended.ok) return ended.failure.message;
+    // The replica ended because this host is stopping.
+    return new Promise(() => undefined);
+  }
+
+  private async openListeners(): Promise<void> {
+    const { peers, platform } = this.options.settings.listen;
+    await this.peers.openListener(peers);
+    await this.platform.openListener(platform);
+  }
+
+  private getState(): HostStateName {
+    if (this.isStopping) return 'stopping';
+    return this.replica.leader === undefined ? 'starting' : 'ready';
+  }
+
+  private readStatus(): HostStatus {
+    const active = this.state.presets.getActive();
+    return {
+      state: this.getState(),
+      revision: active?.revision ?? 0,
+      presetName: active?.name ?? '',
+    };
+  }
+
+  private createMetrics(): PrometheusMetrics {
+    const { clock } = this.options;
+    return new PrometheusMetrics({
+      readRevision: () => this.state.presets.getActive()?.revision ?? 0,
+      countLiveHosts: () => this.network.listLive().length,
+      countUpstreams: () => this.network.upstreams.listRecords(clock.now()).length,
+    });
+  }
+}
--- a/src/daemon/EntryHost.ts
+++ b/src/daemon/EntryHost.ts
@@ -193,7 +193,7 @@
   }
 
   private createRequestHandler(observers: readonly RequestObserver[]): RequestHandler {
-    const { settings, clock, random } = this.options;
+    const { settings, clock, random, log } = this.options;
     const { presets: activePreset, claims, upstreamClient, detection } = this;
     const dispatcher = new UpstreamDispatcher({
       clock,
@@ -208,7 +208,7 @@
     const observer: RequestObserver = {
       recordRequest: (request) => observers.forEach((item) => item.recordRequest(request)),
     };
-    return new RequestHandler({ clock, random, activePreset, claims, dispatcher, observer });
+    return new RequestHandler({ clock, random, log, activePreset, claims, dispatcher, observer });
   }
 
   private createMetrics(): PrometheusMetrics {
--- a/tests/membership/platform.test.ts
+++ b/tests/membership/platform.test.ts
@@ -29,6 +29,7 @@
   beforeEach(async () => {
     const upstreams = new UpstreamDirectory({ checkRecord: checkUpstreamRecord });
     frontEnd = new PlatformFrontEnd({
+      clock,
       log: new SilentLog(),
       metrics: { renderMetrics: async () => 'hosts 3\n' },
       readState: () => state,
