Test the replicated log against crashes, cut links and lost disks

Cause: the guarantees of the log hold only as far as a test provokes their failures. Ruled out: a check for disruption by comparing wall-clock times; the tests compare terms and simulated time. A fixed expectation that a command proposed by a cut off leader is lost: where only answers are cut, the next leader commits it. `Replica.configuration` shows the voters.

--- a/src/application/replication/Replica.ts
+++ b/src/application/replication/Replica.ts
@@ -1,5 +1,6 @@
 import type Failure from '../../domain/errors/Failure.ts';
 import type Result from '../../domain/errors/Result.ts';
+import type ReplicaConfiguration from '../../domain/replication/ReplicaConfiguration.ts';
 import type {
   AppendRequest,
   GroupRequest,
@@ -91,9 +92,9 @@
     return this.context.term;
   }
 
-  /** Host names of the voters, by the newest configuration in the log. */
-  get voters(): readonly string[] {
-    return this.context.configuration.voters.map(({ host }) => host);
+  /** The newest configuration in the log of this replica. */
+  get configuration(): ReplicaConfiguration {
+    return this.context.configuration;
   }
 
   get appliedIndex(): number {
--- /dev/null
+++ b/tests/replication/crash.test.ts
@@ -0,0 +1,118 @@
+import { afterEach, describe, expect, it } from 'vitest';
+
+import ReplicaGroupFixture, { listIds } from '../fixtures/ReplicaGroupFixture.ts';
+
+describe('replicas that crash', () => {
+  let group: ReplicaGroupFixture;
+
+  afterEach(() => group.stopAll());
+
+  const crashes = [
+    { finishesLast: false, keptBytes: 0 },
+    { finishesLast: false, keptBytes: 7 },
+    { finishesLast: true, keptBytes: 0 },
+    { finishesLast: true, keptBytes: 7 },
+  ];
+
+  /** Commits on a group of one until its disk stops; returns what was acknowledged. */
+  async function commitUntilStopped(stopAt: number, finishesLast: boolean): Promise<string[]> {
+    group = new ReplicaGroupFixture({ hosts: ['a'], snapshotEntries: 4 });
+    Object.assign(group.getDisk('a'), { stopAt, finishesLast });
+    const acknowledged: string[] = [];
+    const isStarted = await group.start('a').then(
+      () => true,
+      () => false,
+    );
+    if (!isStarted) return acknowledged;
+    await group.clock.advanceBy(3000);
+    for (const id of listIds(20)) {
+      const result = await group.run(group.propose(group.get('a'), id, 200));
+      if (!result.ok) return acknowledged;
+      acknowledged.push(id);
+    }
+    return acknowledged;
+  }
+
+  // Guards against every order of write, sync, rename and removal that loses data in a crash.
+  it.each(crashes)(
+    'should keep what it acknowledged when killed at any disk operation: %o',
+    async ({ finishesLast, keptBytes }) => {
+      let stopAt = 1;
+      let isFinished = false;
+      while (!isFinished) {
+        const acknowledged = await commitUntilStopped(stopAt, finishesLast);
+        isFinished = acknowledged.length === 20;
+        group.kill('a', keptBytes);
+        await group.start('a');
+        await group.commit('last');
+        const { ids } = group.get('a').state;
+        const message = `killed at operation ${stopAt}`;
+        expect(ids.slice(0, acknowledged.length), message).toEqual(acknowledged);
+        expect(ids.length - acknowledged.length, message).toBeLessThanOrEqual(2);
+        await group.stopAll();
+        stopAt += 1;
+      }
+      expect(stopAt).toBeGreaterThan(60);
+    },
+  );
+
+  // Guards against a follower that is left with half of a snapshot.
+  it('should finish the installation of a snapshot after a kill at any disk operation', async () => {
+    let stopAt = 1;
+    let installations = 0;
+    let isFinished = false;
+    while (!isFinished) {
+      group = new ReplicaGroupFixture({ snapshotEntries: 10, pieceBytes: 100 });
+      await group.startAll();
+      await group.commit('first');
+      group.kill('c');
+      await group.commitAll(listIds(40));
+      const disk = group.getDisk('c');
+      disk.stopAt = stopAt;
+      disk.finishesLast = stopAt % 2 === 0;
+      await group.start('c');
+      await group.clock.advanceBy(1500);
+      isFinished = disk.operations < stopAt;
+      group.kill('c', 3);
+      await group.start('c');
+      await group.waitEqual(41);
+      expect(group.get('c').state.ids).toEqual(['first', ...listIds(40)]);
+      installations += group.log.messages.filter((text) => text.endsWith('installed')).length;
+      await group.stopAll();
+      stopAt += 1;
+    }
+    expect(stopAt).toBeGreaterThan(10);
+    // A kill after the rename leaves nothing to install.
+    expect(installations).toBeGreaterThan(stopAt / 2);
+  });
+
+  it('should serve 500 commands after all replicas were restarted', async () => {
+    group = new ReplicaGroupFixture({ snapshotEntries: 64 });
+    await group.startAll();
+    const ids = listIds(500);
+    await group.commitAll(ids);
+    group.hosts.forEach((host) => group.kill(host));
+    await group.startAll();
+
+    await group.commit('after');
+    await group.waitEqual(501);
+
+    group.hosts.forEach((host) => expect(group.get(host).state.ids).toEqual([...ids, 'after']));
+  });
+
+  // Guards against an acknowledgement after a failed sync, which proves nothing about the disk.
+  it('should stop a replica whose disk fails while the others go on', async () => {
+    group = new ReplicaGroupFixture();
+    await group.startAll();
+    const leader = await group.waitLeader();
+    group.getDisk(leader.host).stopAt = 0;
+
+    const result = await group.run(group.propose(leader, 'x'));
+    const ended = await leader.replica.waitEnded();
+    group.kill(leader.host);
+    await group.commit('y');
+
+    expect(result).toMatchObject({ ok: false, failure: { kind: 'no_quorum' } });
+    expect(ended).toMatchObject({ ok: false, failure: { kind: 'internal' } });
+  });
+});
--- /dev/null
+++ b/tests/replication/logStore.test.ts
@@ -0,0 +1,137 @@
+import { beforeEach, describe, expect, it } from 'vitest';
+
+import ReplicaStore from '../../src/application/replication/ReplicaStore.ts';
+import MemoryDisk from '../fixtures/MemoryDisk.ts';
+import SeededRandom from '../fixtures/SeededRandom.ts';
+import SilentLog from '../fixtures/SilentLog.ts';
+
+describe('log store', () => {
+  const log = new SilentLog();
+  let disk: MemoryDisk;
+
+  const openStore = (host = 'a'): Promise<ReplicaStore> =>
+    ReplicaStore.openStore({ disk, host, random: new SeededRandom(), log });
+
+  async function writeEntries(count: number, opened?: ReplicaStore): Promise<string> {
+    const store = opened ?? (await openStore());
+    Array.from({ length: count }).forEach((_, index) =>
+      store.log.addContent(1, { kind: 'command', command: `command ${index}` }, 1000),
+    );
+    await store.log.syncEntries();
+    return (await disk.list()).find((name) => name.startsWith('log-')) ?? '';
+  }
+
+  async function takeSnapshot(store: ReplicaStore, index: number): Promise<void> {
+    const { state, ...start } = {
+      ...{ index, term: 1, proposedAt: 1000, commandIndex: index, state: 'state' },
+      configuration: { voters: [] },
+    };
+    const file = store.snapshotFile;
+    await file.writeDocument({ ...start, state });
+    await store.log.dropThrough(start);
+  }
+
+  beforeEach(() => {
+    disk = new MemoryDisk();
+  });
+
+  it('should write all waiting entries with one sync', async () => {
+    const store = await openStore();
+    await store.log.syncEntries();
+    const syncsBefore = disk.syncs;
+
+    await writeEntries(256);
+
+    // The second sync makes the name of the new file last.
+    expect(disk.syncs - syncsBefore).toBe(2);
+  });
+
+  // Guards against a crash in the middle of a write.
+  it.each([1, 5, 60])('should cut off a last record that lacks %i bytes', async (missing) => {
+    const name = await writeEntries(4);
+    disk.cutBytes(name, missing);
+
+    const store = await openStore();
+
+    expect(store.log.lastIndex).toBe(3);
+    store.log.addContent(2, { kind: 'term_start' }, 1000);
+    await store.log.syncEntries();
+    expect((await openStore()).log.lastTerm).toBe(2);
+  });
+
+  // Guards against dropping acknowledged entries after a damaged one; 6 is a byte of the length.
+  it.each([0, 6, 10, 30, 150])('should refuse a log with byte %i damaged', async (position) => {
+    const name = await writeEntries(4);
+    disk.damageByte(name, position);
+
+    await expect(openStore()).rejects.toMatchObject({ failure: { kind: 'log_damaged' } });
+  });
+
+  it('should refuse a damaged snapshot, vote or identity', async () => {
+    const store = await openStore();
+    await store.saveVote({ term: 3, votedFor: 'x' });
+    await takeSnapshot(store, 0);
+
+    for (const name of ['snapshot', 'vote', 'identity']) {
+      disk.damageByte(name, 25);
+      await expect(openStore()).rejects.toMatchObject({ failure: { kind: 'log_damaged' } });
+    }
+  });
+
+  // Guards against a gap between the snapshot and the log that would go unnoticed.
+  it('should refuse a log whose first file is missing', async () => {
+    const store = await openStore();
+    const name = await writeEntries(4, store);
+    await takeSnapshot(store, 2);
+    await writeEntries(4, store);
+    await disk.remove(name);
+
+    await expect(openStore()).rejects.toMatchObject({ failure: { kind: 'log_damaged' } });
+  });
+
+  // Guards against two hosts that share an identity after a folder was copied.
+  it('should refuse the folder of another host', async () => {
+    await openStore('a');
+
+    await expect(openStore('b')).rejects.toMatchObject({
+      failure: { kind: 'data_folder_unusable' },
+    });
+  });
+
+  it('should drop the files that two snapshots cover', async () => {
+    const store = await openStore();
+    await writeEntries(4, store);
+    await takeSnapshot(store, 4);
+    await writeEntries(4, store);
+    await takeSnapshot(store, 8);
+
+    expect(store.log.firstIndex).toBe(5);
+    expect((await openStore()).log.lastIndex).toBe(8);
+    expect((await disk.list()).filter((name) => name.startsWith('log-'))).toHaveLength(1);
+  });
+
+  // Guards against old entries that come back behind new ones after a crash.
+  it('should keep a truncation that new entries follow', async () => {
+    await writeEntries(6);
+    const store = await openStore();
+    await store.log.truncateFrom(3);
+    store.log.addContent(2, { kind: 'term_start' }, 1000);
+    await store.log.syncEntries();
+    disk = disk.crash();
+
+    const reopened = await openStore();
+
+    expect(reopened.log.lastIndex).toBe(3);
+    expect(reopened.log.lastTerm).toBe(2);
+  });
+
+  // Guards against claims that expire early after a leader with a clock ahead was replaced.
+  it('should never let the time of entries decrease', async () => {
+    await writeEntries(1);
+    const store = await openStore();
+
+    const entry = store.log.addContent(2, { kind: 'term_start' }, 400);
+
+    expect(entry.proposedAt).toBe(1000);
+  });
+});
--- /dev/null
+++ b/tests/replication/partition.test.ts
@@ -0,0 +1,146 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+
+import ReplicaGroupFixture, { listIds } from '../fixtures/ReplicaGroupFixture.ts';
+import type { Running } from '../fixtures/ReplicaGroupFixture.ts';
+
+const hourMs = 3_600_000;
+
+describe('replicas with failing links', () => {
+  let group: ReplicaGroupFixture;
+  let leader: Running;
+
+  const listOthers = (host: string): string[] => group.hosts.filter((other) => other !== host);
+
+  beforeEach(async () => {
+    group = new ReplicaGroupFixture();
+    await group.startAll();
+    leader = await group.waitLeader();
+    await group.commit('before');
+  });
+
+  afterEach(() => group.stopAll());
+
+  // Guards against a leader that keeps its followers from electing while nothing commits.
+  it.each([
+    // Followers receive the command, so that the next leader commits it.
+    ['in', 2 * hourMs, ['before', 'lost', 'during', 'after']],
+    ['out', hourMs / 60, ['before', 'during', 'after']],
+    ['both', hourMs / 60, ['before', 'during', 'after']],
+  ] as const)(
+    'should replace a leader that is cut off, direction %s, for %i ms',
+    async (way, durationMs, ids) => {
+      group.network.cutHost(leader.host, listOthers(leader.host), way);
+      const lost = await group.run(group.propose(leader, 'lost', 5000));
+      await group.waitFor(() => group.findLeader()?.host !== leader.host, 5000);
+      const { term } = (await group.waitLeader()).replica;
+      await group.commit('during');
+      await group.clock.advanceBy(durationMs);
+
+      expect(lost).toMatchObject({ ok: false, failure: { kind: 'no_quorum' } });
+      expect(leader.replica.role).toBe('follower');
+      expect((await group.waitLeader()).replica.term, 'the cut off host disrupts no term').toBe(
+        term,
+      );
+      group.network.cuts.clear();
+      await group.commit('after');
+      await group.waitEqual(ids.length);
+      expect(leader.state.ids).toEqual(ids);
+    },
+    120_000,
+  );
+
+  // Guards against a stale read by a leader that does not know of its successor yet.
+  it('should not confirm a read of a leader without a majority', async () => {
+    group.network.cutHost(leader.host, listOthers(leader.host));
+
+    const confirmed = await group.run(leader.replica.confirmRead(group.clock.now() + 5000));
+
+    expect(confirmed).toMatchObject({ ok: false, failure: { kind: 'no_quorum' } });
+  });
+
+  // Guards against answers from before a pause, when another leader has taken over meanwhile.
+  it('should not confirm a read of a leader that was paused', async () => {
+    group.network.cutHost(leader.host, listOthers(leader.host));
+    await group.waitFor(() => group.findLeader()?.host !== leader.host);
+    const next = await group.waitLeader();
+    await group.commit('newer');
+    const stale = await group.run(leader.replica.confirmRead(group.clock.now() + 1000));
+    const fresh = await group.run(next.replica.confirmRead(group.clock.now() + 1000));
+
+    expect(stale.ok).toBe(false);
+    expect(fresh.ok).toBe(true);
+    expect(next.state.ids).toEqual(['before', 'newer']);
+  });
+
+  // Guards against a command that is applied twice, or answered with two places.
+  it('should give a resent command its first answer when answers are lost', async () => {
+    let count = 0;
+    group.network.isAnswerLost = () => {
+      count += 1;
+      return count % 3 !== 0;
+    };
+    const places: number[] = [];
+    for (const id of listIds(10)) places.push(await group.commit(id));
+    group.network.isAnswerLost = () => false;
+    const again: number[] = [];
+    for (const id of listIds(10)) again.push(await group.commit(id));
+    await group.waitEqual(11);
+
+    expect(again).toEqual(places);
+    expect(new Set(group.get('a').state.ids).size).toBe(11);
+  });
+
+  it('should commit while messages are delayed and reordered', async () => {
+    let step = 0;
+    group.network.drawDelay = () => {
+      step = (step + 37) % 101;
+      return step;
+    };
+
+    await group.commitAll(listIds(30));
+    await group.waitEqual(31);
+
+    expect(group.get('b').state.ids).toEqual(['before', ...listIds(30)]);
+  });
+
+  // Guards against a follower that acts on messages for the replica its host had before.
+  it('should refuse a message that is meant for another replica or group', async () => {
+    const { replica } = group.get('b');
+    const message = {
+      ...{ groupId: replica.groupId ?? '', to: replica.replicaId, from: 'x', fromHost: 'x' },
+      ...{ term: 99, previousIndex: 0, previousTerm: 0, entries: [], commitIndex: 0 },
+    };
+
+    const otherReplica = await replica.answerAppend({ ...message, to: 'old id' });
+    const otherGroup = await replica.answerAppend({ ...message, groupId: 'other' });
+
+    expect(otherReplica).toMatchObject({ failure: { kind: 'wrong_replica' } });
+    expect(otherGroup).toMatchObject({ failure: { kind: 'wrong_replica' } });
+    expect(replica.term).toBeLessThan(99);
+  });
+
+  // Guards against an election timeout without a leader at every planned restart.
+  it('should hand leadership over before a graceful stop', async () => {
+    const accepted = group.propose(leader, 'accepted');
+    const startedAt = group.clock.now();
+    const stopped = leader.replica.stop(startedAt + 5000);
+    const refused = await group.run(group.propose(leader, 'refused'));
+    await group.run(stopped);
+
+    expect((await accepted).ok).toBe(true);
+    expect(refused).toMatchObject({ ok: false, failure: { kind: 'not_leader' } });
+    expect((await group.waitLeader()).host).not.toBe(leader.host);
+    expect(group.clock.now() - startedAt).toBeLessThan(500);
+  });
+
+  // Guards against a queue of syncs, one per proposal.
+  it('should share syncs and messages among commands that wait together', async () => {
+    const disk = group.getDisk(leader.host);
+    const before = { syncs: disk.syncs, calls: group.network.calls };
+
+    await group.run(Promise.all(listIds(256).map((id) => group.propose(leader, id))));
+
+    expect(disk.syncs - before.syncs).toBeLessThan(10);
+    expect(group.network.calls - before.calls).toBeLessThan(20);
+  });
+});
