Add tests of whole processes under kills, freezes and stops

Cause: claims, shutdown and elections were proved on objects with fakes only. Change: BookingCaller resends keys through other entry hosts while processes are killed and frozen; runs are counted at the upstreams. A stop of an entry host under load and of each control host in turn.

--- /dev/null
+++ b/tests/processes/atMostOnce.test.ts
@@ -0,0 +1,115 @@
+import { request } from 'undici';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+
+import { startExampleFleet } from '../../examples/fleet/startExampleFleet.ts';
+import type { ExampleFleet } from '../../examples/fleet/startExampleFleet.ts';
+import BookingCaller from './BookingCaller.ts';
+
+const sleep = (milliseconds: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, milliseconds);
+  });
+
+async function setFault(
+  fleet: ExampleFleet,
+  upstream: string,
+  fault: Readonly<Record<string, number>>,
+): Promise<void> {
+  const found = fleet.upstreams.find(({ name }) => name === upstream);
+  const answer = await request(`http://${found?.control}/behaviour`, {
+    method: 'POST',
+    body: JSON.stringify(fault),
+  });
+  await answer.body.dump();
+}
+
+describe('operations that must not repeat, in separate processes', () => {
+  let fleet: ExampleFleet;
+  let caller: BookingCaller;
+
+  beforeAll(async () => {
+    fleet = await startExampleFleet({
+      controlHosts: 3,
+      entryHosts: 3,
+      upstreams: 4,
+      latencyMs: 20,
+    });
+    caller = new BookingCaller(fleet);
+  }, 60_000);
+
+  afterAll(async () => {
+    await caller.close();
+    await fleet.stopAll();
+  }, 60_000);
+
+  // Guards against a second run through another entry host while the first one is frozen or dead,
+  // the leader is killed, and upstreams reset, answer late or break off.
+  it('should run each key at most once and say not-run only when nothing ran', async () => {
+    const { hosts } = fleet;
+    await setFault(fleet, 'bookings-1', { resetAfterShare: 0.3 });
+    await setFault(fleet, 'bookings-2', { truncateShare: 0.3 });
+    await setFault(fleet, 'bookings-3', { resetBeforeShare: 0.3 });
+    const running: Promise<unknown>[] = [];
+    const book = async (count: number): Promise<void> => {
+      for (let index = 0; index < count; index += 1) {
+        running.push(caller.runBooking(index));
+        await sleep(10);
+      }
+    };
+    await book(50);
+    hosts.getProcess('entry-1').freeze();
+    await book(50);
+    await hosts.getProcess('control-1').kill();
+    await book(50);
+    hosts.getProcess('entry-1').resume();
+    await hosts.getProcess('entry-2').kill();
+    await book(50);
+    hosts.startHost('control-1');
+    hosts.startHost('entry-2');
+    await book(20);
+    await Promise.all(running);
+
+    const runs = await caller.countRuns();
+
+    const runTwice = caller.bookings.filter(({ key }) => (runs.get(key) ?? 0) > 1);
+    const wronglyNotRun = caller.bookings.filter(
+      ({ key, outcomes }) =>
+        outcomes.every((outcome) => outcome === 'not-run') && (runs.get(key) ?? 0) > 0,
+    );
+    const wronglyRan = caller.bookings.filter(
+      ({ key, outcomes }) => outcomes.includes('ran') && runs.get(key) !== 1,
+    );
+    const ran = caller.bookings.filter(({ outcomes }) => outcomes.includes('ran'));
+    expect(runTwice).toEqual([]);
+    expect(wronglyNotRun).toEqual([]);
+    expect(wronglyRan).toEqual([]);
+    // The faults leave most bookings with an answer; without this the checks above could be empty.
+    expect(ran.length).toBeGreaterThan(110);
+  }, 90_000);
+
+  // Guards against a claim that is granted without a majority of disks.
+  it('should refuse bookings as not run without a majority and go on with look-ups', async () => {
+    const { hosts } = fleet;
+    const [entry] = hosts.entryHosts;
+    if (!entry) throw new Error('no entry host');
+    await hosts.waitUntil('entry-1 is ready', () => hosts.isReady(entry));
+    await hosts.getProcess('control-2').kill();
+    await hosts.getProcess('control-3').kill();
+
+    const refused = caller.runBooking(0);
+    const lookUp = await request(`http://${entry.callers}/history/f-1`);
+    await lookUp.body.dump();
+    const { key, outcomes } = await refused;
+
+    expect(lookUp.statusCode).toBe(200);
+    expect(new Set(outcomes)).toEqual(new Set(['not-run']));
+    expect((await caller.countRuns()).get(key)).toBeUndefined();
+
+    hosts.startHost('control-2');
+    hosts.startHost('control-3');
+    await hosts.waitUntil('bookings run again', async () => {
+      const booking = await caller.runBooking(0);
+      return booking.outcomes.includes('ran');
+    });
+  }, 90_000);
+});
--- /dev/null
+++ b/tests/processes/shutdown.test.ts
@@ -0,0 +1,87 @@
+import { Agent, request } from 'undici';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+
+import { startExampleFleet } from '../../examples/fleet/startExampleFleet.ts';
+import type { ExampleFleet } from '../../examples/fleet/startExampleFleet.ts';
+
+describe('stop of separate processes', () => {
+  let fleet: ExampleFleet;
+  const agent = new Agent({ connections: 16, pipelining: 1 });
+
+  beforeAll(async () => {
+    fleet = await startExampleFleet({
+      controlHosts: 3,
+      entryHosts: 2,
+      upstreams: 3,
+      latencyMs: 100,
+    });
+  }, 60_000);
+
+  afterAll(async () => {
+    await agent.destroy();
+    await fleet.stopAll();
+  }, 60_000);
+
+  // Guards against a listener that closes connections with requests in flight.
+  it('should answer every request that an entry host took before it exits with 0', async () => {
+    const { hosts } = fleet;
+    const [entry] = hosts.entryHosts;
+    const failures: string[] = [];
+    let answered = 0;
+    let isStopped = false;
+    const sendRequests = async (): Promise<void> => {
+      while (!isStopped) {
+        try {
+          const answer = await request(`http://${entry?.callers}/history/f-1`, {
+            dispatcher: agent,
+          });
+          await answer.body.dump();
+          if (answer.statusCode === 200) answered += 1;
+          else failures.push(String(answer.statusCode));
+        } catch (error) {
+          const { code, message } = error as NodeJS.ErrnoException;
+          // A refused connection carried no request; the balancer sends it elsewhere.
+          if (code === 'ECONNREFUSED') isStopped = true;
+          else failures.push(code ?? message);
+        }
+      }
+    };
+    const senders = Array.from({ length: 16 }, sendRequests);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 500);
+    });
+
+    const code = await hosts.getProcess('entry-1').stop();
+    isStopped = true;
+    await Promise.all(senders);
+
+    expect(failures).toEqual([]);
+    expect(answered).toBeGreaterThan(16);
+    expect(code).toBe(0);
+    expect(hosts.getProcess('entry-1').output).toContain('lifecycle: every request was answered');
+  }, 60_000);
+
+  // Guards against a leader that loses what it accepted while it stops.
+  it('should keep every accepted change when each control host stops in turn', async () => {
+    const { hosts } = fleet;
+    const accepted: string[] = [];
+    const file = hosts.getPath('ordinary.preset.yaml');
+    for (let index = 1; index <= 3; index += 1) {
+      const name = `stop-${index}`;
+      const put = hosts.runTool(['preset', 'put', name, file, '--based-on', '0']);
+      const code = await hosts.getProcess(`control-${index}`).stop();
+      hosts.startHost(`control-${index}`);
+      expect(code).toBe(0);
+      if ((await put).code === 0) accepted.push(name);
+    }
+
+    await hosts.waitUntil('the control group leads', async () => {
+      const list = await hosts.runTool(['preset', 'list']);
+      return list.code === 0;
+    });
+    const { output } = await hosts.runTool(['preset', 'list']);
+
+    expect(accepted.length).toBeGreaterThan(0);
+    expect(accepted.filter((name) => !output.includes(name))).toEqual([]);
+  }, 90_000);
+});
