Add the operators' listener and the command-line tool

Cause: operators need to list, show, put and use presets, see which hosts lag, and find out whether a change whose answer was lost was accepted. Ruled out: retrying a change under a fresh change id (it would conflict with itself); reading the answer of a follower; a default server address. A change id that the tool makes is printed before the call. Conclusion: the tool works against the real listener on loopback with a fake log; the daemon has to provide the directories.

--- /dev/null
+++ b/src/adapters/trpc/TrpcOperatorClient.ts
@@ -0,0 +1,96 @@
+import { createTRPCUntypedClient, httpLink, TRPCClientError } from '@trpc/client';
+import type { AnyTRPCRouter } from '@trpc/server';
+import type { z } from 'zod';
+
+import type ErrorKind from '../../domain/errors/ErrorKind.ts';
+import type Failure from '../../domain/errors/Failure.ts';
+import type Result from '../../domain/errors/Result.ts';
+import type Clock from '../../ports/Clock.ts';
+
+const callTimeoutMs = 5000;
+
+// Another control host may answer where one failed in these ways.
+const passedOn: ReadonlySet<ErrorKind> = new Set(['not_leader', 'no_quorum', 'peer_unreachable']);
+
+/** How operators reach the control group. */
+export interface TrpcOperatorClientOptions {
+  /** IP numbers and ports of operators listeners, tried in order. */
+  readonly servers: readonly string[];
+  readonly operatorKey: string;
+  readonly operator: string;
+  readonly clock: Clock;
+}
+
+/** One call of an operators' procedure. */
+export interface OperatorCall<Output> {
+  readonly kind: 'query' | 'mutation';
+  /** Name of the procedure, for example `preset.list`. */
+  readonly path: string;
+  readonly input?: unknown;
+  /** Checks the answer. */
+  readonly output: z.ZodType<Result<Output>>;
+}
+
+function describeError(error: unknown): { readonly status: number; readonly text: string } {
+  const meta = error instanceof TRPCClientError ? error.meta : undefined;
+  const { status = 0 } = (meta?.response ?? {}) as { readonly status?: number };
+  const { cause, message } = error as Error;
+  // fetch hides the reason, for example ECONNREFUSED, two causes deep.
+  const reason = cause instanceof Error && cause.cause instanceof Error ? cause.cause : undefined;
+  return { status, text: reason?.message || message };
+}
+
+/** Calls the operators listeners of the control hosts, one after another until one answers. */
+export default class TrpcOperatorClient {
+  private readonly options: TrpcOperatorClientOptions;
+
+  constructor(options: TrpcOperatorClientOptions) {
+    this.options = options;
+  }
+
+  /** The first answer of a leader, or the most telling failure. A change may be sent to several. */
+  async requestOperator<Output>(call: OperatorCall<Output>): Promise<Result<Output>> {
+    let best: Failure | undefined;
+    for (const server of this.options.servers) {
+      const answer = await this.requestServer(server, call);
+      if (answer.ok || !passedOn.has(answer.failure.kind)) return answer;
+      if (!best || best.kind === 'peer_unreachable') best = answer.failure;
+    }
+    const message = `${call.path}: no server is given`;
+    return { ok: false, failure: best ?? { kind: 'peer_unreachable', message } };
+  }
+
+  private async requestServer<Output>(
+    server: string,
+    call: OperatorCall<Output>,
+  ): Promise<Result<Output>> {
+    const { clock, operatorKey, operator } = this.options;
+    const fail = (kind: 'peer_unreachable' | 'unauthorized' | 'message_invalid', detail: string) =>
+      ({ ok: false, failure: { kind, message: `${call.path} at ${server}: ${detail}` } }) as const;
+    const headers = {
+      authorization: `Bearer ${operatorKey}`,
+      'pistachiohoist-operator': operator,
+    };
+    const link = httpLink({ url: `http://${server}`, headers });
+    const client = createTRPCUntypedClient<AnyTRPCRouter>({ links: [link] });
+    const overdue = new AbortController();
+    const answered = new AbortController();
+    const watch = clock
+      .sleepUntil(clock.now() + callTimeoutMs, answered.signal)
+      .then(() => overdue.abort());
+    try {
+      const answer = await client[call.kind](call.path, call.input, { signal: overdue.signal });
+      const parsed = call.output.safeParse(answer);
+      return parsed.success ? parsed.data : fail('message_invalid', 'the answer is malformed');
+    } catch (error) {
+      if (overdue.signal.aborted) return fail('peer_unreachable', 'no answer in time');
+      const { status, text } = describeError(error);
+      if (status === 401)
+        return fail('unauthorized', 'the key is wrong; expected the operator key');
+      return status === 0 ? fail('peer_unreachable', text) : fail('message_invalid', text);
+    } finally {
+      answered.abort();
+      await watch;
+    }
+  }
+}
--- /dev/null
+++ b/src/adapters/trpc/createOperatorRouter.ts
@@ -0,0 +1,57 @@
+import type BurnReporter from '../../application/operators/BurnReporter.ts';
+import type PresetStatusReader from '../../application/operators/PresetStatusReader.ts';
+import type ServiceDirectory from '../../application/operators/ServiceDirectory.ts';
+import type UpstreamDirectory from '../../application/operators/UpstreamDirectory.ts';
+import type PresetService from '../../application/presets/PresetService.ts';
+import type Result from '../../domain/errors/Result.ts';
+import type Clock from '../../ports/Clock.ts';
+import { putPresetSchema, showPresetSchema, usePresetSchema } from './operatorMessages.ts';
+import parseInput from './parseInput.ts';
+import { procedure, router } from './trpcBase.ts';
+
+// Longer than an election, shorter than the time that the operators' tool waits.
+const answerTimeoutMs = 4000;
+
+/** What the operators' procedures call. */
+export interface OperatorRouterOptions {
+  readonly clock: Clock;
+  readonly presets: PresetService;
+  readonly status: PresetStatusReader;
+  readonly upstreams: UpstreamDirectory;
+  readonly services: ServiceDirectory;
+  readonly burn: BurnReporter;
+}
+
+const accept = <Value>(value: Value): Result<Value> => ({ ok: true, value });
+
+/** The operators' procedures of a control host; expected errors are returned as data. */
+export default function createOperatorRouter(options: OperatorRouterOptions) {
+  const { clock, presets, status, upstreams, services, burn } = options;
+  const createDeadline = (): number => clock.now() + answerTimeoutMs;
+  const inputProcedure = procedure.input((input: unknown) => input);
+  return router({
+    preset: router({
+      list: procedure.query(() => presets.listPresets(createDeadline())),
+      status: procedure.query(() => status.readStatus(createDeadline())),
+      show: inputProcedure.query(async ({ input }) => {
+        const asked = parseInput('preset.show', showPresetSchema, input);
+        return asked.ok ? presets.showPreset(asked.value.name, createDeadline()) : asked;
+      }),
+      put: inputProcedure.mutation(async ({ input, ctx }) => {
+        const change = parseInput('preset.put', putPresetSchema, input);
+        if (!change.ok) return change;
+        const { callerName: operator } = ctx;
+        return presets.putPreset({ ...change.value, operator }, createDeadline());
+      }),
+      use: inputProcedure.mutation(async ({ input, ctx }) => {
+        const change = parseInput('preset.use', usePresetSchema, input);
+        if (!change.ok) return change;
+        const { callerName: operator } = ctx;
+        return presets.usePreset({ ...change.value, operator }, createDeadline());
+      }),
+    }),
+    upstream: router({ list: procedure.query(() => accept(upstreams.listUpstreams())) }),
+    service: router({ list: procedure.query(() => accept(services.listServices())) }),
+    report: router({ burn: procedure.query(() => burn.reportBurn(createDeadline())) }),
+  });
+}
--- /dev/null
+++ b/src/adapters/trpc/operatorMessages.ts
@@ -0,0 +1,118 @@
+import { z } from 'zod';
+
+import type { ServiceBurn } from '../../application/operators/BurnReporter.ts';
+import type { PresetStatus } from '../../application/operators/PresetStatusReader.ts';
+import type { ServiceStatus } from '../../application/operators/ServiceDirectory.ts';
+import type { UpstreamStatus } from '../../application/operators/UpstreamDirectory.ts';
+import type { PresetListing } from '../../application/presets/PresetService.ts';
+import type { PresetRecord } from '../../domain/presets/PresetBookSnapshot.ts';
+import { acceptedChangeSchema } from './controlMessages.ts';
+import { createOptionalSchema, createResultSchema, winnerSchema } from './failureSchema.ts';
+import presetSchema from './presetSchema.ts';
+
+const changeIdExpected = 'expected a change id of 1 to 100 printable characters without spaces';
+
+/** Form of the header `pistachiohoist-operator`. */
+export const operatorNamePattern = /^[\x21-\x7e]{1,63}$/;
+
+/** Describes `operatorNamePattern` in errors. */
+export const operatorNameExpected =
+  'expected a name of 1 to 63 printable characters without spaces';
+
+const changeFields = {
+  name: z.string().max(63),
+  basedOn: z.int('expected a whole number').min(0, 'expected 0 or a revision'),
+  changeId: z.string().regex(/^[\x21-\x7e]{1,100}$/, changeIdExpected),
+};
+
+/** Input of `preset.put`. */
+export const putPresetSchema = z.object({ ...changeFields, preset: presetSchema });
+
+/** Input of `preset.use`. */
+export const usePresetSchema = z.object(changeFields);
+
+/** Input of `preset.show`. */
+export const showPresetSchema = z.object({ name: z.string().max(63) });
+
+/** Output of `preset.put` and `preset.use`. */
+export const acceptedResultSchema = createResultSchema(acceptedChangeSchema);
+
+const namedChange = { ...winnerSchema.shape, name: z.string() };
+
+const presetListingSchema: z.ZodType<PresetListing> = z.object({
+  presets: z.array(z.object(namedChange)),
+  selection: createOptionalSchema(z.object(namedChange)),
+  activeRevision: z.int(),
+});
+
+/** Output of `preset.list`. */
+export const presetListingResultSchema = createResultSchema(presetListingSchema);
+
+const presetRecordSchema: z.ZodType<PresetRecord> = z.object({
+  ...namedChange,
+  preset: presetSchema,
+});
+
+/** Output of `preset.show`. */
+export const presetRecordResultSchema = createResultSchema(presetRecordSchema);
+
+const presetStatusSchema: z.ZodType<PresetStatus> = z.object({
+  name: z.string(),
+  revision: z.int(),
+  entryHosts: z.int(),
+  hosts: z.array(
+    z.object({
+      host: z.string(),
+      role: z.enum(['entry', 'control']),
+      failureDomain: z.string(),
+      state: z.enum(['starting', 'ready', 'stopping']),
+      presetName: z.string(),
+      revision: z.int(),
+      isLagging: z.boolean(),
+    }),
+  ),
+});
+
+/** Output of `preset.status`. */
+export const presetStatusResultSchema = createResultSchema(presetStatusSchema);
+
+const upstreamStatusSchema: z.ZodType<UpstreamStatus> = z.object({
+  service: z.string(),
+  upstream: z.string(),
+  address: z.string(),
+  failureDomain: z.string(),
+  slots: z.int(),
+  state: z.enum(['starting', 'serving', 'leaving']),
+  ejectedUntil: z.number(),
+});
+
+/** Output of `upstream.list`. */
+export const upstreamListResultSchema = createResultSchema(z.array(upstreamStatusSchema));
+
+const serviceStatusSchema: z.ZodType<ServiceStatus> = z.object({
+  service: z.string(),
+  upstreams: z.int(),
+  floor: z.int(),
+  detection: z.enum(['fast', 'sure']),
+  serving: z.int(),
+  ejected: z.int(),
+});
+
+/** Output of `service.list`. */
+export const serviceListResultSchema = createResultSchema(z.array(serviceStatusSchema));
+
+const serviceBurnSchema: z.ZodType<ServiceBurn> = z.object({
+  service: z.string(),
+  objective: z.object({ goodShare: z.number(), withinMs: z.number() }),
+  windows: z.array(
+    z.object({
+      windowMs: z.number(),
+      requests: z.int(),
+      goodShare: z.number(),
+      burnRate: z.number(),
+    }),
+  ),
+});
+
+/** Output of `report.burn`. */
+export const burnReportResultSchema = createResultSchema(z.array(serviceBurnSchema));
--- /dev/null
+++ b/src/adapters/yaml/formatPreset.ts
@@ -0,0 +1,43 @@
+import { stringify } from 'yaml';
+
+import type Preset from '../../domain/presets/Preset.ts';
+import type { RouteSettings, ServiceSettings } from '../../domain/presets/Preset.ts';
+
+function encodeService(service: ServiceSettings) {
+  return {
+    upstreams: service.upstreams,
+    floor: service.floor,
+    detection: service.detection,
+    retry_share: service.retryShare,
+    ramp_ms: service.rampMs,
+    echo_request_id: service.echoRequestId,
+    objective: {
+      good_share: service.objective.goodShare,
+      within_ms: service.objective.withinMs,
+    },
+  };
+}
+
+function encodeRoute(route: RouteSettings) {
+  return {
+    method: route.method,
+    path: route.path,
+    service: route.service,
+    repeat: route.repeat,
+    key: route.key,
+    deadline_ms: route.deadlineMs,
+    max_body_bytes: route.maxBodyBytes,
+    max_answer_bytes: route.maxAnswerBytes,
+  };
+}
+
+/** The YAML file of a preset; `parsePreset` reads it back. */
+export default function formatPreset(preset: Preset): string {
+  return stringify({
+    fleet: { entry_hosts: preset.fleet.entryHosts },
+    services: Object.fromEntries(
+      Object.entries(preset.services).map(([name, service]) => [name, encodeService(service)]),
+    ),
+    routes: preset.routes.map(encodeRoute),
+  });
+}
--- /dev/null
+++ b/src/application/operators/ServiceDirectory.ts
@@ -0,0 +1,18 @@
+import type { DetectionPreference } from '../../domain/presets/Preset.ts';
+
+/** One service of the active preset and its upstreams now. */
+export interface ServiceStatus {
+  readonly service: string;
+  /** Number of upstreams the service normally has. */
+  readonly upstreams: number;
+  readonly floor: number;
+  readonly detection: DetectionPreference;
+  /** Upstreams that announced `serving`. */
+  readonly serving: number;
+  readonly ejected: number;
+}
+
+/** The services of the active preset. */
+export default interface ServiceDirectory {
+  listServices(): readonly ServiceStatus[];
+}
--- /dev/null
+++ b/src/application/operators/UpstreamDirectory.ts
@@ -0,0 +1,18 @@
+import type { UpstreamStateName } from '../../domain/membership/UpstreamRecord.ts';
+
+/** One upstream as operators see it. */
+export interface UpstreamStatus {
+  readonly service: string;
+  readonly upstream: string;
+  readonly address: string;
+  readonly failureDomain: string;
+  readonly slots: number;
+  readonly state: UpstreamStateName;
+  /** Instant until which it is ejected; 0 when it is not. */
+  readonly ejectedUntil: number;
+}
+
+/** The upstreams that this host knows. */
+export default interface UpstreamDirectory {
+  listUpstreams(): readonly UpstreamStatus[];
+}
--- /dev/null
+++ b/src/cli/exitCodes.ts
@@ -0,0 +1,17 @@
+import type ErrorKind from '../domain/errors/ErrorKind.ts';
+
+/** Exit codes of the operators' tool; scripts rely on them. */
+const exitCodes = { done: 0, refused: 1, wrongUse: 2, notReachable: 3 } as const;
+
+export default exitCodes;
+
+const unreachableKinds: ReadonlySet<ErrorKind> = new Set([
+  'peer_unreachable',
+  'not_leader',
+  'no_quorum',
+]);
+
+/** The exit code for an answer of the control group. */
+export function decideExitCode(kind: ErrorKind): number {
+  return unreachableKinds.has(kind) ? exitCodes.notReachable : exitCodes.refused;
+}
--- /dev/null
+++ b/src/cli/formatTable.ts
@@ -0,0 +1,30 @@
+type Cell = string | number;
+
+// Names come from other hosts; control characters could change the terminal.
+function formatCell(cell: Cell): string {
+  const text = String(cell).replace(/[^\x20-\x7e\u00a0-\uffff]/g, '?');
+  return text === '' ? '-' : text;
+}
+
+/** Aligned columns with a header line; two spaces apart, numbers to the right. */
+export default function formatTable(
+  header: readonly string[],
+  rows: readonly (readonly Cell[])[],
+): string {
+  const texts = [header, ...rows].map((row) => row.map(formatCell));
+  const widths = header.map((_, column) =>
+    Math.max(...texts.map((row) => row[column]?.length ?? 0)),
+  );
+  const isRight = header.map((_, column) => rows.some((row) => typeof row[column] === 'number'));
+  return texts
+    .map((row) =>
+      row
+        .map((text, column) => {
+          const width = widths[column] ?? 0;
+          return isRight[column] ? text.padStart(width) : text.padEnd(width);
+        })
+        .join('  ')
+        .trimEnd(),
+    )
+    .join('\n');
+}
--- /dev/null
+++ b/src/cli/runCommandLine.ts
@@ -0,0 +1,174 @@
+import { parseArgs } from 'node:util';
+
+import { operatorNameExpected, operatorNamePattern } from '../adapters/trpc/operatorMessages.ts';
+import { addressTextSchema } from '../adapters/yaml/listenAddressSchema.ts';
+import TrpcOperatorClient from '../adapters/trpc/TrpcOperatorClient.ts';
+import type Failure from '../domain/errors/Failure.ts';
+import type Clock from '../ports/Clock.ts';
+import type RandomSource from '../ports/RandomSource.ts';
+import type Command from './Command.ts';
+import type { CommandOutput } from './Command.ts';
+import PresetListCommand from './PresetListCommand.ts';
+import PresetPutCommand from './PresetPutCommand.ts';
+import PresetShowCommand from './PresetShowCommand.ts';
+import PresetStatusCommand from './PresetStatusCommand.ts';
+import PresetUseCommand from './PresetUseCommand.ts';
+import ReportBurnCommand from './ReportBurnCommand.ts';
+import ServiceListCommand from './ServiceListCommand.ts';
+import UpstreamListCommand from './UpstreamListCommand.ts';
+import UsageError from './UsageError.ts';
+import exitCodes, { decideExitCode } from './exitCodes.ts';
+import options, { globalHelp } from './options.ts';
+
+/** What the tool uses of its process. */
+export interface CommandLineOptions {
+  /** Arguments after the name of the program. */
+  readonly parameters: readonly string[];
+  /** May hold the operator key and the login name. */
+  readonly environment: Readonly<Record<string, string | undefined>>;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly readFile: (path: string) => Promise<string>;
+  readonly writeOutput: (text: string) => void;
+  readonly writeError: (text: string) => void;
+}
+
+const commands: readonly Command[] = [
+  new PresetListCommand(),
+  new PresetShowCommand(),
+  new PresetPutCommand(),
+  new PresetUseCommand(),
+  new PresetStatusCommand(),
+  new UpstreamListCommand(),
+  new ServiceListCommand(),
+  new ReportBurnCommand(),
+];
+
+type Values = ReturnType<typeof parseParameters>['values'];
+
+function parseParameters(parameters: readonly string[]) {
+  try {
+    const parsed = parseArgs({ args: [...parameters], options, allowPositionals: true });
+    return { values: parsed.values, words: parsed.positionals };
+  } catch (error) {
+    throw new UsageError((error as Error).message);
+  }
+}
+
+function describeUsage(command: Command): string {
+  const own = command.options.map((name) =>
+    name === 'based-on' ? `--${name} REVISION` : `[--${name} ID]`,
+  );
+  return ['pistachiohoist', command.name, ...command.positionals, ...own].join(' ');
+}
+
+function describeHelp(command: Command | undefined): string {
+  const usages = command ? [describeUsage(command)] : commands.map(describeUsage);
+  const help = command ? [...command.help, ''] : [];
+  return ['Usage:', ...usages.map((usage) => `  ${usage}`), '', ...help, globalHelp].join('\n');
+}
+
+function checkUse(command: Command, values: Values, positionals: readonly string[]): void {
+  if (positionals.length !== command.positionals.length) {
+    const expected = command.positionals.join(' ') || 'none';
+    throw new UsageError(
+      `${command.name}: ${positionals.length} arguments; expected ${expected}: ${describeUsage(command)}`,
+    );
+  }
+  const unknown = (['based-on', 'change-id'] as const).find(
+    (name) => values[name] !== undefined && !command.options.some((own) => own === name),
+  );
+  if (unknown) throw new UsageError(`${command.name}: option --${unknown} is not allowed here`);
+}
+
+function readServers(values: Values): readonly string[] {
+  const servers = values.server ?? [];
+  if (servers.length === 0) {
+    throw new UsageError('--server: missing: expected HOST:PORT of an operators listener');
+  }
+  servers.forEach((server) => {
+    const checked = addressTextSchema.safeParse(server);
+    if (checked.success) return;
+    const expected = checked.error.issues[0]?.message ?? 'expected HOST:PORT';
+    throw new UsageError(`--server: value "${server}": ${expected}`);
+  });
+  return servers;
+}
+
+async function readFile(process: CommandLineOptions, path: string): Promise<string> {
+  try {
+    return await process.readFile(path);
+  } catch (error) {
+    throw new UsageError(`${path}: cannot be read: ${(error as Error).message}`);
+  }
+}
+
+function readOperator({ environment }: CommandLineOptions, values: Values): string {
+  const name = values.operator ?? environment.LOGNAME ?? environment.USER;
+  if (name !== undefined && operatorNamePattern.test(name)) return name;
+  const shown = name === undefined ? 'missing' : JSON.stringify(name);
+  throw new UsageError(`--operator: value ${shown}: ${operatorNameExpected}`);
+}
+
+async function readKey(process: CommandLineOptions, values: Values): Promise<string> {
+  const file = values['key-file'];
+  const key =
+    file === undefined ? process.environment.PISTACHIOHOIST_KEY : await readFile(process, file);
+  if (key?.trim()) return key.trim();
+  throw new UsageError(
+    '--key-file: no key: expected a file or PISTACHIOHOIST_KEY with the operator key',
+  );
+}
+
+async function runCommand(process: CommandLineOptions): Promise<CommandOutput | Failure> {
+  const { values, words } = parseParameters(process.parameters);
+  const command = commands.find(({ name }) => name === words.slice(0, 2).join(' '));
+  if (values.help) return { value: { help: describeHelp(command) }, text: describeHelp(command) };
+  if (!command) {
+    const names = commands.map(({ name }) => name).join(', ');
+    const given = words.slice(0, 2).join(' ');
+    throw new UsageError(`command "${given}": expected one of ${names}; see --help`);
+  }
+  const positionals = words.slice(2);
+  checkUse(command, values, positionals);
+  const client = new TrpcOperatorClient({
+    servers: readServers(values),
+    operatorKey: await readKey(process, values),
+    operator: readOperator(process, values),
+    clock: process.clock,
+  });
+  const result = await command.runCommand({
+    client,
+    random: process.random,
+    positionals,
+    values,
+    readFile: (path) => readFile(process, path),
+    writeNote: (line) => process.writeError(`${line}\n`),
+  });
+  return result.ok ? result.value : result.failure;
+}
+
+/** Runs one command and returns the exit code. */
+export default async function runCommandLine(process: CommandLineOptions): Promise<number> {
+  const hasJson = process.parameters.includes('--json');
+  const writeFailure = (kind: string, failure: object, message: string): void => {
+    const text = hasJson
+      ? JSON.stringify({ error: failure })
+      : `pistachiohoist: ${kind}: ${message}`;
+    process.writeError(`${text}\n`);
+  };
+  try {
+    const end = await runCommand(process);
+    if ('kind' in end) {
+      writeFailure(end.kind, end, end.message);
+      return decideExitCode(end.kind);
+    }
+    process.writeOutput(`${hasJson ? JSON.stringify(end.value) : end.text}\n`);
+    if (!hasJson) end.notes?.forEach((note) => process.writeError(`${note}\n`));
+    return exitCodes.done;
+  } catch (error) {
+    if (!(error instanceof UsageError)) throw error;
+    writeFailure('usage', { kind: 'usage', message: error.message }, error.message);
+    return exitCodes.wrongUse;
+  }
+}
--- /dev/null
+++ b/tests/cli/commandLine.test.ts
@@ -0,0 +1,215 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+
+import SystemClock from '../../src/adapters/system/SystemClock.ts';
+import SystemRandomSource from '../../src/adapters/system/SystemRandomSource.ts';
+import TrpcOperatorServer from '../../src/adapters/trpc/TrpcOperatorServer.ts';
+import createOperatorRouter from '../../src/adapters/trpc/createOperatorRouter.ts';
+import formatPreset from '../../src/adapters/yaml/formatPreset.ts';
+import PresetStatusReader from '../../src/application/operators/PresetStatusReader.ts';
+import PresetService from '../../src/application/presets/PresetService.ts';
+import formatTable from '../../src/cli/formatTable.ts';
+import runCommandLine from '../../src/cli/runCommandLine.ts';
+import type HostRecord from '../../src/domain/membership/HostRecord.ts';
+import FakeClock from '../fixtures/FakeClock.ts';
+import FakeControlGroup from '../fixtures/FakeControlGroup.ts';
+import SilentLog from '../fixtures/SilentLog.ts';
+import createPreset, { createService } from '../fixtures/createPreset.ts';
+
+const hostNames = ['control-1', 'control-2'];
+const operatorKey = 'an operator key for tests';
+
+function createHost(host: string, revision: number): HostRecord {
+  return {
+    host,
+    role: host.startsWith('entry') ? 'entry' : 'control',
+    peerAddress: '127.0.0.1:1',
+    failureDomain: 'north',
+    incarnation: 1,
+    sequence: 1,
+    state: 'ready',
+    revision,
+    presetName: revision > 0 ? 'ordinary' : '',
+    leaseDeadline: 0,
+  };
+}
+
+describe('pistachiohoist', () => {
+  let group: FakeControlGroup;
+  let servers: TrpcOperatorServer[];
+  let addresses: string[];
+  const files: Record<string, string> = {
+    'good.yaml': formatPreset(createPreset()),
+    'floor.yaml': formatPreset(
+      createPreset({ services: { history: createService({ floor: 8 }) } }),
+    ),
+    'text.yaml': 'routes: 7',
+  };
+
+  beforeEach(async () => {
+    const clock = new FakeClock();
+    group = new FakeControlGroup({ clock, hosts: hostNames, commitMs: 0 });
+    servers = hostNames.map((host) => {
+      const log = group.createLog(host);
+      const presets = new PresetService({ clock, log, presets: group.state.presets });
+      const hosts = { listHosts: () => [createHost('entry-2', 1), createHost('entry-1', 2)] };
+      const router = createOperatorRouter({
+        clock,
+        presets,
+        status: new PresetStatusReader({ source: presets, hosts }),
+        upstreams: { listUpstreams: () => [] },
+        services: { listServices: () => [] },
+        burn: { reportBurn: async () => ({ ok: true, value: [] }) },
+      });
+      return new TrpcOperatorServer({ router, operatorKey, log: new SilentLog() });
+    });
+    await Promise.all(servers.map((server) => server.openListener({ ip: '127.0.0.1', port: 0 })));
+    addresses = servers.map(({ address }) => `127.0.0.1:${address.port}`);
+  });
+
+  afterEach(async () => {
+    await Promise.all(servers.map((server) => server.closeListener()));
+  });
+
+  async function run(
+    parameters: readonly string[],
+    environment: Record<string, string> = { PISTACHIOHOIST_KEY: operatorKey, USER: 'ana' },
+  ) {
+    let output = '';
+    let errors = '';
+    const code = await runCommandLine({
+      parameters,
+      environment,
+      clock: new SystemClock(),
+      random: new SystemRandomSource(),
+      readFile: async (path) => {
+        const text = files[path];
+        if (text === undefined) throw new Error('no such file');
+        return text;
+      },
+      writeOutput: (text) => {
+        output += text;
+      },
+      writeError: (text) => {
+        errors += text;
+      },
+    });
+    return { code, output, errors };
+  }
+
+  const runAt = (parameters: string, server = addresses[0]) =>
+    run([...parameters.split(' '), '--server', server ?? '']);
+
+  it('should put, use, show and list a preset and name the hosts that lag', async () => {
+    expect(await runAt('preset put ordinary good.yaml --based-on 0')).toMatchObject({ code: 0 });
+    expect((await runAt('preset use ordinary --based-on 0')).code).toBe(0);
+
+    const shown = await runAt('preset show ordinary');
+    expect(shown.output).toBe(files['good.yaml']);
+    const listed = await runAt('preset list');
+    expect(listed.output).toBe(
+      'NAME      REVISION  OPERATOR  ACTIVE\nordinary         1  ana       yes\n',
+    );
+    expect(listed.errors).toBe('selection: revision 2\n');
+    const status = await runAt('preset status');
+    expect(status.output.split('\n')[2]).toMatch(
+      /^entry-2 +entry +north +ready +ordinary +1 +yes$/,
+    );
+    expect(status.errors).toContain('lagging: entry-2\n');
+  });
+
+  // Guards against a script that takes a lost answer for a lost change: the printed id makes the
+  // resent change the same one.
+  it('should print the change id it made, and take it for a resend', async () => {
+    const command = 'preset put ordinary good.yaml --based-on 0';
+    const first = await runAt(`${command} --json`);
+    const changeId = /change id: (\S+)/.exec(first.errors)?.[1] ?? '';
+    const again = await runAt(`${command} --json --change-id ${changeId}`);
+
+    expect(JSON.parse(first.output)).toEqual({ name: 'ordinary', revision: 1, changeId });
+    expect(again.output).toBe(first.output);
+    const late = await runAt(`${command} --json`);
+    expect(late.code).toBe(1);
+    expect(JSON.parse(late.errors.split('\n')[1] ?? '').error.winner).toEqual({
+      revision: 1,
+      operator: 'ana',
+      changeId,
+    });
+  });
+
+  it('should follow not_leader to another given server', async () => {
+    const toFollower = ['--server', addresses[1] ?? ''];
+    expect((await run(['preset', 'list', ...toFollower])).code).toBe(3);
+
+    const both = await run(['preset', 'list', ...toFollower, '--server', addresses[0] ?? '']);
+    expect(both.code).toBe(0);
+  });
+
+  it('should exit with 3 when no server is reachable', async () => {
+    await Promise.all(servers.map((server) => server.closeListener()));
+
+    const end = await runAt('preset list');
+    expect(end.code).toBe(3);
+    expect(end.errors).toContain(`preset.list at ${addresses[0]}: `);
+  });
+
+  // Guards against changes by anyone who can reach the listener.
+  it('should refuse a wrong key and change nothing', async () => {
+    const command = ['preset', 'put', 'x', 'good.yaml', '--based-on', '0', '--server'];
+    const environment = { PISTACHIOHOIST_KEY: 'another operator key', USER: 'ana' };
+    const end = await run([...command, addresses[0] ?? ''], environment);
+
+    expect(end).toMatchObject({ code: 1, output: '' });
+    expect(end.errors).toContain('unauthorized');
+    expect(group.commits).toBe(0);
+  });
+
+  it.each([
+    ['preset', 'command "preset": expected one of preset list'],
+    ['preset list extra', '1 arguments; expected none'],
+    ['preset list --based-on 1', 'option --based-on is not allowed here'],
+    ['preset list --colour', "Unknown option '--colour'"],
+    ['preset use ordinary', '--based-on: value missing: expected a revision'],
+    ['preset put ordinary none.yaml --based-on 0', 'none.yaml: cannot be read: no such file'],
+    ['preset put ordinary text.yaml --based-on 0', 'text.yaml: key fleet: value missing'],
+    ['preset put ordinary floor.yaml --based-on 0', 'key services.history.floor: value 8'],
+    ['preset list --key-file none.key', 'none.key: cannot be read'],
+    ['preset list --operator a\u0007b', '--operator: value "a\\u0007b": expected a name'],
+    ['preset list --server control-1:80', '--server: value "control-1:80": expected an IP'],
+  ])('should exit with 2 for "%s"', async (parameters, message) => {
+    const end = await runAt(parameters);
+
+    expect(end).toMatchObject({ code: 2, output: '' });
+    expect(end.errors).toContain(message);
+    expect(group.commits).toBe(0);
+  });
+
+  it.each([
+    'preset list',
+    'preset show',
+    'preset put',
+    'preset use',
+    'preset status',
+    'upstream list',
+    'service list',
+    'report burn',
+  ])('should print help for "%s" without a server or a key', async (name) => {
+    const end = await run([...name.split(' '), '--help'], {});
+
+    expect(end.code).toBe(0);
+    expect(end.output).toContain(`pistachiohoist ${name}`);
+  });
+
+  it.each(['upstream list', 'service list', 'report burn'])('should answer "%s"', async (name) => {
+    expect(await runAt(`${name} --json`)).toEqual({ code: 0, output: '[]\n', errors: '' });
+  });
+
+  // Guards against names that move the cursor or add lines to a table that a script reads.
+  it('should keep control characters out of tables', () => {
+    const rows = [
+      ['a\u001b[2J\nb', 1],
+      ['', 20],
+    ] as const;
+
+    expect(formatTable(['NAME', 'N'], rows)).toBe('NAME      N\na?[2J?b   1\n-        20');
+  });
+});
