Serve operators: listings, preset status and the burn report

Cause: the operators' procedures had interfaces without an implementation; the burn report lacked budget, latency and the hosts that did not answer; the tool refused to run without LOGNAME or USER.

--- a/examples/fleet/ManagedProcess.ts
+++ b/examples/fleet/ManagedProcess.ts
@@ -22,7 +22,8 @@
     this.child.stdout?.on('data', keep);
     this.child.stderr?.on('data', keep);
     this.ended = new Promise((resolve) => {
-      this.child.once('exit', (code, signal) => resolve(code ?? signal ?? 'unknown'));
+      // The output is whole only when the streams have closed too.
+      this.child.once('close', (code, signal) => resolve(code ?? signal ?? 'unknown'));
     });
   }
 
--- a/src/adapters/metrics/HdrLatencyRecorder.ts
+++ b/src/adapters/metrics/HdrLatencyRecorder.ts
@@ -1,8 +1,9 @@
 import { build, decodeFromCompressedBase64, encodeIntoCompressedBase64 } from 'hdr-histogram-js';
 import type { Histogram } from 'hdr-histogram-js';
 
+import type { LatencySummary } from '../../domain/metrics/BurnReport.ts';
 import type LatencyRecorder from '../../ports/LatencyRecorder.ts';
-import type { HistogramMerger, LatencySummary } from '../../ports/LatencyRecorder.ts';
+import type { HistogramMerger } from '../../ports/LatencyRecorder.ts';
 
 const unitsPerMs = 1000;
 const longestMs = 600_000;
--- a/src/adapters/trpc/createOperatorRouter.ts
+++ b/src/adapters/trpc/createOperatorRouter.ts
@@ -1,7 +1,7 @@
-import type BurnReporter from '../../application/operators/BurnReporter.ts';
+import type BurnReporter from '../../application/metrics/BurnReporter.ts';
 import type PresetStatusReader from '../../application/operators/PresetStatusReader.ts';
-import type ServiceDirectory from '../../application/operators/ServiceDirectory.ts';
-import type UpstreamDirectory from '../../application/operators/UpstreamDirectory.ts';
+import type ServiceListing from '../../application/operators/ServiceListing.ts';
+import type UpstreamListing from '../../application/operators/UpstreamListing.ts';
 import type PresetService from '../../application/presets/PresetService.ts';
 import type Result from '../../domain/errors/Result.ts';
 import type Clock from '../../ports/Clock.ts';
@@ -17,9 +17,9 @@
   readonly clock: Clock;
   readonly presets: PresetService;
   readonly status: PresetStatusReader;
-  readonly upstreams: UpstreamDirectory;
-  readonly services: ServiceDirectory;
-  readonly burn: BurnReporter;
+  readonly upstreams: UpstreamListing;
+  readonly services: ServiceListing;
+  readonly burn: Pick<BurnReporter, 'createReport'>;
 }
 
 const accept = <Value>(value: Value): Result<Value> => ({ ok: true, value });
@@ -52,6 +52,6 @@
     }),
     upstream: router({ list: procedure.query(() => accept(upstreams.listUpstreams())) }),
     service: router({ list: procedure.query(() => accept(services.listServices())) }),
-    report: router({ burn: procedure.query(() => burn.reportBurn(createDeadline())) }),
+    report: router({ burn: procedure.query(async () => accept(await burn.createReport())) }),
   });
 }
--- a/src/adapters/trpc/metricsMessages.ts
+++ b/src/adapters/trpc/metricsMessages.ts
@@ -2,6 +2,14 @@
 
 const countsSchema = z.object({ good: z.number().min(0), bad: z.number().min(0) });
 
+/** Requests of a service in each window. */
+export const windowCountsSchema = z.object({
+  '5m': countsSchema,
+  '1h': countsSchema,
+  '6h': countsSchema,
+  '3d': countsSchema,
+});
+
 /** Answer of `metrics.takeSnapshot`. */
 export const snapshotSchema = z.object({
   host: z.string(),
@@ -9,12 +17,7 @@
   services: z.array(
     z.object({
       service: z.string(),
-      counts: z.object({
-        '5m': countsSchema,
-        '1h': countsSchema,
-        '6h': countsSchema,
-        '3d': countsSchema,
-      }),
+      counts: windowCountsSchema,
       histogram: z.string(),
     }),
   ),
--- a/src/adapters/trpc/operatorMessages.ts
+++ b/src/adapters/trpc/operatorMessages.ts
@@ -1,13 +1,14 @@
 import { z } from 'zod';
 
-import type { ServiceBurn } from '../../application/operators/BurnReporter.ts';
 import type { PresetStatus } from '../../application/operators/PresetStatusReader.ts';
-import type { ServiceStatus } from '../../application/operators/ServiceDirectory.ts';
-import type { UpstreamStatus } from '../../application/operators/UpstreamDirectory.ts';
+import type { ServiceStatus } from '../../application/operators/ServiceListing.ts';
+import type { UpstreamStatus } from '../../application/operators/UpstreamListing.ts';
 import type { PresetListing } from '../../application/presets/PresetService.ts';
 import type { PresetRecord } from '../../domain/presets/PresetBookSnapshot.ts';
+import type BurnReport from '../../domain/metrics/BurnReport.ts';
 import { acceptedChangeSchema } from './controlMessages.ts';
 import { createOptionalSchema, createResultSchema, winnerSchema } from './failureSchema.ts';
+import { windowCountsSchema } from './metricsMessages.ts';
 import presetSchema from './presetSchema.ts';
 
 const changeIdExpected = 'expected a change id of 1 to 100 printable characters without spaces';
@@ -101,18 +102,36 @@
 /** Output of `service.list`. */
 export const serviceListResultSchema = createResultSchema(z.array(serviceStatusSchema));
 
-const serviceBurnSchema: z.ZodType<ServiceBurn> = z.object({
-  service: z.string(),
-  objective: z.object({ goodShare: z.number(), withinMs: z.number() }),
-  windows: z.array(
+const burnRatesSchema = z.object({
+  '5m': z.number(),
+  '1h': z.number(),
+  '6h': z.number(),
+  '3d': z.number(),
+});
+
+const burnReportSchema: z.ZodType<BurnReport> = z.object({
+  createdAt: z.number(),
+  hosts: z.array(z.string()),
+  missingHosts: z.array(z.string()),
+  services: z.array(
     z.object({
-      windowMs: z.number(),
-      requests: z.int(),
+      service: z.string(),
       goodShare: z.number(),
-      burnRate: z.number(),
+      withinMs: z.number(),
+      allowedShare: z.number(),
+      budgetLeft: z.number(),
+      burnRates: burnRatesSchema,
+      counts: windowCountsSchema,
+      latency: z.object({
+        count: z.number(),
+        p50: z.number(),
+        p90: z.number(),
+        p99: z.number(),
+        max: z.number(),
+      }),
     }),
   ),
 });
 
 /** Output of `report.burn`. */
-export const burnReportResultSchema = createResultSchema(z.array(serviceBurnSchema));
+export const burnReportResultSchema = createResultSchema(burnReportSchema);
--- a/src/application/metrics/BurnReporter.ts
+++ b/src/application/metrics/BurnReporter.ts
@@ -1,32 +1,14 @@
+import type BurnReport from '../../domain/metrics/BurnReport.ts';
+import type { ServiceReport } from '../../domain/metrics/BurnReport.ts';
 import computeBurn, { mergeCounts } from '../../domain/metrics/computeBurn.ts';
-import type { ServiceBurn } from '../../domain/metrics/computeBurn.ts';
-import type { WindowCounts } from '../../domain/metrics/BurnWindow.ts';
 import type Preset from '../../domain/presets/Preset.ts';
 import type Clock from '../../ports/Clock.ts';
-import type { HistogramMerger, LatencySummary } from '../../ports/LatencyRecorder.ts';
+import type { HistogramMerger } from '../../ports/LatencyRecorder.ts';
 import type MetricsLink from '../../ports/MetricsLink.ts';
 import type { RemoteSnapshot } from '../../ports/MetricsLink.ts';
 
 const askMs = 2000;
 
-/** Service levels of one service, merged over all hosts that answered. */
-export interface ServiceReport extends ServiceBurn {
-  readonly service: string;
-  readonly goodShare: number;
-  readonly withinMs: number;
-  readonly counts: WindowCounts;
-  readonly latency: LatencySummary;
-}
-
-/** The service-level burn of the fleet. */
-export interface BurnReport {
-  readonly createdAt: number;
-  readonly services: readonly ServiceReport[];
-  readonly hosts: readonly string[];
-  /** Hosts that could not be asked; their requests are missing in the report. */
-  readonly missingHosts: readonly string[];
-}
-
 /** What the reporter needs. */
 export interface BurnReporterOptions {
   readonly clock: Clock;
@@ -66,7 +48,9 @@
     host: string,
     deadline: number,
   ): Promise<RemoteSnapshot | undefined> {
-    const answer = await this.options.openLink(host)?.requestSnapshot(deadline);
+    const link = this.options.openLink(host);
+    const answer = await link?.requestSnapshot(deadline);
+    link?.close();
     return answer?.ok ? answer.value : undefined;
   }
 
--- /dev/null
+++ b/src/application/operators/FleetListing.ts
@@ -0,0 +1,65 @@
+import type VerdictBook from '../../domain/detection/VerdictBook.ts';
+import type HostDirectory from '../../domain/membership/HostDirectory.ts';
+import type HostRecord from '../../domain/membership/HostRecord.ts';
+import type UpstreamDirectory from '../../domain/membership/UpstreamDirectory.ts';
+import type Preset from '../../domain/presets/Preset.ts';
+import type Clock from '../../ports/Clock.ts';
+import type HostListing from './HostListing.ts';
+import type ServiceListing from './ServiceListing.ts';
+import type { ServiceStatus } from './ServiceListing.ts';
+import type UpstreamListing from './UpstreamListing.ts';
+import type { UpstreamStatus } from './UpstreamListing.ts';
+
+/** What the listing reads. */
+export interface FleetListingOptions {
+  readonly clock: Clock;
+  readonly hosts: HostDirectory;
+  readonly upstreams: UpstreamDirectory;
+  readonly verdicts: VerdictBook;
+  readonly readPreset: () => Preset | undefined;
+}
+
+/** Hosts, upstreams and services as this host's directories show them. */
+export default class FleetListing implements HostListing, UpstreamListing, ServiceListing {
+  private readonly options: FleetListingOptions;
+
+  constructor(options: FleetListingOptions) {
+    this.options = options;
+  }
+
+  listHosts(): readonly HostRecord[] {
+    return this.options.hosts.listRecords(this.options.clock.now());
+  }
+
+  listUpstreams(): readonly UpstreamStatus[] {
+    const { clock, upstreams, verdicts } = this.options;
+    const now = clock.now();
+    const getName = ({ service, upstream }: UpstreamStatus): string => `${service}/${upstream}`;
+    return upstreams
+      .listRecords(now)
+      .map(({ service, upstream, address, failureDomain, slots, state }) => {
+        const ejection = verdicts
+          .listEjections(service, now)
+          .find((ejected) => ejected.upstream === upstream);
+        const ejectedUntil = ejection?.deadline ?? 0;
+        return { service, upstream, address, failureDomain, slots, state, ejectedUntil };
+      })
+      .sort((left, right) => (getName(left) < getName(right) ? -1 : 1));
+  }
+
+  listServices(): readonly ServiceStatus[] {
+    const services = this.options.readPreset()?.services ?? {};
+    const upstreams = this.listUpstreams();
+    return Object.entries(services).map(([service, settings]) => {
+      const own = upstreams.filter((upstream) => upstream.service === service);
+      return {
+        service,
+        upstreams: settings.upstreams,
+        floor: settings.floor,
+        detection: settings.detection,
+        serving: own.filter(({ state }) => state === 'serving').length,
+        ejected: own.filter(({ ejectedUntil }) => ejectedUntil > 0).length,
+      };
+    });
+  }
+}
--- a/src/application/operators/HostDirectory.ts
+++ b/src/application/operators/HostListing.ts
@@ -1,7 +1,7 @@
 import type HostRecord from '../../domain/membership/HostRecord.ts';
 
 /** The daemons that this host knows. */
-export default interface HostDirectory {
+export default interface HostListing {
   /** Records whose lease has not expired, each with the host's active preset revision. */
   listHosts(): readonly HostRecord[];
 }
--- a/src/application/operators/PresetStatusReader.ts
+++ b/src/application/operators/PresetStatusReader.ts
@@ -2,7 +2,7 @@
 import type HostRecord from '../../domain/membership/HostRecord.ts';
 import isLagging from '../../domain/presets/isLagging.ts';
 import type PresetSource from '../presets/PresetSource.ts';
-import type HostDirectory from './HostDirectory.ts';
+import type HostListing from './HostListing.ts';
 
 /** The active preset and which revision each host has. */
 export interface PresetStatus {
@@ -21,9 +21,9 @@
 export default class PresetStatusReader {
   private readonly source: PresetSource;
 
-  private readonly hosts: HostDirectory;
+  private readonly hosts: HostListing;
 
-  constructor(options: { readonly source: PresetSource; readonly hosts: HostDirectory }) {
+  constructor(options: { readonly source: PresetSource; readonly hosts: HostListing }) {
     this.source = options.source;
     this.hosts = options.hosts;
   }
--- a/src/application/operators/ServiceDirectory.ts
+++ b/src/application/operators/ServiceListing.ts
@@ -13,6 +13,6 @@
 }
 
 /** The services of the active preset. */
-export default interface ServiceDirectory {
+export default interface ServiceListing {
   listServices(): readonly ServiceStatus[];
 }
--- a/src/application/operators/UpstreamDirectory.ts
+++ b/src/application/operators/UpstreamListing.ts
@@ -13,6 +13,6 @@
 }
 
 /** The upstreams that this host knows. */
-export default interface UpstreamDirectory {
+export default interface UpstreamListing {
   listUpstreams(): readonly UpstreamStatus[];
 }
--- a/src/cli/Command.ts
+++ b/src/cli/Command.ts
@@ -11,6 +11,8 @@
   readonly positionals: readonly string[];
   readonly values: Readonly<Partial<Record<CommandOption, string>>>;
   readonly readFile: (path: string) => Promise<string>;
+  /** Rejects with UsageError when the file can't be written. */
+  readonly writeFile: (path: string, text: string) => Promise<void>;
   /** Writes a line to standard error. */
   readonly writeNote: (line: string) => void;
 }
--- a/src/cli/ReportBurnCommand.ts
+++ b/src/cli/ReportBurnCommand.ts
@@ -1,10 +1,10 @@
 import { burnReportResultSchema } from '../adapters/trpc/operatorMessages.ts';
 import type Result from '../domain/errors/Result.ts';
+import { burnWindows } from '../domain/metrics/BurnWindow.ts';
 import type Command from './Command.ts';
 import type { CommandContext, CommandOutput } from './Command.ts';
 import formatTable from './formatTable.ts';
-
-const minuteMs = 60_000;
+import renderBurnPage from './renderBurnPage.ts';
 
 /** `report burn` */
 export default class ReportBurnCommand implements Command {
@@ -12,32 +12,37 @@
 
   readonly positionals = [];
 
-  readonly options = [];
+  readonly options = ['html'] as const;
 
   readonly help = [
-    'Reports how fast each service uses up its error budget; at a burn rate of 1 it lasts',
-    'exactly as long as the objective allows.',
+    'Reports how fast each service uses up its error budget, merged over all entry hosts. A burn',
+    'rate of 1 uses the budget up exactly at the end of the window; BUDGET is what is left of it.',
+    '  --html FILE  also writes the report as one HTML page with a plot',
   ];
 
-  async runCommand({ client }: CommandContext): Promise<Result<CommandOutput>> {
+  async runCommand({ client, values, writeFile }: CommandContext): Promise<Result<CommandOutput>> {
     const answer = await client.requestOperator({
       kind: 'query',
       path: 'report.burn',
       output: burnReportResultSchema,
     });
     if (!answer.ok) return answer;
-    const rows = answer.value.flatMap(({ service, objective, windows }) =>
-      windows.map((window) => [
-        service,
-        String(objective.goodShare),
-        objective.withinMs,
-        window.windowMs / minuteMs,
-        window.requests,
-        window.goodShare.toFixed(5),
-        window.burnRate.toFixed(2),
-      ]),
-    );
-    const header = ['SERVICE', 'OBJECTIVE', 'WITHIN-MS', 'MINUTES', 'REQUESTS', 'GOOD', 'BURN'];
-    return { ok: true, value: { value: answer.value, text: formatTable(header, rows) } };
+    const report = answer.value;
+    if (values.html !== undefined) await writeFile(values.html, renderBurnPage(report));
+    const rows = report.services.map((service) => [
+      service.service,
+      String(service.goodShare),
+      service.withinMs,
+      service.counts['3d'].good + service.counts['3d'].bad,
+      `${(100 * service.budgetLeft).toFixed(1)}%`,
+      ...burnWindows.map((window) => service.burnRates[window].toFixed(2)),
+      service.latency.p99.toFixed(1),
+    ]);
+    const header = ['SERVICE', 'OBJECTIVE', 'WITHIN-MS', 'REQUESTS', 'BUDGET'];
+    const rates = burnWindows.map((window) => `BURN-${window.toUpperCase()}`);
+    const text = formatTable([...header, ...rates, 'P99-MS'], rows);
+    const missing = report.missingHosts.join(', ') || 'none';
+    const notes = [`hosts: ${report.hosts.length}`, `missing: ${missing}`];
+    return { ok: true, value: { value: report, text, notes } };
   }
 }
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,4 +1,6 @@
-import { readFile } from 'node:fs/promises';
+#!/usr/bin/env node
+import { readFile, writeFile } from 'node:fs/promises';
+import { userInfo } from 'node:os';
 
 import SystemClock from '../adapters/system/SystemClock.ts';
 import SystemRandomSource from '../adapters/system/SystemRandomSource.ts';
@@ -6,10 +8,12 @@
 
 process.exitCode = await runCommandLine({
   parameters: process.argv.slice(2),
-  environment: process.env,
+  // Services and containers often run without the variables of a login.
+  environment: { LOGNAME: userInfo().username, ...process.env },
   clock: new SystemClock(),
   random: new SystemRandomSource(),
   readFile: (path) => readFile(path, 'utf8'),
+  writeFile: (path, text) => writeFile(path, text),
   writeOutput: (text) => process.stdout.write(text),
   writeError: (text) => process.stderr.write(text),
 });
--- a/src/cli/options.ts
+++ b/src/cli/options.ts
@@ -7,12 +7,13 @@
   help: { type: 'boolean', short: 'h' },
   'based-on': { type: 'string' },
   'change-id': { type: 'string' },
+  html: { type: 'string' },
 } as const;
 
 export default options;
 
 /** Options that only some commands take. */
-export type CommandOption = 'based-on' | 'change-id';
+export type CommandOption = 'based-on' | 'change-id' | 'html';
 
 /** Help on the options that every command takes. */
 export const globalHelp = [
--- a/src/cli/runCommandLine.ts
+++ b/src/cli/runCommandLine.ts
@@ -19,6 +19,7 @@
 import UsageError from './UsageError.ts';
 import exitCodes, { decideExitCode } from './exitCodes.ts';
 import options, { globalHelp } from './options.ts';
+import type { CommandOption } from './options.ts';
 
 /** What the tool uses of its process. */
 export interface CommandLineOptions {
@@ -29,6 +30,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly readFile: (path: string) => Promise<string>;
+  readonly writeFile: (path: string, text: string) => Promise<void>;
   readonly writeOutput: (text: string) => void;
   readonly writeError: (text: string) => void;
 }
@@ -44,6 +46,12 @@
   new ReportBurnCommand(),
 ];
 
+const optionUsages: Readonly<Record<CommandOption, string>> = {
+  'based-on': '--based-on REVISION',
+  'change-id': '[--change-id ID]',
+  html: '[--html FILE]',
+};
+
 type Values = ReturnType<typeof parseParameters>['values'];
 
 function parseParameters(parameters: readonly string[]) {
@@ -56,9 +64,7 @@
 }
 
 function describeUsage(command: Command): string {
-  const own = command.options.map((name) =>
-    name === 'based-on' ? `--${name} REVISION` : `[--${name} ID]`,
-  );
+  const own = command.options.map((name) => optionUsages[name]);
   return ['pistachiohoist', command.name, ...command.positionals, ...own].join(' ');
 }
 
@@ -75,7 +81,7 @@
       `${command.name}: ${positionals.length} arguments; expected ${expected}: ${describeUsage(command)}`,
     );
   }
-  const unknown = (['based-on', 'change-id'] as const).find(
+  const unknown = (['based-on', 'change-id', 'html'] as const).find(
     (name) => values[name] !== undefined && !command.options.some((own) => own === name),
   );
   if (unknown) throw new UsageError(`${command.name}: option --${unknown} is not allowed here`);
@@ -103,6 +109,14 @@
   }
 }
 
+async function writeFile(process: CommandLineOptions, path: string, text: string): Promise<void> {
+  try {
+    await process.writeFile(path, text);
+  } catch (error) {
+    throw new UsageError(`${path}: cannot be written: ${(error as Error).message}`);
+  }
+}
+
 function readOperator({ environment }: CommandLineOptions, values: Values): string {
   const name = values.operator ?? environment.LOGNAME ?? environment.USER;
   if (name !== undefined && operatorNamePattern.test(name)) return name;
@@ -143,6 +157,7 @@
     positionals,
     values,
     readFile: (path) => readFile(process, path),
+    writeFile: (path, text) => writeFile(process, path, text),
     writeNote: (line) => process.writeError(`${line}\n`),
   });
   return result.ok ? result.value : result.failure;
--- a/src/daemon/ControlHost.ts
+++ b/src/daemon/ControlHost.ts
@@ -1,25 +1,35 @@
 import NodeDisk from '../adapters/disk/NodeDisk.ts';
 import PrometheusMetrics from '../adapters/metrics/PrometheusMetrics.ts';
+import HdrLatencyRecorder from '../adapters/metrics/HdrLatencyRecorder.ts';
 import PlatformFrontEnd from '../adapters/http/PlatformFrontEnd.ts';
 import TrpcClaimLink from '../adapters/trpc/TrpcClaimLink.ts';
+import TrpcMetricsLink from '../adapters/trpc/TrpcMetricsLink.ts';
+import TrpcOperatorServer from '../adapters/trpc/TrpcOperatorServer.ts';
 import TrpcPeerServer from '../adapters/trpc/TrpcPeerServer.ts';
 import TrpcPresetLink from '../adapters/trpc/TrpcPresetLink.ts';
 import TrpcReplicationLink from '../adapters/trpc/TrpcReplicationLink.ts';
 import { parseControlSnapshot } from '../adapters/trpc/controlMessages.ts';
 import createClaimRouter from '../adapters/trpc/createClaimRouter.ts';
 import createGossipRouter from '../adapters/trpc/createGossipRouter.ts';
+import createOperatorRouter from '../adapters/trpc/createOperatorRouter.ts';
 import createPresetRouter from '../adapters/trpc/createPresetRouter.ts';
 import createReplicationRouter from '../adapters/trpc/createReplicationRouter.ts';
+import { parseVerdict } from '../adapters/trpc/detectionMessages.ts';
 import { router } from '../adapters/trpc/trpcBase.ts';
 import ClaimService from '../application/claims/ClaimService.ts';
 import type { HostStatus } from '../application/membership/HostHeartbeat.ts';
+import BurnReporter from '../application/metrics/BurnReporter.ts';
+import FleetListing from '../application/operators/FleetListing.ts';
+import PresetStatusReader from '../application/operators/PresetStatusReader.ts';
 import ForwardingPresetSource from '../application/presets/ForwardingPresetSource.ts';
 import PresetService from '../application/presets/PresetService.ts';
 import Replica from '../application/replication/Replica.ts';
 import type ControlCommand from '../domain/control/ControlCommand.ts';
 import type { ControlReply } from '../domain/control/ControlCommand.ts';
 import ControlState from '../domain/control/ControlState.ts';
+import VerdictBook from '../domain/detection/VerdictBook.ts';
 import type { HostStateName } from '../domain/membership/HostRecord.ts';
+import type Preset from '../domain/presets/Preset.ts';
 import type Daemon from './Daemon.ts';
 import type { DaemonOptions } from './EntryHost.ts';
 import PeerNetwork from './PeerNetwork.ts';
@@ -34,6 +44,7 @@
   readonly state: ControlState;
   readonly network: PeerNetwork;
   readonly replica: ControlReplica;
+  readonly verdicts: VerdictBook;
 }
 
 /** Composition root of a daemon with the role `control`. */
@@ -54,6 +65,8 @@
 
   private readonly peers: TrpcPeerServer;
 
+  private readonly operators: TrpcOperatorServer;
+
   private isStopping = false;
 
   private constructor(options: DaemonOptions, parts: ControlParts) {
@@ -94,6 +107,11 @@
       peerKey: settings.peerKey,
       log,
     });
+    this.operators = new TrpcOperatorServer({
+      router: this.createOperatorRouter(parts.verdicts),
+      operatorKey: settings.operatorKey ?? '',
+      log,
+    });
   }
 
   /**
@@ -103,12 +121,13 @@
     const { settings, clock, random, log } = options;
     const state = new ControlState({ parseSnapshot: parseControlSnapshot });
     let host: ControlHost | undefined;
+    const verdicts = new VerdictBook({ parseVerdict });
     const network = new PeerNetwork({
       settings,
       clock,
       log,
       readStatus: () => host?.readStatus() ?? { state: 'starting', revision: 0, presetName: '' },
-      topics: [],
+      topics: [verdicts],
     });
     const others = settings.control.filter((peer) => peer.host !== settings.host);
     const replica = await Replica.startReplica<ControlCommand, ControlReply>({
@@ -124,7 +143,7 @@
       log,
       state,
     });
-    host = new ControlHost(options, { state, network, replica });
+    host = new ControlHost(options, { state, network, replica, verdicts });
     await host.openListeners();
     network.startTasks(host.tasks);
     return host;
@@ -135,6 +154,7 @@
     this.isStopping = true;
     this.network.heartbeat.renewRecord();
     await this.replica.stop(clock.now() + stopMs);
+    await this.operators.closeListener();
     await this.tasks.stop();
     await this.platform.closeListener();
     await this.peers.closeListener();
@@ -149,8 +169,9 @@
   }
 
   private async openListeners(): Promise<void> {
-    const { peers, platform } = this.options.settings.listen;
+    const { peers, platform, operators } = this.options.settings.listen;
     await this.peers.openListener(peers);
+    if (operators) await this.operators.openListener(operators);
     await this.platform.openListener(platform);
   }
 
@@ -168,6 +189,36 @@
     };
   }
 
+  private createOperatorRouter(verdicts: VerdictBook) {
+    const { clock } = this.options;
+    const { network, presets } = this;
+    const { hosts, upstreams, dialer } = network;
+    const readPreset = (): Preset | undefined => this.state.presets.getActive()?.preset;
+    const listing = new FleetListing({ clock, hosts, upstreams, verdicts, readPreset });
+    const burn = new BurnReporter({
+      clock,
+      merger: new HdrLatencyRecorder(),
+      // Lost hosts are asked too, so that the report names them as missing.
+      listEntryHosts: () =>
+        [...listing.listHosts(), ...hosts.listLost()].flatMap(({ host, role }) =>
+          role === 'entry' ? [host] : [],
+        ),
+      openLink: (host) => {
+        const peer = network.findPeer(host);
+        return peer && new TrpcMetricsLink(dialer.takeConnection(peer));
+      },
+      readPreset,
+    });
+    return createOperatorRouter({
+      clock,
+      presets,
+      status: new PresetStatusReader({ source: presets, hosts: listing }),
+      upstreams: listing,
+      services: listing,
+      burn,
+    });
+  }
+
   private createMetrics(): PrometheusMetrics {
     const { clock } = this.options;
     return new PrometheusMetrics({
--- a/src/daemon/EntryHost.ts
+++ b/src/daemon/EntryHost.ts
@@ -25,7 +25,7 @@
 import VerdictBook from '../domain/detection/VerdictBook.ts';
 import type { HostStateName } from '../domain/membership/HostRecord.ts';
 import ServiceLevelBook from '../domain/metrics/ServiceLevelBook.ts';
-import RandomBalancer from '../domain/requests/RandomBalancer.ts';
+import SlotBalancer from '../domain/requests/SlotBalancer.ts';
 import type DaemonSettings from '../domain/settings/DaemonSettings.ts';
 import type Clock from '../ports/Clock.ts';
 import type Log from '../ports/Log.ts';
@@ -199,7 +199,7 @@
       clock,
       random,
       upstreamClient,
-      balancer: new RandomBalancer(),
+      balancer: new SlotBalancer(),
       pool: detection.pool,
       observer: detection.reporter,
       loadTracker: new LoadTracker(),
--- a/src/ports/LatencyRecorder.ts
+++ b/src/ports/LatencyRecorder.ts
@@ -1,11 +1,4 @@
-/** Latency of a service, merged over hosts, in milliseconds. */
-export interface LatencySummary {
-  readonly count: number;
-  readonly p50: number;
-  readonly p90: number;
-  readonly p99: number;
-  readonly max: number;
-}
+import type { LatencySummary } from '../domain/metrics/BurnReport.ts';
 
 /** Records latencies in histograms, one for each service. */
 export default interface LatencyRecorder {
--- a/src/ports/MetricsLink.ts
+++ b/src/ports/MetricsLink.ts
@@ -15,4 +15,5 @@
 /** Asks an entry host for its measurements. */
 export default interface MetricsLink {
   requestSnapshot(deadline: number): Promise<Result<RemoteSnapshot>>;
+  close(): void;
 }
--- a/tests/metrics/burn.test.ts
+++ b/tests/metrics/burn.test.ts
@@ -46,6 +46,7 @@
     merger: new HdrLatencyRecorder(),
     listEntryHosts: () => Object.keys(snapshots),
     openLink: (host) => ({
+      close: () => undefined,
       requestSnapshot: async () => {
         const snapshot = snapshots[host];
         return snapshot
