--- a/tests/stand-in/standInUpstream.mjs
+++ b/tests/stand-in/standInUpstream.mjs
@@ -25,7 +25,6 @@
 const [slots, longestQueue] = [Number(options.slots), Number(options.queue)];
 const [latencyMs, leaseMs] = [Number(options['latency-ms']), Number(options['lease-ms'])];
 const entryHosts = options.announce.split(',').filter((address) => address !== '');
-const announceTimeoutMs = 500;
 
 // Shares are from 0 to 1; faults hit evenly spaced requests, so that counts repeat exactly.
 const behaviour = {
@@ -98,7 +97,7 @@
   writeJson(response, 503, { error: reason }, headers);
 }
 
-// Resolves true when a slot is taken, false when the caller cancelled first.
+// True when a slot is taken, false when the caller cancelled first.
 function takeSlot(signal) {
   if (signal.aborted) return false;
   if (running < slots) {
@@ -231,7 +230,7 @@
     const request = sendHttp(`http://${entryHost}/announce`, {
       method: 'POST',
       headers: { 'content-type': 'application/json' },
-      timeout: announceTimeoutMs,
+      timeout: 500,
     });
     request.on('response', (response) => {
       response.resume();
