Accept topics of later versions and test the shortest lease

Cause: a message with an unknown topic was refused as a whole, so two versions could not run side by side; the news of short leases had no test. Change: unknown topics are dropped; the preset follower closes its links when it ends; a failing fuzz run reports at once. Measured: npx vitest run tests/membership/gossip.test.ts passes; with the rule for short leases disabled it fails with "expected [ 'e1', 'e2', 'e4', 'e8', 'e10', ...(3) ] to have a length of 18 but got 8". Conclusion: a lease of 1 s renewed every 0.9 s holds on 18 hosts.

--- a/src/adapters/trpc/gossipMessages.ts
+++ b/src/adapters/trpc/gossipMessages.ts
@@ -35,13 +35,22 @@
   leaseDeadline: instantSchema,
 });
 
-const topicNameSchema = z.enum(['upstreams', 'hosts', 'verdicts', 'preset']);
 const digestSchema = z.record(z.string().max(256), z.array(z.number()).max(8));
 
+// Topics that this version does not know are dropped, so that versions can run side by side.
+function createTopicsSchema<Value extends z.ZodType>(value: Value) {
+  return z.object({
+    upstreams: value.optional(),
+    hosts: value.optional(),
+    verdicts: value.optional(),
+    preset: value.optional(),
+  });
+}
+
 /** One message of `gossip.exchange` and its answer; the topics check the records themselves. */
 export const gossipMessageSchema: z.ZodType<GossipMessage> = z.object({
-  digests: z.partialRecord(topicNameSchema, digestSchema),
-  records: z.partialRecord(topicNameSchema, z.array(z.unknown())),
+  digests: createTopicsSchema(digestSchema),
+  records: createTopicsSchema(z.array(z.unknown())),
 });
 
 /** Returns a record of an upstream that a peer sent when it is well-formed. */
--- a/src/application/presets/PresetFollower.ts
+++ b/src/application/presets/PresetFollower.ts
@@ -118,6 +118,7 @@
         : await this.confirmOnce(link);
       if (!isAnswered) await clock.sleepUntil(startedAt + retryIntervalMs, signal);
     }
+    link.close();
   }
 
   private async confirmOnce(link: PresetLink): Promise<boolean> {
--- a/src/ports/PresetLink.ts
+++ b/src/ports/PresetLink.ts
@@ -10,6 +10,6 @@
   watchState(afterRevision: number, deadline: number): Promise<Result<PresetState | undefined>>;
   /** The state in force by a linearizable read through a majority of the control group. */
   confirmState(deadline: number, asker: ConfirmationAsker): Promise<Result<PresetState>>;
-  /** Ends open calls with `peer_unreachable`. */
+  /** Ends open calls with `peer_unreachable`; may be called again. */
   close(): void;
 }
--- a/tests/membership/fuzz.test.ts
+++ b/tests/membership/fuzz.test.ts
@@ -272,7 +272,8 @@
           }
         },
       ),
-      { seed, numRuns, endOnFailure: numRuns > 50 },
+      // Shrinking takes minutes; FUZZ_SHRINK=1 asks for it.
+      { seed, numRuns, endOnFailure: process.env.FUZZ_SHRINK !== '1' },
     );
   }, 600_000);
 });
--- a/tests/membership/gossip.test.ts
+++ b/tests/membership/gossip.test.ts
@@ -76,6 +76,20 @@
     });
   });
 
+  // Guards against renewals of a short lease that wait for regular exchanges at each hop.
+  it('should keep an upstream with the shortest lease while it renews in time', async () => {
+    fleet = new FakeFleet({ controlHosts: 1, entryHosts: 17 });
+    await fleet.clock.advanceBy(1500);
+    fleet.announce('e1', { leaseMs: 1000 });
+    await fleet.clock.advanceBy(100);
+
+    for (let step = 1; step <= 60; step += 1) {
+      if (step % 9 === 0) fleet.announce('e1', { sequence: 1 + step, leaseMs: 1000 });
+      await fleet.clock.advanceBy(100);
+      expect(listServingHosts()).toHaveLength(18);
+    }
+  });
+
   // Guards against hosts that count a host that stopped in order until its lease ends.
   it('should withdraw the record of a host that stops in order', async () => {
     fleet = new FakeFleet({ controlHosts: 3, entryHosts: 5 });
--- a/tests/membership/peers.test.ts
+++ b/tests/membership/peers.test.ts
@@ -79,8 +79,9 @@
     const gossip = dialer.createDialer((shared) => new TrpcGossipLink(shared)).openLink(peer);
     const presets = dialer.createDialer((shared) => new TrpcPresetLink(shared)).openLink(peer);
     const message = { digests: { hosts: {} }, records: { upstreams: [{ odd: true }] } };
+    const newer = { ...message.digests, later: { record: [1] } };
 
-    const answer = await gossip.exchangeRecords(message, clock.now() + 5000);
+    const answer = await gossip.exchangeRecords({ ...message, digests: newer }, clock.now() + 5000);
     gossip.close();
 
     expect(answer).toEqual({
