Use the fake network in the tests of the preset follower

Cause: the follower's tests had a second fake of the link. Change: they use FakeNetwork; the public methods of GossipPeerTask stand together. Conclusion: no change of behaviour.

--- a/src/application/membership/GossipPeerTask.ts
+++ b/src/application/membership/GossipPeerTask.ts
@@ -66,15 +66,16 @@
     this.news.abort();
   }
 
+  /** Ends `run` after the exchange that is open and a last one. */
+  stop(): void {
+    this.stopped.abort();
+    this.news.abort();
+  }
+
   // The next instant at the phase of this task, also after an exchange that news began.
   private computeNext(startedAt: number): number {
     const offset = this.options.phase * exchangeIntervalMs;
     const passed = Math.floor((startedAt - offset) / exchangeIntervalMs);
     return (passed + 1) * exchangeIntervalMs + offset;
   }
-
-  stop(): void {
-    this.stopped.abort();
-    this.news.abort();
-  }
 }
--- a/tests/presets-entry/presetFollower.test.ts
+++ b/tests/presets-entry/presetFollower.test.ts
@@ -7,6 +7,7 @@
 import createPreset, { createRoute } from '../fixtures/createPreset.ts';
 import FakeClock from '../fixtures/FakeClock.ts';
 import FakeFleet, { FakeControlGroup, createState } from '../fixtures/FakeFleet.ts';
+import FakeNetwork from '../fixtures/FakeNetwork.ts';
 import SilentLog from '../fixtures/SilentLog.ts';
 
 describe('preset follower in a fleet', () => {
@@ -75,14 +76,8 @@
     const control = new FakeControlGroup(clock);
     control.committed = createState(confirmed);
     const source = control.createSource('c1');
-    let isReachable = true;
-    const refuse = async () => {
-      await clock.sleepUntil(clock.now() + 1000);
-      return {
-        ok: false,
-        failure: { kind: 'peer_unreachable', message: 'no answer' },
-      } as const;
-    };
+    const network = new FakeNetwork({ clock });
+    network.handlers.set('c1', { ...source, answerExchange: (message) => message });
     const follower = new PresetFollower({
       clock,
       log: new SilentLog(),
@@ -90,14 +85,7 @@
       controlHosts: [{ host: 'c1', address: '127.0.0.1:1' }],
       checkState: checkPresetState,
       sendNews: () => undefined,
-      dialer: {
-        openLink: () => ({
-          watchState: async (after, deadline) =>
-            isReachable ? { ok: true, value: await source.watchState(after, deadline) } : refuse(),
-          confirmState: (deadline) => (isReachable ? source.confirmState(deadline) : refuse()),
-          close: () => undefined,
-        }),
-      },
+      dialer: network.createPresetDialer('e1', () => true),
     });
     const stopped = new AbortController();
     const ended = follower.run(stopped.signal);
@@ -106,10 +94,7 @@
       await clock.advanceBy(20_000);
       await ended;
     };
-    const loseControl = (): void => {
-      isReachable = false;
-    };
-    return { clock, follower, stop, loseControl };
+    return { clock, follower, stop, network };
   };
 
   // Guards against a preset of another fleet, and against an older revision.
@@ -141,9 +126,9 @@
 
   // Guards against a host that stops serving when the control group is gone for hours.
   it('should keep the active preset and take newer ones from peers for 4 hours', async () => {
-    const { clock, follower, stop, loseControl } = setUp();
+    const { clock, follower, stop, network } = setUp();
     await clock.advanceBy(100);
-    loseControl();
+    network.cutOff('e1', ['c1']);
     await clock.advanceBy(4 * 3_600_000);
     expect(follower.state?.revision).toBe(1);
 
