Wake preset watchers only when the active preset changes

Cause: every entry host watches the active preset, and each watcher waited for the next commit of any command, so that each claim batch woke all watchers. Ruled out: a listener on the preset book (the domain would call the application). Change: PresetService.run follows the log once and wakes all watchers on a new active revision; Wakeup moves to application/tasks. Conclusion: a commit of claims costs one wake-up on a control host. The load saved was not measured.

--- a/src/application/claims/ClaimClient.ts
+++ b/src/application/claims/ClaimClient.ts
@@ -12,7 +12,7 @@
 import ClaimQueue from './ClaimQueue.ts';
 import type { PendingChange, PendingClaim } from './ClaimQueue.ts';
 import ClaimSender from './ClaimSender.ts';
-import Wakeup from './Wakeup.ts';
+import Wakeup from '../tasks/Wakeup.ts';
 
 /** Largest number of changes in one batch. */
 export const maxBatchChanges = 256;
--- a/src/application/presets/PresetService.ts
+++ b/src/application/presets/PresetService.ts
@@ -12,8 +12,12 @@
 import checkPreset from '../../domain/presets/checkPreset.ts';
 import type Clock from '../../ports/Clock.ts';
 import type CommandLog from '../replication/CommandLog.ts';
+import Wakeup from '../tasks/Wakeup.ts';
 import type PresetSource from './PresetSource.ts';
 
+// A stopping host waits at most this long for the task that follows the log.
+const longestWaitMs = 1000;
+
 /** What the service needs. */
 export interface PresetServiceOptions {
   readonly clock: Clock;
@@ -35,8 +39,28 @@
 export default class PresetService implements PresetSource {
   private readonly options: PresetServiceOptions;
 
+  private readonly activation: Wakeup;
+
   constructor(options: PresetServiceOptions) {
     this.options = options;
+    this.activation = new Wakeup(options.clock);
+  }
+
+  /**
+   * Wakes the watchers when the active preset changes, until the signal aborts; the composition
+   * root awaits it. Claims commit far more often than presets, and every entry host watches, so
+   * that one wait for each watcher and commit would load the control host.
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, log } = this.options;
+    let announced = this.getState()?.revision;
+    while (!signal.aborted) {
+      const { appliedIndex } = log;
+      const revision = this.getState()?.revision;
+      if (revision !== announced) this.activation.release();
+      announced = revision;
+      await log.waitApplied(appliedIndex, clock.now() + longestWaitMs);
+    }
   }
 
   /**
@@ -86,15 +110,14 @@
     return { ok: false, failure: { kind: 'preset_unknown', message } };
   }
 
+  /** Wakes early only while `run` is active. */
   async watchState(afterRevision: number, deadline: number): Promise<PresetState | undefined> {
-    const { clock, log } = this.options;
-    while (clock.now() < deadline) {
-      const { appliedIndex } = log;
-      const state = this.getState();
-      if (state && state.revision > afterRevision) return state;
-      await log.waitApplied(appliedIndex, deadline);
+    let state = this.getState();
+    while ((state?.revision ?? 0) <= afterRevision && this.options.clock.now() < deadline) {
+      await this.activation.waitUntil(deadline);
+      state = this.getState();
     }
-    return undefined;
+    return state && state.revision > afterRevision ? state : undefined;
   }
 
   async confirmState(deadline: number): Promise<Result<PresetState>> {
