--- a/src/application/replication/Replica.ts
+++ b/src/application/replication/Replica.ts
@@ -141,11 +141,8 @@
   }
 
   async waitApplied(afterIndex: number, deadline: number): Promise<void> {
-    const { context } = this;
-    await context.changes.waitUntil(
-      () => context.isStopped || this.appliedIndex > afterIndex,
-      deadline,
-    );
+    // Waits for the deadline also after the replica has stopped: a caller that loops must not spin.
+    await this.context.changes.waitUntil(() => this.appliedIndex > afterIndex, deadline);
   }
 
   /** Finishes accepted proposals, hands leadership over and ends all tasks. */
--- a/src/daemon/ControlHost.ts
+++ b/src/daemon/ControlHost.ts
@@ -146,6 +146,8 @@
     host = new ControlHost(options, { state, network, replica, verdicts });
     await host.openListeners();
     network.startTasks(host.tasks);
+    const { presets } = host;
+    host.tasks.startTask('presets', (signal) => presets.run(signal));
     return host;
   }
 
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -58,6 +58,11 @@
   if (!read.ok) refuseStart(read.failure.message);
   const settings = read.value;
   const log = new WinstonLog({ host: settings.host, level: settings.logLevel });
+  // From here on a signal waits for the start to finish instead of ending the process.
+  const signalled = waitSignal().then((signal) => {
+    log.info('lifecycle: signal received', { signal });
+    return undefined;
+  });
   const options = {
     settings,
     clock: new SystemClock(),
@@ -76,10 +81,6 @@
     throw error;
   }
   log.info('lifecycle: started', { role: settings.role });
-  const signalled = waitSignal().then((signal) => {
-    log.info('lifecycle: signal received', { signal });
-    return undefined;
-  });
   const failure = await Promise.race([signalled, daemon.waitFailed()]);
   if (failure !== undefined) log.error('lifecycle: failed', { error: failure });
   await daemon.stop();
--- a/tests/cli/commandLine.test.ts
+++ b/tests/cli/commandLine.test.ts
@@ -90,15 +90,9 @@
         if (text === undefined) throw new Error('no such file');
         return text;
       },
-      writeFile: async (path, text) => {
-        written[path] = text;
-      },
-      writeOutput: (text) => {
-        output += text;
-      },
-      writeError: (text) => {
-        errors += text;
-      },
+      writeFile: async (path, text) => void (written[path] = text),
+      writeOutput: (text) => void (output += text),
+      writeError: (text) => void (errors += text),
     });
     return { code, output, errors };
   }
@@ -191,14 +185,8 @@
   });
 
   it.each([
-    'preset list',
-    'preset show',
-    'preset put',
-    'preset use',
-    'preset status',
-    'upstream list',
-    'service list',
-    'report burn',
+    ...['list', 'show', 'put', 'use', 'status'].map((verb) => `preset ${verb}`),
+    ...['upstream list', 'service list', 'report burn'],
   ])('should print help for "%s" without a server or a key', async (name) => {
     const end = await run([...name.split(' '), '--help'], {});
 
