Report a peer that lost synced entries, shorten the tests

Cause: with the replica id taken from the host name (a trial), a leader sent entries to a replica that had lost its log without a pause between two messages. Ruled out: repairing such a replica under its old id; its vote may be lost as well. Change: the leader reports the loss and waits for the next heartbeat. Conclusion: no message loop without a wait is known.

--- a/src/application/replication/PeerTask.ts
+++ b/src/application/replication/PeerTask.ts
@@ -118,12 +118,23 @@
       context.commitMajority();
     } else {
       const { index } = answer.value;
+      if (index < progress.matchIndex) return this.reportLostEntries(progress, index);
       progress.nextIndex = Math.max(progress.matchIndex, Math.min(index, previousIndex - 1)) + 1;
     }
     if (isNews) context.changes.announceChange();
     return true;
   }
 
+  /** An old copy of a data folder was put back; only a wiped folder can be repaired. */
+  private reportLostEntries(progress: PeerProgress, index: number): false {
+    this.context.options.log.error('replication: the peer lost entries that it had synced', {
+      host: this.link.host,
+      expected: progress.matchIndex,
+      found: index,
+    });
+    return false;
+  }
+
   private async handleFailure(leadership: Leadership, kind: string): Promise<boolean> {
     if (kind === 'wrong_replica') await this.findReplica(leadership);
     return false;
--- a/tests/replication/commit.test.ts
+++ b/tests/replication/commit.test.ts
@@ -84,17 +84,15 @@
 
   // Guards against two leaders in one term.
   it('should give one vote in a term', () => {
-    const question = { kind: 'vote', candidateId: 'x', term: 4, isTransfer: false } as const;
     const own = { lastIndex: 7, lastTerm: 3, hasLeader: false };
-    const last = { lastIndex: 7, lastTerm: 3 };
-
-    const vote = { term: 4, votedFor: 'y' };
-    expect(decideVote({ ...question, ...last, own: { ...own, vote } }).isGranted).toBe(false);
-    const again = { term: 4, votedFor: 'x' };
-    expect(decideVote({ ...question, ...last, own: { ...own, vote: again } }).isGranted).toBe(true);
-    const older = { lastIndex: 9, lastTerm: 2 };
-    expect(decideVote({ ...question, ...older, own: { ...own, vote: again } }).isGranted).toBe(
-      false,
-    );
+    const isGranted = (votedFor: string, lastIndex: number, lastTerm: number): boolean =>
+      decideVote({
+        ...{ kind: 'vote', candidateId: 'x', term: 4, isTransfer: false, lastIndex, lastTerm },
+        own: { ...own, vote: { term: 4, votedFor } },
+      }).isGranted;
+
+    expect(isGranted('y', 7, 3)).toBe(false);
+    expect(isGranted('x', 7, 3)).toBe(true);
+    expect(isGranted('x', 9, 2), 'an older log').toBe(false);
   });
 });
--- a/tests/replication/crash.test.ts
+++ b/tests/replication/crash.test.ts
@@ -100,6 +100,23 @@
     group.hosts.forEach((host) => expect(group.get(host).state.ids).toEqual([...ids, 'after']));
   });
 
+  // Guards against a new leader that lacks what the one before acknowledged.
+  it('should lose nothing acknowledged when leaders are killed one after another', async () => {
+    group = new ReplicaGroupFixture();
+    await group.startAll();
+    const ids = listIds(6);
+    for (const id of ids) {
+      await group.commit(id);
+      const { host } = await group.waitLeader();
+      group.kill(host);
+      await group.waitLeader();
+      await group.start(host);
+    }
+    await group.waitEqual(6);
+
+    expect(group.get('a').state.ids).toEqual(ids);
+  });
+
   // Guards against an acknowledgement after a failed sync, which proves nothing about the disk.
   it('should stop a replica whose disk fails while the others go on', async () => {
     group = new ReplicaGroupFixture();
--- a/tests/replication/fuzz.test.ts
+++ b/tests/replication/fuzz.test.ts
@@ -1,34 +1,68 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 
-import LogOracle from '../fixtures/LogOracle.ts';
 import ReplicaGroupFixture from '../fixtures/ReplicaGroupFixture.ts';
+import type { Running } from '../fixtures/ReplicaGroupFixture.ts';
 import SeededRandom from '../fixtures/SeededRandom.ts';
 
 const seed = Number(process.env.FUZZ_SEED ?? 20_261_204);
 const numRuns = Number(process.env.FUZZ_RUNS ?? 30);
 
-type Step =
-  | { readonly kind: 'work'; readonly count: number; readonly ms: number }
-  | { readonly kind: 'propose' | 'start'; readonly host: string }
-  | { readonly kind: 'restart'; readonly host: string; readonly keptBytes: number; ms: number }
-  | { readonly kind: 'kill' | 'wipe'; readonly host: string; readonly keptBytes: number }
-  | { readonly kind: 'stop_disk'; readonly host: string; readonly after: number }
-  | { readonly kind: 'cut'; readonly host: string; readonly way: 'both' | 'out' | 'in' }
-  | { readonly kind: 'links'; readonly delayMs: number; readonly lossShare: number }
-  | { readonly kind: 'slow_disks'; readonly ms: number }
-  | { readonly kind: 'heal' | 'stop_leader' }
-  | { readonly kind: 'advance'; readonly ms: number };
-
 const totals = { acknowledged: 0, confirmed: 0, wiped: 0, installed: 0, elected: 0 };
 
+interface Acknowledged {
+  readonly id: string;
+  readonly place: number;
+}
+
+/** Remembers what callers were told and compares the states of replicas with it. */
+class LogOracle {
+  /** The longest list that any replica has shown. */
+  private history: readonly string[] = [];
+
+  private readonly acknowledged: Acknowledged[] = [];
+
+  get count(): number {
+    return this.acknowledged.length;
+  }
+
+  /** The end of the list that a read begun now has to see. */
+  get acknowledgedEnd(): number {
+    return Math.max(0, ...this.acknowledged.map(({ place }) => place + 1));
+  }
+
+  /** `endAtStart` is the end of the acknowledged list when the command was first sent. */
+  recordAcknowledged(id: string, place: number, endAtStart: number): void {
+    expect(
+      place,
+      `place of ${id} after the commands acknowledged before it`,
+    ).toBeGreaterThanOrEqual(endAtStart);
+    this.acknowledged.push({ id, place });
+  }
+
+  /** States of replicas never differ in what they have in common, nor over time. */
+  checkStates(running: Iterable<Running>): void {
+    [...running].forEach(({ host, state: { ids } }) => {
+      const common = Math.min(ids.length, this.history.length);
+      expect(ids.slice(0, common), `prefix on ${host}`).toEqual(this.history.slice(0, common));
+      if (ids.length > this.history.length) this.history = [...ids];
+    });
+  }
+
+  /** Every acknowledged command is where its caller was told. */
+  checkFinal(ids: readonly string[]): void {
+    this.acknowledged.forEach(({ id, place }) => expect(ids[place], `place ${place}`).toBe(id));
+    expect(new Set(ids).size).toBe(ids.length);
+  }
+}
+
 /** A group under test, the oracle and the calls that are still open. */
 class FuzzRun {
   readonly group: ReplicaGroupFixture;
 
   readonly oracle = new LogOracle();
 
-  private readonly random: SeededRandom;
+  readonly random: SeededRandom;
 
   private readonly calls: Promise<void>[] = [];
 
@@ -39,42 +73,17 @@
     this.random = new SeededRandom(runSeed + 1);
   }
 
-  async runStep(step: Step): Promise<void> {
-    const { group } = this;
-    if (step.kind === 'work') await this.work(step.count, step.ms);
-    if (step.kind === 'propose') this.propose(step.host);
-    if (step.kind === 'start') await this.start(step.host);
-    if (step.kind === 'kill') group.kill(step.host, step.keptBytes);
-    if (step.kind === 'restart') {
-      group.kill(step.host, step.keptBytes);
-      await group.clock.advanceBy(step.ms);
-      await this.start(step.host);
-    }
-    if (step.kind === 'wipe' && this.mayWipe()) {
-      totals.wiped += 1;
-      group.wipe(step.host);
-      await this.start(step.host);
-    }
-    if (step.kind === 'stop_disk') {
-      const disk = group.getDisk(step.host);
-      disk.stopAt = disk.operations + step.after;
-    }
-    if (step.kind === 'cut') {
-      group.network.cutHost(
-        step.host,
-        group.hosts.filter((host) => host !== step.host),
-        step.way,
-      );
-    }
-    if (step.kind === 'links') {
-      group.network.drawDelay = () => this.random.next() * step.delayMs;
-      group.network.isAnswerLost = () => this.random.next() < step.lossShare;
-    }
-    if (step.kind === 'slow_disks') group.drawDiskDelay = () => this.random.next() * step.ms;
-    if (step.kind === 'heal') this.heal();
-    if (step.kind === 'stop_leader') this.stopLeader();
-    if (step.kind === 'advance') await group.clock.advanceBy(step.ms);
-    this.oracle.checkStates(group.running.values());
+  async restart(host: string, options: { keptBytes: number; ms: number }): Promise<void> {
+    this.group.kill(host, options.keptBytes);
+    await this.group.clock.advanceBy(options.ms);
+    await this.start(host);
+  }
+
+  async wipe(host: string): Promise<void> {
+    if (!this.mayWipe()) return;
+    totals.wiped += 1;
+    this.group.wipe(host);
+    await this.start(host);
   }
 
   /** Repairs everything; all replicas have to agree and to serve again. */
@@ -98,7 +107,7 @@
     await group.stopAll();
   }
 
-  private async start(host: string): Promise<void> {
+  async start(host: string): Promise<void> {
     if (this.group.running.get(host)?.hasEnded) this.group.kill(host);
     if (this.group.running.has(host)) return;
     // A disk that stops during the start ends it like a kill.
@@ -107,25 +116,14 @@
 
   /** A second loss is survived only after every voter is one of the current replicas. */
   private mayWipe(): boolean {
-    const { running, hosts } = this.group;
-    const all = [...running.values()];
-    const ids = all
-      .map(({ replica }) => replica.replicaId)
-      .sort()
-      .join();
-    return (
-      all.length === hosts.length &&
-      all.every(
-        ({ replica }) =>
-          replica.configuration.voters
-            .map(({ replicaId }) => replicaId)
-            .sort()
-            .join() === ids,
-      )
-    );
+    const all = [...this.group.running.values()].map(({ replica }) => replica);
+    const ids = new Set(all.map(({ replicaId }) => replicaId));
+    const hasCurrentVoters = ({ configuration: { voters } }: (typeof all)[number]): boolean =>
+      voters.length === ids.size && voters.every(({ replicaId }) => ids.has(replicaId));
+    return ids.size === this.group.hosts.length && all.every(hasCurrentVoters);
   }
 
-  private heal(): void {
+  heal(): void {
     const { network } = this.group;
     this.group.drawDiskDelay = () => 0;
     network.cuts.clear();
@@ -133,14 +131,14 @@
     network.isAnswerLost = () => false;
   }
 
-  private stopLeader(): void {
+  stopLeader(): void {
     const { group } = this;
     const leader = group.findLeader();
     if (leader) this.calls.push(leader.replica.stop(group.clock.now() + 2000));
   }
 
   /** Sends to every host that believes to lead, be it right or not. */
-  private async work(count: number, ms: number): Promise<void> {
+  async work(count: number, ms: number): Promise<void> {
     const leaders = [...this.group.running.values()].filter(
       ({ replica }) => replica.role === 'leader',
     );
@@ -152,7 +150,7 @@
     await this.group.clock.advanceBy(ms);
   }
 
-  private propose(host: string): void {
+  propose(host: string): void {
     const running = this.group.running.get(host);
     if (!running) return;
     const { acknowledgedEnd } = this.oracle;
@@ -178,63 +176,60 @@
   }
 }
 
-class FuzzCommand implements fc.AsyncCommand<object, FuzzRun> {
-  private readonly step: Step;
-
-  constructor(step: Step) {
-    this.step = step;
-  }
-
-  check(): boolean {
-    return true;
-  }
-
-  run(_model: object, run: FuzzRun): Promise<void> {
-    return run.runStep(this.step);
-  }
-
-  toString(): string {
-    return JSON.stringify(this.step);
-  }
+function createStep<Data>(
+  name: string,
+  arbitrary: fc.Arbitrary<Data>,
+  step: (run: FuzzRun, data: Data) => Promise<void> | void,
+): fc.Arbitrary<fc.AsyncCommand<object, FuzzRun>> {
+  return arbitrary.map((data) => ({
+    check: () => true,
+    run: async (_model, run) => {
+      await step(run, data);
+      run.oracle.checkStates(run.group.running.values());
+    },
+    toString: () => `${name} ${JSON.stringify(data)}`,
+  }));
 }
 
 const host = fc.constantFrom('a', 'b', 'c');
-const keptBytes = fc.integer({ min: 0, max: 200 });
-const work = fc.record({
-  kind: fc.constant('work'),
-  count: fc.integer({ min: 1, max: 4 }),
-  ms: fc.integer({ min: 1, max: 1500 }),
-});
-const start = fc.record({ kind: fc.constant('start'), host });
-const heal = fc.record({ kind: fc.constant('heal') });
+const ways = fc.constantFrom('both' as const, 'out' as const, 'in' as const);
+const nothing = fc.constant(undefined);
+const upTo = (max: number) => fc.integer({ min: 0, max });
+const share = fc.double({ min: 0, max: 0.4, noNaN: true });
+const keptBytes = upTo(200);
+const work = createStep('work', fc.tuple(upTo(4), upTo(1500)), (run, data) => run.work(...data));
+const start = createStep('start', host, (run, name) => run.start(name));
+const heal = createStep('heal', nothing, (run) => run.heal());
 const steps = [
   ...[work, work, work, work, work, work, work, start, start, start, heal, heal, heal],
-  fc.record({ kind: fc.constant('propose'), host }),
-  fc.record({ kind: fc.constant('advance'), ms: fc.integer({ min: 300, max: 3000 }) }),
-  fc.record({ kind: fc.constant('kill'), host, keptBytes }),
-  fc.record({
-    kind: fc.constant('restart'),
-    ...{ host, keptBytes, ms: fc.integer({ min: 0, max: 2000 }) },
+  createStep('propose', host, (run, name) => run.propose(name)),
+  createStep('advance', upTo(3000), (run, ms) => run.group.clock.advanceBy(ms)),
+  createStep('kill', fc.tuple(host, keptBytes), (run, data) => run.group.kill(...data)),
+  createStep('restart', fc.tuple(host, fc.record({ keptBytes, ms: upTo(2000) })), (run, data) =>
+    run.restart(...data),
+  ),
+  createStep('wipe', host, (run, name) => run.wipe(name)),
+  createStep('stop disk', fc.tuple(host, upTo(8)), ({ group }, [name, after]) => {
+    group.getDisk(name).stopAt = group.getDisk(name).operations + after;
+  }),
+  createStep('cut', fc.tuple(host, ways), (run, [name, way]) => {
+    const others = run.group.hosts.filter((other) => other !== name);
+    run.group.network.cutHost(name, others, way);
   }),
-  fc.record({ kind: fc.constant('wipe'), host, keptBytes }),
-  fc.record({ kind: fc.constant('stop_disk'), host, after: fc.integer({ min: 1, max: 8 }) }),
-  fc.record({ kind: fc.constant('cut'), host, way: fc.constantFrom('both', 'out', 'in') }),
-  fc.record({
-    kind: fc.constant('links'),
-    delayMs: fc.integer({ min: 0, max: 300 }),
-    lossShare: fc.double({ min: 0, max: 0.4, noNaN: true }),
+  createStep('links', fc.tuple(upTo(300), share), ({ group, random }, [delayMs, lossShare]) => {
+    group.network.drawDelay = () => random.next() * delayMs;
+    group.network.isAnswerLost = () => random.next() < lossShare;
   }),
-  fc.record({ kind: fc.constant('slow_disks'), ms: fc.integer({ min: 0, max: 120 }) }),
-  fc.record({ kind: fc.constant('stop_leader') }),
-] as readonly fc.Arbitrary<Step>[];
+  createStep('slow disks', upTo(120), ({ group, random }, ms) => {
+    group.drawDiskDelay = () => random.next() * ms;
+  }),
+  createStep('stop the leader', nothing, (run) => run.stopLeader()),
+];
 
 describe('replicas under random failures', () => {
   // Guards against lost, repeated or reordered commands, stale reads and states that differ.
   it(`should agree with the oracle (FUZZ_SEED=${seed} FUZZ_RUNS=${numRuns})`, async () => {
-    const commands = fc.commands(
-      steps.map((step) => step.map((data) => new FuzzCommand(data))),
-      { maxCommands: 80, size: 'max' },
-    );
+    const commands = fc.commands(steps, { maxCommands: 80, size: 'max' });
     await fc.assert(
       fc.asyncProperty(commands, fc.integer({ min: 1, max: 1_000_000 }), async (list, runSeed) => {
         const run = new FuzzRun(runSeed);
--- a/tests/replication/logStore.test.ts
+++ b/tests/replication/logStore.test.ts
@@ -21,13 +21,15 @@
     return (await disk.list()).find((name) => name.startsWith('log-')) ?? '';
   }
 
+  const damageByte = (name: string, position: number): void =>
+    disk.updateFile(name, (content) =>
+      content.fill((content[position] ?? 0) + 1, position, position + 1),
+    );
+
   async function takeSnapshot(store: ReplicaStore, index: number): Promise<void> {
-    const { state, ...start } = {
-      ...{ index, term: 1, proposedAt: 1000, commandIndex: index, state: 'state' },
-      configuration: { voters: [] },
-    };
-    const file = store.snapshotFile;
-    await file.writeDocument({ ...start, state });
+    const configuration = { voters: [] };
+    const start = { index, term: 1, proposedAt: 1000, commandIndex: index, configuration };
+    await store.snapshotFile.writeDocument({ ...start, state: 'state' });
     await store.log.dropThrough(start);
   }
 
@@ -49,7 +51,7 @@
   // Guards against a crash in the middle of a write.
   it.each([1, 5, 60])('should cut off a last record that lacks %i bytes', async (missing) => {
     const name = await writeEntries(4);
-    disk.cutBytes(name, missing);
+    disk.updateFile(name, (content) => content.subarray(0, -missing));
 
     const store = await openStore();
 
@@ -62,7 +64,7 @@
   // Guards against dropping acknowledged entries after a damaged one; 6 is a byte of the length.
   it.each([0, 6, 10, 30, 150])('should refuse a log with byte %i damaged', async (position) => {
     const name = await writeEntries(4);
-    disk.damageByte(name, position);
+    damageByte(name, position);
 
     await expect(openStore()).rejects.toMatchObject({ failure: { kind: 'log_damaged' } });
   });
@@ -73,7 +75,7 @@
     await takeSnapshot(store, 0);
 
     for (const name of ['snapshot', 'vote', 'identity']) {
-      disk.damageByte(name, 25);
+      damageByte(name, 25);
       await expect(openStore()).rejects.toMatchObject({ failure: { kind: 'log_damaged' } });
     }
   });
--- a/tests/replication/membership.test.ts
+++ b/tests/replication/membership.test.ts
@@ -16,14 +16,7 @@
     );
 
   // Guards against a repaired host that counts as a voter before it holds what was acknowledged.
-  it.each([
-    ['a', 'b'],
-    ['a', 'c'],
-    ['b', 'a'],
-    ['b', 'c'],
-    ['c', 'a'],
-    ['c', 'b'],
-  ])(
+  it.each(['ab', 'ac', 'ba', 'bc', 'ca', 'cb'].map((pair) => pair.split('') as [string, string]))(
     'should keep all commands when %s is wiped and %s is lost right after the repair',
     async (wiped, lost) => {
       group = new ReplicaGroupFixture({ snapshotEntries: 10 });
--- a/tests/replication/partition.test.ts
+++ b/tests/replication/partition.test.ts
@@ -20,6 +20,14 @@
 
   afterEach(() => group.stopAll());
 
+  it('should name the leader when a follower gets a proposal', async () => {
+    const [follower = ''] = listOthers(leader.host);
+
+    const result = await group.propose(group.get(follower), 'y');
+
+    expect(result).toMatchObject({ failure: { kind: 'not_leader', leader: leader.host } });
+  });
+
   // Guards against a leader that keeps its followers from electing while nothing commits.
   it.each([
     // Followers receive the command, so that the next leader commits it.
@@ -50,24 +58,15 @@
   );
 
   // Guards against a stale read by a leader that does not know of its successor yet.
-  it('should not confirm a read of a leader without a majority', async () => {
-    group.network.cutHost(leader.host, listOthers(leader.host));
-
-    const confirmed = await group.run(leader.replica.confirmRead(group.clock.now() + 5000));
-
-    expect(confirmed).toMatchObject({ ok: false, failure: { kind: 'no_quorum' } });
-  });
-
-  // Guards against a stale read after a successor has committed newer commands.
   it('should confirm a read of the successor only', async () => {
     group.network.cutHost(leader.host, listOthers(leader.host));
+    const stale = await group.run(leader.replica.confirmRead(group.clock.now() + 5000));
     await group.waitFor(() => group.findLeader()?.host !== leader.host);
     const next = await group.waitLeader();
     await group.commit('newer');
-    const stale = await group.run(leader.replica.confirmRead(group.clock.now() + 1000));
     const fresh = await group.run(next.replica.confirmRead(group.clock.now() + 1000));
 
-    expect(stale.ok).toBe(false);
+    expect(stale).toMatchObject({ ok: false, failure: { kind: 'no_quorum' } });
     expect(fresh.ok).toBe(true);
     expect(next.state.ids).toEqual(['before', 'newer']);
   });
--- a/tests/replication/trpcLink.test.ts
+++ b/tests/replication/trpcLink.test.ts
@@ -32,43 +32,35 @@
     const hosts = ['a', 'b', 'c'];
     const log = new SilentLog();
     const replicas = new Map<string, Replica<ListCommand, number>>();
-    const servers = new Map<string, TrpcPeerServer>();
+    const states = hosts.map(() => new ListState());
+    const addresses = new Map<string, string>();
     for (const host of hosts) {
-      const replication = createReplicationRouter({
-        answerStatus: () => replicas.get(host)!.answerStatus(),
-        answerGroup: (input) => replicas.get(host)!.answerGroup(input),
-        answerVote: (input) => replicas.get(host)!.answerVote(input),
-        answerAppend: (input) => replicas.get(host)!.answerAppend(input),
-        answerSnapshot: (input) => replicas.get(host)!.answerSnapshot(input),
-        answerTransfer: (input) => replicas.get(host)!.answerTransfer(input),
+      // The listeners open first, so that every replica can be told all addresses.
+      const handler = new Proxy({} as Replica<ListCommand, number>, {
+        get: (_target, name) => (input: never) =>
+          replicas.get(host)?.[name as 'answerAppend'](input),
       });
+      const replication = createReplicationRouter(handler);
       const server = new TrpcPeerServer({ router: router({ replication }), peerKey, log });
       await server.openListener({ ip: '127.0.0.1', port: 0 });
-      servers.set(host, server);
+      addresses.set(host, `127.0.0.1:${server.address.port}`);
       ends.push(() => server.closeListener());
     }
-    const states = hosts.map(() => new ListState());
     for (const [position, host] of hosts.entries()) {
       const folder = await mkdtemp(join(tmpdir(), 'replica-'));
       ends.push(() => rm(folder, { recursive: true }));
-      const others = hosts.filter((other) => other !== host);
-      const connections = others.map((other) => {
-        const address = `127.0.0.1:${servers.get(other)!.address.port}`;
-        return new TrpcPeerConnection({ address, peerKey, ownHost: host, clock });
-      });
-      ends.push(async () => connections.forEach((connection) => connection.close()));
+      const links = hosts
+        .filter((other) => other !== host)
+        .map((other) => {
+          const address = addresses.get(other) ?? '';
+          const connection = new TrpcPeerConnection({ address, peerKey, ownHost: host, clock });
+          ends.push(async () => connection.close());
+          return new TrpcReplicationLink({ host: other, connection });
+        });
       const replica = await Replica.startReplica<ListCommand, number>({
-        host,
-        hosts,
-        links: others.map(
-          (other, index) =>
-            new TrpcReplicationLink({ host: other, connection: connections[index]! }),
-        ),
+        ...{ host, hosts, links, clock, log, state: states[position] ?? new ListState() },
         disk: await NodeDisk.openFolder(folder),
-        clock,
         random: new SystemRandomSource(),
-        log,
-        state: states[position]!,
       });
       replicas.set(host, replica);
       ends.push(() => replica.stop(clock.now()));
