Prove the floor by fuzzing judges, reporters and pools

Cause: the floor rests on grants, leases and the union of all ejections under faults that unit tests do not combine. Ruled out: a real detector in the fuzz; a scripted one accuses any upstream at any judge, which is harder. Change: a simulated fleet of real classes with cuts in one direction, loss, pauses, restarts, hidden hosts, drains and lease ends; an oracle over all hosts; tests that the oracle notices missing grants and a missing union rule; tests of reports, link and the path from observer to pool. A departure is allowed for until all directories show it and the leases issued before have ended; no host can know of it earlier.

--- /dev/null
+++ b/tests/detection/floor.fuzz.test.ts
@@ -0,0 +1,153 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+
+import EjectionLedger from '../../src/domain/detection/EjectionLedger.ts';
+import IssuedDeadlines from '../../src/domain/detection/IssuedDeadlines.ts';
+import JudgeGrants from '../../src/domain/detection/JudgeGrants.ts';
+import SimulatedFleet from '../fixtures/SimulatedFleet.ts';
+import type { FleetParts } from '../fixtures/FleetOptions.ts';
+
+const seed = Number(process.env.FUZZ_SEED ?? Date.now() % 2 ** 31);
+const runs = Number(process.env.FUZZ_RUNS ?? 20);
+const hosts = 5;
+const upstreams = 7;
+
+interface Model {
+  readonly floor: number;
+}
+
+type FleetCommand = fc.AsyncCommand<Model, SimulatedFleet>;
+
+class Step implements FleetCommand {
+  private readonly text: string;
+
+  private readonly apply: (fleet: SimulatedFleet) => void;
+
+  private readonly thenMs: number;
+
+  constructor(text: string, thenMs: number, apply: (fleet: SimulatedFleet) => void) {
+    this.text = text;
+    this.thenMs = thenMs;
+    this.apply = apply;
+  }
+
+  check(): boolean {
+    return true;
+  }
+
+  async run(_model: Model, fleet: SimulatedFleet): Promise<void> {
+    this.apply(fleet);
+    await fleet.advanceBy(this.thenMs);
+    if (fleet.failures.length > 0) throw new Error(fleet.failures.join('; '));
+  }
+
+  toString(): string {
+    return `${this.text}, then ${this.thenMs} ms`;
+  }
+}
+
+const host = fc.nat(hosts - 1);
+const upstream = fc.nat(upstreams - 1);
+const pause = fc.nat(1500);
+const severity = fc.constantFrom(0, 0.3, 0.5, 1, 1.5, 2);
+
+function createStep<Values extends unknown[]>(
+  name: string,
+  values: { [Key in keyof Values]: fc.Arbitrary<Values[Key]> },
+  apply: (fleet: SimulatedFleet, ...values: Values) => void,
+): fc.Arbitrary<FleetCommand> {
+  return fc
+    .tuple(pause, fc.tuple(...values))
+    .map(
+      ([thenMs, drawn]) =>
+        new Step(`${name}(${drawn})`, thenMs, (fleet) => apply(fleet, ...(drawn as Values))),
+    );
+}
+
+const steps: fc.Arbitrary<FleetCommand>[] = [
+  createStep<[number]>('suspect', [upstream], (fleet, index) =>
+    Array.from({ length: hosts }, (_, judge) => fleet.setSuspect(judge, `u${index}`, 1)),
+  ),
+  createStep<[number, number, number]>('suspectAt', [host, upstream, severity], (fleet, a, b, c) =>
+    fleet.setSuspect(a, `u${b}`, c),
+  ),
+  createStep<[number, number, boolean]>('cut', [host, host, fc.boolean()], (fleet, ...cut) =>
+    fleet.setCut(...cut),
+  ),
+  createStep<[number, number, boolean]>('hide', [host, host, fc.boolean()], (fleet, ...hide) =>
+    fleet.setHidden(...hide),
+  ),
+  createStep<[number, number]>('pause', [host, fc.nat(4000)], (fleet, ...stop) =>
+    fleet.pauseHost(...stop),
+  ),
+  createStep<[number]>('restart', [host], (fleet, index) => fleet.restartHost(index)),
+  createStep<[number, 'drain' | 'lapse' | 'return']>(
+    'change',
+    [upstream, fc.constantFrom('drain', 'lapse', 'return')],
+    (fleet, ...change) => fleet.changeUpstream(...change),
+  ),
+  createStep<[number]>('loss', [fc.constantFrom(0, 0, 0.1, 0.4)], (fleet, rate) => {
+    fleet.lossRate = rate;
+  }),
+];
+
+let ejections = 0;
+
+function checkFleet(parts: FleetParts, count: number) {
+  const property = fc.asyncProperty(
+    fc.commands(steps, { maxCommands: 60, size: 'max' }),
+    fc.integer(),
+    fc.integer({ min: 2, max: 6 }),
+    async (commands, fleetSeed, floor) => {
+      const fleet = new SimulatedFleet({ ...parts, seed: fleetSeed, hosts, upstreams, floor });
+      await fleet.advanceBy(5000);
+      try {
+        await fc.asyncModelRun(() => ({ model: { floor }, real: fleet }), commands);
+      } finally {
+        ejections += fleet.ejections;
+        await fleet.close();
+      }
+    },
+  );
+  return fc.check(property, { seed, numRuns: count, endOnFailure: true });
+}
+
+describe(`floor under faults, FUZZ_SEED=${seed} FUZZ_RUNS=${runs}`, () => {
+  it('should never leave a service below its floor or with two judges', async () => {
+    ejections = 0;
+    const result = await checkFleet({}, runs);
+
+    expect(result.failed, fc.defaultReportMessage(result)).toBe(false);
+    // Guards against runs that pass because nothing was ejected.
+    expect(ejections).toBeGreaterThan(runs);
+  });
+
+  // Guards against an oracle that would not notice two judges.
+  it('should notice when grants do not exclude a second judge', async () => {
+    class FreeGrants extends JudgeGrants {
+      override grantJudge(_service: string, _judge: unknown, now: number): number {
+        return now + 3000;
+      }
+    }
+    const createGrants = (startedAt: number) => new FreeGrants({ startedAt });
+    const result = await checkFleet({ createGrants }, 200);
+
+    expect(result.failed).toBe(true);
+    expect(String(result.errorInstance)).toMatch(/two judges/);
+  });
+
+  // Guards against an oracle that would not notice leases that are still observed.
+  it('should notice when the floor counts only the newest ejections', async () => {
+    class NoDeadlines extends IssuedDeadlines {
+      override mayBeObserved(): boolean {
+        return false;
+      }
+    }
+    const times = { firstHoldMs: 2000, longestHoldMs: 8000, probationMs: 500, forgetMs: 20_000 };
+    const createLedger = () => new EjectionLedger({ times, issued: new NoDeadlines() });
+    const result = await checkFleet({ createLedger }, 200);
+
+    expect(result.failed).toBe(true);
+    expect(String(result.errorInstance)).toMatch(/together the hosts leave out/);
+  });
+});
--- /dev/null
+++ b/tests/detection/reports.test.ts
@@ -0,0 +1,166 @@
+import { afterEach, describe, expect, it } from 'vitest';
+
+import createDetectionRouter from '../../src/adapters/trpc/createDetectionRouter.ts';
+import {
+  decodeDetectionReport,
+  detectionReportSchema,
+  encodeDetectionReport,
+  parseVerdict,
+} from '../../src/adapters/trpc/detectionMessages.ts';
+import { router } from '../../src/adapters/trpc/trpcBase.ts';
+import TrpcDetectionLink from '../../src/adapters/trpc/TrpcDetectionLink.ts';
+import TrpcPeerConnection from '../../src/adapters/trpc/TrpcPeerConnection.ts';
+import TrpcPeerServer from '../../src/adapters/trpc/TrpcPeerServer.ts';
+import SystemClock from '../../src/adapters/system/SystemClock.ts';
+import EvidenceCollector from '../../src/domain/detection/EvidenceCollector.ts';
+import type { AnswerClass } from '../../src/domain/requests/AnswerObservation.ts';
+import FakeClock from '../fixtures/FakeClock.ts';
+import HostClock from '../fixtures/HostClock.ts';
+import SimulatedHost from '../fixtures/SimulatedHost.ts';
+import SilentLog from '../fixtures/SilentLog.ts';
+import createPreset from '../fixtures/createPreset.ts';
+import { createHost, createUpstream } from '../fixtures/createRecords.ts';
+
+const peerKey = 'a-key-of-sixteen';
+
+function createEntry(clock: FakeClock): SimulatedHost {
+  return new SimulatedHost({
+    record: createHost({ incarnation: 7 }),
+    clock: new HostClock(clock, 0),
+    preset: createPreset({ fleet: { entryHosts: 1 } }),
+    opener: {
+      openLink: () => {
+        throw new Error('no other judge');
+      },
+    },
+    announceVerdict: () => undefined,
+    grants: undefined,
+  });
+}
+
+const report = {
+  reporter: 'entry-1',
+  failureDomain: 'north',
+  judgeIncarnation: 7,
+  services: [
+    {
+      service: 'history',
+      grantedUntil: 5,
+      upstreams: [
+        { upstream: 'a', failed: 1, overdue: 2, latencies: [19, 3], lateLatencies: [30, 1] },
+      ],
+    },
+  ],
+};
+
+describe('evidence', () => {
+  const record = (collector: EvidenceCollector, id: string, answerClass: AnswerClass, ms: number) =>
+    collector.recordEnd(id, {
+      ...{ service: 'history', upstream: 'a', answerClass, startedAt: 0, endedAt: ms },
+      reportedLoad: undefined,
+    });
+
+  // Guards against blaming an upstream for shedding load or for a caller that left.
+  it('should not count shed and cancelled requests', () => {
+    const collector = new EvidenceCollector();
+    record(collector, '1', 'shed', 5);
+    record(collector, '2', 'cancelled', 5);
+
+    expect(collector.takeEvidence('history', 10)).toEqual([]);
+  });
+
+  // Guards against a hung request that counts only at its end, or twice.
+  it('should count an open request past the slow bound at once and once', () => {
+    const collector = new EvidenceCollector();
+    collector.setSlowBound('history', 100);
+    collector.recordStart({ requestId: '1', service: 'history', upstream: 'a', startedAt: 0 });
+
+    expect(collector.takeEvidence('history', 99)).toEqual([]);
+    expect(collector.takeEvidence('history', 100)).toMatchObject([{ overdue: 1 }]);
+    record(collector, '1', 'good', 1000);
+    expect(collector.takeEvidence('history', 1000)).toMatchObject([{ overdue: 0, latencies: [] }]);
+  });
+
+  it('should keep a report through its wire form in few bytes', () => {
+    const message = JSON.parse(JSON.stringify(encodeDetectionReport(report)));
+
+    expect(decodeDetectionReport(detectionReportSchema.parse(message))).toEqual(report);
+    expect(JSON.stringify(message).length).toBeLessThan(80);
+  });
+
+  it('should ignore a malformed verdict', () => {
+    expect(parseVerdict({ service: 'history', judge: 'x' })).toBeUndefined();
+  });
+});
+
+describe('detection link', () => {
+  const closers: (() => unknown)[] = [];
+  afterEach(() => Promise.all(closers.splice(0).map((close) => close())));
+
+  // Guards against grants and evidence that were meant for an earlier process of the judge.
+  it('should pass reports to the judge and refuse those for an earlier process', async () => {
+    const { judge } = createEntry(new FakeClock());
+    const server = new TrpcPeerServer({
+      router: router({ detection: createDetectionRouter({ judge }) }),
+      peerKey,
+      log: new SilentLog(),
+    });
+    const port = 20_000 + (process.pid % 20_000);
+    await server.openListener({ ip: '127.0.0.1', port });
+    const clock = new SystemClock();
+    const connection = new TrpcPeerConnection({
+      address: `127.0.0.1:${port}`,
+      ...{ peerKey, ownHost: 'entry-1', clock },
+    });
+    const link = new TrpcDetectionLink({ connection, release: () => connection.close() });
+    closers.push(
+      () => server.closeListener(),
+      () => link.close(),
+    );
+
+    const taken = await link.sendReport(report, clock.now() + 5000);
+    expect(taken).toEqual({ ok: true, value: [{ service: 'history', slowBoundMs: undefined }] });
+    const refused = await link.sendReport({ ...report, judgeIncarnation: 6 }, clock.now() + 5000);
+    expect(refused).toMatchObject({ ok: false, failure: { kind: 'message_invalid' } });
+  });
+});
+
+describe('entry host', () => {
+  // Guards against parts that work alone but not wired together: observer to pool.
+  it('should stop using an upstream whose answers fail, and use it again later', async () => {
+    const clock = new FakeClock();
+    const host = createEntry(clock);
+    host.hosts.set('entry-0', host.record);
+    ['a', 'b', 'c', 'd', 'e', 'f', 'g'].forEach((upstream) =>
+      host.upstreams.set(upstream, createUpstream({ upstream })),
+    );
+    host.start();
+    const sendRequests = async (rounds: number, failing: string) => {
+      for (let round = 0; round < rounds; round += 1) {
+        const now = clock.now();
+        host.pool.listUsable('history').forEach(({ record }, index) => {
+          const id = `${now}/${index}`;
+          const names = { service: 'history', upstream: record.upstream };
+          host.reporter.recordStart({ requestId: id, ...names, startedAt: now - 25 });
+          const answerClass = record.upstream === failing ? 'failed' : 'good';
+          const times = { startedAt: now - 25, endedAt: now, reportedLoad: undefined };
+          host.reporter.recordEnd(id, { ...names, ...times, answerClass });
+        });
+        await clock.advanceBy(50);
+      }
+    };
+    const listUsable = () => host.pool.listUsable('history');
+
+    await sendRequests(100, '');
+    expect(listUsable()).toHaveLength(7);
+    await sendRequests(40, 'c');
+    expect(listUsable().map(({ record }) => record.upstream)).not.toContain('c');
+    await sendRequests(200, '');
+    expect(listUsable().find(({ record }) => record.upstream === 'c')?.weight).toBe(0.1);
+    await sendRequests(220, '');
+    expect(listUsable().find(({ record }) => record.upstream === 'c')?.weight).toBe(1);
+    const stopped = host.stop();
+    await clock.advanceBy(1000);
+    await stopped;
+  });
+});
