--- a/src/application/replication/PeerTask.ts
+++ b/src/application/replication/PeerTask.ts
@@ -103,6 +103,12 @@
     if (!answer.ok) return this.handleFailure(leadership, answer.failure.kind);
     await context.acceptTerm(answer.value.term);
     if (!leadership.isActive) return true;
+    // Plain heartbeats wake no other task.
+    const isNews =
+      progress.confirmedRound < round ||
+      progress.contactAt < sentAt - 2 * heartbeatMs ||
+      !answer.value.isAccepted ||
+      progress.matchIndex < answer.value.index;
     Object.assign(progress, { contactAt: sentAt, confirmedRound: round });
     this.sentRound = round;
     this.sentCommitIndex = commitIndex;
@@ -112,12 +118,23 @@
       context.commitMajority();
     } else {
       const { index } = answer.value;
+      if (index < progress.matchIndex) return this.reportLostEntries(progress, index);
       progress.nextIndex = Math.max(progress.matchIndex, Math.min(index, previousIndex - 1)) + 1;
     }
-    context.changes.announceChange();
+    if (isNews) context.changes.announceChange();
     return true;
   }
 
+  /** An old copy of a data folder was put back; only a wiped folder can be repaired. */
+  private reportLostEntries(progress: PeerProgress, index: number): false {
+    this.context.options.log.error('replication: the peer lost entries that it had synced', {
+      host: this.link.host,
+      expected: progress.matchIndex,
+      found: index,
+    });
+    return false;
+  }
+
   private async handleFailure(leadership: Leadership, kind: string): Promise<boolean> {
     if (kind === 'wrong_replica') await this.findReplica(leadership);
     return false;
--- a/tests/replication/crash.test.ts
+++ b/tests/replication/crash.test.ts
@@ -7,13 +7,6 @@
 
   afterEach(() => group.stopAll());
 
-  const crashes = [
-    { finishesLast: false, keptBytes: 0 },
-    { finishesLast: false, keptBytes: 7 },
-    { finishesLast: true, keptBytes: 0 },
-    { finishesLast: true, keptBytes: 7 },
-  ];
-
   /** Commits on a group of one until its disk stops; returns what was acknowledged. */
   async function commitUntilStopped(stopAt: number, finishesLast: boolean): Promise<string[]> {
     group = new ReplicaGroupFixture({ hosts: ['a'], snapshotEntries: 4 });
@@ -34,9 +27,9 @@
   }
 
   // Guards against every order of write, sync, rename and removal that loses data in a crash.
-  it.each(crashes)(
-    'should keep what it acknowledged when killed at any disk operation: %o',
-    async ({ finishesLast, keptBytes }) => {
+  it.each([0, 7].flatMap((bytes) => [[true, bytes] as const, [false, bytes] as const]))(
+    'should keep what it acknowledged when killed at any disk operation, finished %s, kept %i',
+    async (finishesLast, keptBytes) => {
       let stopAt = 1;
       let isFinished = false;
       while (!isFinished) {
@@ -100,6 +93,23 @@
     group.hosts.forEach((host) => expect(group.get(host).state.ids).toEqual([...ids, 'after']));
   });
 
+  // Guards against a new leader that lacks what the one before acknowledged.
+  it('should lose nothing acknowledged when leaders are killed one after another', async () => {
+    group = new ReplicaGroupFixture();
+    await group.startAll();
+    const ids = listIds(6);
+    for (const id of ids) {
+      await group.commit(id);
+      const { host } = await group.waitLeader();
+      group.kill(host);
+      await group.waitLeader();
+      await group.start(host);
+    }
+    await group.waitEqual(6);
+
+    expect(group.get('a').state.ids).toEqual(ids);
+  });
+
   // Guards against an acknowledgement after a failed sync, which proves nothing about the disk.
   it('should stop a replica whose disk fails while the others go on', async () => {
     group = new ReplicaGroupFixture();
--- a/tests/replication/logStore.test.ts
+++ b/tests/replication/logStore.test.ts
@@ -21,13 +21,15 @@
     return (await disk.list()).find((name) => name.startsWith('log-')) ?? '';
   }
 
+  const damageByte = (name: string, position: number): void =>
+    disk.updateFile(name, (content) =>
+      content.fill((content[position] ?? 0) + 1, position, position + 1),
+    );
+
   async function takeSnapshot(store: ReplicaStore, index: number): Promise<void> {
-    const { state, ...start } = {
-      ...{ index, term: 1, proposedAt: 1000, commandIndex: index, state: 'state' },
-      configuration: { voters: [] },
-    };
-    const file = store.snapshotFile;
-    await file.writeDocument({ ...start, state });
+    const configuration = { voters: [] };
+    const start = { index, term: 1, proposedAt: 1000, commandIndex: index, configuration };
+    await store.snapshotFile.writeDocument({ ...start, state: 'state' });
     await store.log.dropThrough(start);
   }
 
@@ -49,7 +51,7 @@
   // Guards against a crash in the middle of a write.
   it.each([1, 5, 60])('should cut off a last record that lacks %i bytes', async (missing) => {
     const name = await writeEntries(4);
-    disk.cutBytes(name, missing);
+    disk.updateFile(name, (content) => content.subarray(0, -missing));
 
     const store = await openStore();
 
@@ -62,7 +64,7 @@
   // Guards against dropping acknowledged entries after a damaged one; 6 is a byte of the length.
   it.each([0, 6, 10, 30, 150])('should refuse a log with byte %i damaged', async (position) => {
     const name = await writeEntries(4);
-    disk.damageByte(name, position);
+    damageByte(name, position);
 
     await expect(openStore()).rejects.toMatchObject({ failure: { kind: 'log_damaged' } });
   });
@@ -73,7 +75,7 @@
     await takeSnapshot(store, 0);
 
     for (const name of ['snapshot', 'vote', 'identity']) {
-      disk.damageByte(name, 25);
+      damageByte(name, 25);
       await expect(openStore()).rejects.toMatchObject({ failure: { kind: 'log_damaged' } });
     }
   });
@@ -111,18 +113,23 @@
   });
 
   // Guards against old entries that come back behind new ones after a crash.
-  it('should keep a truncation that new entries follow', async () => {
+  it.each([
+    { stopAfter: Infinity, keptBytes: 0, expected: [3, 2] },
+    { stopAfter: 2, keptBytes: 0, expected: [2, 1] },
+    { stopAfter: 2, keptBytes: 10, expected: [2, 1] },
+  ])('should keep a truncation when new entries follow: %o', async (options) => {
     await writeEntries(6);
     const store = await openStore();
     await store.log.truncateFrom(3);
+    // The first operation is the append, the second one its sync.
+    disk.stopAt = disk.operations + options.stopAfter;
     store.log.addContent(2, { kind: 'term_start' }, 1000);
-    await store.log.syncEntries();
-    disk = disk.crash();
+    await store.log.syncEntries().catch(() => undefined);
+    disk = disk.crash(options.keptBytes);
 
-    const reopened = await openStore();
+    const { log: reopened } = await openStore();
 
-    expect(reopened.log.lastIndex).toBe(3);
-    expect(reopened.log.lastTerm).toBe(2);
+    expect([reopened.lastIndex, reopened.lastTerm]).toEqual(options.expected);
   });
 
   // Guards against claims that expire early after a leader with a clock ahead was replaced.
