--- /dev/null
+++ b/examples/runExample.ts
@@ -0,0 +1,163 @@
+import { Agent, request } from 'undici';
+import { v7 } from 'uuid';
+
+import { applyPreset, createExamplePreset, startExampleFleet } from './fleet/startExampleFleet.ts';
+import type { ExampleFleet } from './fleet/startExampleFleet.ts';
+
+const sizes = { controlHosts: 3, entryHosts: 3, upstreams: 4, latencyMs: 25 };
+const grayUpstream = 'history-2';
+const lookUpsPerSecond = 120;
+const bookings = 20;
+const killedHosts = ['entry-3', 'control-1'];
+
+interface LookUps {
+  readonly statuses: Map<number | string, number>;
+  readonly stop: () => Promise<void>;
+}
+
+const agent = new Agent({ connections: 64, pipelining: 1 });
+const sleep = (milliseconds: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, milliseconds);
+  });
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+/** Sends look-ups at a fixed rate through all entry hosts in turn, as a balancer would. */
+function startLookUps(fleet: ExampleFleet): LookUps {
+  const statuses = new Map<number | string, number>();
+  const open = new Set<Promise<void>>();
+  let count = 0;
+  const sendOne = async (): Promise<void> => {
+    const ready = fleet.hosts.entryHosts.filter(
+      ({ host }) => fleet.hosts.getProcess(host).isRunning,
+    );
+    const entry = ready[count % ready.length];
+    count += 1;
+    let status: number | string = 'no answer';
+    try {
+      const answer = await request(`http://${entry?.callers}/history/filter-${count}`, {
+        dispatcher: agent,
+      });
+      await answer.body.dump();
+      status = answer.statusCode;
+    } catch {
+      // Counted as no answer.
+    }
+    statuses.set(status, (statuses.get(status) ?? 0) + 1);
+  };
+  const timer = setInterval(() => {
+    const sending = sendOne().finally(() => open.delete(sending));
+    open.add(sending);
+  }, 1000 / lookUpsPerSecond);
+  return {
+    statuses,
+    stop: async () => {
+      clearInterval(timer);
+      await Promise.all(open);
+    },
+  };
+}
+
+async function waitEjected(fleet: ExampleFleet): Promise<number> {
+  const startedAt = Date.now();
+  await fleet.hosts.waitUntil(`${grayUpstream} is ejected`, async () => {
+    const { output } = await fleet.hosts.runTool(['upstream', 'list', '--json']);
+    const upstreams = JSON.parse(output) as { upstream: string; ejectedUntil: number }[];
+    return upstreams.some(
+      ({ upstream, ejectedUntil }) => upstream === grayUpstream && ejectedUntil > 0,
+    );
+  });
+  return Date.now() - startedAt;
+}
+
+async function makeGray(fleet: ExampleFleet): Promise<void> {
+  const found = fleet.upstreams.find(({ name }) => name === grayUpstream);
+  const body = JSON.stringify({ slowFactor: 10, healthLies: true });
+  const answer = await request(`http://${found?.control}/behaviour`, { method: 'POST', body });
+  await answer.body.dump();
+}
+
+/** Sends every booking twice with one key, through two entry hosts; returns the runs counted. */
+async function sendBookings(fleet: ExampleFleet): Promise<{ sent: number; runs: number }> {
+  const { entryHosts } = fleet.hosts;
+  const sendOne = async (key: string, hostNumber: number): Promise<void> => {
+    const entry = entryHosts[hostNumber % entryHosts.length];
+    const answer = await request(`http://${entry?.callers}/bookings`, {
+      method: 'POST',
+      headers: { 'idempotency-key': key },
+      body: `{"filter":"${key}"}`,
+      dispatcher: agent,
+    });
+    await answer.body.dump();
+  };
+  const keys = Array.from({ length: bookings }, () => v7());
+  await Promise.all(keys.flatMap((key, index) => [sendOne(key, index), sendOne(key, index + 1)]));
+  const counts = await Promise.all(
+    fleet.upstreams.map(async ({ control }) => {
+      const answer = await request(`http://${control}/runs`);
+      const runs = (await answer.body.json()) as Record<string, number>;
+      return keys.reduce((total, key) => total + (runs[key] ?? 0), 0);
+    }),
+  );
+  return { sent: 2 * bookings, runs: counts.reduce((total, count) => total + count, 0) };
+}
+
+/** Replaces the active preset and returns the time until every host has it. */
+async function changePreset(fleet: ExampleFleet): Promise<number> {
+  const { hosts } = fleet;
+  const listed = await hosts.runTool(['preset', 'list', '--json']);
+  const { presets } = JSON.parse(listed.output) as {
+    presets: { name: string; revision: number }[];
+  };
+  const basedOn = presets.find(({ name }) => name === 'ordinary')?.revision ?? 0;
+  await applyPreset(hosts, { name: 'ordinary', text: createExamplePreset(sizes, 4000), basedOn });
+  const acceptedAt = Date.now();
+  await hosts.waitUntil('every host has the new revision', async () => {
+    const { output } = await hosts.runTool(['preset', 'status', '--json']);
+    const status = JSON.parse(output) as { hosts?: { isLagging: boolean }[] };
+    return status.hosts !== undefined && status.hosts.every(({ isLagging }) => !isLagging);
+  });
+  return Date.now() - acceptedAt;
+}
+
+async function runExample(): Promise<boolean> {
+  print('starting 3 control hosts, 3 entry hosts and 8 upstreams on loopback');
+  const fleet = await startExampleFleet(sizes);
+  try {
+    const lookUps = startLookUps(fleet);
+    await sleep(3000);
+    await makeGray(fleet);
+    const ejectedMs = await waitEjected(fleet);
+    const changedMs = await changePreset(fleet);
+    const { sent, runs } = await sendBookings(fleet);
+    const upstreams = await fleet.hosts.runTool(['upstream', 'list']);
+    await Promise.all(killedHosts.map((host) => fleet.hosts.getProcess(host).kill()));
+    await sleep(3000);
+    await lookUps.stop();
+    const listings = [
+      upstreams,
+      await fleet.hosts.runTool(['preset', 'status']),
+      await fleet.hosts.runTool(['report', 'burn']),
+    ];
+    listings.forEach(({ output }) => print(`\n${output.trimEnd()}`));
+    const statuses = [...lookUps.statuses].map(([status, count]) => `${status}: ${count}`);
+    print(`\nlook-ups by status           ${statuses.join(', ')}`);
+    print(`gray upstream ${grayUpstream}      ejected after ${ejectedMs} ms, tool included`);
+    print(`preset change                on every host after ${changedMs} ms, tool included`);
+    print(`bookings                     ${sent} sent with ${bookings} keys, ${runs} ran`);
+    print(`killed while running         ${killedHosts.join(', ')}`);
+    return runs === bookings;
+  } finally {
+    const codes = await fleet.stopAll();
+    const stopped = Object.entries(codes).filter(([, code]) => code === 0).length;
+    print(
+      `stopped cleanly              ${stopped} of ${Object.keys(codes).length - killedHosts.length} processes`,
+    );
+    await agent.destroy();
+  }
+}
+
+process.exitCode = (await runExample()) ? 0 : 1;
