Count the time of a write as heard from the leader, refuse gaps

Cause: a follower that wrote for longer than an election timeout could not hear the leader meanwhile and asked for votes right after. Entries with a gap in a message would have been stored. The test counted a replica whose disk had failed but whose open calls had not ended as running; it was started again too late.

--- a/src/application/replication/MessageHandler.ts
+++ b/src/application/replication/MessageHandler.ts
@@ -74,7 +74,12 @@
     });
   }
 
-  answerAppend(request: AppendRequest): Promise<Result<AppendAnswer>> {
+  async answerAppend(request: AppendRequest): Promise<Result<AppendAnswer>> {
+    const first = request.previousIndex + 1;
+    if (request.entries.some(({ index }, position) => index !== first + position)) {
+      const message = `append of "${request.fromHost}": expected consecutive entries from ${first}`;
+      return { ok: false, failure: { kind: 'message_invalid', message } };
+    }
     return this.answer(request, async () => {
       if (!(await this.followLeader(request))) return this.createAppendAnswer(false, 0);
       const { log } = this.context;
@@ -87,6 +92,7 @@
         return this.createAppendAnswer(false, this.findLastPossibleMatch(previousIndex));
       }
       await this.storeEntries(request);
+      this.markLeaderHeard();
       const matchIndex = previousIndex + entries.length;
       this.context.commitThrough(Math.min(request.commitIndex, matchIndex));
       return this.createAppendAnswer(true, matchIndex);
@@ -97,6 +103,7 @@
     return this.answer(request, async () => {
       const isCurrent = await this.followLeader(request);
       const receivedBytes = isCurrent ? await this.receiver.acceptPiece(request) : 0;
+      if (isCurrent) this.markLeaderHeard();
       return { term: this.context.term, receivedBytes };
     });
   }
@@ -114,9 +121,15 @@
       throw new Error(`two leaders in term ${term}: "${fromHost}" and this host`);
     }
     await context.followTerm(term, { replicaId: from, host: fromHost });
+    this.markLeaderHeard();
+    return true;
+  }
+
+  /** Called again after a write: messages of the leader wait while this replica writes. */
+  private markLeaderHeard(): void {
+    const { context } = this;
     context.leaderHeardAt = context.now;
     context.electionFrom = context.now;
-    return true;
   }
 
   private async storeEntries({ entries }: AppendRequest): Promise<void> {
--- a/src/application/replication/Replica.ts
+++ b/src/application/replication/Replica.ts
@@ -62,7 +62,7 @@
   ): Promise<Replica<Command, Reply>> {
     const store = await ReplicaStore.openStore(options);
     const context = new ReplicaContext(options, store);
-    const snapshot = await store.snapshotFile.readDocument();
+    const snapshot = store.takeLoadedSnapshot();
     if (snapshot) {
       context.applier.restoreSnapshot(snapshot);
       context.commitIndex = snapshot.index;
--- a/src/application/replication/ReplicaStore.ts
+++ b/src/application/replication/ReplicaStore.ts
@@ -51,6 +51,8 @@
 
   private logStore: LogStore;
 
+  private loadedSnapshot: ReplicaSnapshot | undefined;
+
   private constructor(disk: Disk, identity: ReplicaIdentity) {
     this.disk = disk;
     this.identityFile = new DocumentFile(disk, 'identity');
@@ -91,6 +93,13 @@
     return this.logStore;
   }
 
+  /** The snapshot that was read when the folder was opened; it is released from memory. */
+  takeLoadedSnapshot(): ReplicaSnapshot | undefined {
+    const snapshot = this.loadedSnapshot;
+    this.loadedSnapshot = undefined;
+    return snapshot;
+  }
+
   /** Binds the folder to a group; the founders are the voters at index 0. */
   async saveGroup(group: ReplicaGroup): Promise<void> {
     const identity = { ...this.currentIdentity, group };
@@ -119,8 +128,8 @@
   private async loadFiles(identity: ReplicaIdentity, log: Log): Promise<void> {
     this.currentIdentity = identity;
     this.currentVote = (await this.voteFile.readDocument()) ?? this.currentVote;
-    const snapshot = await this.snapshotFile.readDocument();
-    this.logStore = new LogStore(this.disk, createStart(identity, snapshot));
+    this.loadedSnapshot = await this.snapshotFile.readDocument();
+    this.logStore = new LogStore(this.disk, createStart(identity, this.loadedSnapshot));
     await this.logStore.loadEntries(log);
   }
 
--- a/tests/replication/fuzz.test.ts
+++ b/tests/replication/fuzz.test.ts
@@ -81,11 +81,11 @@
   async finish(): Promise<void> {
     const { group, oracle } = this;
     this.heal();
+    group.disks.forEach((disk) => Object.assign(disk, { stopAt: Infinity }));
     await group.run(Promise.all(this.calls));
-    for (const host of group.hosts) {
-      group.getDisk(host).stopAt = Infinity;
-      await this.start(host);
-    }
+    // A replica whose disk failed ends with its open calls.
+    await group.clock.advanceBy(6000);
+    for (const host of group.hosts) await this.start(host);
     await group.commit('last');
     const { ids } = (await group.waitLeader()).state;
     await group.waitEqual(ids.length);
--- a/tests/replication/partition.test.ts
+++ b/tests/replication/partition.test.ts
@@ -103,7 +103,7 @@
   });
 
   // Guards against a follower that acts on messages for the replica its host had before.
-  it('should refuse a message that is meant for another replica or group', async () => {
+  it('should refuse a message with a gap or meant for another replica or group', async () => {
     const { replica } = group.get('b');
     const message = {
       ...{ groupId: replica.groupId ?? '', to: replica.replicaId, from: 'x', fromHost: 'x' },
@@ -111,9 +111,12 @@
     };
 
     const otherReplica = await replica.answerAppend({ ...message, to: 'old id' });
+    const entry = { index: 9, term: 99, proposedAt: 1, content: { kind: 'term_start' } } as const;
+    const withGap = await replica.answerAppend({ ...message, entries: [entry] });
     const otherGroup = await replica.answerAppend({ ...message, groupId: 'other' });
 
     expect(otherReplica).toMatchObject({ failure: { kind: 'wrong_replica' } });
+    expect(withGap).toMatchObject({ failure: { kind: 'message_invalid' } });
     expect(otherGroup).toMatchObject({ failure: { kind: 'wrong_replica' } });
     expect(replica.term).toBeLessThan(99);
   });
