--- a/tests/detection/floor.fuzz.test.ts
+++ b/tests/detection/floor.fuzz.test.ts
@@ -6,9 +6,10 @@
 import JudgeGrants from '../../src/domain/detection/JudgeGrants.ts';
 import SimulatedFleet from '../fixtures/SimulatedFleet.ts';
 import type { FleetParts } from '../fixtures/FleetOptions.ts';
+import readFuzzSettings from '../fixtures/readFuzzSettings.ts';
 
-const seed = Number(process.env.FUZZ_SEED ?? Date.now() % 2 ** 31);
-const runs = Number(process.env.FUZZ_RUNS ?? 20);
+const { parameters, timeoutMs } = readFuzzSettings('floor fuzz', 20);
+const { seed, numRuns: runs } = parameters;
 const hosts = 5;
 const upstreams = 7;
 
@@ -113,14 +114,18 @@
 }
 
 describe(`floor under faults, FUZZ_SEED=${seed} FUZZ_RUNS=${runs}`, () => {
-  it('should never leave a service below its floor or with two judges', async () => {
-    ejections = 0;
-    const result = await checkFleet({}, runs);
-
-    expect(result.failed, fc.defaultReportMessage(result)).toBe(false);
-    // Guards against runs that pass because nothing was ejected.
-    expect(ejections).toBeGreaterThan(runs);
-  });
+  it(
+    'should never leave a service below its floor or with two judges',
+    async () => {
+      ejections = 0;
+      const result = await checkFleet({}, runs);
+
+      expect(result.failed, fc.defaultReportMessage(result)).toBe(false);
+      // Guards against runs that pass because nothing was ejected.
+      expect(ejections).toBeGreaterThan(runs);
+    },
+    timeoutMs,
+  );
 
   // Guards against an oracle that would not notice two judges.
   it('should notice when grants do not exclude a second judge', async () => {
--- a/tests/membership/fuzz.test.ts
+++ b/tests/membership/fuzz.test.ts
@@ -3,9 +3,10 @@
 
 import FakeFleet from '../fixtures/FakeFleet.ts';
 import type { FakeHost } from '../fixtures/FakeFleet.ts';
+import readFuzzSettings from '../fixtures/readFuzzSettings.ts';
 
-const seed = Number(process.env.FUZZ_SEED ?? 20_261_204);
-const numRuns = Number(process.env.FUZZ_RUNS ?? 6);
+const { parameters, timeoutMs } = readFuzzSettings('membership fuzz', 6);
+const { seed, numRuns } = parameters;
 const controlNames = ['c1', 'c2', 'c3'] as const;
 const entryNames = ['e1', 'e2', 'e3', 'e4', 'e5'] as const;
 const names = [...controlNames, ...entryNames];
@@ -147,29 +148,32 @@
 
 describe('membership and presets under faults', () => {
   // Guards against orders of faults that no single test names (R5, R7).
-  it(`should never go back and agree after the faults (FUZZ_SEED=${seed} FUZZ_RUNS=${numRuns})`, async () => {
-    process.stdout.write(`fuzz membership: FUZZ_SEED=${seed} FUZZ_RUNS=${numRuns}\n`);
-    const stepArbitrary = fc.tuple(fc.constantFrom(...kinds), fc.nat(), fc.nat());
-    await fc.assert(
-      fc.asyncProperty(
-        fc.array(stepArbitrary, { minLength: 20, maxLength: 60 }),
-        fc.infiniteStream(fc.double({ min: 0, max: 0.999, noNaN: true })),
-        async (steps, stream) => {
-          const run = new Run(() => Number(stream.next().value));
-          try {
-            await run.advanceBy(1000);
-            for (const [kind, a, b] of steps) {
-              await run.steps[kind]?.(a, b);
-              run.checkHosts();
+  it(
+    `should never go back and agree after the faults (FUZZ_SEED=${seed} FUZZ_RUNS=${numRuns})`,
+    async () => {
+      const stepArbitrary = fc.tuple(fc.constantFrom(...kinds), fc.nat(), fc.nat());
+      await fc.assert(
+        fc.asyncProperty(
+          fc.array(stepArbitrary, { minLength: 20, maxLength: 60 }),
+          fc.infiniteStream(fc.double({ min: 0, max: 0.999, noNaN: true })),
+          async (steps, stream) => {
+            const run = new Run(() => Number(stream.next().value));
+            try {
+              await run.advanceBy(1000);
+              for (const [kind, a, b] of steps) {
+                await run.steps[kind]?.(a, b);
+                run.checkHosts();
+              }
+              await run.checkAgreement();
+            } finally {
+              await run.fleet.stopAll();
             }
-            await run.checkAgreement();
-          } finally {
-            await run.fleet.stopAll();
-          }
-        },
-      ),
-      // Shrinking takes minutes; FUZZ_SHRINK=1 asks for it.
-      { seed, numRuns, endOnFailure: process.env.FUZZ_SHRINK !== '1' },
-    );
-  }, 600_000);
+          },
+        ),
+        // Shrinking takes minutes; FUZZ_SHRINK=1 asks for it.
+        { seed, numRuns, endOnFailure: process.env.FUZZ_SHRINK !== '1' },
+      );
+    },
+    timeoutMs,
+  );
 });
--- a/tests/replication/fuzz.test.ts
+++ b/tests/replication/fuzz.test.ts
@@ -3,9 +3,10 @@
 
 import ReplicaGroupFixture, { type Running } from '../fixtures/ReplicaGroupFixture.ts';
 import SeededRandom from '../fixtures/SeededRandom.ts';
+import readFuzzSettings from '../fixtures/readFuzzSettings.ts';
 
-const seed = Number(process.env.FUZZ_SEED ?? 20_261_204);
-const numRuns = Number(process.env.FUZZ_RUNS ?? 30);
+const { parameters, timeoutMs } = readFuzzSettings('replication fuzz', 30);
+const { seed, numRuns } = parameters;
 
 const totals = { acknowledged: 0, confirmed: 0, wiped: 0, installed: 0, elected: 0 };
 
@@ -217,21 +218,29 @@
 
 describe('replicas under random failures', () => {
   // Guards against lost, repeated or reordered commands, stale reads and states that differ.
-  it(`should agree with the oracle (FUZZ_SEED=${seed} FUZZ_RUNS=${numRuns})`, async () => {
-    const commands = fc.commands(steps, { maxCommands: 80, size: 'max' });
-    await fc.assert(
-      fc.asyncProperty(commands, fc.integer({ min: 1, max: 1_000_000 }), async (list, runSeed) => {
-        const run = new FuzzRun(runSeed);
-        await run.group.startAll();
-        await run.group.commit('first');
-        await fc.asyncModelRun(() => ({ model: {}, real: run }), list);
-        await run.finish();
-      }),
-      { seed, numRuns },
-    );
-    process.stdout.write(
-      `replication fuzz: FUZZ_SEED=${seed} FUZZ_RUNS=${numRuns}: ${JSON.stringify(totals)}\n`,
-    );
-    expect(totals.acknowledged).toBeGreaterThan(numRuns);
-  }, 600_000);
+  it(
+    `should agree with the oracle (FUZZ_SEED=${seed} FUZZ_RUNS=${numRuns})`,
+    async () => {
+      const commands = fc.commands(steps, { maxCommands: 80, size: 'max' });
+      await fc.assert(
+        fc.asyncProperty(
+          commands,
+          fc.integer({ min: 1, max: 1_000_000 }),
+          async (list, runSeed) => {
+            const run = new FuzzRun(runSeed);
+            await run.group.startAll();
+            await run.group.commit('first');
+            await fc.asyncModelRun(() => ({ model: {}, real: run }), list);
+            await run.finish();
+          },
+        ),
+        { seed, numRuns },
+      );
+      process.stdout.write(
+        `replication fuzz: FUZZ_SEED=${seed} FUZZ_RUNS=${numRuns}: ${JSON.stringify(totals)}\n`,
+      );
+      expect(totals.acknowledged).toBeGreaterThan(numRuns);
+    },
+    timeoutMs,
+  );
 });
--- a/tests/requests/requestEnds.test.ts
+++ b/tests/requests/requestEnds.test.ts
@@ -3,9 +3,10 @@
 
 import createHandlerPath from '../fixtures/createHandlerPath.ts';
 import type { AttemptScript } from '../fixtures/createHandlerPath.ts';
+import readFuzzSettings from '../fixtures/readFuzzSettings.ts';
 
-const seed = Number(process.env.FUZZ_SEED ?? 20_261_204);
-const numRuns = Number(process.env.FUZZ_RUNS ?? 1000);
+const { parameters, timeoutMs } = readFuzzSettings('requests fuzz', 1000);
+const { seed, numRuns } = parameters;
 
 const attemptArbitrary: fc.Arbitrary<AttemptScript> = fc.record({
   end: fc.constantFrom(
@@ -30,40 +31,44 @@
 describe('ends of requests', () => {
   // Guards against a second dispatch of an operation that may have run, against a reported outcome
   // that contradicts what happened, and against claims that are completed never or twice.
-  it(`should agree with the oracle (FUZZ_SEED=${seed} FUZZ_RUNS=${numRuns})`, async () => {
-    await fc.assert(
-      fc.asyncProperty(
-        fc.array(attemptArbitrary, { minLength: 6, maxLength: 6 }),
-        fc.constantFrom('allowed' as const, 'never' as const),
-        fc.constantFrom('granted' as const, 'refused' as const, 'replayed' as const),
-        fc.constantFrom(0, 10, 1000),
-        fc.integer({ min: 0, max: 5 }),
-        async (attempts, repeat, claim, claimMs, upstreams) => {
-          const path = createHandlerPath({ attempts, repeat, claim, claimMs, upstreams });
-          const { answer, left, ran, completions } = await path.runRequest();
-
-          if (repeat === 'never') {
-            expect(left).toBeLessThanOrEqual(1);
-            // Not-run is said exactly when it is certain.
-            if (claim === 'granted' && answer.errorKind !== 'internal') {
-              expect(answer.outcome === 'not-run').toBe(left === 0);
+  it(
+    `should agree with the oracle (FUZZ_SEED=${seed} FUZZ_RUNS=${numRuns})`,
+    async () => {
+      await fc.assert(
+        fc.asyncProperty(
+          fc.array(attemptArbitrary, { minLength: 6, maxLength: 6 }),
+          fc.constantFrom('allowed' as const, 'never' as const),
+          fc.constantFrom('granted' as const, 'refused' as const, 'replayed' as const),
+          fc.constantFrom(0, 10, 1000),
+          fc.integer({ min: 0, max: 5 }),
+          async (attempts, repeat, claim, claimMs, upstreams) => {
+            const path = createHandlerPath({ attempts, repeat, claim, claimMs, upstreams });
+            const { answer, left, ran, completions } = await path.runRequest();
+
+            if (repeat === 'never') {
+              expect(left).toBeLessThanOrEqual(1);
+              // Not-run is said exactly when it is certain.
+              if (claim === 'granted' && answer.errorKind !== 'internal') {
+                expect(answer.outcome === 'not-run').toBe(left === 0);
+              }
             }
-          }
-          if (answer.outcome === 'not-run') expect(left).toBe(0);
-          if (answer.outcome === 'ran' && claim !== 'replayed') expect(ran).toBeGreaterThan(0);
-          const expectedCompletions =
-            repeat === 'never' && claim === 'granted' && path.hasClaimed() ? 1 : 0;
-          expect(completions).toHaveLength(expectedCompletions);
-          if (completions[0] === 'not_run') expect(left).toBe(0);
-          if (completions[0] === 'ran') expect(answer.errorKind).toBeUndefined();
-          if (completions.length > 0 && left === 0 && answer.errorKind !== 'internal') {
-            expect(completions).toEqual(['not_run']);
-          }
-        },
-      ),
-      { seed, numRuns },
-    );
-  });
+            if (answer.outcome === 'not-run') expect(left).toBe(0);
+            if (answer.outcome === 'ran' && claim !== 'replayed') expect(ran).toBeGreaterThan(0);
+            const expectedCompletions =
+              repeat === 'never' && claim === 'granted' && path.hasClaimed() ? 1 : 0;
+            expect(completions).toHaveLength(expectedCompletions);
+            if (completions[0] === 'not_run') expect(left).toBe(0);
+            if (completions[0] === 'ran') expect(answer.errorKind).toBeUndefined();
+            if (completions.length > 0 && left === 0 && answer.errorKind !== 'internal') {
+              expect(completions).toEqual(['not_run']);
+            }
+          },
+        ),
+        { seed, numRuns },
+      );
+    },
+    timeoutMs,
+  );
 
   const rest: AttemptScript[] = Array.from({ length: 5 }, () => ({
     end: 'unreachable',
