Refuse keys from before a control group's first selection; report votes

Cause: after the loss of a majority of control disks a new group starts without claims, so a resent key could run a second time. Operators could not see when a replaced control host has its vote again. Change: the first selection of a preset raises the horizon of the claims to its time; gauges for leading, vote, term and claim records. Conclusion: operations can name the metric to wait for.

--- a/src/adapters/metrics/PrometheusMetrics.ts
+++ b/src/adapters/metrics/PrometheusMetrics.ts
@@ -6,11 +6,12 @@
 
 const durationBucketsSeconds = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
 
-/** Values that are read when the metrics are asked for. */
-export interface PrometheusSources {
-  readonly readRevision: () => number;
-  readonly countLiveHosts: () => number;
-  readonly countUpstreams: () => number;
+/** A value that is read when the metrics are asked for. */
+export interface GaugeSource {
+  /** Name without the prefix `pistachiohoist_`. */
+  readonly name: string;
+  readonly help: string;
+  readonly readValue: () => number;
 }
 
 /** Metrics of this host as Prometheus text. */
@@ -23,7 +24,7 @@
 
   private readonly durations: Histogram<'service'>;
 
-  constructor(sources: PrometheusSources) {
+  constructor(gauges: readonly GaugeSource[]) {
     const registers = [this.registry];
     collectDefaultMetrics({ register: this.registry });
     this.requests = new Counter({
@@ -45,9 +46,7 @@
       buckets: durationBucketsSeconds,
       registers,
     });
-    this.addGauge('preset_revision', 'Active preset revision.', sources.readRevision);
-    this.addGauge('live_hosts', 'Hosts with a valid lease.', sources.countLiveHosts);
-    this.addGauge('upstreams', 'Upstreams with a valid lease.', sources.countUpstreams);
+    gauges.forEach((gauge) => this.addGauge(gauge));
   }
 
   recordRequest(request: AnsweredRequest): void {
@@ -63,7 +62,7 @@
     return this.registry.metrics();
   }
 
-  private addGauge(name: string, help: string, readValue: () => number): void {
+  private addGauge({ name, help, readValue }: GaugeSource): void {
     const gauge: Gauge = new Gauge({
       name: `pistachiohoist_${name}`,
       help,
--- a/src/application/replication/Replica.ts
+++ b/src/application/replication/Replica.ts
@@ -93,6 +93,11 @@
   }
 
   /** The newest configuration in the log of this replica. */
+  /** Whether this replica has a vote, by the newest configuration in its log. */
+  get isVoter(): boolean {
+    return this.context.isVoter;
+  }
+
   get configuration(): ReplicaConfiguration {
     return this.context.configuration;
   }
--- a/src/daemon/ControlHost.ts
+++ b/src/daemon/ControlHost.ts
@@ -222,11 +222,34 @@
   }
 
   private createMetrics(): PrometheusMetrics {
-    const { clock } = this.options;
-    return new PrometheusMetrics({
-      readRevision: () => this.state.presets.getActive()?.revision ?? 0,
-      countLiveHosts: () => this.network.listLive().length,
-      countUpstreams: () => this.network.upstreams.listRecords(clock.now()).length,
-    });
+    const { replica, state } = this;
+    return new PrometheusMetrics([
+      ...this.network.listGauges(),
+      {
+        name: 'preset_revision',
+        help: 'Active preset revision in the state of this host.',
+        readValue: () => state.presets.getActive()?.revision ?? 0,
+      },
+      {
+        name: 'control_leading',
+        help: '1 when this host leads the control group.',
+        readValue: () => (replica.role === 'leader' ? 1 : 0),
+      },
+      {
+        name: 'control_voting',
+        help: '1 when this host has a vote in the control group.',
+        readValue: () => (replica.isVoter ? 1 : 0),
+      },
+      {
+        name: 'control_term',
+        help: 'Term that this host knows.',
+        readValue: () => replica.term,
+      },
+      {
+        name: 'claim_records',
+        help: 'Claimed keys and released attempts that are kept.',
+        readValue: () => state.claims.recordCount,
+      },
+    ]);
   }
 }
--- a/src/daemon/EntryHost.ts
+++ b/src/daemon/EntryHost.ts
@@ -212,12 +212,14 @@
   }
 
   private createMetrics(): PrometheusMetrics {
-    const { clock } = this.options;
-    return new PrometheusMetrics({
-      readRevision: () => this.presets.state?.revision ?? 0,
-      countLiveHosts: () => this.network.listLive().length,
-      countUpstreams: () => this.network.upstreams.listRecords(clock.now()).length,
-    });
+    return new PrometheusMetrics([
+      ...this.network.listGauges(),
+      {
+        name: 'preset_revision',
+        help: 'Active preset revision.',
+        readValue: () => this.presets.state?.revision ?? 0,
+      },
+    ]);
   }
 
   private createShutdown(): Shutdown {
--- a/src/daemon/PeerNetwork.ts
+++ b/src/daemon/PeerNetwork.ts
@@ -1,3 +1,4 @@
+import type { GaugeSource } from '../adapters/metrics/PrometheusMetrics.ts';
 import TrpcGossipLink from '../adapters/trpc/TrpcGossipLink.ts';
 import TrpcPeerDialer from '../adapters/trpc/TrpcPeerDialer.ts';
 import { checkHostRecord, checkUpstreamRecord } from '../adapters/trpc/gossipMessages.ts';
@@ -75,4 +76,25 @@
   listLive(): readonly HostRecord[] {
     return this.hosts.listLive(this.options.clock.now());
   }
+
+  listGauges(): readonly GaugeSource[] {
+    const { clock } = this.options;
+    return [
+      {
+        name: 'live_hosts',
+        help: 'Hosts with a valid lease that are not stopping.',
+        readValue: () => this.listLive().length,
+      },
+      {
+        name: 'upstreams',
+        help: 'Upstreams with a valid lease.',
+        readValue: () => this.upstreams.listRecords(clock.now()).length,
+      },
+      {
+        name: 'partitioned',
+        help: '1 when no peer was heard for 3 s.',
+        readValue: () => (this.gossip.isPartitioned() ? 1 : 0),
+      },
+    ];
+  }
 }
--- a/src/domain/claims/ClaimBook.ts
+++ b/src/domain/claims/ClaimBook.ts
@@ -61,11 +61,16 @@
     position: CommitPosition,
   ): readonly ClaimDecision[] {
     // The leader's time may go back when the leader changes; an expired key must not come back.
-    this.horizon = Math.max(this.horizon, position.proposedAt - claimRetentionMs);
-    this.table.dropThrough(this.horizon);
+    this.refuseThrough(position.proposedAt - claimRetentionMs);
     return changes.map((change) => this.applyChange(change, position.proposedAt));
   }
 
+  /** Refuses all keys whose time is not after the instant, as if they had expired. */
+  refuseThrough(instant: number): void {
+    this.horizon = Math.max(this.horizon, instant);
+    this.table.dropThrough(this.horizon);
+  }
+
   takeSnapshot(): ClaimBookSnapshot {
     return { horizon: this.horizon, keys: this.table.listKeys() };
   }
@@ -80,7 +85,11 @@
     if (!parsed.ok) return { kind: 'refused', failure: parsed.failure };
     const key = parsed.value;
     if (key.timestamp <= this.horizon) {
-      return refuse('key_expired', change, 'the key is older than 24 hours; expected a newer key');
+      return refuse(
+        'key_expired',
+        change,
+        'the key is older than 24 hours or than this control group; expected a newer key',
+      );
     }
     const entry = this.table.findEntry(key);
     // A leader whose clock is behind still has to take the end of a claim that another granted.
--- a/src/domain/control/ControlState.ts
+++ b/src/domain/control/ControlState.ts
@@ -4,7 +4,7 @@
 import type ReplicatedState from '../replication/ReplicatedState.ts';
 import type { CommitPosition } from '../replication/ReplicatedState.ts';
 import type ControlCommand from './ControlCommand.ts';
-import type { ControlReply } from './ControlCommand.ts';
+import type { ControlReply, PutPreset, UsePreset } from './ControlCommand.ts';
 import type ControlSnapshot from './ControlSnapshot.ts';
 
 /** What a control state needs. */
@@ -31,7 +31,7 @@
     switch (command.kind) {
       case 'put_preset':
       case 'use_preset':
-        return { kind: 'preset_change', result: this.presets.applyChange(command, position) };
+        return this.applyPresetChange(command, position);
       case 'change_claims':
         return { kind: 'claims', decisions: this.claims.applyChanges(command.changes, position) };
       default:
@@ -39,6 +39,15 @@
     }
   }
 
+  // No request ran under this group before its first selection. A key from before it may have run
+  // under an earlier group whose claims were lost with its disks.
+  private applyPresetChange(change: PutPreset | UsePreset, position: CommitPosition): ControlReply {
+    const isFirst = this.presets.getSelection() === undefined;
+    const result = this.presets.applyChange(change, position);
+    if (isFirst && this.presets.getSelection()) this.claims.refuseThrough(position.proposedAt);
+    return { kind: 'preset_change', result };
+  }
+
   takeSnapshot(): ControlSnapshot {
     return { claims: this.claims.takeSnapshot(), presets: this.presets.takeSnapshot() };
   }
--- a/tests/claims/claimBook.test.ts
+++ b/tests/claims/claimBook.test.ts
@@ -205,4 +205,15 @@
     book.applyChanges([], { index: 1, term: 1, proposedAt: start + claimRetentionMs + 60_000 });
     expect(book.recordCount).toBe(0);
   });
+
+  // Guards against a second run after all control disks were lost and a new group was formed.
+  it('should refuse keys from before the first selection of a preset', () => {
+    const { book, apply } = createBook();
+    const older = v7({ msecs: start - 1000 });
+    const newer = v7({ msecs: start + 1000 });
+    book.refuseThrough(start);
+
+    expect(getRefusal(apply(claim(older, 'a')))).toBe('key_expired');
+    expect(apply(claim(newer, 'b'))).toEqual({ kind: 'granted' });
+  });
 });
--- /dev/null
+++ b/tests/processes/controlRepair.test.ts
@@ -0,0 +1,56 @@
+import { rm } from 'node:fs/promises';
+
+import { request } from 'undici';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+
+import { startExampleFleet } from '../../examples/fleet/startExampleFleet.ts';
+import type { ExampleFleet } from '../../examples/fleet/startExampleFleet.ts';
+
+describe('repair of a control host, in separate processes', () => {
+  let fleet: ExampleFleet;
+
+  beforeAll(async () => {
+    fleet = await startExampleFleet({
+      controlHosts: 3,
+      entryHosts: 1,
+      upstreams: 1,
+      latencyMs: 10,
+    });
+  }, 60_000);
+
+  afterAll(() => fleet.stopAll(), 60_000);
+
+  async function hasVote(host: string): Promise<boolean> {
+    const found = fleet.hosts.controlHosts.find((control) => control.host === host);
+    const answer = await request(`http://${found?.platform}/metrics`);
+    return /^pistachiohoist_control_voting 1$/m.test(await answer.body.text());
+  }
+
+  // Guards against an accepted change that is lost with the second disk right after the repair of
+  // the first, and against a wiped host that votes with an empty log.
+  it('should keep every accepted change when a second host is lost after the repair', async () => {
+    const { hosts } = fleet;
+    const file = hosts.getPath('ordinary.preset.yaml');
+    const put = (name: string) => hosts.runTool(['preset', 'put', name, file, '--based-on', '0']);
+    expect((await put('before')).code).toBe(0);
+    await hosts.getProcess('control-3').kill();
+    await rm(hosts.getPath('control-3.data'), { recursive: true });
+    expect((await put('while-wiped')).code).toBe(0);
+    hosts.startHost('control-3');
+    await hosts.waitUntil('control-3 has its vote again', () =>
+      hasVote('control-3').catch(() => false),
+    );
+    await hosts.getProcess('control-1').kill();
+    await rm(hosts.getPath('control-1.data'), { recursive: true });
+    await hosts.waitUntil('the other two accept a change', async () => {
+      const { code, output } = await put('after');
+      return code === 0 || output.includes('revision_conflict');
+    });
+
+    const { output } = await hosts.runTool(['preset', 'list']);
+
+    ['before', 'while-wiped', 'after', 'ordinary'].forEach((name) =>
+      expect(output).toContain(name),
+    );
+  }, 90_000);
+});
