--- a/bench/slots.ts
+++ b/bench/slots.ts
@@ -1,5 +1,5 @@
 // Compares balancers in simulated time:
-// `npx tsc -p bench && node dist/bench/bench/slots.js [SEED]`.
+// `npx tsx bench/slots.ts [SEED]`.
 import type Balancer from '../src/domain/requests/Balancer.ts';
 import RandomBalancer from '../src/domain/requests/RandomBalancer.ts';
 import SlotBalancer from '../src/domain/requests/SlotBalancer.ts';
