--- a/src/adapters/trpc/TrpcPresetLink.ts
+++ b/src/adapters/trpc/TrpcPresetLink.ts
@@ -2,15 +2,15 @@
 import type PresetState from '../../domain/presets/PresetState.ts';
 import type PresetLink from '../../ports/PresetLink.ts';
 import type { ConfirmationAsker } from '../../ports/PresetLink.ts';
-import createAnswerSchema from './createAnswerSchema.ts';
+import { createOptionalSchema, createResultSchema } from './failureSchema.ts';
 import { presetStateSchema } from './presetMessages.ts';
 import type { SharedPeerConnection } from './TrpcPeerDialer.ts';
 
 // The control host answers at the deadline itself; its clock may be 500 ms behind.
 const answerGraceMs = 1000;
 
-const confirmAnswerSchema = createAnswerSchema(presetStateSchema);
-const watchAnswerSchema = createAnswerSchema(presetStateSchema.optional());
+const confirmAnswerSchema = createResultSchema(presetStateSchema);
+const watchAnswerSchema = createResultSchema(createOptionalSchema(presetStateSchema));
 
 /** The presets of a control host over the connection to it. */
 export default class TrpcPresetLink implements PresetLink {
--- a/src/adapters/trpc/createPresetRouter.ts
+++ b/src/adapters/trpc/createPresetRouter.ts
@@ -2,7 +2,7 @@
 import type Result from '../../domain/errors/Result.ts';
 import type PresetState from '../../domain/presets/PresetState.ts';
 import type Clock from '../../ports/Clock.ts';
-import { createMalformedInput } from './createAnswerSchema.ts';
+import parseInput from './parseInput.ts';
 import { confirmInputSchema, watchInputSchema } from './presetMessages.ts';
 import { procedure, router } from './trpcBase.ts';
 
@@ -26,18 +26,18 @@
     watch: procedure
       .input((input: unknown) => input)
       .mutation(async ({ input }): Promise<Result<PresetState | undefined>> => {
-        const parsed = watchInputSchema.safeParse(input);
-        if (!parsed.success) return createMalformedInput('presets.watch', parsed.error);
-        const { afterRevision, deadline } = parsed.data;
+        const parsed = parseInput('presets.watch', watchInputSchema, input);
+        if (!parsed.ok) return parsed;
+        const { afterRevision, deadline } = parsed.value;
         const value = await source.watchState(afterRevision, createDeadline(deadline));
         return { ok: true, value };
       }),
     confirm: procedure
       .input((input: unknown) => input)
       .mutation(async ({ input }): Promise<Result<PresetState>> => {
-        const parsed = confirmInputSchema.safeParse(input);
-        if (!parsed.success) return createMalformedInput('presets.confirm', parsed.error);
-        const { asker, deadline } = parsed.data;
+        const parsed = parseInput('presets.confirm', confirmInputSchema, input);
+        if (!parsed.ok) return parsed;
+        const { asker, deadline } = parsed.value;
         const asked = asker === 'entry' ? forwarding : source;
         return asked.confirmState(createDeadline(deadline));
       }),
--- a/src/adapters/trpc/createReplicationRouter.ts
+++ b/src/adapters/trpc/createReplicationRouter.ts
@@ -9,6 +9,7 @@
   snapshotRequestSchema,
   voteRequestSchema,
 } from './replicationMessages.ts';
+import parseInput from './parseInput.ts';
 import { procedure, router } from './trpcBase.ts';
 
 /** Builds a procedure whose answer is always data; a malformed input gives `message_invalid`. */
@@ -18,12 +19,9 @@
   readonly answer: (input: Input) => Promise<Result<Output>>;
 }) {
   const { path, schema, answer } = options;
-  return procedure.input(z.unknown()).mutation(async ({ input, ctx }): Promise<Result<Output>> => {
-    const parsed = schema.safeParse(input);
-    if (parsed.success) return answer(parsed.data);
-    const detail = z.prettifyError(parsed.error);
-    const message = `${path} of host "${ctx.callerName}": ${detail}`;
-    return { ok: false, failure: { kind: 'message_invalid', message } };
+  return procedure.input(z.unknown()).mutation(async ({ input }): Promise<Result<Output>> => {
+    const parsed = parseInput(path, schema, input);
+    return parsed.ok ? answer(parsed.value) : parsed;
   });
 }
 
--- a/src/adapters/trpc/replicationMessages.ts
+++ b/src/adapters/trpc/replicationMessages.ts
@@ -1,6 +1,5 @@
 import { z } from 'zod';
 
-import type Failure from '../../domain/errors/Failure.ts';
 import type Result from '../../domain/errors/Result.ts';
 import type LogEntry from '../../domain/replication/LogEntry.ts';
 import type { HostStatus } from '../../domain/replication/decideGroup.ts';
@@ -14,6 +13,7 @@
   VoteAnswer,
   VoteRequest,
 } from '../../ports/ReplicationLink.ts';
+import failureSchema, { createOptionalSchema, createResultSchema } from './failureSchema.ts';
 
 const count = z.int().nonnegative();
 const memberSchema = z.object({ replicaId: z.string(), host: z.string() });
@@ -80,27 +80,8 @@
   piece: z.base64(),
 });
 
-const failureSchema: z.ZodType<Failure> = z.object({
-  kind: z.enum([
-    'wrong_replica',
-    'message_invalid',
-    'host_stopping',
-    'data_folder_unusable',
-    'log_damaged',
-    'internal',
-  ]),
-  message: z.string(),
-});
-
-function createResultSchema<Value>(value: z.ZodType<Value>) {
-  return z.discriminatedUnion('ok', [
-    z.object({ ok: z.literal(true), value }),
-    z.object({ ok: z.literal(false), failure: failureSchema }),
-  ]) as z.ZodType<Result<Value>>;
-}
-
 /** Answer without a value; JSON leaves undefined values out. */
-export const emptyAnswerSchema: z.ZodType<Result<void>> = z.discriminatedUnion('ok', [
+export const emptyAnswerSchema: z.ZodType<Result<void>> = z.union([
   z.object({ ok: z.literal(true) }).transform((): Result<void> => ({ ok: true, value: undefined })),
   z.object({ ok: z.literal(false), failure: failureSchema }),
 ]);
@@ -110,8 +91,8 @@
   z.object({
     host: z.string(),
     replicaId: z.string(),
-    group: groupSchema.optional(),
-  }) as unknown as z.ZodType<HostStatus>,
+    group: createOptionalSchema(groupSchema),
+  }),
 );
 
 /** Answer to a vote request. */
