Use a subset of a service's upstreams on each entry host

Cause: SubsetPool was tested but no entry host used it, so a host of the future size would weigh every upstream of a large service and open connections to all of them. Ruled out: the subset inside EjectingUpstreamPool; the judge and the floor need the whole service. Change: the dispatcher of EntryHost gets the detection pool wrapped in a SubsetPool. Measured: npx vitest run tests/requests: 95 of 95 passed; in an earlier run one of 95 failed, "should deliver the refusal of a large body that is still being sent" (408 instead of 413; the headers timeout fired on a busy machine).

--- a/src/daemon/EntryHost.ts
+++ b/src/daemon/EntryHost.ts
@@ -21,6 +21,7 @@
 import LoadTracker from '../application/requests/LoadTracker.ts';
 import RequestHandler from '../application/requests/RequestHandler.ts';
 import type RequestObserver from '../application/requests/RequestObserver.ts';
+import SubsetPool from '../application/requests/SubsetPool.ts';
 import UpstreamDispatcher from '../application/requests/UpstreamDispatcher.ts';
 import VerdictBook from '../domain/detection/VerdictBook.ts';
 import type { HostStateName } from '../domain/membership/HostRecord.ts';
@@ -200,7 +201,7 @@
       random,
       upstreamClient,
       balancer: new SlotBalancer(),
-      pool: detection.pool,
+      pool: new SubsetPool({ pool: detection.pool, host: settings.host }),
       observer: detection.reporter,
       loadTracker: new LoadTracker(),
       failureDomain: settings.failureDomain,
