Measure the processor time that an entry host adds

Cause: bench/addedTime.ts counted the background work of the entry host as work of its requests and had no figure of the same run to compare with; on a busy machine microseconds alone say little. Ruled out: pausing the background work, which changes what is measured. The stand-in reports its processor time on GET /processor. Conclusion: the ratio is the figure to compare between changes.

--- a/bench/addedTime.ts
+++ b/bench/addedTime.ts
@@ -11,13 +11,25 @@
     rate: { type: 'string', default: '300' },
     rounds: { type: 'string', default: '10' },
     requests: { type: 'string', default: '300' },
+    upstreams: { type: 'string', default: '1' },
+    // Folder for a processor profile of the entry host.
+    profile: { type: 'string' },
   },
 });
 
-async function readProcessorSeconds(platform: string): Promise<number> {
-  const answer = await request(`http://${platform}/metrics`);
-  const text = await answer.body.text();
-  return Number(/^process_cpu_seconds_total ([0-9.e+-]+)/m.exec(text)?.[1] ?? Number.NaN);
+interface ProcessorUse {
+  readonly entryMicroseconds: number;
+  readonly clientMicroseconds: number;
+  readonly upstreamMicroseconds: number;
+}
+
+async function readText(address: string, path: string): Promise<string> {
+  const answer = await request(`http://${address}${path}`);
+  return answer.body.text();
+}
+
+function sumUsage({ user, system }: NodeJS.CpuUsage): number {
+  return user + system;
 }
 
 function formatRow(name: string, histogram: Histogram): string {
@@ -30,49 +42,97 @@
 const fleet = await startExampleFleet({
   controlHosts: 1,
   entryHosts: 1,
-  upstreams: 1,
+  upstreams: Number(values.upstreams),
   latencyMs: 0,
+  entryNodeArguments: values.profile ? ['--cpu-prof', `--cpu-prof-dir=${values.profile}`] : [],
 });
 const [entry] = fleet.hosts.entryHosts;
 const [upstream] = fleet.upstreams;
 if (!entry || !upstream) throw new Error('the fleet has no entry host or no upstream');
+
+async function readProcessorUse(): Promise<ProcessorUse> {
+  const metrics = await readText(entry?.platform ?? '', '/metrics');
+  const entrySeconds = /^process_cpu_seconds_total ([0-9.e+-]+)/m.exec(metrics)?.[1];
+  const upstreamUsage = await readText(upstream?.control ?? '', '/processor');
+  return {
+    entryMicroseconds: Number(entrySeconds ?? Number.NaN) * 1e6,
+    clientMicroseconds: sumUsage(process.cpuUsage()),
+    upstreamMicroseconds: sumUsage(JSON.parse(upstreamUsage) as NodeJS.CpuUsage),
+  };
+}
+
 const client = new Agent({ connections: 32, pipelining: 1 });
-const direct = createLatencies();
-const through = createLatencies();
 const load = {
   client,
   path: '/history/f-1',
   ratePerSecond: Number(values.rate),
   requests: Number(values.requests),
 };
-let failures = 0;
+
+/** Latencies, failures and processor time of the rounds on one way. */
+class Measurement {
+  readonly latencies = createLatencies();
+
+  failures = 0;
+
+  readonly total = { entryMicroseconds: 0, clientMicroseconds: 0, upstreamMicroseconds: 0 };
+
+  private readonly origin: string;
+
+  constructor(address: string) {
+    this.origin = `http://${address}`;
+  }
+
+  async runRound(): Promise<void> {
+    const before = await readProcessorUse();
+    const round = await runOpenLoop({ ...load, origin: this.origin });
+    const after = await readProcessorUse();
+    this.latencies.add(round.latencies);
+    this.failures += round.failures;
+    this.total.entryMicroseconds += after.entryMicroseconds - before.entryMicroseconds;
+    this.total.clientMicroseconds += after.clientMicroseconds - before.clientMicroseconds;
+    this.total.upstreamMicroseconds += after.upstreamMicroseconds - before.upstreamMicroseconds;
+  }
+
+  getPercentile(percentile: number): number {
+    return this.latencies.getValueAtPercentile(percentile) / 1000;
+  }
+}
+
 // Warm-up: compiles the hot paths and opens the connections.
-await runOpenLoop({ ...load, origin: `http://${entry.callers}` });
-await runOpenLoop({ ...load, origin: `http://${upstream.address}` });
-const processorBefore = await readProcessorSeconds(entry.platform);
+await new Measurement(entry.callers).runRound();
+await new Measurement(upstream.address).runRound();
+const through = new Measurement(entry.callers);
+const direct = new Measurement(upstream.address);
 // The two loads take turns, so that other work on the machine hits both alike.
 for (let round = 0; round < Number(values.rounds); round += 1) {
-  const throughRound = await runOpenLoop({ ...load, origin: `http://${entry.callers}` });
-  const directRound = await runOpenLoop({ ...load, origin: `http://${upstream.address}` });
-  through.add(throughRound.latencies);
-  direct.add(directRound.latencies);
-  failures += throughRound.failures + directRound.failures;
+  await through.runRound();
+  await direct.runRound();
 }
-const processorSeconds = (await readProcessorSeconds(entry.platform)) - processorBefore;
-const processorMicroseconds = (processorSeconds * 1e6) / through.totalCount;
-const added = [50, 99].map(
-  (percentile) =>
-    (through.getValueAtPercentile(percentile) - direct.getValueAtPercentile(percentile)) / 1000,
+const [addedMedian, addedHigh] = [50, 99].map((percentile) =>
+  (through.getPercentile(percentile) - direct.getPercentile(percentile)).toFixed(2),
 );
+// The entry host's background work goes on while the load is direct.
+const entryMicroseconds =
+  (through.total.entryMicroseconds - direct.total.entryMicroseconds) / through.latencies.totalCount;
+const [clientMicroseconds, upstreamMicroseconds] = [
+  direct.total.clientMicroseconds / direct.latencies.totalCount,
+  direct.total.upstreamMicroseconds / direct.latencies.totalCount,
+];
+const directMicroseconds = clientMicroseconds + upstreamMicroseconds;
 process.stdout.write(
-  `rate ${load.ratePerSecond}/s, ${values.rounds} rounds of ${load.requests} requests each way\n` +
+  `rate ${load.ratePerSecond}/s, ${values.rounds} rounds of ${load.requests} requests each way, ` +
+    `${values.upstreams} upstreams\n` +
     `ms              ${['p50', 'p90', 'p99'].map((name) => name.padStart(9)).join('')}  requests\n` +
-    formatRow('direct', direct) +
-    formatRow('through fleet', through) +
-    `added at p50 ${added[0]?.toFixed(2)} ms, at p99 ${added[1]?.toFixed(2)} ms; ` +
-    `ratio at p50 ${(through.getValueAtPercentile(50) / direct.getValueAtPercentile(50)).toFixed(2)}; ` +
-    `processor time of the entry host ${processorMicroseconds.toFixed(0)} µs a request; ` +
-    `failures ${failures}\n`,
+    formatRow('direct', direct.latencies) +
+    formatRow('through fleet', through.latencies) +
+    `added at p50 ${addedMedian} ms, at p99 ${addedHigh} ms; ` +
+    `ratio at p50 ${(through.getPercentile(50) / direct.getPercentile(50)).toFixed(2)}; ` +
+    `failures ${through.failures + direct.failures}\n` +
+    `processor time a request: entry host ${entryMicroseconds.toFixed(0)} µs; direct exchange ` +
+    `${directMicroseconds.toFixed(0)} µs (client ${clientMicroseconds.toFixed(0)} µs, ` +
+    `upstream ${upstreamMicroseconds.toFixed(0)} µs); ` +
+    `ratio ${(entryMicroseconds / directMicroseconds).toFixed(2)}\n`,
 );
 await client.close();
 await fleet.stopAll();
--- a/examples/fleet/ProcessFleet.ts
+++ b/examples/fleet/ProcessFleet.ts
@@ -77,13 +77,15 @@
     return found;
   }
 
-  startHost(host: string): ManagedProcess {
+  startHost(host: string, nodeArguments: readonly string[] = []): ManagedProcess {
     const daemon = path.join(root, 'dist/daemon/main.js');
-    return this.startProcess(host, [daemon, '--config', this.getPath(`${host}.yaml`)]);
+    const settings = this.getPath(`${host}.yaml`);
+    return this.startProcess(host, [...nodeArguments, daemon, '--config', settings]);
   }
 
-  startAllHosts(): void {
-    [...this.controlHosts, ...this.entryHosts].forEach(({ host }) => this.startHost(host));
+  startAllHosts(entryNodeArguments: readonly string[] = []): void {
+    this.controlHosts.forEach(({ host }) => this.startHost(host));
+    this.entryHosts.forEach(({ host }) => this.startHost(host, entryNodeArguments));
   }
 
   startProcess(name: string, args: readonly string[]): ManagedProcess {
--- a/examples/fleet/startExampleFleet.ts
+++ b/examples/fleet/startExampleFleet.ts
@@ -22,6 +22,8 @@
   /** Stand-in upstreams of each of the two services. */
   readonly upstreams: number;
   readonly latencyMs: number;
+  /** Arguments of Node.js for the entry hosts, for example to profile them. */
+  readonly entryNodeArguments?: readonly string[];
 }
 
 /** A running example. */
@@ -106,7 +108,7 @@
 /** Starts all processes, stores a first preset, and waits until every entry host is ready. */
 export async function startExampleFleet(sizes: ExampleSizes): Promise<ExampleFleet> {
   const hosts = await ProcessFleet.createFleet(sizes);
-  hosts.startAllHosts();
+  hosts.startAllHosts(sizes.entryNodeArguments);
   const upstreams = await startUpstreams(hosts, sizes);
   await hosts.waitUntil('the control group leads', async () => {
     const list = await hosts.runTool(['preset', 'list']);
--- a/tests/stand-in/standInUpstream.mjs
+++ b/tests/stand-in/standInUpstream.mjs
@@ -1,6 +1,6 @@
 // An upstream for tests: announces itself, answers with a bounded number of slots, and switches its
 // faults through a control listener: GET /behaviour, POST /behaviour (JSON fields to change),
-// GET /runs (runs by idempotency key), GET /counts, POST /drain.
+// GET /runs (runs by idempotency key), GET /counts, GET /processor (microseconds), POST /drain.
 import { once } from 'node:events';
 import { createServer, request as sendHttp } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -281,7 +281,11 @@
   const call = `${request.method} ${request.url}`;
   if (call === 'POST /behaviour') Object.assign(behaviour, JSON.parse(await readBody(request)));
   if (call === 'POST /drain') drain();
-  const values = { '/runs': Object.fromEntries(runs), '/counts': { ...counts, running, open } };
+  const values = {
+    '/runs': Object.fromEntries(runs),
+    '/counts': { ...counts, running, open },
+    '/processor': process.cpuUsage(),
+  };
   writeJson(response, 200, values[request.url] ?? { ...behaviour, state, address });
 }
 
