Create no abort exceptions and no body timer for ordinary requests

Cause: each request aborted three AbortControllers; abort() without a reason creates a DOMException with a stack trace. In a profile of the entry host abort controllers and event targets took 9.7% of the processor time (exceptions alone 4.2%), the largest cost besides socket writes (36%) that own code causes; listing the pool took 1.3%, metrics 1.7%, end-to-end headers 1.2%. Ruled out: caching the pool between calls, because mayDispatch must see an upstream leave at once. Change: the caller's signal aborts only if the answer was not finished; the other aborts carry a reason; a request without content-length and transfer-encoding is read without a timer.

--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -134,7 +134,10 @@
   private async serveRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (!this.connections.acceptRequest(request.socket, response)) return;
     const caller = new AbortController();
-    response.once('close', () => caller.abort());
+    response.once('close', () => {
+      // Nobody waits for the signal of an answered request, and aborting it has a cost.
+      if (!response.writableFinished) caller.abort('the caller disconnected');
+    });
     const head = {
       method: request.method ?? '',
       target: request.url ?? '',
--- a/src/adapters/http/UndiciUpstreamClient.ts
+++ b/src/adapters/http/UndiciUpstreamClient.ts
@@ -53,7 +53,9 @@
     );
     const result = await exchange.result;
     request.signal.removeEventListener('abort', onCancel);
-    answered.abort();
+    // Without a reason, abort creates an exception with a stack trace, which took 4% of the
+    // processor time of an entry host.
+    answered.abort('the exchange ended');
     await deadlinePassed;
     return result;
   }
--- a/src/adapters/http/readBody.ts
+++ b/src/adapters/http/readBody.ts
@@ -13,6 +13,11 @@
   readonly clock: Clock;
 }
 
+// RFC 9112, section 6.3: a request with neither header has no body.
+function hasBody({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
+
 /**
  * Reads the whole body of a request; refuses it past its limits and when the caller breaks off. A
  * refusal leaves the connection open for the answer.
@@ -21,6 +26,10 @@
   request: IncomingMessage,
   limits: BodyLimits,
 ): Promise<Result<Uint8Array>> {
+  if (!hasBody(request)) {
+    request.resume();
+    return { ok: true, value: new Uint8Array() };
+  }
   const details: Readonly<Record<Refusal, string>> = {
     body_too_large: `the body is too large: expected at most ${limits.maxBytes} bytes`,
     deadline_passed: 'the deadline passed before the body was whole',
@@ -50,7 +59,8 @@
       .then(() => resolve(refuse('deadline_passed')))
       .catch(() => undefined);
   });
-  ended.abort();
+  // Without a reason, abort creates an exception with a stack trace.
+  ended.abort('the body ended');
   request.removeAllListeners('data');
   return result;
 }
