Measure what control costs and how it grows

Cause: docs/CAPACITY.md needs slopes measured on the real classes and processes. Ruled out: three replicas on real time and folders in one process; on a loaded machine the leader lost its term between proposals (trial). Claims through daemons with the idle rate taken off; the differences were negative (trial). The example fleet stops its processes when it fails to start; a start that failed with not_leader left stand-ins running. ManagedProcess shows its pid.

--- /dev/null
+++ b/bench/capacity/measure.ts
@@ -0,0 +1,65 @@
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
+
+type Values = Readonly<Record<string, number>>;
+
+/** A measurement over several sizes and the size to extrapolate to. */
+export interface SizeTable {
+  readonly title: string;
+  readonly sizeName: string;
+  readonly sizes: readonly number[];
+  readonly futureSize: number;
+  readonly measure: (size: number) => Promise<Values>;
+}
+
+setFlagsFromString('--expose-gc');
+const collectGarbage = runInNewContext('gc') as () => void;
+
+/** Processor milliseconds of one run of the work, after runs that warm up. */
+export async function measureProcessorMs(
+  repeats: number,
+  work: (run: number) => unknown,
+  warmUps = Math.ceil(repeats / 4),
+): Promise<number> {
+  for (let run = 0; run < warmUps; run += 1) await work(run);
+  const before = process.cpuUsage();
+  for (let run = warmUps; run < warmUps + repeats; run += 1) await work(run);
+  const { user, system } = process.cpuUsage(before);
+  return (user + system) / 1000 / repeats;
+}
+
+/** Megabytes of heap that the created value keeps. */
+export function measureHeapMb(createValue: () => unknown): number {
+  collectGarbage();
+  const before = process.memoryUsage().heapUsed;
+  const kept = [createValue()];
+  collectGarbage();
+  return (process.memoryUsage().heapUsed - before) / 1e6 / kept.length;
+}
+
+/** Measures at each size; prints the values, the least-squares slope and the future value. */
+export async function printSizes(table: SizeTable): Promise<void> {
+  const { title, sizeName, sizes, futureSize, measure } = table;
+  const rows: Values[] = [];
+  for (const size of sizes) rows.push(await measure(size));
+  const meanSize = sizes.reduce((sum, size) => sum + size, 0) / sizes.length;
+  const spread = sizes.reduce((sum, size) => sum + (size - meanSize) ** 2, 0);
+  const formatLine = (name: string, cells: readonly string[]): string =>
+    `${name.padEnd(30)}${cells.map((cell) => cell.padStart(12)).join('')}\n`;
+  const lines = Object.keys(rows[0] ?? {}).map((column) => {
+    const values = rows.map((row) => row[column] ?? Number.NaN);
+    const mean = values.reduce((sum, value) => sum + value, 0) / values.length;
+    const slope =
+      values.reduce(
+        (sum, value, index) => sum + ((sizes[index] ?? 0) - meanSize) * (value - mean),
+        0,
+      ) / spread;
+    const cells = [...values, slope, mean + slope * (futureSize - meanSize)];
+    return formatLine(
+      column,
+      cells.map((cell) => cell.toPrecision(4)),
+    );
+  });
+  const head = formatLine(sizeName, [...sizes.map(String), 'slope', `at ${futureSize}`]);
+  process.stdout.write(`\n${title}\n${head}${lines.join('')}`);
+}
--- /dev/null
+++ b/bench/capacity/measureControl.ts
@@ -0,0 +1,109 @@
+import { v4, v7 } from 'uuid';
+
+import { parseControlSnapshot } from '../../src/adapters/trpc/controlMessages.ts';
+import type { ClaimChange } from '../../src/domain/claims/Claim.ts';
+import ControlState from '../../src/domain/control/ControlState.ts';
+import ReplicaGroupFixture from '../../tests/fixtures/ReplicaGroupFixture.ts';
+import { createLargePreset } from './measureEntry.ts';
+import { measureHeapMb, measureProcessorMs, printSizes } from './measure.ts';
+
+const claimCount = 1024;
+
+function createChanges(): readonly ClaimChange[] {
+  const head = { key: v7(), attempt: v4() };
+  const holder = 'entry-1/1800000000000';
+  const answer = {
+    status: 200,
+    headers: [['content-type', 'application/json']],
+    body: 'YmFzZTY0'.repeat(16),
+  } as const;
+  return [
+    { ...head, kind: 'claim', fingerprint: 'f'.repeat(64), holder },
+    { ...head, kind: 'complete', result: 'ran', answer },
+  ];
+}
+
+/** What one command costs three real replicas on fake disks that take 1 ms for an operation. */
+async function measureCommands(commands: readonly string[], concurrent: number) {
+  const group = new ReplicaGroupFixture({ snapshotEntries: 4096, pieceBytes: 1_048_576 });
+  group.drawDiskDelay = () => 1;
+  await group.run(group.startAll());
+  const leader = await group.waitLeader();
+  const countSyncs = (): number =>
+    [...group.disks.values()].reduce((sum, { syncs }) => sum + syncs, 0);
+  const rounds = commands.length / concurrent;
+  const start = { calls: group.network.calls, syncs: countSyncs() };
+  const processorMs = await measureProcessorMs(
+    rounds,
+    (round) =>
+      group.run(
+        Promise.all(
+          commands
+            .slice(round * concurrent, (round + 1) * concurrent)
+            .map((command) => group.propose(leader, command)),
+        ),
+      ),
+    0,
+  );
+  const values = {
+    'ms, all 3 hosts': processorMs / concurrent,
+    'calls between hosts': (group.network.calls - start.calls) / commands.length,
+    'syncs of a host': (countSyncs() - start.syncs) / commands.length / group.hosts.length,
+    'command bytes': Buffer.byteLength(commands[0] ?? ''),
+  };
+  await group.stopAll();
+  return values;
+}
+
+async function measureRecords(records: number) {
+  const state = new ControlState({ parseSnapshot: parseControlSnapshot });
+  const applyClaim = (index: number): void => {
+    const position = { index, term: 1, proposedAt: Date.now() };
+    state.applyCommand({ kind: 'change_claims', changes: createChanges() }, position);
+  };
+  const before = process.cpuUsage();
+  const heapMb = measureHeapMb(() => Array.from({ length: records }, (_, i) => applyClaim(i + 1)));
+  const { user, system } = process.cpuUsage(before);
+  const encodeSnapshot = (): string => JSON.stringify(state.takeSnapshot());
+  const text = encodeSnapshot();
+  const restored = new ControlState({ parseSnapshot: parseControlSnapshot });
+  return {
+    'heap MB': heapMb,
+    'ms to create and apply, each': (user + system) / 1000 / records,
+    'snapshot MB': text.length / 1e6,
+    'ms to take and encode': await measureProcessorMs(3, encodeSnapshot),
+    'ms to decode and restore': await measureProcessorMs(3, () =>
+      restored.restoreSnapshot(JSON.parse(text)),
+    ),
+  };
+}
+
+/** Claims, preset changes and claim records of the control group. */
+export default async function measureControl(): Promise<void> {
+  await printSizes({
+    title: 'one claim, committed as a command of its own (its completion is another)',
+    sizeName: 'claims at once',
+    sizes: [1, 16, 256],
+    futureSize: 256,
+    measure: (concurrent) =>
+      measureCommands(
+        Array.from({ length: claimCount }, () => JSON.stringify(createChanges()[0])),
+        concurrent,
+      ),
+  });
+  await printSizes({
+    title: 'one preset change, without its application',
+    sizeName: 'routes',
+    sizes: [1250, 2500, 5000],
+    futureSize: 5000,
+    measure: (routes) =>
+      measureCommands(Array(12).fill(JSON.stringify(createLargePreset(routes))) as string[], 1),
+  });
+  await printSizes({
+    title: 'claim records that ran, with a kept answer of 128 characters',
+    sizeName: 'records',
+    sizes: [10_000, 50_000, 200_000],
+    futureSize: 200_000,
+    measure: measureRecords,
+  });
+}
--- a/examples/fleet/ManagedProcess.ts
+++ b/examples/fleet/ManagedProcess.ts
@@ -27,6 +27,10 @@
     });
   }
 
+  get pid(): number | undefined {
+    return this.child.pid;
+  }
+
   /** What the process wrote last. */
   get output(): string {
     return this.text;
--- a/examples/fleet/startExampleFleet.ts
+++ b/examples/fleet/startExampleFleet.ts
@@ -103,9 +103,10 @@
   if (put.code !== 0) throw new Error(`preset put ended with ${put.code}: ${put.output}`);
 }
 
-/** Starts all processes, stores a first preset, and waits until every entry host is ready. */
-export async function startExampleFleet(sizes: ExampleSizes): Promise<ExampleFleet> {
-  const hosts = await ProcessFleet.createFleet(sizes);
+async function startProcesses(
+  hosts: ProcessFleet,
+  sizes: ExampleSizes,
+): Promise<readonly ExampleUpstream[]> {
   hosts.startAllHosts();
   const upstreams = await startUpstreams(hosts, sizes);
   await hosts.waitUntil('the control group leads', async () => {
@@ -120,5 +121,20 @@
     const ready = await Promise.all(hosts.entryHosts.map((host) => hosts.isReady(host)));
     return ready.every(Boolean);
   });
-  return { hosts, upstreams, stopAll: () => hosts.stopAll() };
+  return upstreams;
+}
+
+/**
+ * Starts all processes, stores a first preset, and waits until every entry host is ready. Stops
+ * the processes when that fails.
+ */
+export async function startExampleFleet(sizes: ExampleSizes): Promise<ExampleFleet> {
+  const hosts = await ProcessFleet.createFleet(sizes);
+  try {
+    const upstreams = await startProcesses(hosts, sizes);
+    return { hosts, upstreams, stopAll: () => hosts.stopAll() };
+  } catch (error) {
+    await hosts.stopAll();
+    throw error;
+  }
 }
