--- a/examples/fleet/startExampleFleet.ts
+++ b/examples/fleet/startExampleFleet.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from 'node:crypto';
 import { writeFile } from 'node:fs/promises';
 import { fileURLToPath } from 'node:url';
 
@@ -33,6 +34,9 @@
   readonly stopAll: () => Promise<Readonly<Record<string, number | string>>>;
 }
 
+// Exit code of the operators' tool when no leader answered.
+const notReachable = 3;
+
 const standIn = fileURLToPath(new URL('../../tests/stand-in/standInUpstream.mjs', import.meta.url));
 
 /** The preset of the example; `deadlineMs` is what the example changes while it runs. */
@@ -92,22 +96,30 @@
   });
 }
 
-/** Stores a preset with the operators' tool and puts it in use; throws with the tool's output. */
+/** Sends a change until it is decided; the change id makes it apply once. */
+async function runChange(hosts: ProcessFleet, words: readonly string[]): Promise<void> {
+  const command = ['preset', ...words, '--change-id', randomUUID()];
+  await hosts.waitUntil(command.join(' '), async () => {
+    const { code, output } = await hosts.runTool(command);
+    if (code === 0 || code === notReachable) return code === 0;
+    throw new Error(`${command.join(' ')} ended with ${code}: ${output}`);
+  });
+}
+
+/** Stores a preset with the operators' tool; throws with the tool's output. */
 export async function applyPreset(
   hosts: ProcessFleet,
   change: { readonly name: string; readonly text: string; readonly basedOn: number },
 ): Promise<void> {
   const file = hosts.getPath(`${change.name}.preset.yaml`);
   await writeFile(file, change.text);
-  const put = await hosts.runTool([
-    ...['preset', 'put', change.name, file, '--based-on', String(change.basedOn)],
-  ]);
-  if (put.code !== 0) throw new Error(`preset put ended with ${put.code}: ${put.output}`);
+  await runChange(hosts, ['put', change.name, file, '--based-on', String(change.basedOn)]);
 }
 
-/** Starts all processes, stores a first preset, and waits until every entry host is ready. */
-export async function startExampleFleet(sizes: ExampleSizes): Promise<ExampleFleet> {
-  const hosts = await ProcessFleet.createFleet(sizes);
+async function startProcesses(
+  hosts: ProcessFleet,
+  sizes: ExampleSizes,
+): Promise<readonly ExampleUpstream[]> {
   hosts.startAllHosts(sizes.entryNodeArguments);
   const upstreams = await startUpstreams(hosts, sizes);
   await hosts.waitUntil('the control group leads', async () => {
@@ -116,11 +128,25 @@
   });
   const text = createExamplePreset(sizes, 5000);
   await applyPreset(hosts, { name: 'ordinary', text, basedOn: 0 });
-  const use = await hosts.runTool(['preset', 'use', 'ordinary', '--based-on', '0']);
-  if (use.code !== 0) throw new Error(`preset use ended with ${use.code}: ${use.output}`);
+  await runChange(hosts, ['use', 'ordinary', '--based-on', '0']);
   await hosts.waitUntil('every entry host is ready', async () => {
     const ready = await Promise.all(hosts.entryHosts.map((host) => hosts.isReady(host)));
     return ready.every(Boolean);
   });
-  return { hosts, upstreams, stopAll: () => hosts.stopAll() };
+  return upstreams;
+}
+
+/**
+ * Starts all processes, stores a first preset, and waits until every entry host is ready. Stops
+ * the processes when that fails.
+ */
+export async function startExampleFleet(sizes: ExampleSizes): Promise<ExampleFleet> {
+  const hosts = await ProcessFleet.createFleet(sizes);
+  try {
+    const upstreams = await startProcesses(hosts, sizes);
+    return { hosts, upstreams, stopAll: () => hosts.stopAll() };
+  } catch (error) {
+    await hosts.stopAll();
+    throw error;
+  }
 }
