Exchange only the changes since the last exchange with a peer

Cause: each exchange listed the versions of all records, and every host renewed its record each second, so the bytes of a host grew with the number of hosts and upstreams even when nothing changed. Change: a request lists what changed since the last successful exchange on the link and names the instant up to which the peer's changes are known; the answer holds what changed there. The position moves only when the answer arrived and the peer took the records it asked for. A peer that started after the named instant asks for a full exchange. A new link begins with a full exchange, and repeats it every 30 s. Host records are renewed every 3 s, and within 250 ms of a change of state, revision or preset, or of a record of an earlier process with a higher incarnation.

--- a/src/adapters/trpc/gossipMessages.ts
+++ b/src/adapters/trpc/gossipMessages.ts
@@ -51,6 +51,9 @@
 export const gossipMessageSchema: z.ZodType<GossipMessage> = z.object({
   digests: createTopicsSchema(digestSchema),
   records: createTopicsSchema(z.array(z.unknown())),
+  since: instantSchema.optional(),
+  preparedAt: instantSchema.optional(),
+  mustRestart: z.boolean().optional(),
 });
 
 /** Returns a record of an upstream that a peer sent when it is well-formed. */
--- a/src/application/membership/Gossip.ts
+++ b/src/application/membership/Gossip.ts
@@ -3,13 +3,14 @@
 import type { GossipDigest, GossipTopicName } from '../../domain/membership/GossipTopic.ts';
 import choosePeers, { computePhase } from '../../domain/membership/choosePeers.ts';
 import type { PeerAddress } from '../../domain/membership/choosePeers.ts';
-import { listLacking } from '../../domain/membership/compareVersions.ts';
+import { listLacking, readVersions } from '../../domain/membership/compareVersions.ts';
 import type Clock from '../../ports/Clock.ts';
 import type GossipLink from '../../ports/GossipLink.ts';
 import type { GossipMessage } from '../../ports/GossipLink.ts';
 import type Log from '../../ports/Log.ts';
 import type PeerDialer from '../../ports/PeerDialer.ts';
 import GossipPeerTask from './GossipPeerTask.ts';
+import type { LinkPosition } from './GossipPeerTask.ts';
 
 const peerCount = 6;
 const exchangeTimeoutMs = 1000;
@@ -55,6 +56,8 @@
 
   private readonly running = new Set<Promise<void>>();
 
+  private readonly startedAt: number;
+
   private lastHeardAt: number;
 
   private exchanges = 0;
@@ -67,7 +70,8 @@
 
   constructor(options: GossipOptions) {
     this.options = options;
-    this.lastHeardAt = options.clock.now();
+    this.startedAt = options.clock.now();
+    this.lastHeardAt = this.startedAt;
   }
 
   /** Runs until the signal aborts and all tasks have ended. */
@@ -99,6 +103,11 @@
   answerExchange(message: GossipMessage): GossipMessage {
     this.mergeMessage(message);
     const now = this.options.clock.now();
+    const { since } = message;
+    // The peer counts on what it told an earlier process of this host.
+    if (since !== undefined && (since < this.startedAt || since > now)) {
+      return { digests: {}, records: {}, mustRestart: true };
+    }
     const compared = this.options.topics.flatMap((topic) => {
       const digest = message.digests[topic.name];
       return digest ? [{ topic, digest }] : [];
@@ -108,10 +117,11 @@
     );
     const isComplete = digests.every(([, lacking]) => Object.keys(lacking).length === 0);
     if (isComplete) this.lastHeardAt = now;
-    return this.createMessage(
+    const answer = this.createMessage(
       digests.filter(([, lacking]) => Object.keys(lacking).length > 0),
-      compared.map(({ topic, digest }) => [topic.name, topic.listNewer(digest, now)]),
+      compared.map(({ topic, digest }) => [topic.name, topic.listNewer(digest, now, since)]),
     );
+    return compared.length > 0 ? { ...answer, preparedAt: now } : answer;
   }
 
   /** Counters since the start. */
@@ -127,19 +137,28 @@
   }
 
   private async exchangeOnce(task: GossipPeerTask): Promise<boolean> {
-    const { clock, topics, log } = this.options;
-    const now = clock.now();
-    const request = this.createMessage(
-      topics.map((topic) => [topic.name, topic.listVersions(now)]),
-      [],
-    );
+    const { clock, log } = this.options;
+    const startedAt = clock.now();
+    const position = task.getPosition();
+    const request = this.createRequest(position);
     const answer = await this.sendMessage(task, request);
+    if (answer?.mustRestart && position) {
+      task.resetPosition();
+      return this.exchangeOnce(task);
+    }
     if (answer) {
       this.mergeMessage(answer);
       this.lastHeardAt = clock.now();
       const lacking = this.listRequested(answer);
-      // The answer to the records carries nothing; a lost one is made up for by the next exchange.
-      if (lacking.length > 0) await this.sendMessage(task, this.createMessage([], lacking));
+      // The answer to the records carries nothing. Without it the position stays, so that the next
+      // exchange offers the records again.
+      const isTaken =
+        lacking.length === 0 ||
+        (await this.sendMessage(task, this.createMessage([], lacking))) !== undefined;
+      if (isTaken && answer.preparedAt !== undefined) {
+        const { preparedAt: heardUntil, digests: requested } = answer;
+        task.setPosition({ sentUntil: startedAt, heardUntil, requested }, startedAt);
+      }
     }
     const isAnswering = answer !== undefined;
     if (task.isAnswering !== isAnswering && !task.isStopped) {
@@ -149,6 +168,25 @@
     return isAnswering;
   }
 
+  // Names the changes since the last exchange, and the records sent to the peer in it, which it
+  // would otherwise return as changes of its own.
+  private createRequest(position: LinkPosition | undefined): GossipMessage {
+    const { clock, topics } = this.options;
+    const now = clock.now();
+    if (!position) {
+      return this.createMessage(
+        topics.map((topic) => [topic.name, topic.listVersions(now)]),
+        [],
+      );
+    }
+    const digests = topics.map((topic) => {
+      const changed = topic.listVersions(now, position.sentUntil);
+      const requested = readVersions(topic.listVersions(now), position.requested[topic.name]);
+      return [topic.name, { ...changed, ...requested }] as const;
+    });
+    return { ...this.createMessage(digests, []), since: position.heardUntil };
+  }
+
   private async sendMessage(
     task: GossipPeerTask,
     message: GossipMessage,
--- a/src/application/membership/GossipPeerTask.ts
+++ b/src/application/membership/GossipPeerTask.ts
@@ -1,11 +1,24 @@
 import type { PeerAddress } from '../../domain/membership/choosePeers.ts';
 import type Clock from '../../ports/Clock.ts';
 import type GossipLink from '../../ports/GossipLink.ts';
+import type { GossipMessage } from '../../ports/GossipLink.ts';
 
 const exchangeIntervalMs = 500;
+// Full exchanges make up for any record that the exchanges of changes may have missed.
+const fullIntervalMs = 30_000;
 // News that arrive together are sent together; with more, each hop would add to the delay.
 const newsGapMs = 20;
 
+/** Up to where this host and the peer have told each other their changes over this link. */
+export interface LinkPosition {
+  /** Instant by the clock of this host. */
+  readonly sentUntil: number;
+  /** Instant by the clock of the peer. */
+  readonly heardUntil: number;
+  /** Keys of the records that the peer requested in the last exchange, by topic. */
+  readonly requested: GossipMessage['digests'];
+}
+
 /** What a task needs; `exchangeOnce` runs one exchange and never rejects. */
 export interface GossipPeerTaskOptions {
   readonly peer: PeerAddress;
@@ -27,6 +40,10 @@
 
   private readonly options: GossipPeerTaskOptions;
 
+  private position: LinkPosition | undefined;
+
+  private fullAt = 0;
+
   private readonly stopped = new AbortController();
 
   private news = new AbortController();
@@ -50,7 +67,7 @@
       this.isAnswering = await exchangeOnce(this);
       if (this.isAnswering) {
         await clock.sleepUntil(startedAt + newsGapMs, this.stopped.signal);
-        await clock.sleepUntil(this.computeNext(startedAt), this.news.signal);
+        await clock.sleepUntil(this.computeNext(startedAt, exchangeIntervalMs), this.news.signal);
       } else {
         // News do not hurry a peer that does not answer.
         await clock.sleepUntil(startedAt + exchangeIntervalMs, this.stopped.signal);
@@ -61,6 +78,22 @@
     this.link.close();
   }
 
+  /** Position after the last successful exchange; undefined when a full one is due. */
+  getPosition(): LinkPosition | undefined {
+    return this.options.clock.now() < this.fullAt ? this.position : undefined;
+  }
+
+  /** Notes a successful exchange. */
+  setPosition(position: LinkPosition, startedAt: number): void {
+    if (!this.getPosition()) this.fullAt = this.computeNext(startedAt, fullIntervalMs);
+    this.position = position;
+  }
+
+  /** Makes the next exchange a full one. */
+  resetPosition(): void {
+    this.position = undefined;
+  }
+
   /** Begins the next exchange without waiting for the interval. */
   sendNews(): void {
     this.news.abort();
@@ -73,9 +106,9 @@
   }
 
   // The next instant at the phase of this task, also after an exchange that news began.
-  private computeNext(startedAt: number): number {
-    const offset = this.options.phase * exchangeIntervalMs;
-    const passed = Math.floor((startedAt - offset) / exchangeIntervalMs);
-    return (passed + 1) * exchangeIntervalMs + offset;
+  private computeNext(startedAt: number, intervalMs: number): number {
+    const offset = this.options.phase * intervalMs;
+    const passed = Math.floor((startedAt - offset) / intervalMs);
+    return (passed + 1) * intervalMs + offset;
   }
 }
--- a/src/application/membership/HostHeartbeat.ts
+++ b/src/application/membership/HostHeartbeat.ts
@@ -4,7 +4,9 @@
 import type Clock from '../../ports/Clock.ts';
 
 const leaseMs = 10_000;
-const beatIntervalMs = 1000;
+// A lease outlives two renewals in a row that are lost.
+const renewIntervalMs = 3000;
+const checkIntervalMs = 250;
 
 /** The part of the host record that changes while the host runs. */
 export interface HostStatus {
@@ -32,7 +34,9 @@
 
   private sequence = 0;
 
-  private lastState: HostStateName | undefined;
+  private last: HostStatus | undefined;
+
+  private renewAt = 0;
 
   constructor(options: HostHeartbeatOptions) {
     this.options = options;
@@ -44,12 +48,12 @@
     return this.ownIncarnation;
   }
 
-  /** Renews every second until the signal aborts. */
+  /** Renews every 3 s, and when the status changed, until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock } = this.options;
     while (!signal.aborted) {
-      this.renewRecord();
-      await clock.sleepUntil(clock.now() + beatIntervalMs, signal);
+      if (this.isRenewalDue()) this.renewRecord();
+      await clock.sleepUntil(clock.now() + checkIntervalMs, signal);
     }
   }
 
@@ -63,8 +67,22 @@
     const { ownIncarnation: incarnation, sequence } = this;
     const leaseDeadline = now + leaseMs;
     hosts.putRecord({ ...host, ...status, incarnation, sequence, leaseDeadline }, now);
-    if (status.state !== this.lastState) sendNews();
-    this.lastState = status.state;
+    if (status.state !== this.last?.state) sendNews();
+    this.last = status;
+    this.renewAt = now + renewIntervalMs;
+  }
+
+  private isRenewalDue(): boolean {
+    const { clock, hosts, host, readStatus } = this.options;
+    const { state, revision, presetName } = readStatus();
+    const [incarnation = 0] = hosts.getLastVersion(host.host) ?? [];
+    return (
+      clock.now() >= this.renewAt ||
+      incarnation > this.ownIncarnation ||
+      state !== this.last?.state ||
+      revision !== this.last.revision ||
+      presetName !== this.last.presetName
+    );
   }
 
   // Peers may hold a record of an earlier process whose clock ran ahead of this one's.
--- a/src/domain/detection/VerdictBook.ts
+++ b/src/domain/detection/VerdictBook.ts
@@ -64,21 +64,22 @@
     )[0]?.verdict;
   }
 
-  listVersions(now: number): GossipDigest {
+  listVersions(now: number, since = -Infinity): GossipDigest {
     this.dropOld(now);
     return Object.fromEntries(
-      this.listAll().map((verdict) => [
+      this.listChanged(since).map((verdict) => [
         `${verdict.service}/${verdict.judge}`,
         [verdict.incarnation, verdict.sequence],
       ]),
     );
   }
 
-  listNewer(digest: GossipDigest, now: number): readonly unknown[] {
+  listNewer(digest: GossipDigest, now: number, since = -Infinity): readonly unknown[] {
     this.dropOld(now);
-    return this.listAll().filter((verdict) => {
+    const changed = new Set(this.listChanged(since));
+    return this.listChanged(-Infinity).filter((verdict) => {
       const [incarnation, sequence] = digest[`${verdict.service}/${verdict.judge}`] ?? [];
-      if (incarnation === undefined || sequence === undefined) return true;
+      if (incarnation === undefined || sequence === undefined) return changed.has(verdict);
       return compareVersions(verdict, { ...verdict, incarnation, sequence }) > 0;
     });
   }
@@ -95,8 +96,11 @@
     return [...(this.services.get(service)?.values() ?? [])].map(({ verdict }) => verdict);
   }
 
-  private listAll(): readonly Verdict[] {
-    return [...this.services.keys()].flatMap((service) => this.listVerdicts(service));
+  private listChanged(since: number): readonly Verdict[] {
+    return [...this.services.values()]
+      .flatMap((entries) => [...entries.values()])
+      .filter(({ recordedAt }) => recordedAt >= since)
+      .map(({ verdict }) => verdict);
   }
 
   private dropOld(now: number): void {
--- a/src/domain/membership/Directory.ts
+++ b/src/domain/membership/Directory.ts
@@ -1,3 +1,4 @@
+import ChangeLog from './ChangeLog.ts';
 import type GossipTopic from './GossipTopic.ts';
 import type { GossipDigest, GossipTopicName } from './GossipTopic.ts';
 import compareVersions, { isNewerThanDigest } from './compareVersions.ts';
@@ -49,6 +50,8 @@
   // because the keys come from other hosts.
   private readonly versions = Object.create(null) as Record<string, readonly number[]>;
 
+  private readonly changes = new ChangeLog();
+
   private expiryLimit = Infinity;
 
   private malformed = 0;
@@ -107,7 +110,7 @@
     }
     this.tombstones.delete(key);
     this.records.set(key, record);
-    this.versions[key] = version;
+    this.setVersion(key, version, now);
     return !held || this.rules.isNews(held, record, now) ? 'news' : 'renewed';
   }
 
@@ -124,15 +127,28 @@
     return expired.map(([, record]) => record);
   }
 
-  /** The same object in every call; it changes with the records. */
-  listVersions(): GossipDigest {
-    return this.versions;
+  /** Without `since` the same object in every call; it changes with the records. */
+  listVersions(_now?: number, since = -Infinity): GossipDigest {
+    if (since === -Infinity) return this.versions;
+    const changed = this.changes.listChanged(since);
+    // The log may name keys whose tombstones were dropped since.
+    return Object.fromEntries(
+      changed.flatMap((key) => {
+        const version = this.getLastVersion(key);
+        return version ? [[key, version]] : [];
+      }),
+    );
   }
 
-  listNewer(digest: GossipDigest): readonly Held[] {
-    return [...this.records]
-      .filter(([key]) => isNewerThanDigest(digest, key, this.versions[key] ?? []))
-      .map(([, record]) => record);
+  listNewer(digest: GossipDigest, _now?: number, since = -Infinity): readonly Held[] {
+    const keys =
+      since === -Infinity
+        ? [...this.records.keys()]
+        : [...new Set([...this.changes.listChanged(since), ...Object.keys(digest)])];
+    return keys
+      .filter((key) => isNewerThanDigest(digest, key, this.getLastVersion(key) ?? []))
+      .map((key) => this.records.get(key))
+      .filter((record) => record !== undefined);
   }
 
   mergeRecords(records: readonly unknown[], now: number): boolean {
@@ -148,7 +164,14 @@
 
   private removeRecord(key: string, record: Held, now: number): void {
     this.records.delete(key);
-    this.versions[key] = this.rules.getVersion(record);
+    this.setVersion(key, this.rules.getVersion(record), now);
     this.tombstones.set(key, { record, keptUntil: now + tombstoneMs });
   }
+
+  private setVersion(key: string, version: readonly number[], now: number): void {
+    const known = this.getLastVersion(key);
+    if (known && compareVersions(version, known) === 0) return;
+    this.versions[key] = version;
+    this.changes.recordChange(key, now);
+  }
 }
--- a/src/domain/membership/GossipTopic.ts
+++ b/src/domain/membership/GossipTopic.ts
@@ -10,10 +10,16 @@
 /** Records of one kind that hosts exchange until all hold the newest version of each. */
 export default interface GossipTopic {
   readonly name: GossipTopicName;
-  /** Versions of all records held. */
-  listVersions(now: number): GossipDigest;
-  /** Records that are newer here than in the other side's digest, or missing there. */
-  listNewer(digest: GossipDigest, now: number): readonly unknown[];
+  /**
+   * Versions of the records held that changed on this host at `since` or later; of all records by
+   * default. A topic of few records may list all in any case.
+   */
+  listVersions(now: number, since?: number): GossipDigest;
+  /**
+   * Records that are newer here than in the other side's digest. Those missing there are listed
+   * when they changed on this host at `since` or later; all of them by default.
+   */
+  listNewer(digest: GossipDigest, now: number, since?: number): readonly unknown[];
   /**
    * Takes the records that are newer than those held and ignores malformed ones. Returns true when
    * any of them should be passed on at once; a renewal that only extends a lease may wait for the
--- a/src/domain/membership/compareVersions.ts
+++ b/src/domain/membership/compareVersions.ts
@@ -26,3 +26,13 @@
       .map(([key]) => [key, (Object.hasOwn(held, key) ? held[key] : undefined) ?? []]),
   );
 }
+
+/** The versions held of the keys in the other digest. */
+export function readVersions(held: GossipDigest, keys: GossipDigest = {}): GossipDigest {
+  return Object.fromEntries(
+    Object.keys(keys).flatMap((key) => {
+      const version = Object.hasOwn(held, key) ? held[key] : undefined;
+      return version ? [[key, version]] : [];
+    }),
+  );
+}
--- a/src/ports/GossipLink.ts
+++ b/src/ports/GossipLink.ts
@@ -3,10 +3,19 @@
 
 /** What one host tells a peer. */
 export interface GossipMessage {
-  /** Versions held, by topic; a topic that is absent is not compared. */
+  /** Versions held, by topic; a topic that is absent is not compared. With `since` only changes. */
   readonly digests: Readonly<Partial<Record<GossipTopicName, GossipDigest>>>;
   /** Records that the peer is known to lack, by topic. */
   readonly records: Readonly<Partial<Record<GossipTopicName, readonly unknown[]>>>;
+  /**
+   * `preparedAt` of the peer's last answer on this link: the digests list what changed here since
+   * that exchange, and the answer is to hold what changed there. Absent in a full exchange.
+   */
+  readonly since?: number;
+  /** In answers, the instant by the peer's clock up to which the records are complete. */
+  readonly preparedAt?: number;
+  /** In answers, set when the peer started after `since` and needs a full exchange. */
+  readonly mustRestart?: boolean;
 }
 
 /** The connection to one peer as gossip uses it. */
--- a/tests/membership/directory.test.ts
+++ b/tests/membership/directory.test.ts
@@ -109,6 +109,25 @@
     expect(hosts.malformedCount).toBe(garbage.length + 1);
   });
 
+  // Guards against a log of changes that forgets one when it is shortened.
+  it('should list the records that changed since an instant after many changes', () => {
+    const directory = createDirectory();
+    Array.from({ length: 5000 }, (_, index) =>
+      directory.mergeRecords(
+        [createRecord({ upstream: `u${index % 7}`, sequence: index })],
+        start + index,
+      ),
+    );
+    directory.mergeRecords([createRecord({ upstream: 'b', leaseDeadline: 0 })], start + 4999);
+
+    const changed = directory.listVersions(start, start + 4997);
+    const newer = directory.listNewer({ 'history/u2': [1, 0, 0] }, start, start + 4997);
+
+    const keys = ['history/b', 'history/u0', 'history/u1', 'history/u6'];
+    expect(Object.keys(changed).sort()).toEqual(keys);
+    expect(newer.map(({ sequence }) => sequence).sort()).toEqual([4993, 4997, 4998, 4999]);
+  });
+
   // Guards against digest keys that are names of inherited properties.
   it('should offer an upstream whose key is a property of every object', () => {
     const hosts = new HostDirectory({ checkRecord: checkHostRecord });
--- a/tests/membership/gossip.test.ts
+++ b/tests/membership/gossip.test.ts
@@ -14,6 +14,14 @@
       .map(({ name }) => name);
   }
 
+  function listServingNames(): string[][] {
+    return fleet
+      .listHosts()
+      .map(({ upstreams }) =>
+        upstreams.listServing('history', fleet.clock.now()).map(({ upstream }) => upstream),
+      );
+  }
+
   // Guards against a drain that depends on one link (R5).
   it('should tell all 46 hosts within 3 s that an upstream is leaving when a link is cut one way', async () => {
     fleet = new FakeFleet({ controlHosts: 3, entryHosts: 43 });
@@ -90,6 +98,44 @@
     }
   });
 
+  // Guards against a position on a link that moves past changes whose message was lost.
+  it.each(['e1>c1', 'c1>e1'])(
+    'should exchange the changes made while %s was cut',
+    async (direction) => {
+      fleet = new FakeFleet({ controlHosts: 1, entryHosts: 1 });
+      await fleet.clock.advanceBy(1500);
+      // Only c1 begins exchanges.
+      fleet.network.handlers.delete('c1');
+      fleet.network.cuts.add(direction);
+      fleet.announce('c1', { upstream: 'a' });
+      fleet.announce('e1', { upstream: 'b' });
+      await fleet.clock.advanceBy(2600);
+      expect(listServingNames()).toEqual([['a'], ['b']]);
+
+      fleet.network.cuts.clear();
+      await fleet.clock.advanceBy(2000);
+
+      expect(listServingNames()).toEqual([
+        ['a', 'b'],
+        ['a', 'b'],
+      ]);
+    },
+  );
+
+  // Guards against a peer that restarted and gets only what changed since, up to 30 s long.
+  it('should tell a restarted peer all records although it can ask no one', async () => {
+    fleet = new FakeFleet({ controlHosts: 1, entryHosts: 1 });
+    fleet.announce('e1', { leaseMs: 60_000 });
+    await fleet.clock.advanceBy(3100);
+    fleet.network.handlers.delete('c1');
+    fleet.killHost('e1');
+    fleet.startHost('e1');
+
+    await fleet.clock.advanceBy(1500);
+
+    expect(listServingNames()).toEqual([['a'], ['a']]);
+  });
+
   // Guards against hosts that count a host that stopped in order until its lease ends.
   it('should withdraw the record of a host that stops in order', async () => {
     fleet = new FakeFleet({ controlHosts: 3, entryHosts: 5 });
