Index upstreams by service, and let the pool rely on the directory

Cause: listing the upstreams of a service looked at all records, several times per request. The pool checked leases again, so a host cut off from all its peers lost its upstreams although the directory keeps them. Ruled out: an index in the pool (each reader would need its own); dropping the check in the judge as well (expired records would count as capacity and make room for more ejections). Change: the directory groups its records, upstreams by service. The pool takes what the directory lists. The judge still counts only upstreams with a valid lease. Conclusion: the cost depends on the upstreams of the service alone.

--- a/src/application/detection/EjectingUpstreamPool.ts
+++ b/src/application/detection/EjectingUpstreamPool.ts
@@ -1,7 +1,6 @@
 import chooseEjected from '../../domain/detection/chooseEjected.ts';
 import computeWeight from '../../domain/detection/computeWeight.ts';
 import type VerdictBook from '../../domain/detection/VerdictBook.ts';
-import isServing from '../../domain/membership/isServing.ts';
 import type UpstreamSource from '../../domain/membership/UpstreamSource.ts';
 import type UsableUpstream from '../../domain/requests/UsableUpstream.ts';
 import type Clock from '../../ports/Clock.ts';
@@ -29,9 +28,11 @@
     const settings = activePreset.state?.preset.services[service];
     if (!settings) return [];
     const now = clock.now();
+    // The directory alone decides which leases count: on a host that is cut off from all its peers
+    // it keeps records whose leases have passed.
     const serving = upstreams
       .listUpstreams(service, now)
-      .filter((record) => isServing(record, now));
+      .filter(({ state }) => state === 'serving');
     const ejected = chooseEjected({
       serving,
       ejections: verdicts.listEjections(service, now),
--- a/src/application/detection/Judge.ts
+++ b/src/application/detection/Judge.ts
@@ -111,6 +111,8 @@
       return;
     }
     this.updateDetector(service, settings.detection);
+    // Leases are checked here as well: a host that is cut off keeps expired records, which must not
+    // make room for ejections above the floor.
     const serving = upstreams
       .listUpstreams(service.name, now)
       .filter((record) => isServing(record, now));
--- a/src/domain/membership/Directory.ts
+++ b/src/domain/membership/Directory.ts
@@ -18,6 +18,8 @@
 export interface RecordRules<Held extends LeasedRecord> {
   readonly name: GossipTopicName;
   getKey(record: Held): string;
+  /** Name under which `listGroup` finds the record; the same for all versions of a key. */
+  getGroup(record: Held): string;
   getVersion(record: Held): readonly number[];
   /** The newer record, with what it takes over from the one held. */
   mergeRecord(held: Held | undefined, next: Held): Held;
@@ -43,6 +45,8 @@
 
   private readonly records = new Map<string, Held>();
 
+  private readonly groups = new Map<string, Map<string, Held>>();
+
   private readonly tombstones = new Map<string, Tombstone<Held>>();
 
   // Kept up to date with each change, since it is sent with every exchange. It lists tombstones
@@ -85,8 +89,12 @@
 
   /** Records with a valid lease, in no particular order. */
   listRecords(now: number): readonly Held[] {
-    const expiredAt = this.getExpiryTime(now);
-    return [...this.records.values()].filter(({ leaseDeadline }) => leaseDeadline > expiredAt);
+    return this.listValid(this.records, now);
+  }
+
+  /** Records of one group with a valid lease; costs as much as the group is large. */
+  listGroup(group: string, now: number): readonly Held[] {
+    return this.listValid(this.groups.get(group) ?? new Map<string, Held>(), now);
   }
 
   /** Records dropped in the last 10 minutes. */
@@ -110,6 +118,7 @@
     }
     this.tombstones.delete(key);
     this.records.set(key, record);
+    this.setInGroup(key, record);
     this.setVersion(key, version, now);
     return !held || this.rules.isNews(held, record, now) ? 'news' : 'renewed';
   }
@@ -158,12 +167,32 @@
     return wellFormed.map((record) => this.putRecord(record, now)).includes('news');
   }
 
+  private listValid(records: ReadonlyMap<string, Held>, now: number): readonly Held[] {
+    const expiredAt = this.getExpiryTime(now);
+    return [...records.values()].filter(({ leaseDeadline }) => leaseDeadline > expiredAt);
+  }
+
+  private setInGroup(key: string, record: Held): void {
+    const name = this.rules.getGroup(record);
+    const group = this.groups.get(name) ?? new Map<string, Held>();
+    group.set(key, record);
+    this.groups.set(name, group);
+  }
+
+  private removeFromGroup(key: string, record: Held): void {
+    const name = this.rules.getGroup(record);
+    const group = this.groups.get(name);
+    group?.delete(key);
+    if (group?.size === 0) this.groups.delete(name);
+  }
+
   private getExpiryTime(now: number): number {
     return Math.min(now, this.expiryLimit);
   }
 
   private removeRecord(key: string, record: Held, now: number): void {
     this.records.delete(key);
+    this.removeFromGroup(key, record);
     this.setVersion(key, this.rules.getVersion(record), now);
     this.tombstones.set(key, { record, keptUntil: now + tombstoneMs });
   }
--- a/src/domain/membership/HostDirectory.ts
+++ b/src/domain/membership/HostDirectory.ts
@@ -19,6 +19,11 @@
     return host;
   }
 
+  // All hosts are one group.
+  getGroup(): string {
+    return this.name;
+  }
+
   getVersion({ incarnation, sequence }: HostRecord): readonly number[] {
     return [incarnation, sequence];
   }
--- a/src/domain/membership/UpstreamDirectory.ts
+++ b/src/domain/membership/UpstreamDirectory.ts
@@ -22,6 +22,10 @@
     return `${service}/${upstream}`;
   }
 
+  getGroup({ service }: UpstreamRecord): string {
+    return service;
+  }
+
   // `leaving` stands before the sequence, so within an incarnation it wins over any other state,
   // also over one with a higher sequence that another host accepted at the same time.
   getVersion({ incarnation, state, sequence }: UpstreamRecord): readonly number[] {
@@ -53,13 +57,13 @@
   }
 
   listUpstreams(service: string, now: number): readonly UpstreamRecord[] {
-    return this.listRecords(now).filter((record) => record.service === service);
+    return this.listGroup(service, now);
   }
 
   /** Upstreams of the service that are serving under a valid lease, by name. */
   listServing(service: string, now: number): readonly UpstreamRecord[] {
-    return this.listRecords(now)
-      .filter((record) => record.service === service && record.state === 'serving')
+    return this.listGroup(service, now)
+      .filter(({ state }) => state === 'serving')
       .sort((left, right) => (left.upstream < right.upstream ? -1 : 1));
   }
 }
--- /dev/null
+++ b/tests/detection/pool.test.ts
@@ -0,0 +1,31 @@
+import { expect, it } from 'vitest';
+
+import { checkUpstreamRecord } from '../../src/adapters/trpc/gossipMessages.ts';
+import EjectingUpstreamPool from '../../src/application/detection/EjectingUpstreamPool.ts';
+import VerdictBook from '../../src/domain/detection/VerdictBook.ts';
+import UpstreamDirectory from '../../src/domain/membership/UpstreamDirectory.ts';
+import FakeClock from '../fixtures/FakeClock.ts';
+import { createState } from '../fixtures/FakeFleet.ts';
+import { createUpstream } from '../fixtures/createRecords.ts';
+
+// Guards against a host cut off from all its peers that refuses requests to healthy upstreams.
+it('should use upstreams whose leases ended while the host was cut off', async () => {
+  const clock = new FakeClock();
+  const upstreams = new UpstreamDirectory({ checkRecord: checkUpstreamRecord });
+  const pool = new EjectingUpstreamPool({
+    clock,
+    activePreset: { state: createState(1), routeTable: undefined },
+    upstreams,
+    verdicts: new VerdictBook({ parseVerdict: () => undefined }),
+  });
+  const leaseDeadline = clock.now() + 5000;
+  upstreams.putRecord(createUpstream({ leaseDeadline }), clock.now());
+  upstreams.putRecord(createUpstream({ upstream: 'b', state: 'leaving' }), clock.now());
+  upstreams.setExpiryLimit(clock.now() + 3000);
+
+  await clock.advanceBy(60_000);
+
+  expect(pool.listUsable('history').map(({ record }) => record.upstream)).toEqual(['a']);
+  upstreams.setExpiryLimit(clock.now() + 3000);
+  expect(pool.listUsable('history')).toEqual([]);
+});
--- a/tests/membership/directory.test.ts
+++ b/tests/membership/directory.test.ts
@@ -109,6 +109,26 @@
     expect(hosts.malformedCount).toBe(garbage.length + 1);
   });
 
+  // Guards against an index by service that keeps a record that was replaced, dropped or is late.
+  it('should list the current upstreams of one service', () => {
+    const directory = createDirectory();
+    const put = (changes: Partial<UpstreamRecord>) =>
+      directory.mergeRecords([createRecord(changes)], start);
+    put({ upstream: 'a' });
+    put({ upstream: 'b', leaseDeadline: start + 500 });
+    put({ service: 'kilns', upstream: 'a' });
+    put({ upstream: 'a', sequence: 2, state: 'leaving' });
+    const listNames = (service: string, now: number) =>
+      directory.listUpstreams(service, now).map(({ upstream, state }) => `${upstream} ${state}`);
+
+    expect(listNames('history', start)).toEqual(['a leaving', 'b serving']);
+    directory.dropExpired(start + 500);
+    expect(listNames('history', start)).toEqual(['a leaving']);
+    put({ upstream: 'a', sequence: 3, state: 'leaving', leaseDeadline: start });
+    expect(listNames('history', start)).toEqual([]);
+    expect(listNames('kilns', start)).toEqual(['a serving']);
+  });
+
   // Guards against a log of changes that forgets one when it is shortened.
   it('should list the records that changed since an instant after many changes', () => {
     const directory = createDirectory();
