Drop the loads of upstreams without recent requests

Cause: the load tracker kept an entry for every upstream it was ever asked about, so its memory grew with each upstream that left. Ruled out: dropping on a change of the directory (requests to an upstream that left may still be open). Change: reading creates no entry. Every 10 s, at the end of a request, entries are dropped that have no open request and ended none in the last 60 s. Conclusion: the tracker holds the upstreams used in the last 70 s, and those with open requests.

--- a/src/application/requests/LoadTracker.ts
+++ b/src/application/requests/LoadTracker.ts
@@ -1,17 +1,35 @@
 import type { UpstreamLoad } from '../../domain/requests/Balancer.ts';
 
+// Far beyond the time for which a report counts: SlotBalancer's trust in it halves every 25 ms.
+const keepMs = 60_000;
+const pruneIntervalMs = 10_000;
+
+const noLoad: UpstreamLoad = { inFlight: 0, reportedLoad: 0, reportedAt: 0 };
+
 interface MutableLoad {
   inFlight: number;
   reportedLoad: number;
   reportedAt: number;
+  /** End of the last request. */
+  endedAt: number;
 }
 
-/** Requests of this host in flight at each upstream, and the load that answers reported. */
+/**
+ * Requests of this host in flight at each upstream, and the load that answers reported. Upstreams
+ * without a request in the last minute are dropped, so that those that left take no memory.
+ */
 export default class LoadTracker {
   private readonly loads = new Map<string, MutableLoad>();
 
+  private pruneAt = 0;
+
+  /** Number of upstreams held. */
+  get size(): number {
+    return this.loads.size;
+  }
+
   readLoad(service: string, upstream: string): UpstreamLoad {
-    return this.getLoad(service, upstream);
+    return this.loads.get(`${service}/${upstream}`) ?? noLoad;
   }
 
   recordStart(service: string, upstream: string): void {
@@ -26,16 +44,27 @@
   }): void {
     const load = this.getLoad(end.service, end.upstream);
     load.inFlight -= 1;
-    if (end.reportedLoad === undefined) return;
-    load.reportedLoad = end.reportedLoad;
-    load.reportedAt = end.now;
+    load.endedAt = end.now;
+    if (end.reportedLoad !== undefined) {
+      load.reportedLoad = end.reportedLoad;
+      load.reportedAt = end.now;
+    }
+    this.pruneIdle(end.now);
+  }
+
+  private pruneIdle(now: number): void {
+    if (now < this.pruneAt) return;
+    this.pruneAt = now + pruneIntervalMs;
+    this.loads.forEach(({ inFlight, endedAt }, key) => {
+      if (inFlight === 0 && endedAt + keepMs <= now) this.loads.delete(key);
+    });
   }
 
   private getLoad(service: string, upstream: string): MutableLoad {
     const key = `${service}/${upstream}`;
     const known = this.loads.get(key);
     if (known) return known;
-    const load = { inFlight: 0, reportedLoad: 0, reportedAt: 0 };
+    const load = { inFlight: 0, reportedLoad: 0, reportedAt: 0, endedAt: 0 };
     this.loads.set(key, load);
     return load;
   }
