--- a/src/domain/membership/Directory.ts
+++ b/src/domain/membership/Directory.ts
@@ -1,3 +1,4 @@
+import ChangeLog from './ChangeLog.ts';
 import type GossipTopic from './GossipTopic.ts';
 import type { GossipDigest, GossipTopicName } from './GossipTopic.ts';
 import compareVersions, { isNewerThanDigest } from './compareVersions.ts';
@@ -17,6 +18,8 @@
 export interface RecordRules<Held extends LeasedRecord> {
   readonly name: GossipTopicName;
   getKey(record: Held): string;
+  /** Name under which `listGroup` finds the record; the same for all versions of a key. */
+  getGroup(record: Held): string;
   getVersion(record: Held): readonly number[];
   /** The newer record, with what it takes over from the one held. */
   mergeRecord(held: Held | undefined, next: Held): Held;
@@ -42,6 +45,8 @@
 
   private readonly records = new Map<string, Held>();
 
+  private readonly groups = new Map<string, Map<string, Held>>();
+
   private readonly tombstones = new Map<string, Tombstone<Held>>();
 
   // Kept up to date with each change, since it is sent with every exchange. It lists tombstones
@@ -49,6 +54,8 @@
   // because the keys come from other hosts.
   private readonly versions = Object.create(null) as Record<string, readonly number[]>;
 
+  private readonly changes = new ChangeLog();
+
   private expiryLimit = Infinity;
 
   private malformed = 0;
@@ -82,8 +89,12 @@
 
   /** Records with a valid lease, in no particular order. */
   listRecords(now: number): readonly Held[] {
-    const expiredAt = this.getExpiryTime(now);
-    return [...this.records.values()].filter(({ leaseDeadline }) => leaseDeadline > expiredAt);
+    return this.listValid(this.records, now);
+  }
+
+  /** Records of one group with a valid lease; costs as much as the group is large. */
+  listGroup(group: string, now: number): readonly Held[] {
+    return this.listValid(this.groups.get(group) ?? new Map<string, Held>(), now);
   }
 
   /** Records dropped in the last 10 minutes. */
@@ -107,7 +118,8 @@
     }
     this.tombstones.delete(key);
     this.records.set(key, record);
-    this.versions[key] = version;
+    this.setInGroup(key, record);
+    this.setVersion(key, version, now);
     return !held || this.rules.isNews(held, record, now) ? 'news' : 'renewed';
   }
 
@@ -124,15 +136,28 @@
     return expired.map(([, record]) => record);
   }
 
-  /** The same object in every call; it changes with the records. */
-  listVersions(): GossipDigest {
-    return this.versions;
+  /** Without `since` the same object in every call; it changes with the records. */
+  listVersions(_now?: number, since = -Infinity): GossipDigest {
+    if (since === -Infinity) return this.versions;
+    const changed = this.changes.listChanged(since);
+    // The log may name keys whose tombstones were dropped since.
+    return Object.fromEntries(
+      changed.flatMap((key) => {
+        const version = this.getLastVersion(key);
+        return version ? [[key, version]] : [];
+      }),
+    );
   }
 
-  listNewer(digest: GossipDigest): readonly Held[] {
-    return [...this.records]
-      .filter(([key]) => isNewerThanDigest(digest, key, this.versions[key] ?? []))
-      .map(([, record]) => record);
+  listNewer(digest: GossipDigest, _now?: number, since = -Infinity): readonly Held[] {
+    const keys =
+      since === -Infinity
+        ? [...this.records.keys()]
+        : [...new Set([...this.changes.listChanged(since), ...Object.keys(digest)])];
+    return keys
+      .filter((key) => isNewerThanDigest(digest, key, this.getLastVersion(key) ?? []))
+      .map((key) => this.records.get(key))
+      .filter((record) => record !== undefined);
   }
 
   mergeRecords(records: readonly unknown[], now: number): boolean {
@@ -142,13 +167,40 @@
     return wellFormed.map((record) => this.putRecord(record, now)).includes('news');
   }
 
+  private listValid(records: ReadonlyMap<string, Held>, now: number): readonly Held[] {
+    const expiredAt = this.getExpiryTime(now);
+    return [...records.values()].filter(({ leaseDeadline }) => leaseDeadline > expiredAt);
+  }
+
+  private setInGroup(key: string, record: Held): void {
+    const name = this.rules.getGroup(record);
+    const group = this.groups.get(name) ?? new Map<string, Held>();
+    group.set(key, record);
+    this.groups.set(name, group);
+  }
+
+  private removeFromGroup(key: string, record: Held): void {
+    const name = this.rules.getGroup(record);
+    const group = this.groups.get(name);
+    group?.delete(key);
+    if (group?.size === 0) this.groups.delete(name);
+  }
+
   private getExpiryTime(now: number): number {
     return Math.min(now, this.expiryLimit);
   }
 
   private removeRecord(key: string, record: Held, now: number): void {
     this.records.delete(key);
-    this.versions[key] = this.rules.getVersion(record);
+    this.removeFromGroup(key, record);
+    this.setVersion(key, this.rules.getVersion(record), now);
     this.tombstones.set(key, { record, keptUntil: now + tombstoneMs });
   }
+
+  private setVersion(key: string, version: readonly number[], now: number): void {
+    const known = this.getLastVersion(key);
+    if (known && compareVersions(version, known) === 0) return;
+    this.versions[key] = version;
+    this.changes.recordChange(key, now);
+  }
 }
--- a/tests/membership/directory.test.ts
+++ b/tests/membership/directory.test.ts
@@ -109,6 +109,45 @@
     expect(hosts.malformedCount).toBe(garbage.length + 1);
   });
 
+  // Guards against an index by service that keeps a record that was replaced, dropped or is late.
+  it('should list the current upstreams of one service', () => {
+    const directory = createDirectory();
+    const put = (changes: Partial<UpstreamRecord>) =>
+      directory.mergeRecords([createRecord(changes)], start);
+    put({ upstream: 'a' });
+    put({ upstream: 'b', leaseDeadline: start + 500 });
+    put({ service: 'kilns', upstream: 'a' });
+    put({ upstream: 'a', sequence: 2, state: 'leaving' });
+    const listNames = (service: string, now: number) =>
+      directory.listUpstreams(service, now).map(({ upstream, state }) => `${upstream} ${state}`);
+
+    expect(listNames('history', start)).toEqual(['a leaving', 'b serving']);
+    directory.dropExpired(start + 500);
+    expect(listNames('history', start)).toEqual(['a leaving']);
+    put({ upstream: 'a', sequence: 3, state: 'leaving', leaseDeadline: start });
+    expect(listNames('history', start)).toEqual([]);
+    expect(listNames('kilns', start)).toEqual(['a serving']);
+  });
+
+  // Guards against a log of changes that forgets one when it is shortened.
+  it('should list the records that changed since an instant after many changes', () => {
+    const directory = createDirectory();
+    Array.from({ length: 5000 }, (_, index) =>
+      directory.mergeRecords(
+        [createRecord({ upstream: `u${index % 7}`, sequence: index })],
+        start + index,
+      ),
+    );
+    directory.mergeRecords([createRecord({ upstream: 'b', leaseDeadline: 0 })], start + 4999);
+
+    const changed = directory.listVersions(start, start + 4997);
+    const newer = directory.listNewer({ 'history/u2': [1, 0, 0] }, start, start + 4997);
+
+    const keys = ['history/b', 'history/u0', 'history/u1', 'history/u6'];
+    expect(Object.keys(changed).sort()).toEqual(keys);
+    expect(newer.map(({ sequence }) => sequence).sort()).toEqual([4993, 4997, 4998, 4999]);
+  });
+
   // Guards against digest keys that are names of inherited properties.
   it('should offer an upstream whose key is a property of every object', () => {
     const hosts = new HostDirectory({ checkRecord: checkHostRecord });
