Check gossip messages with the shared schemas

Cause: gossip kept the last copy of the result schema. Change: createResultSchema and parseInput replace createAnswerSchema. Conclusion: one set of schemas serves all messages.

--- a/src/adapters/trpc/TrpcGossipLink.ts
+++ b/src/adapters/trpc/TrpcGossipLink.ts
@@ -1,11 +1,11 @@
 import type Result from '../../domain/errors/Result.ts';
 import type GossipLink from '../../ports/GossipLink.ts';
 import type { GossipMessage } from '../../ports/GossipLink.ts';
-import createAnswerSchema from './createAnswerSchema.ts';
+import { createResultSchema } from './failureSchema.ts';
 import { gossipMessageSchema } from './gossipMessages.ts';
 import type { SharedPeerConnection } from './TrpcPeerDialer.ts';
 
-const exchangeAnswerSchema = createAnswerSchema(gossipMessageSchema);
+const exchangeAnswerSchema = createResultSchema(gossipMessageSchema);
 
 /** Gossip over the connection to a peer. */
 export default class TrpcGossipLink implements GossipLink {
--- a/src/adapters/trpc/createGossipRouter.ts
+++ b/src/adapters/trpc/createGossipRouter.ts
@@ -1,8 +1,8 @@
 import type Result from '../../domain/errors/Result.ts';
 import type Gossip from '../../application/membership/Gossip.ts';
 import type { GossipMessage } from '../../ports/GossipLink.ts';
-import { createMalformedInput } from './createAnswerSchema.ts';
 import { gossipMessageSchema } from './gossipMessages.ts';
+import parseInput from './parseInput.ts';
 import { procedure, router } from './trpcBase.ts';
 
 /** The procedures `gossip.*` of the peers listener; mount them under the key `gossip`. */
@@ -13,9 +13,9 @@
     exchange: procedure
       .input((input: unknown) => input)
       .mutation(({ input }): Result<GossipMessage> => {
-        const message = gossipMessageSchema.safeParse(input);
-        if (!message.success) return createMalformedInput('gossip.exchange', message.error);
-        return { ok: true, value: options.gossip.answerExchange(message.data) };
+        const message = parseInput('gossip.exchange', gossipMessageSchema, input);
+        if (!message.ok) return message;
+        return { ok: true, value: options.gossip.answerExchange(message.value) };
       }),
   });
 }
