--- a/src/daemon/TaskGroup.ts
+++ b/src/daemon/TaskGroup.ts
@@ -1,3 +1,5 @@
+import { setMaxListeners } from 'node:events';
+
 import type Log from '../ports/Log.ts';
 
 /** Owns the tasks of a daemon: starts them, awaits them and logs how each ended. */
@@ -10,6 +12,8 @@
 
   constructor(options: { readonly log: Log }) {
     this.log = options.log;
+    // Every task and every wait of one listens to this signal; Node.js warns above 10 listeners.
+    setMaxListeners(0, this.stopping.signal);
   }
 
   /** Starts a task that runs until its signal aborts. */
