Retry connections that were never established without a token

Cause: tests/processes/anyProcess.test.ts, written to show that the fleet serves on when any one process is killed, got 502 upstream_unreachable: within the 3 s lease of a dead upstream, 20 look-ups at once spent the retry budget. Ruled out: a lost answer; every 502 had the kind upstream_unreachable in the second of two bursts. Change: the budget bounds retries after an upstream had work from the request; a connection that was never established costs no token. Each upstream is still tried at most once for a request. Conclusion: a dead upstream no longer uses up the budget of its service.

--- a/src/application/requests/decideAttempt.ts
+++ b/src/application/requests/decideAttempt.ts
@@ -38,7 +38,7 @@
   }
   // Another upstream would get the same request and give the same large answer.
   const isFinal = isOver || result.reason === 'malformed' || result.reason === 'too_large';
-  const openEnd = result.kind === 'not_sent' ? 'not_run' : 'unknown';
+  const openEnd = result.kind === 'not_sent' ? 'not_sent' : 'unknown';
   return {
     end: isFinal ? 'given_up' : openEnd,
     answerClass: answerClasses[result.reason],
--- a/src/domain/requests/BudgetRetryPolicy.ts
+++ b/src/domain/requests/BudgetRetryPolicy.ts
@@ -13,7 +13,8 @@
 
   mayRetry(end: UpstreamEnd): boolean {
     if (end === 'good_answer' || end === 'given_up') return false;
-    return this.budget.takeRetry();
+    // A request that no upstream received adds nothing to the load of the service.
+    return end === 'not_sent' || this.budget.takeRetry();
   }
 
   /**
--- a/src/domain/requests/OnceRetryPolicy.ts
+++ b/src/domain/requests/OnceRetryPolicy.ts
@@ -12,7 +12,8 @@
   }
 
   mayRetry(end: UpstreamEnd): boolean {
-    return end === 'not_run' && this.budget.takeRetry();
+    // Only a retry that follows an answer adds to the load of the service.
+    return end === 'not_sent' || (end === 'not_run' && this.budget.takeRetry());
   }
 
   /** The whole deadline: after a timeout the operation may have run and no attempt may follow. */
--- a/src/domain/requests/UpstreamEnd.ts
+++ b/src/domain/requests/UpstreamEnd.ts
@@ -1,6 +1,8 @@
 /** How far an attempt at an upstream came. */
 export type UpstreamEnd =
-  /** No byte left, or the upstream said that it did not run the operation. */
+  /** No connection was opened, so no upstream had any work with it. */
+  | 'not_sent'
+  /** The upstream said that it did not run the operation. */
   | 'not_run'
   /** A whole answer that reports a fault of the upstream. */
   | 'faulty_answer'
