--- a/src/adapters/http/parseAnnouncement.ts
+++ b/src/adapters/http/parseAnnouncement.ts
@@ -3,6 +3,7 @@
 import type { Announcement } from '../../application/membership/AnnouncementService.ts';
 import type Result from '../../domain/errors/Result.ts';
 import { addressTextSchema } from '../yaml/listenAddressSchema.ts';
+import nameSchema from '../yaml/nameSchema.ts';
 
 const longestValueText = 80;
 
@@ -11,9 +12,6 @@
   return z.int(expected).min(minimum, expected).max(maximum, expected);
 }
 
-const nameExpected = 'expected 1 to 63 lower-case letters, digits or hyphens';
-const nameSchema = z.string(nameExpected).regex(/^[a-z0-9][a-z0-9-]{0,62}$/, nameExpected);
-
 const announcementSchema = z.strictObject(
   {
     service: nameSchema,
--- a/src/adapters/yaml/parsePreset.ts
+++ b/src/adapters/yaml/parsePreset.ts
@@ -3,13 +3,9 @@
 import type Result from '../../domain/errors/Result.ts';
 import type Preset from '../../domain/presets/Preset.ts';
 import type { RouteSettings, ServiceSettings } from '../../domain/presets/Preset.ts';
-import presetLimits, {
-  maxRoutes,
-  nameExpected,
-  namePattern,
-  routeMethods,
-} from '../../domain/presets/presetLimits.ts';
+import presetLimits, { maxRoutes, routeMethods } from '../../domain/presets/presetLimits.ts';
 import type { Range } from '../../domain/presets/presetLimits.ts';
+import nameSchema from './nameSchema.ts';
 import parseYaml from './parseYaml.ts';
 
 function createIntegerSchema({ minimum, maximum }: Range) {
@@ -22,8 +18,6 @@
   return z.number(expected).min(minimum, expected).max(maximum, expected);
 }
 
-const nameSchema = z.string(nameExpected).regex(namePattern, nameExpected);
-
 const serviceSchema = z.strictObject({
   upstreams: createIntegerSchema(presetLimits.upstreams),
   floor: createIntegerSchema(presetLimits.floor),
--- a/src/adapters/yaml/parseSettings.ts
+++ b/src/adapters/yaml/parseSettings.ts
@@ -3,10 +3,9 @@
 import type Result from '../../domain/errors/Result.ts';
 import type DaemonSettings from '../../domain/settings/DaemonSettings.ts';
 import listenAddressSchema, { addressTextSchema } from './listenAddressSchema.ts';
+import nameSchema from './nameSchema.ts';
 import parseYaml from './parseYaml.ts';
 
-const nameExpected = 'expected 1 to 63 lower-case letters, digits or hyphens';
-const nameSchema = z.string(nameExpected).regex(/^[a-z0-9][a-z0-9-]{0,62}$/, nameExpected);
 const keySchema = z.string('expected a text of at least 16 characters').min(16, {
   error: 'expected a text of at least 16 characters',
 });
