Give each fleet of processes its own block of ports

The ports of a fleet were found by listening on port 0 and closing again, so a fleet that started at the same time or an outgoing connection could take one before a host listened on it. A host whose port was taken ended, and its /ready could be answered by a host of the other fleet.

Ruled out: a crash of the entry host. In 24 runs of that file, six at a time, the failures were hosts that were never ready, a set-up that took over 60 s, and a stand-in upstream that did not listen; all are what a taken port gives.

Change: a fleet takes a block of ports below the range for outgoing connections and marks it by listening on its first port. A condition that is not reached names the processes that ended and their last lines.

Conclusion: the failures came from the test fleet, not from the daemons.

--- a/examples/fleet/ProcessFleet.ts
+++ b/examples/fleet/ProcessFleet.ts
@@ -7,7 +7,7 @@
 import { stringify } from 'yaml';
 
 import ManagedProcess from './ManagedProcess.ts';
-import findFreePorts from './findFreePorts.ts';
+import PortBlock from './PortBlock.ts';
 
 const root = fileURLToPath(new URL('../..', import.meta.url));
 const peerKey = 'example-peer-key-0001';
@@ -38,8 +38,11 @@
 
   private readonly folder: string;
 
-  private constructor(folder: string) {
+  private readonly ports: PortBlock;
+
+  private constructor(folder: string, ports: PortBlock) {
     this.folder = folder;
+    this.ports = ports;
   }
 
   /** Reserves ports and writes the settings of all hosts; starts nothing. */
@@ -47,26 +50,19 @@
     readonly controlHosts: number;
     readonly entryHosts: number;
   }): Promise<ProcessFleet> {
-    const fleet = new ProcessFleet(await mkdtemp(path.join(tmpdir(), 'pistachiohoist-')));
-    const ports = [...(await findFreePorts(4 * (sizes.controlHosts + sizes.entryHosts)))];
-    const takeAddress = (): string => `127.0.0.1:${ports.pop()}`;
-    const createHost = (host: string): FleetHost => ({
-      host,
-      callers: takeAddress(),
-      operators: takeAddress(),
-      platform: takeAddress(),
-      peers: takeAddress(),
-    });
-    Array.from({ length: sizes.controlHosts }, (_, index) => `control-${index + 1}`).forEach(
-      (host) => fleet.controlHosts.push(createHost(host)),
-    );
-    Array.from({ length: sizes.entryHosts }, (_, index) => `entry-${index + 1}`).forEach((host) =>
-      fleet.entryHosts.push(createHost(host)),
-    );
+    const folder = await mkdtemp(path.join(tmpdir(), 'pistachiohoist-'));
+    const fleet = new ProcessFleet(folder, await PortBlock.openBlock());
+    await fleet.addHosts('control', sizes.controlHosts, fleet.controlHosts);
+    await fleet.addHosts('entry', sizes.entryHosts, fleet.entryHosts);
     await fleet.writeSettings();
     return fleet;
   }
 
+  /** An address on loopback that only this fleet uses. */
+  async takeAddress(): Promise<string> {
+    return `127.0.0.1:${await this.ports.takePort()}`;
+  }
+
   getPath(name: string): string {
     return path.join(this.folder, name);
   }
@@ -112,7 +108,11 @@
   ): Promise<void> {
     const deadline = Date.now() + timeoutMs;
     while (!(await condition())) {
-      if (Date.now() > deadline) throw new Error(`${description}: not reached in ${timeoutMs} ms`);
+      if (Date.now() > deadline) {
+        throw new Error(
+          `${description}: not reached in ${timeoutMs} ms; ended: ${this.describeEnded()}`,
+        );
+      }
       await new Promise((resolve) => {
         setTimeout(resolve, 50);
       });
@@ -135,9 +135,28 @@
       [...this.processes].map(async ([name, running]) => [name, await running.stop()] as const),
     );
     await rm(this.folder, { recursive: true, force: true });
+    await this.ports.close();
     return Object.fromEntries(entries);
   }
 
+  /** The processes that have ended, each with the last lines that it wrote. */
+  describeEnded(): string {
+    const ended = [...this.processes.values()].filter(({ isRunning }) => !isRunning);
+    return ended.map(({ name, output }) => `${name} (${output.slice(-500)})`).join('; ') || 'none';
+  }
+
+  private async addHosts(role: string, count: number, hosts: FleetHost[]): Promise<void> {
+    while (hosts.length < count) {
+      hosts.push({
+        host: `${role}-${hosts.length + 1}`,
+        callers: await this.takeAddress(),
+        operators: await this.takeAddress(),
+        platform: await this.takeAddress(),
+        peers: await this.takeAddress(),
+      });
+    }
+  }
+
   private async writeSettings(): Promise<void> {
     const control = this.controlHosts.map(({ host, peers }) => ({ host, address: peers }));
     const common = { control, peer_key: peerKey, stop_grace_ms: 200 };
--- a/examples/fleet/startExampleFleet.ts
+++ b/examples/fleet/startExampleFleet.ts
@@ -5,7 +5,6 @@
 import { stringify } from 'yaml';
 
 import ProcessFleet from './ProcessFleet.ts';
-import findFreePorts from './findFreePorts.ts';
 
 /** One stand-in upstream of the example. */
 export interface ExampleUpstream {
@@ -80,20 +79,21 @@
       name: `${service}-${index + 1}`,
     })),
   );
-  const ports = await findFreePorts(2 * names.length);
   const domains = ['north', 'centre', 'south'];
-  return names.map(({ service, name }, index) => {
-    const address = `127.0.0.1:${ports[2 * index]}`;
-    const control = `127.0.0.1:${ports[2 * index + 1]}`;
+  const upstreams: ExampleUpstream[] = [];
+  for (const { service, name } of names) {
+    const address = await hosts.takeAddress();
+    const control = await hosts.takeAddress();
     hosts.startProcess(name, [
       standIn,
       ...['--service', service, '--upstream', name, '--address', address, '--control', control],
-      ...['--failure-domain', domains[index % domains.length] ?? ''],
+      ...['--failure-domain', domains[upstreams.length % domains.length] ?? ''],
       ...['--announce', hosts.entryHosts.map(({ platform }) => platform).join(',')],
       ...['--latency-ms', String(sizes.latencyMs)],
     ]);
-    return { name, service, address, control };
-  });
+    upstreams.push({ name, service, address, control });
+  }
+  return upstreams;
 }
 
 /** Sends a change until it is decided; the change id makes it apply once. */
