Let waiting requests use an upstream that left the subset

Cause: an upstream that joins a service of more than 16 can push another out of the subset of a host. Right before a request was written, the dispatcher looked for its upstream in the subset and refused with not run, or spent a retry token. Found by reading.

Change: the pool decides whether a chosen upstream may still receive work, whatever the subset is.

Conclusion: the subset limits the choice; leaving, ejection and the lease alone end the use.

--- a/src/application/detection/EjectingUpstreamPool.ts
+++ b/src/application/detection/EjectingUpstreamPool.ts
@@ -1,6 +1,7 @@
 import chooseEjected from '../../domain/detection/chooseEjected.ts';
 import computeWeight from '../../domain/detection/computeWeight.ts';
 import type VerdictBook from '../../domain/detection/VerdictBook.ts';
+import type UpstreamRecord from '../../domain/membership/UpstreamRecord.ts';
 import type UpstreamSource from '../../domain/membership/UpstreamSource.ts';
 import type UsableUpstream from '../../domain/requests/UsableUpstream.ts';
 import type Clock from '../../ports/Clock.ts';
@@ -50,4 +51,10 @@
         return { record, weight };
       });
   }
+
+  isUsable({ service, upstream, incarnation }: UpstreamRecord): boolean {
+    return this.listUsable(service).some(
+      ({ record }) => record.upstream === upstream && record.incarnation === incarnation,
+    );
+  }
 }
--- a/src/application/requests/SubsetPool.ts
+++ b/src/application/requests/SubsetPool.ts
@@ -1,3 +1,4 @@
+import type UpstreamRecord from '../../domain/membership/UpstreamRecord.ts';
 import chooseSubset from '../../domain/requests/chooseSubset.ts';
 import type UsableUpstream from '../../domain/requests/UsableUpstream.ts';
 import type UpstreamPool from './UpstreamPool.ts';
@@ -28,6 +29,12 @@
       : usable.filter(({ record }) => chosen.has(record.upstream));
   }
 
+  // An upstream that joins can take the place of another in the subset. Requests that already wait
+  // for a connection to the other one may use it all the same.
+  isUsable(record: UpstreamRecord): boolean {
+    return this.pool.isUsable(record);
+  }
+
   private getChosen(service: string, usable: readonly UsableUpstream[]): ReadonlySet<string> {
     const known = this.subsets.get(service);
     const isSame =
--- a/src/application/requests/UpstreamDispatcher.ts
+++ b/src/application/requests/UpstreamDispatcher.ts
@@ -132,7 +132,7 @@
     service: ServiceSettings,
     { chosen, deadline }: { readonly chosen: UsableUpstream; readonly deadline: number },
   ): Promise<Attempt> {
-    const { clock, random, upstreamClient, observer, loadTracker } = this.options;
+    const { clock, random, upstreamClient, pool, observer, loadTracker } = this.options;
     const { record } = chosen;
     const requestId = random.createId();
     const startedAt = clock.now();
@@ -150,11 +150,11 @@
       maxAnswerBytes: request.route.maxAnswerBytes,
       echoRequestId: service.echoRequestId,
       signal: request.signal,
-      mayDispatch: () =>
-        !describeUnsent(request, this.options.clock.now()) && this.isStillUsable(chosen),
+      // An upstream can leave or be ejected while the request waits for a connection.
+      mayDispatch: () => !describeUnsent(request, clock.now()) && pool.isUsable(record),
     });
     const endedAt = clock.now();
-    const unsent = describeUnsent(request, this.options.clock.now());
+    const unsent = describeUnsent(request, clock.now());
     const { end, answerClass, reportedLoad } = decideAttempt(result, unsent !== undefined);
     loadTracker.recordEnd({ ...names, reportedLoad, now: endedAt });
     observer.recordEnd(requestId, { ...names, answerClass, startedAt, endedAt, reportedLoad });
@@ -180,17 +180,6 @@
     return describeUpstreamFailure(request, record, result);
   }
 
-  // An upstream can leave or be ejected while the request waits for a connection.
-  private isStillUsable({ record }: UsableUpstream): boolean {
-    return this.options.pool
-      .listUsable(record.service)
-      .some(
-        (usable) =>
-          usable.record.upstream === record.upstream &&
-          usable.record.incarnation === record.incarnation,
-      );
-  }
-
   private getSheddingRecord(service: string): SheddingRecord {
     const known = this.sheddingRecords.get(service);
     if (known) return known;
