Start the fleets of the process tests in one place

Cause: five test files repeated the set-up and the end of a fleet and its caller, and the end failed with a second error when the start had failed.

Change: useExampleFleet starts and stops both for a file. The tests and their checks stay.

--- a/tests/processes/anyProcess.test.ts
+++ b/tests/processes/anyProcess.test.ts
@@ -1,31 +1,18 @@
 import { request } from 'undici';
-import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { describe, expect, it } from 'vitest';
 
-import { startExampleFleet } from '../../examples/fleet/startExampleFleet.ts';
-import type { ExampleFleet } from '../../examples/fleet/startExampleFleet.ts';
-import BookingCaller from './BookingCaller.ts';
+import useExampleFleet from './useExampleFleet.ts';
 
 describe('loss of any one process', () => {
-  let fleet: ExampleFleet;
-  let caller: BookingCaller;
-
-  beforeAll(async () => {
-    fleet = await startExampleFleet({
-      controlHosts: 3,
-      entryHosts: 2,
-      upstreams: 3,
-      latencyMs: 10,
-    });
-    caller = new BookingCaller(fleet);
-  }, 60_000);
-
-  afterAll(async () => {
-    await caller.close();
-    await fleet.stopAll();
-  }, 60_000);
+  const getStarted = useExampleFleet({
+    controlHosts: 3,
+    entryHosts: 2,
+    upstreams: 3,
+    latencyMs: 10,
+  });
 
   async function lookUp(host: string): Promise<number> {
-    const found = fleet.hosts.entryHosts.find((entry) => entry.host === host);
+    const found = getStarted().fleet.hosts.entryHosts.find((entry) => entry.host === host);
     const answer = await request(`http://${found?.callers}/history/f-1`);
     await answer.body.dump();
     return answer.statusCode;
@@ -35,6 +22,7 @@
   it.each(['history-1', 'bookings-1', 'control-1', 'control-2', 'control-3', 'entry-1'])(
     'should leave the fleet serving when %s is killed',
     async (name) => {
+      const { fleet, caller } = getStarted();
       await fleet.hosts.getProcess(name).kill();
 
       const statuses = await Promise.all(Array.from({ length: 20 }, () => lookUp('entry-2')));
--- a/tests/processes/atMostOnce.test.ts
+++ b/tests/processes/atMostOnce.test.ts
@@ -1,9 +1,8 @@
 import { request } from 'undici';
-import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { describe, expect, it } from 'vitest';
 
-import { startExampleFleet } from '../../examples/fleet/startExampleFleet.ts';
 import type { ExampleFleet } from '../../examples/fleet/startExampleFleet.ts';
-import BookingCaller from './BookingCaller.ts';
+import useExampleFleet from './useExampleFleet.ts';
 
 const sleep = (milliseconds: number): Promise<void> =>
   new Promise((resolve) => {
@@ -24,27 +23,17 @@
 }
 
 describe('operations that must not repeat, in separate processes', () => {
-  let fleet: ExampleFleet;
-  let caller: BookingCaller;
-
-  beforeAll(async () => {
-    fleet = await startExampleFleet({
-      controlHosts: 3,
-      entryHosts: 3,
-      upstreams: 4,
-      latencyMs: 20,
-    });
-    caller = new BookingCaller(fleet);
-  }, 60_000);
-
-  afterAll(async () => {
-    await caller.close();
-    await fleet.stopAll();
-  }, 60_000);
+  const getStarted = useExampleFleet({
+    controlHosts: 3,
+    entryHosts: 3,
+    upstreams: 4,
+    latencyMs: 20,
+  });
 
   // Guards against a second run through another entry host while the first one is frozen or dead,
   // the leader is killed, and upstreams reset, answer late or break off.
   it('should run each key at most once and say not-run only when nothing ran', async () => {
+    const { fleet, caller } = getStarted();
     const { hosts } = fleet;
     await setFault(fleet, 'bookings-1', { resetAfterShare: 0.3 });
     await setFault(fleet, 'bookings-2', { truncateShare: 0.3 });
@@ -89,6 +78,7 @@
 
   // Guards against a claim that is granted without a majority of disks.
   it('should refuse bookings as not run without a majority and go on with look-ups', async () => {
+    const { fleet, caller } = getStarted();
     const { hosts } = fleet;
     const [entry] = hosts.entryHosts;
     if (!entry) throw new Error('no entry host');
--- a/tests/processes/controlRepair.test.ts
+++ b/tests/processes/controlRepair.test.ts
@@ -1,27 +1,20 @@
 import { rm } from 'node:fs/promises';
 
 import { request } from 'undici';
-import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { describe, expect, it } from 'vitest';
 
-import { startExampleFleet } from '../../examples/fleet/startExampleFleet.ts';
-import type { ExampleFleet } from '../../examples/fleet/startExampleFleet.ts';
+import useExampleFleet from './useExampleFleet.ts';
 
 describe('repair of a control host, in separate processes', () => {
-  let fleet: ExampleFleet;
-
-  beforeAll(async () => {
-    fleet = await startExampleFleet({
-      controlHosts: 3,
-      entryHosts: 1,
-      upstreams: 1,
-      latencyMs: 10,
-    });
-  }, 60_000);
-
-  afterAll(() => fleet.stopAll(), 60_000);
+  const getStarted = useExampleFleet({
+    controlHosts: 3,
+    entryHosts: 1,
+    upstreams: 1,
+    latencyMs: 10,
+  });
 
   async function hasVote(host: string): Promise<boolean> {
-    const found = fleet.hosts.controlHosts.find((control) => control.host === host);
+    const found = getStarted().fleet.hosts.controlHosts.find((control) => control.host === host);
     const answer = await request(`http://${found?.platform}/metrics`);
     return /^pistachiohoist_control_voting 1$/m.test(await answer.body.text());
   }
@@ -29,7 +22,7 @@
   // Guards against an accepted change that is lost with the second disk right after the repair of
   // the first, and against a wiped host that votes with an empty log.
   it('should keep every accepted change when a second host is lost after the repair', async () => {
-    const { hosts } = fleet;
+    const { hosts } = getStarted().fleet;
     const file = hosts.getPath('ordinary.preset.yaml');
     const put = (name: string) => hosts.runTool(['preset', 'put', name, file, '--based-on', '0']);
     expect((await put('before')).code).toBe(0);
--- a/tests/processes/groupFormedAgain.test.ts
+++ b/tests/processes/groupFormedAgain.test.ts
@@ -1,34 +1,21 @@
 import { rename } from 'node:fs/promises';
 
 import { request } from 'undici';
-import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { describe, expect, it } from 'vitest';
 
-import { startExampleFleet } from '../../examples/fleet/startExampleFleet.ts';
-import type { ExampleFleet } from '../../examples/fleet/startExampleFleet.ts';
-import BookingCaller from './BookingCaller.ts';
+import useExampleFleet from './useExampleFleet.ts';
 
 // The steps of docs/operations.md, section "Lost majority".
 describe('a control group that is formed again, in separate processes', () => {
-  let fleet: ExampleFleet;
-  let caller: BookingCaller;
-
-  beforeAll(async () => {
-    fleet = await startExampleFleet({
-      controlHosts: 3,
-      entryHosts: 2,
-      upstreams: 2,
-      latencyMs: 10,
-    });
-    caller = new BookingCaller(fleet);
-  }, 60_000);
-
-  afterAll(async () => {
-    await caller.close();
-    await fleet.stopAll();
-  }, 60_000);
+  const getStarted = useExampleFleet({
+    controlHosts: 3,
+    entryHosts: 2,
+    upstreams: 2,
+    latencyMs: 10,
+  });
 
   async function replaceDataFolders(): Promise<void> {
-    const { hosts } = fleet;
+    const { hosts } = getStarted().fleet;
     const names = hosts.controlHosts.map(({ host }) => host);
     await Promise.all(names.map((name) => hosts.getProcess(name).stop()));
     await Promise.all(
@@ -38,14 +25,15 @@
   }
 
   async function runUntilDone(...words: readonly string[]): Promise<void> {
-    await fleet.hosts.waitUntil(words.join(' '), async () => {
-      const { code } = await fleet.hosts.runTool(words);
+    const { hosts } = getStarted().fleet;
+    await hosts.waitUntil(words.join(' '), async () => {
+      const { code } = await hosts.runTool(words);
       return code === 0;
     });
   }
 
   async function restartEntryHosts(): Promise<void> {
-    const { hosts } = fleet;
+    const { hosts } = getStarted().fleet;
     for (const host of hosts.entryHosts) {
       await hosts.getProcess(host.host).stop();
       hosts.startHost(host.host);
@@ -54,7 +42,8 @@
   }
 
   async function lookUp(): Promise<number> {
-    const answer = await request(`http://${fleet.hosts.entryHosts[0]?.callers}/history/f-1`);
+    const [entry] = getStarted().fleet.hosts.entryHosts;
+    const answer = await request(`http://${entry?.callers}/history/f-1`);
     await answer.body.dump();
     return answer.statusCode;
   }
@@ -62,6 +51,7 @@
   // Guards against a second run of an operation whose claim was lost with the old data folders, and
   // against steps in the operators' page that don't bring the fleet back.
   it('should run new bookings and none of the old group again', async () => {
+    const { fleet, caller } = getStarted();
     const file = fleet.hosts.getPath('ordinary.preset.yaml');
     const old = await caller.runBooking(0);
     expect(old.outcomes).toEqual(['ran']);
--- a/tests/processes/shutdown.test.ts
+++ b/tests/processes/shutdown.test.ts
@@ -1,31 +1,23 @@
 import { Agent, request } from 'undici';
-import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { afterAll, describe, expect, it } from 'vitest';
 
-import { startExampleFleet } from '../../examples/fleet/startExampleFleet.ts';
-import type { ExampleFleet } from '../../examples/fleet/startExampleFleet.ts';
+import useExampleFleet from './useExampleFleet.ts';
 
 describe('stop of separate processes', () => {
-  let fleet: ExampleFleet;
+  const getStarted = useExampleFleet({
+    controlHosts: 3,
+    entryHosts: 2,
+    upstreams: 3,
+    latencyMs: 100,
+  });
   const agent = new Agent({ connections: 16, pipelining: 1 });
 
-  beforeAll(async () => {
-    fleet = await startExampleFleet({
-      controlHosts: 3,
-      entryHosts: 2,
-      upstreams: 3,
-      latencyMs: 100,
-    });
-  }, 60_000);
-
-  afterAll(async () => {
-    await agent.destroy();
-    await fleet.stopAll();
-  }, 60_000);
+  afterAll(() => agent.destroy());
 
   // Guards against a listener that closes connections with requests in flight. Callers come through
   // a balancer: it sends to the host until a probe finds it not ready, and sees no failure at all.
   it('should answer every request that an entry host took before it exits with 0', async () => {
-    const { hosts } = fleet;
+    const { hosts } = getStarted().fleet;
     const [entry] = hosts.entryHosts;
     if (!entry) throw new Error('no entry host');
     const failures: string[] = [];
@@ -70,7 +62,7 @@
 
   // Guards against a leader that loses what it accepted while it stops.
   it('should keep every accepted change when each control host stops in turn', async () => {
-    const { hosts } = fleet;
+    const { hosts } = getStarted().fleet;
     const accepted: string[] = [];
     const file = hosts.getPath('ordinary.preset.yaml');
     for (let index = 1; index <= 3; index += 1) {
