--- a/bench/capacity/measure.ts
+++ b/bench/capacity/measure.ts
@@ -1,3 +1,5 @@
+import { monitorEventLoopDelay } from 'node:perf_hooks';
+import { setTimeout } from 'node:timers/promises';
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
 
@@ -12,6 +14,9 @@
   readonly measure: (size: number) => Promise<Values>;
 }
 
+// A timer that is due fires within this time after a hold.
+const timerSettleMs = 20;
+
 setFlagsFromString('--expose-gc');
 const collectGarbage = runInNewContext('gc') as () => void;
 
@@ -28,6 +33,27 @@
   return (user + system) / 1000 / repeats;
 }
 
+/**
+ * Milliseconds that the work takes, and the longest time for which it keeps the event loop from
+ * other work, at a resolution of 1 ms.
+ */
+export async function measureHolds(work: () => Promise<unknown>) {
+  // So that the measured holds are those of the work and not of what was done before it.
+  collectGarbage();
+  const delays = monitorEventLoopDelay({ resolution: 1 });
+  delays.enable();
+  await setTimeout(timerSettleMs);
+  delays.reset();
+  // The first delay is counted from the second firing after the reset.
+  await setTimeout(timerSettleMs);
+  const start = performance.now();
+  await work();
+  const totalMs = performance.now() - start;
+  await setTimeout(timerSettleMs);
+  delays.disable();
+  return { totalMs, holdMs: delays.max / 1e6 };
+}
+
 /** Megabytes of heap that the created value keeps. */
 export function measureHeapMb(createValue: () => unknown): number {
   collectGarbage();
--- a/bench/capacity/measureControl.ts
+++ b/bench/capacity/measureControl.ts
@@ -1,11 +1,19 @@
+import { mkdtemp, rm, stat } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
 import { v4, v7 } from 'uuid';
 
+import NodeDisk from '../../src/adapters/disk/NodeDisk.ts';
+import SystemClock from '../../src/adapters/system/SystemClock.ts';
+
 import { parseControlSnapshot } from '../../src/adapters/trpc/controlMessages.ts';
+import SnapshotFile from '../../src/application/replication/SnapshotFile.ts';
 import type { ClaimChange } from '../../src/domain/claims/Claim.ts';
 import ControlState from '../../src/domain/control/ControlState.ts';
 import ReplicaGroupFixture from '../../tests/fixtures/ReplicaGroupFixture.ts';
 import { createLargePreset } from './measureEntry.ts';
-import { measureHeapMb, measureProcessorMs, printSizes } from './measure.ts';
+import { measureHeapMb, measureHolds, measureProcessorMs, printSizes } from './measure.ts';
 
 const claimCount = 1024;
 
@@ -64,17 +72,32 @@
   const before = process.cpuUsage();
   const heapMb = measureHeapMb(() => Array.from({ length: records }, (_, i) => applyClaim(i + 1)));
   const { user, system } = process.cpuUsage(before);
-  const encodeSnapshot = (): string => JSON.stringify(state.takeSnapshot());
-  const text = encodeSnapshot();
+  const folder = await mkdtemp(join(tmpdir(), 'snapshot-'));
+  const disk = await NodeDisk.openFolder(folder);
+  const file = new SnapshotFile({ disk, clock: new SystemClock() });
+  const configuration = { voters: [] };
+  const start = { index: records, term: 1, proposedAt: 0, commandIndex: records, configuration };
+  const writeSnapshot = async (): Promise<void> =>
+    file.useStaged(await file.writeStaged({ start, parts: state.takeSnapshot() }));
+  await writeSnapshot();
+  const written = await measureHolds(writeSnapshot);
   const restored = new ControlState({ parseSnapshot: parseControlSnapshot });
+  const read = await measureHolds(async () => {
+    const restore = restored.startRestore();
+    await file.readParts(restore);
+    restore.useParts();
+  });
+  const { size } = await stat(join(folder, file.name));
+  await rm(folder, { recursive: true });
+  if (restored.claims.recordCount !== records) throw new Error('records are missing');
   return {
     'heap MB': heapMb,
     'ms to create and apply, each': (user + system) / 1000 / records,
-    'snapshot MB': text.length / 1e6,
-    'ms to take and encode': await measureProcessorMs(3, encodeSnapshot),
-    'ms to decode and restore': await measureProcessorMs(3, () =>
-      restored.restoreSnapshot(JSON.parse(text)),
-    ),
+    'snapshot MB': size / 1e6,
+    'ms to take and write': written.totalMs,
+    'longest hold to write, ms': written.holdMs,
+    'ms to read and restore': read.totalMs,
+    'longest hold to restore, ms': read.holdMs,
   };
 }
 
--- a/src/adapters/system/SystemClock.ts
+++ b/src/adapters/system/SystemClock.ts
@@ -15,6 +15,12 @@
     }
   }
 
+  waitTurn(): Promise<void> {
+    return new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+
   private sleepOnce(delayMs: number, signal?: AbortSignal): Promise<void> {
     return new Promise((resolve) => {
       let timer: NodeJS.Timeout | undefined;
--- a/src/adapters/trpc/controlMessages.ts
+++ b/src/adapters/trpc/controlMessages.ts
@@ -61,7 +61,10 @@
   }),
 });
 
-/** Checks the form of a snapshot; throws `log_damaged` that names the first wrong key. */
+/**
+ * Checks the form of a snapshot or a part of one; throws `log_damaged` that names the first wrong
+ * key.
+ */
 export function parseControlSnapshot(snapshot: unknown): ControlSnapshot {
   const parsed = snapshotSchema.safeParse(snapshot);
   if (parsed.success) return parsed.data;
--- a/src/application/replication/CommandApplier.ts
+++ b/src/application/replication/CommandApplier.ts
@@ -1,8 +1,9 @@
 import type Failure from '../../domain/errors/Failure.ts';
 import type Result from '../../domain/errors/Result.ts';
-import type ReplicaSnapshot from '../../domain/replication/ReplicaSnapshot.ts';
 import type ReplicatedState from '../../domain/replication/ReplicatedState.ts';
+import type SnapshotStart from '../../domain/replication/SnapshotStart.ts';
 import type LogStore from './LogStore.ts';
+import type { TakenSnapshot } from './SnapshotFile.ts';
 
 type Resolve<Reply> = (result: Result<Reply>) => void;
 
@@ -48,24 +49,24 @@
     while (this.appliedIndex < commitIndex) this.applyEntry(this.appliedIndex + 1, log);
   }
 
-  /** The state as of now, to be written as a snapshot. */
-  takeSnapshot(log: LogStore): ReplicaSnapshot {
+  /** The state as of now, to be written as a snapshot while later entries are applied. */
+  takeSnapshot(log: LogStore): TakenSnapshot {
     const last = log.readEntry(this.appliedIndex);
     if (!last) throw new Error(`snapshot: entry ${this.appliedIndex} is not in the log`);
-    return {
+    const start = {
       index: last.index,
       term: last.term,
       proposedAt: last.proposedAt,
       commandIndex: this.commandIndex,
       configuration: log.findConfiguration(last.index).configuration,
-      state: this.state.takeSnapshot(),
     };
+    return { start, parts: this.state.takeSnapshot() };
   }
 
-  restoreSnapshot(snapshot: ReplicaSnapshot): void {
-    this.state.restoreSnapshot(snapshot.state);
-    this.appliedIndex = snapshot.index;
-    this.commandIndex = snapshot.commandIndex;
+  /** Continues after a snapshot that was restored to the state. */
+  restoreStart(start: SnapshotStart): void {
+    this.appliedIndex = start.index;
+    this.commandIndex = start.commandIndex;
   }
 
   private applyEntry(index: number, log: LogStore): void {
--- a/src/application/replication/DocumentFile.ts
+++ b/src/application/replication/DocumentFile.ts
@@ -22,26 +22,14 @@
 
   /** Replaces the document; it is on the synced disk afterwards. */
   async writeDocument(value: Value): Promise<void> {
-    const content = encodeRecord(value);
-    await this.useStaged(await this.writeStaged(content));
-  }
-
-  /** Writes and syncs content beside the document; returns the name of the file. */
-  async writeStaged(content: Uint8Array): Promise<string> {
     const staged = `${this.name}.new`;
-    await this.disk.write(staged, content);
+    await this.disk.write(staged, encodeRecord(value));
     await this.disk.sync(staged);
-    return staged;
-  }
-
-  /** Puts a synced file in the place of the document. */
-  async useStaged(staged: string): Promise<void> {
     await this.disk.setName(staged, this.name);
     await this.disk.syncFolder();
   }
 
-  /** Throws `log_damaged` unless the content is one whole record. */
-  parseDocument(content: Uint8Array): Value {
+  private parseDocument(content: Uint8Array): Value {
     const { records, tail } = decodeRecords(content);
     if (records.length === 1 && records[0] && tail === 'complete') {
       return records[0].value as Value;
--- a/src/application/replication/LogStore.ts
+++ b/src/application/replication/LogStore.ts
@@ -1,15 +1,12 @@
 import type LogEntry from '../../domain/replication/LogEntry.ts';
 import type { EntryContent } from '../../domain/replication/LogEntry.ts';
 import type ReplicaConfiguration from '../../domain/replication/ReplicaConfiguration.ts';
-import type ReplicaSnapshot from '../../domain/replication/ReplicaSnapshot.ts';
+import type SnapshotStart from '../../domain/replication/SnapshotStart.ts';
 import type Disk from '../../ports/Disk.ts';
 import type Log from '../../ports/Log.ts';
 import LogSegments from './LogSegments.ts';
 import encodeRecord, { recordHeader } from './encodeRecord.ts';
 
-/** The part of a snapshot that the log continues from. */
-export type LogStart = Omit<ReplicaSnapshot, 'state'>;
-
 interface KnownConfiguration {
   readonly index: number;
   readonly configuration: ReplicaConfiguration;
@@ -28,7 +25,7 @@
 
   private configurations: KnownConfiguration[] = [];
 
-  private start: LogStart;
+  private start: SnapshotStart;
 
   /** Size of the entries after the snapshot. */
   bytesSinceSnapshot = 0;
@@ -36,7 +33,7 @@
   /** Last entry that is on the synced disk. */
   syncedIndex = 0;
 
-  constructor(disk: Disk, start: LogStart) {
+  constructor(disk: Disk, start: SnapshotStart) {
     this.segments = new LogSegments(disk);
     this.start = start;
     this.setStart(start);
@@ -73,7 +70,7 @@
   }
 
   /** The snapshot that the log continues from. */
-  get snapshotStart(): LogStart {
+  get snapshotStart(): SnapshotStart {
     return this.start;
   }
 
@@ -164,7 +161,7 @@
    * Continues from a snapshot of this log that is on the synced disk. The entries since the
    * snapshot before it stay, for followers that lag a little.
    */
-  async dropThrough(start: LogStart): Promise<void> {
+  async dropThrough(start: SnapshotStart): Promise<void> {
     const previous = this.start;
     this.segments.addSegment(this.syncedIndex + 1);
     this.configurations = [
@@ -180,7 +177,7 @@
   }
 
   /** Continues from an installed snapshot that is on the synced disk, without any entry. */
-  async resetTo(start: LogStart): Promise<void> {
+  async resetTo(start: SnapshotStart): Promise<void> {
     this.entries = [];
     this.sizes = [];
     this.waiting = [];
@@ -189,7 +186,7 @@
     await this.segments.reset();
   }
 
-  private setStart(start: LogStart): void {
+  private setStart(start: SnapshotStart): void {
     this.start = start;
     this.bytesSinceSnapshot = 0;
     this.syncedIndex = start.index;
--- a/src/application/replication/MessageHandler.ts
+++ b/src/application/replication/MessageHandler.ts
@@ -16,7 +16,7 @@
 import type GroupTask from './GroupTask.ts';
 import type ReplicaContext from './ReplicaContext.ts';
 import type ReplicationHandler from './ReplicationHandler.ts';
-import SnapshotReceiver from './SnapshotReceiver.ts';
+import type SnapshotReceiver from './SnapshotReceiver.ts';
 import { shortestElectionMs } from './replicaTimes.ts';
 
 /** Answers the messages of other replicas, one at a time. */
@@ -33,11 +33,12 @@
     readonly context: ReplicaContext<Command, Reply>;
     readonly elections: ElectionTask<Command, Reply>;
     readonly groups: GroupTask<Command, Reply>;
+    readonly receiver: SnapshotReceiver<Command, Reply>;
   }) {
     this.context = options.context;
     this.elections = options.elections;
     this.groups = options.groups;
-    this.receiver = new SnapshotReceiver(options.context);
+    this.receiver = options.receiver;
   }
 
   async answerStatus(): Promise<Result<HostStatus>> {
@@ -99,13 +100,17 @@
     });
   }
 
-  answerSnapshot(request: SnapshotRequest): Promise<Result<SnapshotAnswer>> {
-    return this.answer(request, async () => {
+  async answerSnapshot(request: SnapshotRequest): Promise<Result<SnapshotAnswer>> {
+    const accepted = await this.answer(request, async () => {
       const isCurrent = await this.followLeader(request);
-      const receivedBytes = isCurrent ? await this.receiver.acceptPiece(request) : 0;
+      if (isCurrent) await this.receiver.acceptPiece(request);
       if (isCurrent) this.markLeaderHeard();
-      return { term: this.context.term, receivedBytes };
+      return isCurrent;
     });
+    if (!accepted.ok) return accepted;
+    // Not within `serial`: votes and entries are answered while a snapshot is installed.
+    const receivedBytes = accepted.value ? await this.receiver.waitInstalled(request) : 0;
+    return { ok: true, value: { term: this.context.term, receivedBytes } };
   }
 
   answerTransfer(request: MessageHead): Promise<Result<void>> {
--- a/src/application/replication/Replica.ts
+++ b/src/application/replication/Replica.ts
@@ -19,6 +19,7 @@
 import type { ReplicaOptions, ReplicaRole } from './ReplicaContext.ts';
 import ReplicaStore from './ReplicaStore.ts';
 import type ReplicationHandler from './ReplicationHandler.ts';
+import SnapshotReceiver from './SnapshotReceiver.ts';
 import SnapshotTask from './SnapshotTask.ts';
 import WriterTask from './WriterTask.ts';
 
@@ -41,6 +42,8 @@
 
   private readonly groups: GroupTask<Command, Reply>;
 
+  private readonly receiver: SnapshotReceiver<Command, Reply>;
+
   private isClosing = false;
 
   private ended: Promise<unknown> = Promise.resolve();
@@ -49,8 +52,9 @@
     this.context = context;
     this.elections = new ElectionTask(context);
     this.groups = new GroupTask(context);
-    const { elections, groups } = this;
-    this.handler = new MessageHandler({ context, elections, groups });
+    this.receiver = new SnapshotReceiver(context);
+    const { elections, groups, receiver } = this;
+    this.handler = new MessageHandler({ context, elections, groups, receiver });
   }
 
   /**
@@ -62,11 +66,8 @@
   ): Promise<Replica<Command, Reply>> {
     const store = await ReplicaStore.openStore(options);
     const context = new ReplicaContext(options, store);
-    const snapshot = store.takeLoadedSnapshot();
-    if (snapshot) {
-      context.applier.restoreSnapshot(snapshot);
-      context.commitIndex = snapshot.index;
-    }
+    context.applier.restoreStart(store.log.snapshotStart);
+    context.commitIndex = store.log.snapshotStart.index;
     const replica = new Replica(context);
     replica.startTasks();
     return replica;
@@ -202,6 +203,7 @@
       this.elections.runElections(),
       new WriterTask(context).runWriter(),
       new SnapshotTask(context).runSnapshots(),
+      this.receiver.runInstallations(),
       new MembershipTask(context).runMembership(),
       ...peers.map((peer) => peer.runPeer()),
     ];
--- a/src/application/replication/ReplicaContext.ts
+++ b/src/application/replication/ReplicaContext.ts
@@ -33,6 +33,8 @@
   readonly snapshotEntries?: number;
   /** A snapshot is taken after log records of this size; 16 MiB by default. */
   readonly snapshotBytes?: number;
+  /** Snapshots are written and read in slices of this size; 64 KiB by default. */
+  readonly sliceBytes?: number;
   /** Size of the pieces that a snapshot is sent in; 1 MiB by default. */
   readonly pieceBytes?: number;
 }
--- a/src/application/replication/ReplicaStore.ts
+++ b/src/application/replication/ReplicaStore.ts
@@ -1,13 +1,15 @@
 import FailureError from '../../domain/errors/FailureError.ts';
 import type { Member, ReplicaGroup } from '../../domain/replication/ReplicaConfiguration.ts';
-import type ReplicaSnapshot from '../../domain/replication/ReplicaSnapshot.ts';
 import type ReplicaVote from '../../domain/replication/ReplicaVote.ts';
+import type ReplicatedState from '../../domain/replication/ReplicatedState.ts';
+import type SnapshotStart from '../../domain/replication/SnapshotStart.ts';
 import type Disk from '../../ports/Disk.ts';
 import type Log from '../../ports/Log.ts';
 import type RandomSource from '../../ports/RandomSource.ts';
 import DocumentFile from './DocumentFile.ts';
 import LogStore from './LogStore.ts';
-import type { LogStart } from './LogStore.ts';
+import SnapshotFile from './SnapshotFile.ts';
+import type { SnapshotFileOptions } from './SnapshotFile.ts';
 
 /** What a data folder belongs to. */
 export interface ReplicaIdentity extends Member {
@@ -16,28 +18,25 @@
 }
 
 /** Where the parts of an opened data folder come from. */
-export interface ReplicaStoreOptions {
-  readonly disk: Disk;
+export interface ReplicaStoreOptions extends SnapshotFileOptions {
   readonly host: string;
   readonly random: RandomSource;
   readonly log: Log;
+  /** Takes the content of the snapshot in the folder. */
+  readonly state: Pick<ReplicatedState<never, unknown>, 'startRestore'>;
 }
 
 /** Name of the file that collects the pieces of a received snapshot. */
 export const receivedSnapshotName = 'snapshot.part';
 
-function createStart(identity: ReplicaIdentity, snapshot: ReplicaSnapshot | undefined): LogStart {
-  if (snapshot) {
-    const { state, ...start } = snapshot;
-    return start;
-  }
+function createStart(identity: ReplicaIdentity): SnapshotStart {
   const configuration = { voters: identity.group?.founders ?? [] };
   return { index: 0, term: 0, proposedAt: 0, commandIndex: 0, configuration };
 }
 
 /** The files of one replica: identity, vote, snapshot and log. Writes run one at a time. */
 export default class ReplicaStore {
-  readonly snapshotFile: DocumentFile<ReplicaSnapshot>;
+  readonly snapshotFile: SnapshotFile;
 
   private readonly identityFile: DocumentFile<ReplicaIdentity>;
 
@@ -51,24 +50,24 @@
 
   private logStore: LogStore;
 
-  private loadedSnapshot: ReplicaSnapshot | undefined;
-
-  private constructor(disk: Disk, identity: ReplicaIdentity) {
+  private constructor(options: ReplicaStoreOptions, identity: ReplicaIdentity) {
+    const { disk } = options;
     this.disk = disk;
     this.identityFile = new DocumentFile(disk, 'identity');
     this.voteFile = new DocumentFile(disk, 'vote');
-    this.snapshotFile = new DocumentFile(disk, 'snapshot');
+    this.snapshotFile = new SnapshotFile(options);
     this.currentIdentity = identity;
-    this.logStore = new LogStore(disk, createStart(identity, undefined));
+    this.logStore = new LogStore(disk, createStart(identity));
   }
 
   /**
-   * Opens a data folder, or gives a fresh one a random replica id. Throws `log_damaged`, and
-   * `data_folder_unusable` for the folder of another host.
+   * Opens a data folder and restores its snapshot to the state, or gives a fresh folder a random
+   * replica id. Throws `log_damaged`, and `data_folder_unusable` for the folder of another host.
    */
   static async openStore(options: ReplicaStoreOptions): Promise<ReplicaStore> {
-    const { disk, host, random, log } = options;
-    const store = new ReplicaStore(disk, { replicaId: random.createId(), host, group: undefined });
+    const { host, random } = options;
+    const fresh = { replicaId: random.createId(), host, group: undefined };
+    const store = new ReplicaStore(options, fresh);
     const identity = await store.identityFile.readDocument();
     if (identity && identity.host !== host) {
       throw new FailureError({
@@ -76,7 +75,7 @@
         message: `data folder: it belongs to host "${identity.host}": expected "${host}"`,
       });
     }
-    if (identity) await store.loadFiles(identity, log);
+    if (identity) await store.loadFiles(identity, options);
     else await store.createIdentity();
     return store;
   }
@@ -93,19 +92,12 @@
     return this.logStore;
   }
 
-  /** The snapshot that was read when the folder was opened; it is released from memory. */
-  takeLoadedSnapshot(): ReplicaSnapshot | undefined {
-    const snapshot = this.loadedSnapshot;
-    this.loadedSnapshot = undefined;
-    return snapshot;
-  }
-
   /** Binds the folder to a group; the founders are the voters at index 0. */
   async saveGroup(group: ReplicaGroup): Promise<void> {
     const identity = { ...this.currentIdentity, group };
     await this.identityFile.writeDocument(identity);
     this.currentIdentity = identity;
-    this.logStore = new LogStore(this.disk, createStart(identity, undefined));
+    this.logStore = new LogStore(this.disk, createStart(identity));
   }
 
   async saveVote(vote: ReplicaVote): Promise<void> {
@@ -114,23 +106,25 @@
   }
 
   /** Puts a staged snapshot of this log in use and drops the entries that it covers. */
-  async useSnapshot(staged: string, snapshot: ReplicaSnapshot): Promise<void> {
+  async useSnapshot(staged: string, start: SnapshotStart): Promise<void> {
     await this.snapshotFile.useStaged(staged);
-    await this.logStore.dropThrough(createStart(this.currentIdentity, snapshot));
+    await this.logStore.dropThrough(start);
   }
 
   /** Puts a received snapshot in use in place of the log. */
-  async installSnapshot(snapshot: ReplicaSnapshot): Promise<void> {
+  async installSnapshot(start: SnapshotStart): Promise<void> {
     await this.snapshotFile.useStaged(receivedSnapshotName);
-    await this.logStore.resetTo(createStart(this.currentIdentity, snapshot));
+    await this.logStore.resetTo(start);
   }
 
-  private async loadFiles(identity: ReplicaIdentity, log: Log): Promise<void> {
+  private async loadFiles(identity: ReplicaIdentity, options: ReplicaStoreOptions): Promise<void> {
     this.currentIdentity = identity;
     this.currentVote = (await this.voteFile.readDocument()) ?? this.currentVote;
-    this.loadedSnapshot = await this.snapshotFile.readDocument();
-    this.logStore = new LogStore(this.disk, createStart(identity, this.loadedSnapshot));
-    await this.logStore.loadEntries(log);
+    const restore = options.state.startRestore();
+    const start = await this.snapshotFile.readParts(restore);
+    if (start) restore.useParts();
+    this.logStore = new LogStore(this.disk, start ?? createStart(identity));
+    await this.logStore.loadEntries(options.log);
   }
 
   private async createIdentity(): Promise<void> {
--- a/src/application/replication/SnapshotReceiver.ts
+++ b/src/application/replication/SnapshotReceiver.ts
@@ -1,10 +1,13 @@
-import type ReplicaSnapshot from '../../domain/replication/ReplicaSnapshot.ts';
+import type { StateRestore } from '../../domain/replication/ReplicatedState.ts';
+import type SnapshotStart from '../../domain/replication/SnapshotStart.ts';
 import type { SnapshotRequest } from '../../ports/ReplicationLink.ts';
 import type ReplicaContext from './ReplicaContext.ts';
 import { receivedSnapshotName } from './ReplicaStore.ts';
+import { heartbeatMs } from './replicaTimes.ts';
 
 interface ReceivingSnapshot {
   readonly from: string;
+  readonly term: number;
   readonly snapshotIndex: number;
   readonly snapshotTerm: number;
   readonly size: number;
@@ -21,55 +24,94 @@
     this.context = context;
   }
 
-  /** Returns the offset of the piece that is expected next; within `serial`. */
-  async acceptPiece(request: SnapshotRequest): Promise<number> {
-    const { disk } = this.context.options;
-    if (request.snapshotIndex <= this.context.commitIndex) return request.size;
+  /** Stores the piece if it is the one that is expected next; within `serial`. */
+  async acceptPiece(request: SnapshotRequest): Promise<void> {
+    const { context } = this;
+    const { disk } = context.options;
+    if (request.snapshotIndex <= context.commitIndex) return;
     const receiving = this.findReceiving(request);
-    if (request.offset !== receiving.receivedBytes) return receiving.receivedBytes;
+    if (request.offset !== receiving.receivedBytes) return;
     const piece = Buffer.from(request.piece, 'base64');
     if (request.offset === 0) await disk.write(receivedSnapshotName, piece);
     else await disk.append(receivedSnapshotName, piece);
     receiving.receivedBytes += piece.byteLength;
-    if (receiving.receivedBytes < request.size) return receiving.receivedBytes;
-    this.receiving = undefined;
-    return (await this.installReceived()) ? request.size : 0;
+    if (this.isWhole) context.changes.announceChange();
+  }
+
+  /**
+   * Returns the offset that is expected next; the size once the snapshot is installed. Installing
+   * a large one takes longer than an election timeout, so the sender is asked for the last byte
+   * again each heartbeat: it hears from this replica, and this replica from it.
+   */
+  async waitInstalled(request: SnapshotRequest): Promise<number> {
+    const { context } = this;
+    const isEnded = (): boolean => context.isStopped || !this.isWhole;
+    await context.changes.waitUntil(isEnded, context.now + heartbeatMs);
+    if (request.snapshotIndex <= context.commitIndex) return request.size;
+    if (!this.receiving || !this.isSame(this.receiving, request)) return 0;
+    return Math.min(this.receiving.receivedBytes, Math.max(0, request.size - 1));
+  }
+
+  /** Installs each snapshot that was received as a whole; runs until the replica stops. */
+  async runInstallations(): Promise<void> {
+    const { context } = this;
+    while (!context.isStopped) {
+      await context.changes.waitUntil(() => context.isStopped || this.isWhole, Infinity);
+      if (!context.isStopped && this.receiving) await this.installReceived(this.receiving);
+    }
+  }
+
+  private get isWhole(): boolean {
+    return this.receiving !== undefined && this.receiving.receivedBytes >= this.receiving.size;
+  }
+
+  private isSame(receiving: ReceivingSnapshot, request: SnapshotRequest): boolean {
+    return (
+      receiving.from === request.from &&
+      receiving.term === request.term &&
+      receiving.snapshotIndex === request.snapshotIndex &&
+      receiving.snapshotTerm === request.snapshotTerm &&
+      receiving.size === request.size
+    );
   }
 
   /** A piece of another snapshot than the last one begins a new file. */
   private findReceiving(request: SnapshotRequest): ReceivingSnapshot {
-    const { from, snapshotIndex, snapshotTerm, size } = request;
-    const { receiving } = this;
-    const isSame =
-      receiving?.from === from &&
-      receiving.snapshotIndex === snapshotIndex &&
-      receiving.snapshotTerm === snapshotTerm &&
-      receiving.size === size;
-    if (receiving && isSame) return receiving;
-    this.receiving = { from, snapshotIndex, snapshotTerm, size, receivedBytes: 0 };
+    if (this.receiving && this.isSame(this.receiving, request)) return this.receiving;
+    const { from, term, snapshotIndex, snapshotTerm, size } = request;
+    this.receiving = { from, term, snapshotIndex, snapshotTerm, size, receivedBytes: 0 };
     return this.receiving;
   }
 
-  /** False when the pieces don't make a whole snapshot; the sender then starts again. */
-  private async installReceived(): Promise<boolean> {
+  /** Reads the file beside the running state, and puts both in use in one step of `serial`. */
+  private async installReceived(receiving: ReceivingSnapshot): Promise<void> {
     const { context } = this;
     const { store, applier, options } = context;
     await options.disk.sync(receivedSnapshotName);
-    const content = await options.disk.read(receivedSnapshotName);
-    const snapshot = this.parseSnapshot(content ?? new Uint8Array());
-    if (!snapshot) return false;
-    await store.installSnapshot(snapshot);
-    applier.restoreSnapshot(snapshot);
-    context.commitIndex = snapshot.index;
-    options.log.info('replication: snapshot installed', { index: snapshot.index });
-    context.changes.announceChange();
-    return true;
+    const restore = options.state.startRestore();
+    const start = await this.readReceived(restore);
+    await context.runSerial(async () => {
+      // Pieces of another snapshot have begun to replace the file meanwhile.
+      if (this.receiving !== receiving) return;
+      this.receiving = undefined;
+      // A leader of a newer term may have entries of this log counted already, so they must stay.
+      const isCurrent = context.term === receiving.term;
+      if (isCurrent && start && start.index > context.commitIndex) {
+        await store.installSnapshot(start);
+        restore.useParts();
+        applier.restoreStart(start);
+        context.commitIndex = start.index;
+        options.log.info('replication: snapshot installed', { index: start.index });
+      }
+      context.changes.announceChange();
+    });
   }
 
-  private parseSnapshot(content: Uint8Array): ReplicaSnapshot | undefined {
+  /** Undefined when the pieces don't make a whole snapshot; the sender then starts again. */
+  private async readReceived(restore: StateRestore): Promise<SnapshotStart | undefined> {
     const { store, options } = this.context;
     try {
-      return store.snapshotFile.parseDocument(content);
+      return await store.snapshotFile.readParts(restore, receivedSnapshotName);
     } catch (error) {
       options.log.warn('replication: received snapshot refused', {
         error: (error as Error).message,
--- a/src/application/replication/SnapshotSender.ts
+++ b/src/application/replication/SnapshotSender.ts
@@ -1,16 +1,16 @@
 import type Result from '../../domain/errors/Result.ts';
 import type Leadership from '../../domain/replication/Leadership.ts';
 import type { PeerProgress } from '../../domain/replication/Leadership.ts';
+import type SnapshotStart from '../../domain/replication/SnapshotStart.ts';
 import type ReplicationLink from '../../ports/ReplicationLink.ts';
-import type { LogStart } from './LogStore.ts';
 import type ReplicaContext from './ReplicaContext.ts';
 
 const defaultPieceBytes = 1_048_576;
-// The last piece is answered after the peer has synced and loaded the whole file.
+// Longer than `messageTimeoutMs`, because a peer may have to write the piece to a slow disk.
 const pieceTimeoutMs = 5000;
 
 interface SendingSnapshot {
-  readonly start: LogStart;
+  readonly start: SnapshotStart;
   readonly content: Uint8Array;
   readonly replicaId: string;
   offset: number;
@@ -29,7 +29,10 @@
     this.link = link;
   }
 
-  /** Sends the next piece; after the last one the peer continues with entries. */
+  /**
+   * Sends the next piece. The peer asks for the last byte again until it has installed the
+   * snapshot, and then continues with entries.
+   */
   async sendPiece(leadership: Leadership, progress: PeerProgress): Promise<Result<void>> {
     const { context, link } = this;
     const sending = await this.loadSnapshot(progress.replicaId);
--- a/src/application/replication/SnapshotTask.ts
+++ b/src/application/replication/SnapshotTask.ts
@@ -1,5 +1,4 @@
 import type ReplicaContext from './ReplicaContext.ts';
-import encodeRecord from './encodeRecord.ts';
 
 const defaultSnapshotEntries = 4096;
 const defaultSnapshotBytes = 16_777_216;
@@ -35,12 +34,13 @@
     const { context } = this;
     const { snapshotFile } = context.store;
     const snapshot = context.applier.takeSnapshot(context.log);
+    const { start } = snapshot;
     // Written beside the log, so that entries are not held up by a large state.
-    const staged = await snapshotFile.writeStaged(encodeRecord(snapshot));
+    const staged = await snapshotFile.writeStaged(snapshot);
     await context.runSerial(async () => {
-      if (context.log.snapshotStart.index >= snapshot.index) return;
-      await context.store.useSnapshot(staged, snapshot);
-      context.options.log.info('replication: snapshot stored', { index: snapshot.index });
+      if (context.log.snapshotStart.index >= start.index) return;
+      await context.store.useSnapshot(staged, start);
+      context.options.log.info('replication: snapshot stored', { index: start.index });
     });
   }
 }
--- a/src/application/replication/decodeRecords.ts
+++ b/src/application/replication/decodeRecords.ts
@@ -20,7 +20,8 @@
   return computeChecksum(content, expected.length).equals(expected);
 }
 
-function readRecord(content: Buffer, offset: number): DecodedRecord | undefined {
+/** The record at an offset; undefined unless it is whole. */
+export function readRecord(content: Buffer, offset: number): DecodedRecord | undefined {
   const { lengthOffset, payloadSumOffset, headerSumOffset, bytes } = recordHeader;
   const header = content.subarray(offset, offset + bytes);
   if (header.length < bytes) return undefined;
--- a/src/domain/claims/ClaimBook.ts
+++ b/src/domain/claims/ClaimBook.ts
@@ -1,5 +1,5 @@
 import type ErrorKind from '../errors/ErrorKind.ts';
-import type { CommitPosition } from '../replication/ReplicatedState.ts';
+import type { CommitPosition, SnapshotParts } from '../replication/ReplicatedState.ts';
 import type { ClaimChange, ClaimCompletion, ClaimDecision, ClaimRequest } from './Claim.ts';
 import type ClaimBookSnapshot from './ClaimBookSnapshot.ts';
 import type { ClaimRecord } from './ClaimBookSnapshot.ts';
@@ -42,7 +42,7 @@
 export default class ClaimBook {
   private readonly limits: Required<ClaimBookOptions>;
 
-  private readonly table = new ClaimTable();
+  private table = new ClaimTable();
 
   private horizon = 0;
 
@@ -71,13 +71,23 @@
     this.table.dropThrough(this.horizon);
   }
 
-  takeSnapshot(): ClaimBookSnapshot {
-    return { horizon: this.horizon, keys: this.table.listKeys() };
+  /** The book as of now; each part has the horizon. */
+  takeSnapshot(): SnapshotParts<ClaimBookSnapshot> {
+    const { horizon } = this;
+    const { count, readPart } = this.table.takeSnapshot();
+    return { count, readPart: (position) => ({ horizon, keys: readPart(position) }) };
   }
 
-  restoreSnapshot(snapshot: ClaimBookSnapshot): void {
-    this.horizon = snapshot.horizon;
-    this.table.restoreKeys(snapshot.keys);
+  /** Adds a part of a snapshot to a book that no command was applied to. */
+  addPart(part: ClaimBookSnapshot): void {
+    this.horizon = part.horizon;
+    this.table.addKeys(part.keys);
+  }
+
+  /** Replaces the records by those of another book, which must not be used any more. */
+  restoreFrom(book: ClaimBook): void {
+    this.horizon = book.horizon;
+    this.table = book.table;
   }
 
   private applyChange(change: ClaimChange, now: number): ClaimDecision {
--- a/src/domain/claims/ClaimBookSnapshot.ts
+++ b/src/domain/claims/ClaimBookSnapshot.ts
@@ -13,7 +13,7 @@
   readonly answer: StoredAnswer | undefined;
 }
 
-/** All claims as a JSON value. */
+/** Claims as a JSON value: all of them, or a part. A key may occur again with more attempts. */
 export default interface ClaimBookSnapshot {
   /** Keys made at or before this instant have expired, in milliseconds since the epoch. */
   readonly horizon: number;
--- a/src/domain/claims/ClaimTable.ts
+++ b/src/domain/claims/ClaimTable.ts
@@ -1,3 +1,4 @@
+import type { SnapshotParts } from '../replication/ReplicatedState.ts';
 import type { StoredAnswer } from './Claim.ts';
 import type ClaimBookSnapshot from './ClaimBookSnapshot.ts';
 import type { ClaimRecord } from './ClaimBookSnapshot.ts';
@@ -8,20 +9,49 @@
 // minute, instead of all records at each command.
 const bucketMs = 60_000;
 
-/** What is kept of one key. */
+// At 16 microseconds to restore a record of a few hundred bytes, and at most about 10 KB a record,
+// a part takes a few milliseconds.
+const keysPerPart = 64;
+const attemptsPerKey = 64;
+
+/**
+ * What is kept of one key. A change replaces the entry, so that snapshots share entries with the
+ * running table.
+ */
 export interface KeyEntry {
+  readonly key: string;
   readonly current: ClaimRecord | undefined;
   readonly released: ReadonlySet<string>;
 }
 
-interface MutableEntry extends KeyEntry {
-  current: ClaimRecord | undefined;
+interface TableEntry extends KeyEntry {
+  /** Shared by the entries of a key; attempts are only ever added to it. */
   readonly released: Set<string>;
+  /** The first attempts of `released` belong to this entry. */
+  readonly releasedCount: number;
+}
+
+type KeyList = ClaimBookSnapshot['keys'];
+
+/** The attempts of a key beyond those that its first record in a snapshot has. */
+function listContinuations({ key, released, releasedCount }: TableEntry): KeyList {
+  const attempts = [...released].slice(0, releasedCount);
+  const count = Math.ceil(releasedCount / attemptsPerKey) - 1;
+  return Array.from({ length: Math.max(0, count) }, (_, position) => {
+    const start = (position + 1) * attemptsPerKey;
+    const further = attempts.slice(start, start + attemptsPerKey);
+    return { key, current: undefined, released: further };
+  });
+}
+
+function createSnapshotKey({ key, current, released, releasedCount }: TableEntry): KeyList[number] {
+  const attempts = releasedCount === 0 ? [] : [...released];
+  return { key, current, released: attempts.slice(0, Math.min(releasedCount, attemptsPerKey)) };
 }
 
 /** The kept records by key, grouped by the minute of the key for expiry. */
 export default class ClaimTable {
-  private readonly entries = new Map<string, MutableEntry>();
+  private readonly entries = new Map<string, TableEntry>();
 
   private readonly buckets = new Map<number, Set<string>>();
 
@@ -49,15 +79,18 @@
   setCurrent(key: IdempotencyKey, record: ClaimRecord | undefined): void {
     const entry = this.getEntry(key);
     this.countRecord(entry.current, -1);
-    entry.current = record;
+    this.entries.set(key.text, { ...entry, current: record });
     this.countRecord(record, 1);
   }
 
   /** Remembers that an attempt was released. */
   addReleased(key: IdempotencyKey, attempt: string): void {
-    const { released } = this.getEntry(key);
-    if (!released.has(attempt)) this.records += 1;
+    const entry = this.getEntry(key);
+    const { released } = entry;
+    if (released.has(attempt)) return;
     released.add(attempt);
+    this.entries.set(key.text, { ...entry, releasedCount: released.size });
+    this.records += 1;
   }
 
   /** Drops keys whose time is at or before the horizon; a started minute is kept until it ends. */
@@ -70,33 +103,43 @@
       .forEach((expired) => this.dropBucket(expired));
   }
 
-  listKeys(): ClaimBookSnapshot['keys'] {
-    return [...this.entries].map(([key, { current, released }]) => ({
-      key,
-      current,
-      released: [...released],
-    }));
+  /** All keys as of now; entries are shared and not copied. */
+  takeSnapshot(): SnapshotParts<KeyList> {
+    const entries = [...this.entries.values()];
+    const continuations = entries
+      .filter(({ releasedCount }) => releasedCount > attemptsPerKey)
+      .flatMap(listContinuations);
+    const entryParts = Math.ceil(entries.length / keysPerPart);
+    return {
+      count: entryParts + continuations.length,
+      readPart: (position) =>
+        position < entryParts
+          ? entries
+              .slice(position * keysPerPart, (position + 1) * keysPerPart)
+              .map(createSnapshotKey)
+          : continuations.slice(position - entryParts, position - entryParts + 1),
+    };
   }
 
-  /** Replaces all entries. */
-  restoreKeys(keys: ClaimBookSnapshot['keys']): void {
-    this.entries.clear();
-    this.buckets.clear();
-    this.firstBucket = 0;
-    this.records = 0;
-    this.answerCharacters = 0;
+  /** Adds keys of a snapshot; a key that was added before gets further released attempts. */
+  addKeys(keys: KeyList): void {
     keys.forEach(({ key, current, released }) => {
       const parsed = IdempotencyKey.parse(key);
       if (!parsed.ok) throw new TypeError(parsed.failure.message);
-      this.setCurrent(parsed.value, current);
+      if (current) this.setCurrent(parsed.value, current);
       released.forEach((attempt) => this.addReleased(parsed.value, attempt));
     });
   }
 
-  private getEntry(key: IdempotencyKey): MutableEntry {
+  private getEntry(key: IdempotencyKey): TableEntry {
     const known = this.entries.get(key.text);
     if (known) return known;
-    const entry: MutableEntry = { current: undefined, released: new Set() };
+    const entry = {
+      key: key.text,
+      current: undefined,
+      released: new Set<string>(),
+      releasedCount: 0,
+    };
     this.entries.set(key.text, entry);
     const bucket = Math.floor(key.timestamp / bucketMs);
     const keys = this.buckets.get(bucket) ?? new Set();
--- a/src/domain/control/ControlState.ts
+++ b/src/domain/control/ControlState.ts
@@ -2,15 +2,19 @@
 import type { ClaimBookOptions } from '../claims/ClaimBook.ts';
 import PresetBook from '../presets/PresetBook.ts';
 import type ReplicatedState from '../replication/ReplicatedState.ts';
-import type { CommitPosition } from '../replication/ReplicatedState.ts';
+import type {
+  CommitPosition,
+  SnapshotParts,
+  StateRestore,
+} from '../replication/ReplicatedState.ts';
 import type ControlCommand from './ControlCommand.ts';
 import type { ControlReply, PutPreset, UsePreset } from './ControlCommand.ts';
 import type ControlSnapshot from './ControlSnapshot.ts';
 
 /** What a control state needs. */
 export interface ControlStateOptions {
-  /** Checks the form of a snapshot; throws when it is damaged. */
-  readonly parseSnapshot: (snapshot: unknown) => ControlSnapshot;
+  /** Checks the form of a part of a snapshot; throws when it is damaged. */
+  readonly parseSnapshot: (part: unknown) => ControlSnapshot;
   readonly claimLimits?: ClaimBookOptions;
 }
 
@@ -48,14 +52,34 @@
     return { kind: 'preset_change', result };
   }
 
-  takeSnapshot(): ControlSnapshot {
-    return { claims: this.claims.takeSnapshot(), presets: this.presets.takeSnapshot() };
+  takeSnapshot(): SnapshotParts<ControlSnapshot> {
+    const claims = this.claims.takeSnapshot();
+    const presets = this.presets.takeSnapshot();
+    return {
+      // One part at least, for the horizon and the selection.
+      count: Math.max(1, claims.count, presets.count),
+      readPart: (position) => ({
+        claims: claims.readPart(position),
+        presets: presets.readPart(position),
+      }),
+    };
   }
 
-  /** Replaces the whole state; throws and changes nothing when the snapshot is damaged. */
-  restoreSnapshot(snapshot: unknown): void {
-    const parsed = this.options.parseSnapshot(snapshot);
-    this.claims.restoreSnapshot(parsed.claims);
-    this.presets.restoreSnapshot(parsed.presets);
+  /** A file of an earlier release has the whole state as its only part. */
+  startRestore(): StateRestore {
+    const { parseSnapshot, claimLimits } = this.options;
+    const claims = new ClaimBook(claimLimits);
+    const presets = new PresetBook();
+    return {
+      addPart: (part) => {
+        const parsed = parseSnapshot(part);
+        claims.addPart(parsed.claims);
+        presets.addPart(parsed.presets);
+      },
+      useParts: () => {
+        this.claims.restoreFrom(claims);
+        this.presets.restoreFrom(presets);
+      },
+    };
   }
 }
--- a/src/domain/presets/PresetBook.ts
+++ b/src/domain/presets/PresetBook.ts
@@ -1,4 +1,5 @@
 import type { AcceptedChange, PutPreset, UsePreset } from '../control/ControlCommand.ts';
+import type { SnapshotParts } from '../replication/ReplicatedState.ts';
 import type Failure from '../errors/Failure.ts';
 import type { WinningChange } from '../errors/Failure.ts';
 import type Result from '../errors/Result.ts';
@@ -8,6 +9,8 @@
 import type PresetState from './PresetState.ts';
 import createChangeFingerprint from './createChangeFingerprint.ts';
 
+const changesPerPart = 64;
+
 /** Number of change ids whose first answer is kept. */
 export const maxRememberedChanges = 10_000;
 
@@ -36,12 +39,12 @@
  * accepted only when it is based on the revision at which its subject last changed.
  */
 export default class PresetBook {
-  private readonly presets = new Map<string, PresetRecord>();
+  private presets = new Map<string, PresetRecord>();
 
   private selection: PresetSelection | undefined;
 
   // In the order of the changes, so that the first key is the oldest.
-  private readonly changes = new Map<string, RememberedChange>();
+  private changes = new Map<string, RememberedChange>();
 
   /** Decides a change; its revision is its position in the log. */
   applyChange(change: PutPreset | UsePreset, position: CommitPosition): Result<AcceptedChange> {
@@ -82,20 +85,34 @@
     return { revision: Math.max(this.selection.revision, record.revision), name, preset };
   }
 
-  takeSnapshot(): PresetBookSnapshot {
+  /** The book as of now; each part has the selection. */
+  takeSnapshot(): SnapshotParts<PresetBookSnapshot> {
+    const { selection } = this;
+    const presets = this.listPresets();
+    const changes = [...this.changes.values()];
+    // A preset of 5,000 routes takes 20 ms to decode and check, so each has a part of its own.
     return {
-      presets: this.listPresets(),
-      selection: this.selection,
-      changes: [...this.changes.values()],
+      count: Math.max(presets.length, Math.ceil(changes.length / changesPerPart)),
+      readPart: (position) => ({
+        presets: presets.slice(position, position + 1),
+        selection,
+        changes: changes.slice(position * changesPerPart, (position + 1) * changesPerPart),
+      }),
     };
   }
 
-  restoreSnapshot(snapshot: PresetBookSnapshot): void {
-    this.presets.clear();
-    this.changes.clear();
-    snapshot.presets.forEach((record) => this.presets.set(record.name, record));
-    snapshot.changes.forEach((change) => this.changes.set(change.changeId, change));
-    this.selection = snapshot.selection;
+  /** Adds a part of a snapshot to a book that no command was applied to. */
+  addPart(part: PresetBookSnapshot): void {
+    part.presets.forEach((record) => this.presets.set(record.name, record));
+    part.changes.forEach((change) => this.changes.set(change.changeId, change));
+    this.selection = part.selection;
+  }
+
+  /** Replaces the records by those of another book, which must not be used any more. */
+  restoreFrom(book: PresetBook): void {
+    this.presets = book.presets;
+    this.changes = book.changes;
+    this.selection = book.selection;
   }
 
   private putPreset(change: PutPreset, revision: number): Result<AcceptedChange> {
--- a/src/domain/presets/PresetBookSnapshot.ts
+++ b/src/domain/presets/PresetBookSnapshot.ts
@@ -22,7 +22,7 @@
   readonly result: Result<AcceptedChange>;
 }
 
-/** All presets as a JSON value. */
+/** Presets as a JSON value: all of them, or a part. */
 export default interface PresetBookSnapshot {
   readonly presets: readonly PresetRecord[];
   readonly selection: PresetSelection | undefined;
--- a/src/domain/replication/ReplicaSnapshot.ts
+++ b/src/domain/replication/SnapshotStart.ts
@@ -1,7 +1,7 @@
 import type ReplicaConfiguration from './ReplicaConfiguration.ts';
 
-/** The state after all entries up to an index. */
-export default interface ReplicaSnapshot {
+/** The position in the log that a snapshot of the state was taken at. */
+export default interface SnapshotStart {
   readonly index: number;
   readonly term: number;
   /** Time of the last entry, in milliseconds since the epoch. */
@@ -9,5 +9,4 @@
   /** Index of the last command that the state includes. */
   readonly commandIndex: number;
   readonly configuration: ReplicaConfiguration;
-  readonly state: unknown;
 }
--- a/src/ports/Clock.ts
+++ b/src/ports/Clock.ts
@@ -7,4 +7,6 @@
    * rejects.
    */
   sleepUntil(deadline: number, signal?: AbortSignal): Promise<void>;
+  /** Resolves after the other work that is ready now, so that long work does not delay it. */
+  waitTurn(): Promise<void>;
 }
--- a/tests/claims/claimFuzz.test.ts
+++ b/tests/claims/claimFuzz.test.ts
@@ -13,6 +13,7 @@
 import FakeControlGroup from '../fixtures/FakeControlGroup.ts';
 import PausableClock from '../fixtures/PausableClock.ts';
 import SilentLog from '../fixtures/SilentLog.ts';
+import { listParts } from '../fixtures/copyParts.ts';
 import readFuzzSettings from '../fixtures/readFuzzSettings.ts';
 
 const hosts = ['control-1', 'control-2', 'control-3'];
@@ -194,7 +195,12 @@
   await clock.advanceBy(1000);
   await Promise.all(tasks);
   if (failures.length > 0) throw failures[0];
-  return { oracle, records: group.state.claims.takeSnapshot().keys, entries, keys };
+  return {
+    oracle,
+    records: listParts(group.state.claims.takeSnapshot()).flatMap((part) => part.keys),
+    entries,
+    keys,
+  };
 }
 
 async function checkSteps(steps: readonly Step[], seed: number, lossShare: number) {
--- a/tests/presets/presetBook.test.ts
+++ b/tests/presets/presetBook.test.ts
@@ -10,6 +10,7 @@
 import ControlState from '../../src/domain/control/ControlState.ts';
 import type Result from '../../src/domain/errors/Result.ts';
 import { maxRememberedChanges } from '../../src/domain/presets/PresetBook.ts';
+import copyParts, { listParts } from '../fixtures/copyParts.ts';
 import createPreset from '../fixtures/createPreset.ts';
 import readFuzzSettings from '../fixtures/readFuzzSettings.ts';
 
@@ -36,9 +37,9 @@
     return reply.result;
   };
   const restart = (): void => {
-    const snapshot: unknown = JSON.parse(JSON.stringify(state.takeSnapshot()));
+    const snapshot = state.takeSnapshot();
     state = new ControlState({ parseSnapshot: parseControlSnapshot });
-    state.restoreSnapshot(snapshot);
+    copyParts(snapshot, state.startRestore());
   };
   return { apply, restart, getBook: () => state.presets };
 }
@@ -152,15 +153,19 @@
   it('should refuse a damaged snapshot and keep its state', () => {
     const state = new ControlState({ parseSnapshot: parseControlSnapshot });
     state.applyCommand(put(), { index: 1, term: 1, proposedAt: 0 });
-    const snapshot = state.takeSnapshot();
+    const snapshot = state.takeSnapshot().readPart(0);
     const damaged = [
       {},
       { ...snapshot, claims: { horizon: 0, keys: [{ key: 'no key', released: [] }] } },
       { ...snapshot, presets: { ...snapshot.presets, changes: [{ changeId: 1 }] } },
     ];
 
-    damaged.forEach((each) => expect(() => state.restoreSnapshot(each)).toThrow('snapshot: key'));
-    expect(state.takeSnapshot()).toEqual(snapshot);
+    damaged.forEach((each) => {
+      const restore = state.startRestore();
+      restore.addPart(snapshot);
+      expect(() => restore.addPart(each)).toThrow('snapshot: key');
+    });
+    expect(listParts(state.takeSnapshot())).toEqual([snapshot]);
   });
 });
 
--- a/tests/replication/logStore.test.ts
+++ b/tests/replication/logStore.test.ts
@@ -1,6 +1,8 @@
 import { beforeEach, describe, expect, it } from 'vitest';
 
 import ReplicaStore from '../../src/application/replication/ReplicaStore.ts';
+import FakeClock from '../fixtures/FakeClock.ts';
+import ListState from '../fixtures/ListState.ts';
 import MemoryDisk from '../fixtures/MemoryDisk.ts';
 import SeededRandom from '../fixtures/SeededRandom.ts';
 import SilentLog from '../fixtures/SilentLog.ts';
@@ -10,7 +12,10 @@
   let disk: MemoryDisk;
 
   const openStore = (host = 'a'): Promise<ReplicaStore> =>
-    ReplicaStore.openStore({ disk, host, random: new SeededRandom(), log });
+    ReplicaStore.openStore({
+      ...{ disk, host, log, random: new SeededRandom() },
+      ...{ clock: new FakeClock(), state: new ListState() },
+    });
 
   async function writeEntries(count: number, opened?: ReplicaStore): Promise<string> {
     const store = opened ?? (await openStore());
@@ -29,7 +34,8 @@
   async function takeSnapshot(store: ReplicaStore, index: number): Promise<void> {
     const configuration = { voters: [] };
     const start = { index, term: 1, proposedAt: 1000, commandIndex: index, configuration };
-    await store.snapshotFile.writeDocument({ ...start, state: 'state' });
+    const parts = { count: 2, readPart: (position: number) => ({ ids: [`id ${position}`] }) };
+    await store.snapshotFile.useStaged(await store.snapshotFile.writeStaged({ start, parts }));
     await store.log.dropThrough(start);
   }
 
