Let turns take time in the fuzz of replication

Ruled out: real time, which is not repeatable. Change: a step sets the time of each turn to at most 200 ms; healing sets it to 0. The checks are the same.

--- a/tests/replication/fuzz.test.ts
+++ b/tests/replication/fuzz.test.ts
@@ -118,6 +118,7 @@
   heal(): void {
     const { network } = this.group;
     this.group.drawDiskDelay = () => 0;
+    this.group.clock.turnMs = 0;
     network.cuts.clear();
     network.drawDelay = () => 0;
     network.isAnswerLost = () => false;
@@ -213,6 +214,9 @@
   createStep('slow disks', upTo(120), ({ group, random }, ms) => {
     group.drawDiskDelay = () => random.next() * ms;
   }),
+  createStep('slow turns', upTo(200), ({ group }, ms) => {
+    group.clock.turnMs = ms;
+  }),
   createStep('stop the leader', nothing, (run) => run.stopLeader()),
 ];
 
