Compare the added time with a control in the same run

Cause: bench/addedTime.ts took the difference of two quantiles from rounds that ran one after another, 2 s each.

Ruled out: coordinated omission. Requests are sent at scheduled instants whether or not earlier ones were answered, and the wait for a connection of the client counts. Late timers of the client are not in a latency; they are now printed.

Change: the ways take turns request by request in one load, with a second direct way as the control. The bench prints the number of requests, how many lie above the 99 in 100 quantile, and how late the client sent. The background work of the entry host is measured over the same time without load; the cost of a direct exchange is the client's and upstream's processor time over the requests of all ways.

--- a/bench/addedTime.ts
+++ b/bench/addedTime.ts
@@ -1,10 +1,11 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { parseArgs } from 'node:util';
 
 import type { Histogram } from 'hdr-histogram-js';
 import { Agent, request } from 'undici';
 
 import { startExampleFleet } from '../examples/fleet/startExampleFleet.ts';
-import runOpenLoop, { createLatencies } from './runOpenLoop.ts';
+import runOpenLoop, { createTimes } from './runOpenLoop.ts';
 
 const { values } = parseArgs({
   options: {
@@ -32,11 +33,26 @@
   return user + system;
 }
 
+function readPercentile(histogram: Histogram, percentile: number): number {
+  return histogram.getValueAtPercentile(percentile) / 1000;
+}
+
 function formatRow(name: string, histogram: Histogram): string {
   const cells = [50, 90, 99].map((percentile) =>
-    (histogram.getValueAtPercentile(percentile) / 1000).toFixed(2).padStart(9),
+    readPercentile(histogram, percentile).toFixed(2).padStart(9),
+  );
+  const { totalCount } = histogram;
+  const counts = [totalCount, Math.floor(totalCount / 100)].map((count) =>
+    String(count).padStart(10),
+  );
+  return `${name.padEnd(16)}${cells.join('')}${counts.join('')}\n`;
+}
+
+function formatAdded(name: string, way: Histogram, base: Histogram): string {
+  const [median, high] = [50, 99].map((percentile) =>
+    (readPercentile(way, percentile) - readPercentile(base, percentile)).toFixed(2),
   );
-  return `${name.padEnd(16)}${cells.join('')}${String(histogram.totalCount).padStart(10)}\n`;
+  return `${name.padEnd(40)} at p50 ${median} ms, at p99 ${high} ms\n`;
 }
 
 const fleet = await startExampleFleet({
@@ -62,73 +78,62 @@
 }
 
 const client = new Agent({ connections: 32, pipelining: 1 });
+const [ratePerSecond, requests] = [Number(values.rate), Number(values.requests)];
+const directOrigin = `http://${upstream.address}`;
 const load = {
   client,
+  // The ways take turns request by request, so that other work on the machine hits them alike. The
+  // second direct way is the control: what it differs from the first is noise of the machine.
+  origins: [`http://${entry.callers}`, directOrigin, directOrigin],
   path: '/history/f-1',
-  ratePerSecond: Number(values.rate),
-  requests: Number(values.requests),
+  ratePerSecond,
+  requests,
 };
 
-/** Latencies, failures and processor time of the rounds on one way. */
-class Measurement {
-  readonly latencies = createLatencies();
-
-  failures = 0;
-
-  readonly total = { entryMicroseconds: 0, clientMicroseconds: 0, upstreamMicroseconds: 0 };
-
-  private readonly origin: string;
-
-  constructor(address: string) {
-    this.origin = `http://${address}`;
-  }
-
-  async runRound(): Promise<void> {
-    const before = await readProcessorUse();
-    const round = await runOpenLoop({ ...load, origin: this.origin });
-    const after = await readProcessorUse();
-    this.latencies.add(round.latencies);
-    this.failures += round.failures;
-    this.total.entryMicroseconds += after.entryMicroseconds - before.entryMicroseconds;
-    this.total.clientMicroseconds += after.clientMicroseconds - before.clientMicroseconds;
-    this.total.upstreamMicroseconds += after.upstreamMicroseconds - before.upstreamMicroseconds;
-  }
-
-  getPercentile(percentile: number): number {
-    return this.latencies.getValueAtPercentile(percentile) / 1000;
-  }
-}
-
 // Warm-up: compiles the hot paths and opens the connections.
-await new Measurement(entry.callers).runRound();
-await new Measurement(upstream.address).runRound();
-const through = new Measurement(entry.callers);
-const direct = new Measurement(upstream.address);
-// The two loads take turns, so that other work on the machine hits both alike.
+await runOpenLoop(load);
+const [through, direct, control] = [createTimes(), createTimes(), createTimes()];
+const lateness = createTimes();
+const total = { entryMicroseconds: 0, clientMicroseconds: 0, upstreamMicroseconds: 0 };
+let failures = 0;
 for (let round = 0; round < Number(values.rounds); round += 1) {
-  await through.runRound();
-  await direct.runRound();
+  const before = await readProcessorUse();
+  const startedAt = performance.now();
+  const measured = await runOpenLoop(load);
+  const after = await readProcessorUse();
+  // The entry host's background work is measured over the same time without load.
+  await sleep(performance.now() - startedAt);
+  const idle = await readProcessorUse();
+  [through, direct, control].forEach((sum, way) => {
+    const latencies = measured.latencies[way];
+    if (latencies) sum.add(latencies);
+  });
+  lateness.add(measured.lateness);
+  failures += measured.failures;
+  total.entryMicroseconds +=
+    2 * after.entryMicroseconds - before.entryMicroseconds - idle.entryMicroseconds;
+  total.clientMicroseconds += after.clientMicroseconds - before.clientMicroseconds;
+  total.upstreamMicroseconds += after.upstreamMicroseconds - before.upstreamMicroseconds;
 }
-const [addedMedian, addedHigh] = [50, 99].map((percentile) =>
-  (through.getPercentile(percentile) - direct.getPercentile(percentile)).toFixed(2),
-);
-// The entry host's background work goes on while the load is direct.
-const entryMicroseconds =
-  (through.total.entryMicroseconds - direct.total.entryMicroseconds) / through.latencies.totalCount;
+const allRequests = through.totalCount + direct.totalCount + control.totalCount;
+const entryMicroseconds = total.entryMicroseconds / through.totalCount;
 const [clientMicroseconds, upstreamMicroseconds] = [
-  direct.total.clientMicroseconds / direct.latencies.totalCount,
-  direct.total.upstreamMicroseconds / direct.latencies.totalCount,
+  total.clientMicroseconds / allRequests,
+  total.upstreamMicroseconds / allRequests,
 ];
 const directMicroseconds = clientMicroseconds + upstreamMicroseconds;
 process.stdout.write(
-  `rate ${load.ratePerSecond}/s, ${values.rounds} rounds of ${load.requests} requests each way, ` +
-    `${values.upstreams} upstreams\n` +
-    `ms              ${['p50', 'p90', 'p99'].map((name) => name.padStart(9)).join('')}  requests\n` +
-    formatRow('direct', direct.latencies) +
-    formatRow('through fleet', through.latencies) +
-    `added at p50 ${addedMedian} ms, at p99 ${addedHigh} ms; ` +
-    `ratio at p50 ${(through.getPercentile(50) / direct.getPercentile(50)).toFixed(2)}; ` +
-    `failures ${through.failures + direct.failures}\n` +
+  `rate ${ratePerSecond}/s on each of 3 ways, ${values.rounds} rounds of ${requests} requests ` +
+    `on each, ${values.upstreams} upstreams\n` +
+    `ms              ${['p50', 'p90', 'p99'].map((name) => name.padStart(9)).join('')}` +
+    '  requests above p99\n' +
+    formatRow('direct', direct) +
+    formatRow('direct, control', control) +
+    formatRow('through fleet', through) +
+    formatRow('sent late by', lateness) +
+    formatAdded('added (through fleet less direct)', through, direct) +
+    formatAdded('noise (direct, control less direct)', control, direct) +
+    `failures ${failures}\n` +
     `processor time a request: entry host ${entryMicroseconds.toFixed(0)} µs; direct exchange ` +
     `${directMicroseconds.toFixed(0)} µs (client ${clientMicroseconds.toFixed(0)} µs, ` +
     `upstream ${upstreamMicroseconds.toFixed(0)} µs); ` +
