Let the added-time bench compare two checkouts in one load

Cause: two runs of bench:added-time one after another differ more by the load of the machine than by a change.

Ruled out: turns of whole runs; a run takes half a minute, in which the load of the machine changes.

--- a/bench/addedTime.ts
+++ b/bench/addedTime.ts
@@ -1,3 +1,4 @@
+import path from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { parseArgs } from 'node:util';
 
@@ -5,6 +6,7 @@
 import { Agent, request } from 'undici';
 
 import { startExampleFleet } from '../examples/fleet/startExampleFleet.ts';
+import type { ExampleFleet } from '../examples/fleet/startExampleFleet.ts';
 import runOpenLoop, { createTimes } from './runOpenLoop.ts';
 
 const { values } = parseArgs({
@@ -15,17 +17,20 @@
     upstreams: { type: 'string', default: '1' },
     // Folder for a processor profile of the entry host.
     profile: { type: 'string' },
+    // Folder of another checkout with a build, whose entry host is measured in the same load.
+    against: { type: 'string' },
   },
 });
 
 interface ProcessorUse {
-  readonly entryMicroseconds: number;
+  /** Of each entry host. */
+  readonly entryMicroseconds: readonly number[];
   readonly clientMicroseconds: number;
   readonly upstreamMicroseconds: number;
 }
 
-async function readText(address: string, path: string): Promise<string> {
-  const answer = await request(`http://${address}${path}`);
+async function readText(address: string, target: string): Promise<string> {
+  const answer = await request(`http://${address}${target}`);
   return answer.body.text();
 }
 
@@ -55,23 +60,34 @@
   return `${name.padEnd(40)} at p50 ${median} ms, at p99 ${high} ms\n`;
 }
 
-const fleet = await startExampleFleet({
+const sizes = {
   controlHosts: 1,
   entryHosts: 1,
   upstreams: Number(values.upstreams),
   latencyMs: 0,
   entryNodeArguments: values.profile ? ['--cpu-prof', `--cpu-prof-dir=${values.profile}`] : [],
-});
-const [entry] = fleet.hosts.entryHosts;
+};
+const fleet = await startExampleFleet(sizes);
+const fleets: ExampleFleet[] = [fleet];
+if (values.against) {
+  const module = path.resolve(values.against, 'examples/fleet/startExampleFleet.ts');
+  const other = (await import(module)) as { startExampleFleet: typeof startExampleFleet };
+  fleets.push(await other.startExampleFleet({ ...sizes, entryNodeArguments: [] }));
+}
+const entries = fleets.flatMap(({ hosts }) => hosts.entryHosts);
 const [upstream] = fleet.upstreams;
-if (!entry || !upstream) throw new Error('the fleet has no entry host or no upstream');
+if (!upstream) throw new Error('the fleet has no upstream');
 
-async function readProcessorUse(): Promise<ProcessorUse> {
-  const metrics = await readText(entry?.platform ?? '', '/metrics');
-  const entrySeconds = /^process_cpu_seconds_total ([0-9.e+-]+)/m.exec(metrics)?.[1];
-  const upstreamUsage = await readText(upstream?.control ?? '', '/processor');
+async function readEntryUse({ platform }: { readonly platform: string }): Promise<number> {
+  const metrics = await readText(platform, '/metrics');
+  const seconds = /^process_cpu_seconds_total ([0-9.e+-]+)/m.exec(metrics)?.[1];
+  return Number(seconds ?? Number.NaN) * 1e6;
+}
+
+async function readProcessorUse(control: string): Promise<ProcessorUse> {
+  const upstreamUsage = await readText(control, '/processor');
   return {
-    entryMicroseconds: Number(entrySeconds ?? Number.NaN) * 1e6,
+    entryMicroseconds: await Promise.all(entries.map((entry) => readEntryUse(entry))),
     clientMicroseconds: sumUsage(process.cpuUsage()),
     upstreamMicroseconds: sumUsage(JSON.parse(upstreamUsage) as NodeJS.CpuUsage),
   };
@@ -79,12 +95,13 @@
 
 const client = new Agent({ connections: 32, pipelining: 1 });
 const [ratePerSecond, requests] = [Number(values.rate), Number(values.requests)];
-const directOrigin = `http://${upstream.address}`;
+// The ways take turns request by request, so that other work on the machine hits them alike. The
+// second direct way is the control: what it differs from the first is noise of the machine.
+const addresses = [upstream.address, upstream.address, ...entries.map(({ callers }) => callers)];
+const wayNames = ['direct', 'direct, control', 'through fleet', 'other checkout'];
 const load = {
   client,
-  // The ways take turns request by request, so that other work on the machine hits them alike. The
-  // second direct way is the control: what it differs from the first is noise of the machine.
-  origins: [`http://${entry.callers}`, directOrigin, directOrigin],
+  origins: addresses.map((address) => `http://${address}`),
   path: '/history/f-1',
   ratePerSecond,
   requests,
@@ -92,52 +109,63 @@
 
 // Warm-up: compiles the hot paths and opens the connections.
 await runOpenLoop(load);
-const [through, direct, control] = [createTimes(), createTimes(), createTimes()];
+const ways = addresses.map(() => createTimes());
 const lateness = createTimes();
-const total = { entryMicroseconds: 0, clientMicroseconds: 0, upstreamMicroseconds: 0 };
+const entryTotals = entries.map(() => 0);
+const total = { clientMicroseconds: 0, upstreamMicroseconds: 0 };
 let failures = 0;
 for (let round = 0; round < Number(values.rounds); round += 1) {
-  const before = await readProcessorUse();
+  const before = await readProcessorUse(upstream.control);
   const startedAt = performance.now();
   const measured = await runOpenLoop(load);
-  const after = await readProcessorUse();
-  // The entry host's background work is measured over the same time without load.
+  const after = await readProcessorUse(upstream.control);
+  // The entry hosts' background work is measured over the same time without load.
   await sleep(performance.now() - startedAt);
-  const idle = await readProcessorUse();
-  [through, direct, control].forEach((sum, way) => {
-    const latencies = measured.latencies[way];
-    if (latencies) sum.add(latencies);
-  });
+  const idle = await readProcessorUse(upstream.control);
+  measured.latencies.forEach((latencies, way) => ways[way]?.add(latencies));
   lateness.add(measured.lateness);
   failures += measured.failures;
-  total.entryMicroseconds +=
-    2 * after.entryMicroseconds - before.entryMicroseconds - idle.entryMicroseconds;
+  entryTotals.forEach((sum, entry) => {
+    const [start = 0, loaded = 0, end = 0] = [before, after, idle].map(
+      ({ entryMicroseconds }) => entryMicroseconds[entry],
+    );
+    entryTotals[entry] = sum + (loaded - start) - (end - loaded);
+  });
   total.clientMicroseconds += after.clientMicroseconds - before.clientMicroseconds;
   total.upstreamMicroseconds += after.upstreamMicroseconds - before.upstreamMicroseconds;
 }
-const allRequests = through.totalCount + direct.totalCount + control.totalCount;
-const entryMicroseconds = total.entryMicroseconds / through.totalCount;
+const requestsOfWay = Number(values.rounds) * requests;
+const directWays = addresses.length - fleets.length + 1;
 const [clientMicroseconds, upstreamMicroseconds] = [
-  total.clientMicroseconds / allRequests,
-  total.upstreamMicroseconds / allRequests,
+  total.clientMicroseconds / (requestsOfWay * addresses.length),
+  // The other checkout has an upstream of its own.
+  total.upstreamMicroseconds / (requestsOfWay * directWays),
 ];
 const directMicroseconds = clientMicroseconds + upstreamMicroseconds;
+const [direct = createTimes(), control = createTimes(), ...throughs] = ways;
 process.stdout.write(
-  `rate ${ratePerSecond}/s on each of 3 ways, ${values.rounds} rounds of ${requests} requests ` +
-    `on each, ${values.upstreams} upstreams\n` +
-    `ms              ${['p50', 'p90', 'p99'].map((name) => name.padStart(9)).join('')}` +
-    '  requests above p99\n' +
-    formatRow('direct', direct) +
-    formatRow('direct, control', control) +
-    formatRow('through fleet', through) +
-    formatRow('sent late by', lateness) +
-    formatAdded('added (through fleet less direct)', through, direct) +
-    formatAdded('noise (direct, control less direct)', control, direct) +
-    `failures ${failures}\n` +
-    `processor time a request: entry host ${entryMicroseconds.toFixed(0)} µs; direct exchange ` +
-    `${directMicroseconds.toFixed(0)} µs (client ${clientMicroseconds.toFixed(0)} µs, ` +
-    `upstream ${upstreamMicroseconds.toFixed(0)} µs); ` +
-    `ratio ${(entryMicroseconds / directMicroseconds).toFixed(2)}\n`,
+  [
+    `rate ${ratePerSecond}/s on each of ${ways.length} ways, ${values.rounds} rounds of ` +
+      `${requests} requests on each, ${values.upstreams} upstreams\n`,
+    `ms              ${['p50', 'p90', 'p99'].map((name) => name.padStart(9)).join('')}`,
+    '  requests above p99\n',
+    ...ways.map((way, index) => formatRow(wayNames[index] ?? '', way)),
+    formatRow('sent late by', lateness),
+    formatAdded('noise (control less direct)', control, direct),
+    ...throughs.map((way, index) =>
+      formatAdded(`added (${wayNames[index + 2] ?? ''} less direct)`, way, direct),
+    ),
+    `failures ${failures}\n`,
+    `processor time a request: direct exchange ${directMicroseconds.toFixed(0)} µs ` +
+      `(client ${clientMicroseconds.toFixed(0)} µs, upstream ${upstreamMicroseconds.toFixed(0)} µs)\n`,
+    ...entryTotals.map((sum, index) => {
+      const microseconds = sum / requestsOfWay;
+      return (
+        `${wayNames[index + 2] ?? ''}: entry host ${microseconds.toFixed(0)} µs, ` +
+        `ratio ${(microseconds / directMicroseconds).toFixed(2)}\n`
+      );
+    }),
+  ].join(''),
 );
 await client.close();
-await fleet.stopAll();
+await Promise.all(fleets.map((item) => item.stopAll()));
