List the usable upstreams of a good request twice, not five times

Cause: for each request the dispatcher listed and filtered the usable upstreams to choose one, again to see whether there is an alternative, before the first byte, and twice more after the answer, where it also chose an upstream that the retry policy then refused.

Ruled out: keeping one list for the whole request; an upstream can leave or be ejected between two attempts.

Change: the candidates of an attempt tell whether there is an alternative. RetryPolicy.isRetryable is asked before the upstreams are listed again; it takes nothing from the budget, and mayRetry is still asked last.

--- a/src/application/requests/UpstreamDispatcher.ts
+++ b/src/application/requests/UpstreamDispatcher.ts
@@ -70,7 +70,8 @@
     const tried = new Set<string>();
     const unsent = describeUnsent(request, this.options.clock.now());
     if (unsent) return { ...this.failUnsent(unsent), attempts: 0 };
-    let chosen = this.chooseUpstream(request, tried);
+    let candidates = this.listUntried(request, tried);
+    let chosen = this.chooseUpstream(request, candidates);
     let reported: Attempt | undefined;
     while (chosen) {
       tried.add(chosen.record.upstream);
@@ -79,11 +80,14 @@
         deadline: policy.computeAttemptDeadline({
           now: this.options.clock.now(),
           deadline: request.deadline,
-          hasAlternative: this.listUntried(request, tried).length > 0,
+          hasAlternative: candidates.length > 1,
         }),
       });
       reported = chooseReported(reported, attempt);
-      chosen = this.mayTryAgain(request) ? this.chooseUpstream(request, tried) : undefined;
+      // Nearly every attempt ends here, before the upstreams are listed again.
+      if (!policy.isRetryable(attempt.end) || !this.mayTryAgain(request)) break;
+      candidates = this.listUntried(request, tried);
+      chosen = this.chooseUpstream(request, candidates);
       // The policy spends budget, so it is asked last.
       if (chosen && !policy.mayRetry(attempt.end)) chosen = undefined;
     }
@@ -107,11 +111,11 @@
 
   private chooseUpstream(
     request: CallerRequest,
-    tried: ReadonlySet<string>,
+    candidates: readonly UsableUpstream[],
   ): UsableUpstream | undefined {
     const { balancer, clock, random, failureDomain, loadTracker } = this.options;
     return balancer.chooseUpstream({
-      candidates: this.listUntried(request, tried),
+      candidates,
       readLoad: (upstream) => loadTracker.readLoad(request.route.service, upstream),
       now: clock.now(),
       random: () => random.next(),
--- a/src/domain/requests/BudgetRetryPolicy.ts
+++ b/src/domain/requests/BudgetRetryPolicy.ts
@@ -11,8 +11,12 @@
     this.budget = budget;
   }
 
+  isRetryable(end: UpstreamEnd): boolean {
+    return end !== 'good_answer' && end !== 'given_up';
+  }
+
   mayRetry(end: UpstreamEnd): boolean {
-    if (end === 'good_answer' || end === 'given_up') return false;
+    if (!this.isRetryable(end)) return false;
     // A request that no upstream received adds nothing to the load of the service.
     return end === 'not_sent' || this.budget.takeRetry();
   }
--- a/src/domain/requests/OnceRetryPolicy.ts
+++ b/src/domain/requests/OnceRetryPolicy.ts
@@ -11,9 +11,14 @@
     this.budget = budget;
   }
 
+  isRetryable(end: UpstreamEnd): boolean {
+    return end === 'not_sent' || end === 'not_run';
+  }
+
   mayRetry(end: UpstreamEnd): boolean {
+    if (!this.isRetryable(end)) return false;
     // Only a retry that follows an answer adds to the load of the service.
-    return end === 'not_sent' || (end === 'not_run' && this.budget.takeRetry());
+    return end === 'not_sent' || this.budget.takeRetry();
   }
 
   /** The whole deadline: after a timeout the operation may have run and no attempt may follow. */
--- a/src/domain/requests/RetryPolicy.ts
+++ b/src/domain/requests/RetryPolicy.ts
@@ -11,6 +11,8 @@
 
 /** Decides whether and when a request may be sent to another upstream. */
 export default interface RetryPolicy {
+  /** Whether another attempt may ever follow such an end; takes nothing from the budget. */
+  isRetryable(end: UpstreamEnd): boolean;
   /** True when another attempt may follow; takes its share of the retry budget. */
   mayRetry(end: UpstreamEnd): boolean;
   /** Instant at which an attempt ends without an answer. */
