Read the loads of all candidates without copies and keys

Cause: for each request SlotBalancer made three arrays and a copy of each upstream's load for the mean use of the service, and LoadTracker built the key "service/upstream" for each look-up.

Ruled out: a mean that is updated with each answer; it would have to follow every change of the candidates.

Change: the mean is one pass over the candidates; the tracker keeps its loads by service, then by upstream.

--- a/src/application/requests/LoadTracker.ts
+++ b/src/application/requests/LoadTracker.ts
@@ -19,17 +19,18 @@
  * without a request in the last minute are dropped, so that those that left take no memory.
  */
 export default class LoadTracker {
-  private readonly loads = new Map<string, MutableLoad>();
+  /** By service, then by upstream, so that a look-up builds no key. */
+  private readonly loads = new Map<string, Map<string, MutableLoad>>();
 
   private pruneAt = 0;
 
   /** Number of upstreams held. */
   get size(): number {
-    return this.loads.size;
+    return [...this.loads.values()].reduce((sum, { size }) => sum + size, 0);
   }
 
   readLoad(service: string, upstream: string): UpstreamLoad {
-    return this.loads.get(`${service}/${upstream}`) ?? noLoad;
+    return this.loads.get(service)?.get(upstream) ?? noLoad;
   }
 
   recordStart(service: string, upstream: string): void {
@@ -55,17 +56,21 @@
   private pruneIdle(now: number): void {
     if (now < this.pruneAt) return;
     this.pruneAt = now + pruneIntervalMs;
-    this.loads.forEach(({ inFlight, endedAt }, key) => {
-      if (inFlight === 0 && endedAt + keepMs <= now) this.loads.delete(key);
+    this.loads.forEach((upstreams, service) => {
+      upstreams.forEach(({ inFlight, endedAt }, upstream) => {
+        if (inFlight === 0 && endedAt + keepMs <= now) upstreams.delete(upstream);
+      });
+      if (upstreams.size === 0) this.loads.delete(service);
     });
   }
 
   private getLoad(service: string, upstream: string): MutableLoad {
-    const key = `${service}/${upstream}`;
-    const known = this.loads.get(key);
+    const upstreams = this.loads.get(service) ?? new Map<string, MutableLoad>();
+    const known = upstreams.get(upstream);
     if (known) return known;
     const load = { inFlight: 0, reportedLoad: 0, reportedAt: 0, endedAt: 0 };
-    this.loads.set(key, load);
+    upstreams.set(upstream, load);
+    this.loads.set(service, upstreams);
     return load;
   }
 }
--- a/src/domain/requests/SlotBalancer.ts
+++ b/src/domain/requests/SlotBalancer.ts
@@ -24,21 +24,25 @@
     const [first, second] = drawTwo(choice);
     if (!first || !second) return first;
     const meanUse = this.computeMeanUse(choice);
-    const [own, other] = [first, second].map((candidate) =>
-      this.estimateUse(candidate, choice, meanUse),
-    );
-    if (own !== other) return Number(own) < Number(other) ? first : second;
+    const own = this.estimateUse(first, choice, meanUse);
+    const other = this.estimateUse(second, choice, meanUse);
+    if (own !== other) return own < other ? first : second;
     return second.record.failureDomain === choice.failureDomain ? second : first;
   }
 
   // An old report says little about one upstream. Drawn towards zero instead of the mean, the
   // upstreams that this host has not used for longest would look idle and be chosen most.
   private computeMeanUse({ candidates, readLoad }: BalancerChoice): number {
-    const uses = candidates
-      .map(({ record }) => ({ ...readLoad(record.upstream), slots: record.slots }))
-      .filter(({ reportedAt }) => reportedAt > 0)
-      .map(({ reportedLoad, slots }) => reportedLoad / slots);
-    return uses.reduce((sum, use) => sum + use, 0) / Math.max(1, uses.length);
+    let sum = 0;
+    let reports = 0;
+    // One pass without copies, because it runs over all candidates for each request.
+    candidates.forEach(({ record }) => {
+      const { reportedLoad, reportedAt } = readLoad(record.upstream);
+      if (reportedAt <= 0) return;
+      sum += reportedLoad / record.slots;
+      reports += 1;
+    });
+    return sum / Math.max(1, reports);
   }
 
   /** Share of the upstream's slots that are probably in use; above 1 when requests wait. */
