--- a/bench/addedTime.ts
+++ b/bench/addedTime.ts
@@ -1,10 +1,13 @@
+import path from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { parseArgs } from 'node:util';
 
 import type { Histogram } from 'hdr-histogram-js';
 import { Agent, request } from 'undici';
 
 import { startExampleFleet } from '../examples/fleet/startExampleFleet.ts';
-import runOpenLoop, { createLatencies } from './runOpenLoop.ts';
+import type { ExampleFleet } from '../examples/fleet/startExampleFleet.ts';
+import runOpenLoop, { createTimes } from './runOpenLoop.ts';
 
 const { values } = parseArgs({
   options: {
@@ -14,17 +17,20 @@
     upstreams: { type: 'string', default: '1' },
     // Folder for a processor profile of the entry host.
     profile: { type: 'string' },
+    // Folder of another checkout with a build, whose entry host is measured in the same load.
+    against: { type: 'string' },
   },
 });
 
 interface ProcessorUse {
-  readonly entryMicroseconds: number;
+  /** Of each entry host. */
+  readonly entryMicroseconds: readonly number[];
   readonly clientMicroseconds: number;
   readonly upstreamMicroseconds: number;
 }
 
-async function readText(address: string, path: string): Promise<string> {
-  const answer = await request(`http://${address}${path}`);
+async function readText(address: string, target: string): Promise<string> {
+  const answer = await request(`http://${address}${target}`);
   return answer.body.text();
 }
 
@@ -32,107 +38,134 @@
   return user + system;
 }
 
+function readPercentile(histogram: Histogram, percentile: number): number {
+  return histogram.getValueAtPercentile(percentile) / 1000;
+}
+
 function formatRow(name: string, histogram: Histogram): string {
   const cells = [50, 90, 99].map((percentile) =>
-    (histogram.getValueAtPercentile(percentile) / 1000).toFixed(2).padStart(9),
+    readPercentile(histogram, percentile).toFixed(2).padStart(9),
+  );
+  const { totalCount } = histogram;
+  const counts = [totalCount, Math.floor(totalCount / 100)].map((count) =>
+    String(count).padStart(10),
+  );
+  return `${name.padEnd(16)}${cells.join('')}${counts.join('')}\n`;
+}
+
+function formatAdded(name: string, way: Histogram, base: Histogram): string {
+  const [median, high] = [50, 99].map((percentile) =>
+    (readPercentile(way, percentile) - readPercentile(base, percentile)).toFixed(2),
   );
-  return `${name.padEnd(16)}${cells.join('')}${String(histogram.totalCount).padStart(10)}\n`;
+  return `${name.padEnd(40)} at p50 ${median} ms, at p99 ${high} ms\n`;
 }
 
-const fleet = await startExampleFleet({
+const sizes = {
   controlHosts: 1,
   entryHosts: 1,
   upstreams: Number(values.upstreams),
   latencyMs: 0,
   entryNodeArguments: values.profile ? ['--cpu-prof', `--cpu-prof-dir=${values.profile}`] : [],
-});
-const [entry] = fleet.hosts.entryHosts;
+};
+const fleet = await startExampleFleet(sizes);
+const fleets: ExampleFleet[] = [fleet];
+if (values.against) {
+  const module = path.resolve(values.against, 'examples/fleet/startExampleFleet.ts');
+  const other = (await import(module)) as { startExampleFleet: typeof startExampleFleet };
+  fleets.push(await other.startExampleFleet({ ...sizes, entryNodeArguments: [] }));
+}
+const entries = fleets.flatMap(({ hosts }) => hosts.entryHosts);
 const [upstream] = fleet.upstreams;
-if (!entry || !upstream) throw new Error('the fleet has no entry host or no upstream');
+if (!upstream) throw new Error('the fleet has no upstream');
+
+async function readEntryUse({ platform }: { readonly platform: string }): Promise<number> {
+  const metrics = await readText(platform, '/metrics');
+  const seconds = /^process_cpu_seconds_total ([0-9.e+-]+)/m.exec(metrics)?.[1];
+  return Number(seconds ?? Number.NaN) * 1e6;
+}
 
-async function readProcessorUse(): Promise<ProcessorUse> {
-  const metrics = await readText(entry?.platform ?? '', '/metrics');
-  const entrySeconds = /^process_cpu_seconds_total ([0-9.e+-]+)/m.exec(metrics)?.[1];
-  const upstreamUsage = await readText(upstream?.control ?? '', '/processor');
+async function readProcessorUse(control: string): Promise<ProcessorUse> {
+  const upstreamUsage = await readText(control, '/processor');
   return {
-    entryMicroseconds: Number(entrySeconds ?? Number.NaN) * 1e6,
+    entryMicroseconds: await Promise.all(entries.map((entry) => readEntryUse(entry))),
     clientMicroseconds: sumUsage(process.cpuUsage()),
     upstreamMicroseconds: sumUsage(JSON.parse(upstreamUsage) as NodeJS.CpuUsage),
   };
 }
 
 const client = new Agent({ connections: 32, pipelining: 1 });
+const [ratePerSecond, requests] = [Number(values.rate), Number(values.requests)];
+// The ways take turns request by request, so that other work on the machine hits them alike. The
+// second direct way is the control: what it differs from the first is noise of the machine.
+const addresses = [upstream.address, upstream.address, ...entries.map(({ callers }) => callers)];
+const wayNames = ['direct', 'direct, control', 'through fleet', 'other checkout'];
 const load = {
   client,
+  origins: addresses.map((address) => `http://${address}`),
   path: '/history/f-1',
-  ratePerSecond: Number(values.rate),
-  requests: Number(values.requests),
+  ratePerSecond,
+  requests,
 };
 
-/** Latencies, failures and processor time of the rounds on one way. */
-class Measurement {
-  readonly latencies = createLatencies();
-
-  failures = 0;
-
-  readonly total = { entryMicroseconds: 0, clientMicroseconds: 0, upstreamMicroseconds: 0 };
-
-  private readonly origin: string;
-
-  constructor(address: string) {
-    this.origin = `http://${address}`;
-  }
-
-  async runRound(): Promise<void> {
-    const before = await readProcessorUse();
-    const round = await runOpenLoop({ ...load, origin: this.origin });
-    const after = await readProcessorUse();
-    this.latencies.add(round.latencies);
-    this.failures += round.failures;
-    this.total.entryMicroseconds += after.entryMicroseconds - before.entryMicroseconds;
-    this.total.clientMicroseconds += after.clientMicroseconds - before.clientMicroseconds;
-    this.total.upstreamMicroseconds += after.upstreamMicroseconds - before.upstreamMicroseconds;
-  }
-
-  getPercentile(percentile: number): number {
-    return this.latencies.getValueAtPercentile(percentile) / 1000;
-  }
-}
-
 // Warm-up: compiles the hot paths and opens the connections.
-await new Measurement(entry.callers).runRound();
-await new Measurement(upstream.address).runRound();
-const through = new Measurement(entry.callers);
-const direct = new Measurement(upstream.address);
-// The two loads take turns, so that other work on the machine hits both alike.
+await runOpenLoop(load);
+const ways = addresses.map(() => createTimes());
+const lateness = createTimes();
+const entryTotals = entries.map(() => 0);
+const total = { clientMicroseconds: 0, upstreamMicroseconds: 0 };
+let failures = 0;
 for (let round = 0; round < Number(values.rounds); round += 1) {
-  await through.runRound();
-  await direct.runRound();
+  const before = await readProcessorUse(upstream.control);
+  const startedAt = performance.now();
+  const measured = await runOpenLoop(load);
+  const after = await readProcessorUse(upstream.control);
+  // The entry hosts' background work is measured over the same time without load.
+  await sleep(performance.now() - startedAt);
+  const idle = await readProcessorUse(upstream.control);
+  measured.latencies.forEach((latencies, way) => ways[way]?.add(latencies));
+  lateness.add(measured.lateness);
+  failures += measured.failures;
+  entryTotals.forEach((sum, entry) => {
+    const [start = 0, loaded = 0, end = 0] = [before, after, idle].map(
+      ({ entryMicroseconds }) => entryMicroseconds[entry],
+    );
+    entryTotals[entry] = sum + (loaded - start) - (end - loaded);
+  });
+  total.clientMicroseconds += after.clientMicroseconds - before.clientMicroseconds;
+  total.upstreamMicroseconds += after.upstreamMicroseconds - before.upstreamMicroseconds;
 }
-const [addedMedian, addedHigh] = [50, 99].map((percentile) =>
-  (through.getPercentile(percentile) - direct.getPercentile(percentile)).toFixed(2),
-);
-// The entry host's background work goes on while the load is direct.
-const entryMicroseconds =
-  (through.total.entryMicroseconds - direct.total.entryMicroseconds) / through.latencies.totalCount;
+const requestsOfWay = Number(values.rounds) * requests;
+const directWays = addresses.length - fleets.length + 1;
 const [clientMicroseconds, upstreamMicroseconds] = [
-  direct.total.clientMicroseconds / direct.latencies.totalCount,
-  direct.total.upstreamMicroseconds / direct.latencies.totalCount,
+  total.clientMicroseconds / (requestsOfWay * addresses.length),
+  // The other checkout has an upstream of its own.
+  total.upstreamMicroseconds / (requestsOfWay * directWays),
 ];
 const directMicroseconds = clientMicroseconds + upstreamMicroseconds;
+const [direct = createTimes(), control = createTimes(), ...throughs] = ways;
 process.stdout.write(
-  `rate ${load.ratePerSecond}/s, ${values.rounds} rounds of ${load.requests} requests each way, ` +
-    `${values.upstreams} upstreams\n` +
-    `ms              ${['p50', 'p90', 'p99'].map((name) => name.padStart(9)).join('')}  requests\n` +
-    formatRow('direct', direct.latencies) +
-    formatRow('through fleet', through.latencies) +
-    `added at p50 ${addedMedian} ms, at p99 ${addedHigh} ms; ` +
-    `ratio at p50 ${(through.getPercentile(50) / direct.getPercentile(50)).toFixed(2)}; ` +
-    `failures ${through.failures + direct.failures}\n` +
-    `processor time a request: entry host ${entryMicroseconds.toFixed(0)} µs; direct exchange ` +
-    `${directMicroseconds.toFixed(0)} µs (client ${clientMicroseconds.toFixed(0)} µs, ` +
-    `upstream ${upstreamMicroseconds.toFixed(0)} µs); ` +
-    `ratio ${(entryMicroseconds / directMicroseconds).toFixed(2)}\n`,
+  [
+    `rate ${ratePerSecond}/s on each of ${ways.length} ways, ${values.rounds} rounds of ` +
+      `${requests} requests on each, ${values.upstreams} upstreams\n`,
+    `ms              ${['p50', 'p90', 'p99'].map((name) => name.padStart(9)).join('')}`,
+    '  requests above p99\n',
+    ...ways.map((way, index) => formatRow(wayNames[index] ?? '', way)),
+    formatRow('sent late by', lateness),
+    formatAdded('noise (control less direct)', control, direct),
+    ...throughs.map((way, index) =>
+      formatAdded(`added (${wayNames[index + 2] ?? ''} less direct)`, way, direct),
+    ),
+    `failures ${failures}\n`,
+    `processor time a request: direct exchange ${directMicroseconds.toFixed(0)} µs ` +
+      `(client ${clientMicroseconds.toFixed(0)} µs, upstream ${upstreamMicroseconds.toFixed(0)} µs)\n`,
+    ...entryTotals.map((sum, index) => {
+      const microseconds = sum / requestsOfWay;
+      return (
+        `${wayNames[index + 2] ?? ''}: entry host ${microseconds.toFixed(0)} µs, ` +
+        `ratio ${(microseconds / directMicroseconds).toFixed(2)}\n`
+      );
+    }),
+  ].join(''),
 );
 await client.close();
-await fleet.stopAll();
+await Promise.all(fleets.map((item) => item.stopAll()));
