Send the late answer of a test after the deadline has passed

Cause: tests/requests/upstreamAnswers.test.ts, 'should close the connection of an answer that comes after the deadline', failed once on a machine with a load of 63: 50 ms passed before the request was sent, so its result was not_sent instead of failed. The next request was answered before the late answer was due, so the test did not meet the case that it names.

Change: the deadline is 1 s, and the upstream writes its answer once the result is there and before the next request. The expectations stay.

Conclusion: the test no longer depends on how fast a connection opens.

--- a/tests/requests/upstreamAnswers.test.ts
+++ b/tests/requests/upstreamAnswers.test.ts
@@ -160,12 +160,15 @@
 
   // Guards against giving the late answer of one request to the next on the same connection.
   it('should close the connection of an answer that comes after the deadline', async () => {
+    let sendLateAnswer = (): void => undefined;
     const { send, upstream } = await startUpstream(({ socket, requestId, index }) => {
       const answer = `${ok}content-length: 3\r\n\r\n${requestId}`;
-      setTimeout(() => socket.write(answer), index === 0 ? 120 : 0);
+      if (index > 0) socket.write(answer);
+      else sendLateAnswer = () => socket.write(answer);
     });
 
-    const late = await send('one', { deadline: clock.now() + 50 });
+    const late = await send('one', { deadline: clock.now() + 1000 });
+    sendLateAnswer();
 
     expect(describeResult(late)).toBe('failed timed_out');
     expect(describeResult(await send('two'))).toBe('200 two');
