Need grants that leave no majority of an earlier number of entry hosts

Cause: after fleet.entry_hosts was raised and hosts were added, a majority of the old number that misses the preset and a majority of the new number could be disjoint: two judges had valid ejections. docs/operations.md asked operators to wait before they added hosts.

Ruled out: the history of presets that each host saw itself, sent with its grants: a host that started later or skipped a revision has none of it. Ejecting only with a preset that the control group confirmed lately: no ejections while it has no majority. Counting only grants of the judge's own revision: the two majorities are still disjoint.

A judge needs a majority of the hosts that may run, and so many grants that the hosts without them are no majority of any earlier number. A larger earlier number counts for 10 min, until hosts above a lowered one have stopped.

Conclusion: hosts can be added as soon as a higher number is accepted.

--- a/src/adapters/trpc/controlMessages.ts
+++ b/src/adapters/trpc/controlMessages.ts
@@ -8,7 +8,7 @@
 import FailureError from '../../domain/errors/FailureError.ts';
 import { claimChangeSchema, storedAnswerSchema } from './claimMessages.ts';
 import { createOptionalSchema, createResultSchema, winnerSchema } from './failureSchema.ts';
-import presetSchema from './presetSchema.ts';
+import presetSchema, { earlierSizeSchema } from './presetSchema.ts';
 
 const presetChange = {
   name: z.string(),
@@ -51,6 +51,8 @@
   presets: z.object({
     presets: z.array(z.object({ ...winnerSchema.shape, name: z.string(), preset: presetSchema })),
     selection: createOptionalSchema(z.object({ ...winnerSchema.shape, name: z.string() })),
+    // A snapshot of an earlier version has none.
+    earlierSizes: z.array(earlierSizeSchema).default([]),
     changes: z.array(
       z.object({
         changeId: z.string(),
--- a/src/adapters/trpc/presetMessages.ts
+++ b/src/adapters/trpc/presetMessages.ts
@@ -2,7 +2,7 @@
 
 import type PresetState from '../../domain/presets/PresetState.ts';
 import type { ConfirmationAsker } from '../../ports/PresetLink.ts';
-import presetSchema from './presetSchema.ts';
+import presetSchema, { earlierSizeSchema } from './presetSchema.ts';
 
 const countSchema = z.int().min(0);
 
@@ -12,6 +12,7 @@
   revision: z.int().min(1),
   name: z.string().max(63),
   preset: presetSchema,
+  earlierSizes: z.array(earlierSizeSchema).optional(),
 });
 
 /** Input of `presets.watch`. */
--- a/src/adapters/trpc/presetSchema.ts
+++ b/src/adapters/trpc/presetSchema.ts
@@ -3,6 +3,9 @@
 import type Preset from '../../domain/presets/Preset.ts';
 import { maxRoutes, routeMethods } from '../../domain/presets/presetLimits.ts';
 
+/** An earlier number of entry hosts. */
+export const earlierSizeSchema = z.object({ entryHosts: z.int(), replacedAt: z.number() });
+
 const serviceSchema = z.object({
   upstreams: z.int(),
   floor: z.int(),
--- a/src/application/detection/Judge.ts
+++ b/src/application/detection/Judge.ts
@@ -1,3 +1,4 @@
+import computeNeededGrants from '../../domain/detection/computeNeededGrants.ts';
 import type Detector from '../../domain/detection/Detector.ts';
 import type { Suspect } from '../../domain/detection/Detector.ts';
 import EjectionLedger from '../../domain/detection/EjectionLedger.ts';
@@ -118,10 +119,12 @@
       .filter((record) => isServing(record, now));
     const suspects = this.listSuspects(service, serving, settings, now);
     service.majority.dropOld(now - idleMs);
-    const latestDeadline = service.majority.computeLatestDeadline(
-      Math.max(state.preset.fleet.entryHosts, this.countEntryHosts(now)),
-      state.revision,
-    );
+    const needed = computeNeededGrants({
+      entryHosts: Math.max(state.preset.fleet.entryHosts, this.countEntryHosts(now)),
+      earlier: state.earlierSizes ?? [],
+      now,
+    });
+    const latestDeadline = service.majority.computeLatestDeadline(needed, state.revision);
     this.followMajority(service, latestDeadline > now, now);
     const decision = service.ledger.decideEjections({
       now,
--- a/src/application/presets/PresetService.ts
+++ b/src/application/presets/PresetService.ts
@@ -132,7 +132,8 @@
   private getState(): PresetState | undefined {
     const { log, presets } = this.options;
     const active = presets.getActive();
-    return active && log.groupId !== undefined ? { groupId: log.groupId, ...active } : undefined;
+    if (!active || log.groupId === undefined) return undefined;
+    return { groupId: log.groupId, ...active, earlierSizes: presets.listEarlierSizes() };
   }
 
   private async proposeChange(
--- a/src/domain/detection/GrantedMajority.ts
+++ b/src/domain/detection/GrantedMajority.ts
@@ -19,17 +19,17 @@
   }
 
   /**
-   * Latest deadline that an ejection may have: the last instant at which a majority of the entry
-   * hosts still recognises this judge, minus the clock allowance. Returns 0 without a majority.
+   * Latest deadline that an ejection may have: the last instant at which the needed number of entry
+   * hosts still recognises this judge, minus the clock allowance. Returns 0 with fewer grants.
    * Grants of reporters with a newer preset than the judge's revision don't count: the judge would
    * go on with an older floor after a majority has left it.
    */
-  computeLatestDeadline(entryHosts: number, revision: number): number {
+  computeLatestDeadline(needed: number, revision: number): number {
     const latest = [...this.grants.values()]
       .filter((grant) => grant.revision <= revision)
       .map(({ deadline }) => deadline)
       .sort((a, b) => b - a);
-    const ofMajority = latest[Math.floor(entryHosts / 2)];
+    const ofMajority = latest[needed - 1];
     return ofMajority === undefined ? 0 : ofMajority - clockAllowanceMs;
   }
 
--- a/src/domain/presets/PresetBook.ts
+++ b/src/domain/presets/PresetBook.ts
@@ -3,9 +3,11 @@
 import type { WinningChange } from '../errors/Failure.ts';
 import type Result from '../errors/Result.ts';
 import type { CommitPosition } from '../replication/ReplicatedState.ts';
+import type EarlierSize from './EarlierSize.ts';
 import type PresetBookSnapshot from './PresetBookSnapshot.ts';
 import type { PresetRecord, PresetSelection, RememberedChange } from './PresetBookSnapshot.ts';
 import type PresetState from './PresetState.ts';
+import addEarlierSize from './addEarlierSize.ts';
 import createChangeFingerprint from './createChangeFingerprint.ts';
 
 /** Number of change ids whose first answer is kept. */
@@ -40,6 +42,8 @@
 
   private selection: PresetSelection | undefined;
 
+  private earlierSizes: readonly EarlierSize[] = [];
+
   // In the order of the changes, so that the first key is the oldest.
   private readonly changes = new Map<string, RememberedChange>();
 
@@ -52,10 +56,15 @@
         ? known.result
         : { ok: false, failure: this.describeReuse(change) };
     }
+    const before = this.getActive()?.preset.fleet.entryHosts;
     const result =
       change.kind === 'put_preset'
         ? this.putPreset(change, position.index)
         : this.usePreset(change, position.index);
+    if (before !== undefined && before !== this.getActive()?.preset.fleet.entryHosts) {
+      const size = { entryHosts: before, replacedAt: position.proposedAt };
+      this.earlierSizes = addEarlierSize(this.earlierSizes, size);
+    }
     // Refusals are kept too: a resent change must not be accepted after it was refused.
     this.recordChange({ changeId: change.changeId, fingerprint, result });
     return result;
@@ -82,10 +91,16 @@
     return { revision: Math.max(this.selection.revision, record.revision), name, preset };
   }
 
+  /** Numbers of entry hosts that were in force before the one of the active preset. */
+  listEarlierSizes(): readonly EarlierSize[] {
+    return this.earlierSizes;
+  }
+
   takeSnapshot(): PresetBookSnapshot {
     return {
       presets: this.listPresets(),
       selection: this.selection,
+      earlierSizes: this.earlierSizes,
       changes: [...this.changes.values()],
     };
   }
@@ -96,6 +111,7 @@
     snapshot.presets.forEach((record) => this.presets.set(record.name, record));
     snapshot.changes.forEach((change) => this.changes.set(change.changeId, change));
     this.selection = snapshot.selection;
+    this.earlierSizes = snapshot.earlierSizes;
   }
 
   private putPreset(change: PutPreset, revision: number): Result<AcceptedChange> {
--- a/src/domain/presets/PresetBookSnapshot.ts
+++ b/src/domain/presets/PresetBookSnapshot.ts
@@ -1,6 +1,7 @@
 import type Result from '../errors/Result.ts';
 import type { AcceptedChange } from '../control/ControlCommand.ts';
 import type { WinningChange } from '../errors/Failure.ts';
+import type EarlierSize from './EarlierSize.ts';
 import type Preset from './Preset.ts';
 
 /** A stored preset and the change that stored it. */
@@ -26,6 +27,7 @@
 export default interface PresetBookSnapshot {
   readonly presets: readonly PresetRecord[];
   readonly selection: PresetSelection | undefined;
+  readonly earlierSizes: readonly EarlierSize[];
   /** Oldest first. */
   readonly changes: readonly RememberedChange[];
 }
--- a/tests/detection/reports.test.ts
+++ b/tests/detection/reports.test.ts
@@ -27,7 +27,10 @@
   return new SimulatedHost({
     record: createHost({ incarnation: 7 }),
     clock: new HostClock(clock, 0),
-    preset: createPreset({ fleet: { entryHosts: 1 } }),
+    state: {
+      ...{ groupId: 'group', revision: 1, name: 'ordinary' },
+      preset: createPreset({ fleet: { entryHosts: 1 } }),
+    },
     opener: {
       openLink: () => {
         throw new Error('no other judge');
