--- a/src/application/detection/Judge.ts
+++ b/src/application/detection/Judge.ts
@@ -1,3 +1,4 @@
+import computeNeededGrants from '../../domain/detection/computeNeededGrants.ts';
 import type Detector from '../../domain/detection/Detector.ts';
 import type { Suspect } from '../../domain/detection/Detector.ts';
 import EjectionLedger from '../../domain/detection/EjectionLedger.ts';
@@ -90,9 +91,9 @@
   ): SlowBound {
     const service = this.getService(part.service, settings.detection);
     service.reportedAt = this.options.clock.now();
-    const { reporter, failureDomain } = report;
+    const { reporter, failureDomain, revision } = report;
     if (part.grantedUntil !== undefined) {
-      service.majority.recordGrant(reporter, part.grantedUntil);
+      service.majority.recordGrant({ reporter, deadline: part.grantedUntil, revision });
     }
     const upstreams = part.upstreams.filter(({ upstream }) => !service.ledger.isEjected(upstream));
     if (upstreams.length > 0) {
@@ -104,9 +105,9 @@
   private decideService(service: JudgedService): void {
     const { clock, upstreams, activePreset } = this.options;
     const now = clock.now();
-    const preset = activePreset.state?.preset;
-    const settings = preset?.services[service.name];
-    if (service.reportedAt + idleMs < now || !preset || !settings) {
+    const { state } = activePreset;
+    const settings = state?.preset.services[service.name];
+    if (service.reportedAt + idleMs < now || !state || !settings) {
       this.services.delete(service.name);
       return;
     }
@@ -118,9 +119,12 @@
       .filter((record) => isServing(record, now));
     const suspects = this.listSuspects(service, serving, settings, now);
     service.majority.dropOld(now - idleMs);
-    const latestDeadline = service.majority.computeLatestDeadline(
-      Math.max(preset.fleet.entryHosts, this.countEntryHosts(now)),
-    );
+    const needed = computeNeededGrants({
+      entryHosts: Math.max(state.preset.fleet.entryHosts, this.countEntryHosts(now)),
+      earlier: state.earlierSizes ?? [],
+      now,
+    });
+    const latestDeadline = service.majority.computeLatestDeadline(needed, state.revision);
     this.followMajority(service, latestDeadline > now, now);
     const decision = service.ledger.decideEjections({
       now,
--- a/src/domain/presets/PresetBook.ts
+++ b/src/domain/presets/PresetBook.ts
@@ -4,9 +4,11 @@
 import type { WinningChange } from '../errors/Failure.ts';
 import type Result from '../errors/Result.ts';
 import type { CommitPosition } from '../replication/ReplicatedState.ts';
+import type EarlierSize from './EarlierSize.ts';
 import type PresetBookSnapshot from './PresetBookSnapshot.ts';
 import type { PresetRecord, PresetSelection, RememberedChange } from './PresetBookSnapshot.ts';
 import type PresetState from './PresetState.ts';
+import addEarlierSize from './addEarlierSize.ts';
 import createChangeFingerprint from './createChangeFingerprint.ts';
 
 const changesPerPart = 64;
@@ -43,6 +45,8 @@
 
   private selection: PresetSelection | undefined;
 
+  private earlierSizes: readonly EarlierSize[] = [];
+
   // In the order of the changes, so that the first key is the oldest.
   private changes = new Map<string, RememberedChange>();
 
@@ -55,10 +59,15 @@
         ? known.result
         : { ok: false, failure: this.describeReuse(change) };
     }
+    const before = this.getActive()?.preset.fleet.entryHosts;
     const result =
       change.kind === 'put_preset'
         ? this.putPreset(change, position.index)
         : this.usePreset(change, position.index);
+    if (before !== undefined && before !== this.getActive()?.preset.fleet.entryHosts) {
+      const size = { entryHosts: before, replacedAt: position.proposedAt };
+      this.earlierSizes = addEarlierSize(this.earlierSizes, size);
+    }
     // Refusals are kept too: a resent change must not be accepted after it was refused.
     this.recordChange({ changeId: change.changeId, fingerprint, result });
     return result;
@@ -85,9 +94,14 @@
     return { revision: Math.max(this.selection.revision, record.revision), name, preset };
   }
 
-  /** The book as of now; each part has the selection. */
+  /** Numbers of entry hosts that were in force before the one of the active preset. */
+  listEarlierSizes(): readonly EarlierSize[] {
+    return this.earlierSizes;
+  }
+
+  /** The book as of now; each part has the selection and the earlier sizes. */
   takeSnapshot(): SnapshotParts<PresetBookSnapshot> {
-    const { selection } = this;
+    const { selection, earlierSizes } = this;
     const presets = this.listPresets();
     const changes = [...this.changes.values()];
     // A preset of 5,000 routes takes 20 ms to decode and check, so each has a part of its own.
@@ -96,6 +110,7 @@
       readPart: (position) => ({
         presets: presets.slice(position, position + 1),
         selection,
+        earlierSizes,
         changes: changes.slice(position * changesPerPart, (position + 1) * changesPerPart),
       }),
     };
@@ -106,6 +121,7 @@
     part.presets.forEach((record) => this.presets.set(record.name, record));
     part.changes.forEach((change) => this.changes.set(change.changeId, change));
     this.selection = part.selection;
+    this.earlierSizes = part.earlierSizes;
   }
 
   /** Replaces the records by those of another book, which must not be used any more. */
@@ -113,6 +129,7 @@
     this.presets = book.presets;
     this.changes = book.changes;
     this.selection = book.selection;
+    this.earlierSizes = book.earlierSizes;
   }
 
   private putPreset(change: PutPreset, revision: number): Result<AcceptedChange> {
