--- a/bench/detection/DetectionReplay.ts
+++ b/bench/detection/DetectionReplay.ts
@@ -1,10 +1,10 @@
 import type Detector from '../../src/domain/detection/Detector.ts';
-import type ReporterEvidence from '../../src/domain/detection/Evidence.ts';
-import type { UpstreamEvidence } from '../../src/domain/detection/Evidence.ts';
 import EjectionLedger from '../../src/domain/detection/EjectionLedger.ts';
 import { createUpstream } from '../../tests/fixtures/createRecords.ts';
-import DetectionTraffic, { countLatency, domainCount } from './DetectionTraffic.ts';
+import DetectionTraffic from './DetectionTraffic.ts';
 import type { TrafficAnswer, TrafficOptions } from './DetectionTraffic.ts';
+import EvidenceTable from './EvidenceTable.ts';
+import type { EvidenceKind } from './EvidenceTable.ts';
 
 /** Who judges: one detector over the reports of all hosts, or each host for itself. */
 export type ReplayScope = 'pooled' | 'each_host';
@@ -30,9 +30,8 @@
 const linkMs = 2;
 // Rounds that an answer can lie ahead: 60 s.
 const ringSize = 600;
-const domains = Array.from({ length: domainCount }, (_, index) => `domain-${index}`);
 const none: readonly number[] = [];
-const overdue = { failed: 0, overdue: 1, latencies: none, lateLatencies: none };
+const noWarming: ReadonlySet<string> = new Set();
 
 interface JudgeState {
   readonly detector: Detector;
@@ -40,11 +39,8 @@
   /** Ejections by upstream index. */
   readonly ejected: Set<number>;
   isActive: boolean;
-}
-
-interface Arrival extends ReporterEvidence {
-  readonly judge: number;
-  readonly index: number;
+  /** Whether evidence arrived since the last round. */
+  isReported: boolean;
 }
 
 /**
@@ -67,11 +63,12 @@
 
   private readonly names: readonly string[];
 
-  private readonly reporters: readonly string[];
-
   private readonly serving;
 
-  private readonly ring: Arrival[][];
+  /** Numbers of the evidence that arrives in each of the next rounds. */
+  private readonly ring: number[][];
+
+  private readonly evidence: EvidenceTable;
 
   private now = 0;
 
@@ -84,21 +81,21 @@
       ledger: new EjectionLedger(),
       ejected: new Set(),
       isActive: false,
+      isReported: false,
     }));
     this.phases = Array.from({ length: options.hosts }, () => this.traffic.next() * reportMs);
     this.names = Array.from({ length: options.upstreams }, (_, index) => `u${index}`);
-    this.reporters = Array.from({ length: options.hosts }, (_, index) => `entry-${index}`);
+    this.evidence = new EvidenceTable(options);
     this.serving = this.names.map((upstream) => createUpstream({ upstream }));
     this.ring = Array.from({ length: ringSize }, () => []);
   }
 
   /** Runs up to the instant. */
   runUntil(end: number): void {
+    const send = (answer: TrafficAnswer): void => this.sendAnswer(answer);
     while (this.now < end) {
       const next = this.now + roundMs;
-      for (const answer of this.traffic.drawAnswers(this.now, next, this.listWeights())) {
-        this.sendAnswer(answer);
-      }
+      this.traffic.drawAnswers(this.now, next, this.listWeights(), send);
       this.now = next;
       this.judgeRound();
     }
@@ -123,24 +120,21 @@
   }
 
   private sendAnswer(answer: TrafficAnswer): void {
-    const judge = this.options.scope === 'pooled' ? 0 : answer.reporter;
-    const state = this.judges[judge] as JudgeState;
+    const { reporter, startedAt, latencyMs, isWrong } = answer;
+    const state = this.getJudge(reporter);
     if (state.ejected.has(answer.upstream)) return;
-    const { startedAt, latencyMs, isWrong } = answer;
     const bound = state.detector.slowBoundMs;
     const endedAt = startedAt + latencyMs;
     const overdueAt = bound === undefined ? Infinity : startedAt + bound;
     // The reporter marks an open request as overdue when it reports.
-    const markedAt = this.findReport(answer.reporter, overdueAt);
-    const isOverdue = markedAt < endedAt;
-    if (isOverdue) this.sendEvidence(answer, judge, markedAt, overdue);
-    const latency = isWrong ? none : countLatency(latencyMs);
-    this.sendEvidence(answer, judge, this.findReport(answer.reporter, endedAt), {
-      failed: isWrong ? 1 : 0,
-      overdue: 0,
-      latencies: isOverdue ? none : latency,
-      lateLatencies: isOverdue ? latency : none,
-    });
+    const isOverdue = overdueAt < endedAt && this.findReport(reporter, overdueAt) < endedAt;
+    if (isOverdue) this.sendEvidence(answer, overdueAt, 'overdue');
+    const goodKind = isOverdue ? 'late' : 'good';
+    this.sendEvidence(answer, endedAt, isWrong ? 'failed' : goodKind);
+  }
+
+  private getJudge(reporter: number): JudgeState {
+    return this.judges[this.options.scope === 'pooled' ? 0 : reporter] as JudgeState;
   }
 
   private findReport(reporter: number, time: number): number {
@@ -149,39 +143,32 @@
     return Math.ceil((time - phase) / reportMs) * reportMs + phase;
   }
 
-  private sendEvidence(
-    { reporter, upstream }: TrafficAnswer,
-    judge: number,
-    reportAt: number,
-    counts: Omit<UpstreamEvidence, 'upstream'>,
-  ): void {
+  private sendEvidence(answer: TrafficAnswer, time: number, kind: EvidenceKind): void {
+    const { reporter, upstream, latencyMs } = answer;
+    const reportAt = this.findReport(reporter, time);
     const arrivesAt = reportAt + (this.options.scope === 'pooled' ? linkMs : 0);
     const ahead = Math.floor((arrivesAt - this.now) / roundMs);
     if (ahead >= ringSize) return;
     const slot = Math.floor(this.now / roundMs + ahead) % ringSize;
-    this.ring[slot]?.push({
-      judge,
-      index: upstream,
-      reporter: this.reporters[reporter] ?? '',
-      failureDomain: domains[reporter % domainCount] ?? '',
-      upstreams: [{ upstream: this.names[upstream] ?? '', ...counts }],
-    });
+    this.ring[slot]?.push(this.evidence.findNumber(reporter, upstream, kind, latencyMs));
   }
 
   private judgeRound(): void {
     const slot = Math.floor(this.now / roundMs - 1) % ringSize;
     const arrived = this.ring[slot] ?? [];
     this.ring[slot] = [];
-    const isReported = new Set<number>();
-    for (const evidence of arrived) {
-      const state = this.judges[evidence.judge] as JudgeState;
-      isReported.add(evidence.judge);
-      if (!state.ejected.has(evidence.index)) state.detector.recordEvidence(evidence);
+    for (const number of arrived) {
+      const state = this.getJudge(this.evidence.getReporter(number));
+      state.isReported = true;
+      if (!state.ejected.has(this.evidence.getUpstream(number))) {
+        state.detector.recordEvidence(this.evidence.getEvidence(number));
+      }
     }
     const warming = this.listWarming();
     this.judges.forEach((state, judge) => {
       // A host that judges alone learns nothing new in a round without answers.
-      if (this.judges.length > 1 && !isReported.has(judge) && !state.isActive) return;
+      if (this.judges.length > 1 && !state.isReported && !state.isActive) return;
+      state.isReported = false;
       this.judgeHost(state, judge, warming);
     });
   }
@@ -210,7 +197,7 @@
 
   private listWarming(): ReadonlySet<string> {
     const { warmUntil } = this.options;
-    if (!warmUntil) return new Set();
+    if (!warmUntil) return noWarming;
     return new Set(
       [...warmUntil].flatMap(([upstream, until]) =>
         this.now < until + 2000 ? [this.names[upstream] ?? ''] : [],
--- a/bench/detection/DetectionTraffic.ts
+++ b/bench/detection/DetectionTraffic.ts
@@ -1,8 +1,6 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
-import { getLatencyBucket, latencyBucketCount } from '../../src/domain/detection/latencyBuckets.ts';
-
 /** A fault of upstreams, reporters or links; times are milliseconds since the begin. */
 export interface TrafficFault {
   readonly kind: 'slow' | 'wrong' | 'flapping' | 'reporter' | 'domain_cut' | 'cold' | 'herd';
@@ -58,6 +56,10 @@
 
   private readonly latencies: Float64Array;
 
+  private poissonMean = 0;
+
+  private poissonLimit = 1;
+
   constructor(options: TrafficOptions) {
     this.options = options;
     this.generator = xoroshiro128plus(options.seed);
@@ -68,20 +70,26 @@
     return uniformFloat64(this.generator);
   }
 
-  /** Requests that start in the time; the weight of an upstream scales its traffic. */
-  drawAnswers(from: number, to: number, weights: readonly number[]): TrafficAnswer[] {
+  /**
+   * Draws the requests that start in the time and passes each on; the weight of an upstream scales
+   * its traffic.
+   */
+  drawAnswers(
+    from: number,
+    to: number,
+    weights: readonly number[],
+    take: (answer: TrafficAnswer) => void,
+  ): void {
     const { upstreams, rate, faults } = this.options;
-    const answers: TrafficAnswer[] = [];
     const active = faults.filter((fault) => fault.fromMs < to && (fault.toMs ?? Infinity) > from);
     for (let upstream = 0; upstream < upstreams; upstream += 1) {
       const mean = ((to - from) / 1000) * rate * (weights[upstream] ?? 1);
       const count = mean > 0 ? this.drawPoisson(mean) : 0;
       for (let index = 0; index < count; index += 1) {
         const startedAt = from + this.next() * (to - from);
-        answers.push(this.drawAnswer(upstream, startedAt, active));
+        take(this.drawAnswer(upstream, startedAt, active));
       }
     }
-    return answers;
   }
 
   private drawAnswer(
@@ -114,7 +122,11 @@
   }
 
   private drawPoisson(mean: number): number {
-    const limit = Math.exp(-mean);
+    if (mean !== this.poissonMean) {
+      this.poissonMean = mean;
+      this.poissonLimit = Math.exp(-mean);
+    }
+    const limit = this.poissonLimit;
     let count = 0;
     let product = this.next();
     while (product > limit) {
@@ -124,10 +136,3 @@
     return count;
   }
 }
-
-const bucketCounts = Array.from({ length: latencyBucketCount }, (_, bucket) => [bucket, 1]);
-
-/** Latency buckets of one answer. */
-export function countLatency(latencyMs: number): readonly number[] {
-  return bucketCounts[getLatencyBucket(latencyMs)] ?? [];
-}
--- a/src/domain/detection/ConsecutiveFailuresDetector.ts
+++ b/src/domain/detection/ConsecutiveFailuresDetector.ts
@@ -22,6 +22,9 @@
 
   private readonly rows = new Map<string, number>();
 
+  // Upstreams whose row is long enough; it is empty in almost all rounds.
+  private readonly gray = new Set<string>();
+
   constructor({ mostFailures, slowBoundMs }: ConsecutiveFailuresOptions) {
     this.mostFailures = mostFailures;
     this.slowBoundMs = slowBoundMs;
@@ -32,16 +35,17 @@
       const { bad, total } = countBadAnswers(evidence, this.slowBoundMs);
       const before = total > bad ? 0 : (this.rows.get(evidence.upstream) ?? 0);
       this.rows.set(evidence.upstream, before + bad);
+      if (before + bad >= this.mostFailures) this.gray.add(evidence.upstream);
+      else this.gray.delete(evidence.upstream);
     });
   }
 
   listSuspects(): readonly Suspect[] {
-    return [...this.rows].flatMap(([upstream, severity]) =>
-      severity >= this.mostFailures ? [{ upstream, severity }] : [],
-    );
+    return [...this.gray].map((upstream) => ({ upstream, severity: this.rows.get(upstream) ?? 0 }));
   }
 
   resetUpstream(upstream: string): void {
     this.rows.delete(upstream);
+    this.gray.delete(upstream);
   }
 }
--- a/src/domain/detection/LatencyHistogram.ts
+++ b/src/domain/detection/LatencyHistogram.ts
@@ -13,7 +13,8 @@
 
 /** Exponentially decayed counts of answers by latency bucket. */
 export default class LatencyHistogram {
-  readonly counts = new Float64Array(latencyBucketCount);
+  // The callbacks of a plain array are inlined, those of a typed array are not.
+  readonly counts: number[] = Array.from({ length: latencyBucketCount }, () => 0);
 
   total = 0;
 
@@ -33,20 +34,24 @@
     this.total *= keep;
   }
 
-  /** Adds the counts of another histogram, times a factor. */
-  mergeHistogram(other: LatencyHistogram, factor: number): void {
+  /** Adds the counts of another histogram. */
+  mergeHistogram(other: LatencyHistogram): void {
     other.counts.forEach((count, index) => {
-      this.counts[index] = (this.counts[index] ?? 0) + count * factor;
+      this.counts[index] = (this.counts[index] ?? 0) + count;
     });
-    this.total += other.total * factor;
+    this.total += other.total;
   }
 
-  /** Bucket of the median; undefined while there are too few answers. */
-  findMedianBucket(leastAnswers: number): number | undefined {
-    if (this.total < leastAnswers) return undefined;
-    let rest = this.total / 2;
-    const index = this.counts.findIndex((count) => {
-      rest -= count;
+  /**
+   * Bucket of the median, without the answers of a part of this histogram if one is given;
+   * undefined while there are too few answers.
+   */
+  findMedianBucket(leastAnswers: number, part?: LatencyHistogram): number | undefined {
+    const total = this.total - (part?.total ?? 0);
+    if (total < leastAnswers) return undefined;
+    let rest = total / 2;
+    const index = this.counts.findIndex((count, bucket) => {
+      rest -= count - (part?.counts[bucket] ?? 0);
       return rest <= 0;
     });
     return index < 0 ? undefined : index;
--- a/src/domain/detection/PooledDetector.ts
+++ b/src/domain/detection/PooledDetector.ts
@@ -1,14 +1,14 @@
 import type Detector from './Detector.ts';
 import type { DetectionRound, Suspect } from './Detector.ts';
 import type DetectionSettings from './detectionSettings.ts';
-import type { TestSettings } from './detectionSettings.ts';
+import type { TestName, TestSettings } from './detectionSettings.ts';
 import type ReporterEvidence from './Evidence.ts';
 import type { UpstreamEvidence } from './Evidence.ts';
 import { getBucketEdge, getLatencyBucket } from './latencyBuckets.ts';
 import LatencyHistogram, { readBucketCounts } from './LatencyHistogram.ts';
 import ReporterHistory from './ReporterHistory.ts';
 import UpstreamStatistics from './UpstreamStatistics.ts';
-import type { TestStatistics } from './UpstreamStatistics.ts';
+import type { BadAnswers, TestStatistics } from './UpstreamStatistics.ts';
 
 const recentHalfLifeMs = 500;
 const longerHalfLifeMs = 20_000;
@@ -40,15 +40,6 @@
   readonly settings: DetectionSettings;
 }
 
-interface CountedEvidence {
-  readonly evidence: ReporterEvidence;
-  readonly counts: UpstreamEvidence;
-  readonly statistics: UpstreamStatistics;
-  readonly slow: number;
-  readonly good: number;
-}
-
-type TestName = 'failed' | 'slow';
 const testNames: readonly TestName[] = ['failed', 'slow'];
 
 interface Shares {
@@ -80,15 +71,9 @@
 
   private readonly upstreams = new Map<string, UpstreamStatistics>();
 
-  private readonly histories: Readonly<Record<TestName, ReporterHistory>> = {
-    failed: new ReporterHistory(),
-    slow: new ReporterHistory(),
-  };
+  private readonly reporterHistory = new ReporterHistory();
 
-  private readonly domainHistories: Readonly<Record<TestName, ReporterHistory>> = {
-    failed: new ReporterHistory(),
-    slow: new ReporterHistory(),
-  };
+  private readonly domainHistory = new ReporterHistory();
 
   private pending: ReporterEvidence[] = [];
 
@@ -115,10 +100,13 @@
 
   listSuspects({ now, warming }: DetectionRound): readonly Suspect[] {
     this.dropOld(now);
-    const entries = this.takePending(now);
-    entries.forEach((ofUpstream, upstream) => {
-      this.applyTest('failed', upstream, ofUpstream);
-      if (!warming.has(upstream)) this.applyTest('slow', upstream, ofUpstream);
+    this.pending.forEach((evidence) =>
+      evidence.upstreams.forEach((counts) => this.countEvidence(evidence, counts, now)),
+    );
+    this.pending = [];
+    this.upstreams.forEach((statistics, upstream) => {
+      this.applyTest('failed', upstream, statistics);
+      this.applyTest('slow', upstream, statistics, warming.has(upstream));
     });
     const suspects: Suspect[] = [];
     this.upstreams.forEach((statistics, upstream) => {
@@ -132,78 +120,72 @@
     this.upstreams.get(upstream)?.reset();
   }
 
-  private takePending(now: number): ReadonlyMap<string, readonly CountedEvidence[]> {
-    const entries = new Map<string, CountedEvidence[]>();
-    this.pending.forEach((evidence) =>
-      evidence.upstreams.forEach((counts) => {
-        const entry = this.countEvidence(evidence, counts, now);
-        const ofUpstream = entries.get(counts.upstream);
-        if (ofUpstream) ofUpstream.push(entry);
-        else entries.set(counts.upstream, [entry]);
-      }),
-    );
-    this.pending = [];
-    return entries;
-  }
-
-  private countEvidence(
-    evidence: ReporterEvidence,
-    counts: UpstreamEvidence,
-    now: number,
-  ): CountedEvidence {
+  private countEvidence(evidence: ReporterEvidence, counts: UpstreamEvidence, now: number): void {
     const { upstream, failed, overdue, latencies, lateLatencies } = counts;
     const { reporter, failureDomain } = evidence;
-    const statistics = this.upstreams.get(upstream) ?? new UpstreamStatistics();
-    this.upstreams.set(upstream, statistics);
+    const statistics = this.getStatistics(upstream);
+    const { slowBucket = Infinity } = statistics;
     let slow = overdue;
     let good = 0;
     readBucketCounts(latencies, (bucket, count) => {
       good += count;
-      if (statistics.slowBucket !== undefined && bucket >= statistics.slowBucket) slow += count;
+      if (bucket >= slowBucket) slow += count;
     });
     statistics.latencies.addCounts(latencies);
     statistics.latencies.addCounts(lateLatencies);
-    statistics.failed.addCounts(failed, failed + good);
-    statistics.slow.addCounts(slow, overdue + good);
+    statistics.failed.addAnswers(evidence, failed, failed + good);
+    statistics.slow.addAnswers(evidence, slow, overdue + good);
     statistics.addDomainAnswers(failureDomain, failed + overdue + good);
-    const failures = { upstream, bad: failed, total: failed + good, now };
-    const slowness = { upstream, bad: slow, total: overdue + good, now };
-    this.histories.failed.recordAnswers({ reporter, ...failures });
-    this.histories.slow.recordAnswers({ reporter, ...slowness });
-    this.domainHistories.failed.recordAnswers({ reporter: failureDomain, ...failures });
-    this.domainHistories.slow.recordAnswers({ reporter: failureDomain, ...slowness });
-    return { evidence, counts, statistics, slow, good };
+    const answers = { upstream, failed, slow, good, overdue };
+    this.reporterHistory.recordAnswers(reporter, answers, now);
+    this.domainHistory.recordAnswers(failureDomain, answers, now);
+  }
+
+  private getStatistics(upstream: string): UpstreamStatistics {
+    const known = this.upstreams.get(upstream);
+    if (known) return known;
+    const statistics = new UpstreamStatistics();
+    this.upstreams.set(upstream, statistics);
+    return statistics;
   }
 
-  private applyTest(test: TestName, upstream: string, entries: readonly CountedEvidence[]): void {
-    const isBad = entries.some((entry) => this.countBad(test, entry) > 0);
-    const score = entries[0]?.statistics[test].score;
-    if (!score || (!isBad && score.value === 0)) return;
+  // Answers of a warming upstream are counted but not weighed.
+  private applyTest(
+    test: TestName,
+    upstream: string,
+    statistics: UpstreamStatistics,
+    isWarming = false,
+  ): void {
+    const { score } = statistics[test];
+    const { good, bad } = statistics[test].takeAnswers();
+    if (isWarming || (bad.length === 0 && (good === 0 || score.value === 0))) return;
     const shares = this.computeShares(test, this.computeOthersShare(test, upstream));
-    entries.forEach((entry) => this.addBadAnswers(test, entry, shares.healthy));
-    const good = entries.reduce((sum, entry) => sum + this.countGood(test, entry), 0);
+    bad.forEach((answers) =>
+      this.addBadAnswers({ test, upstream, statistics, answers, healthy: shares.healthy }),
+    );
     score.dropAmount(good * Math.log((1 - shares.healthy) / (1 - shares.gray)));
     const limit = this.settings.threshold * highestScore;
     if (score.value > limit) score.dropAmount(score.value - limit);
   }
 
-  private addBadAnswers(test: TestName, entry: CountedEvidence, healthy: number): void {
-    const bad = this.countBad(test, entry);
-    if (bad === 0) return;
-    const { statistics, evidence, counts } = entry;
-    const { reporter, failureDomain } = evidence;
+  private addBadAnswers(options: {
+    readonly test: TestName;
+    readonly upstream: string;
+    readonly statistics: UpstreamStatistics;
+    readonly answers: BadAnswers;
+    readonly healthy: number;
+  }): void {
+    const { test, upstream, statistics, answers, healthy } = options;
+    const { reporter, failureDomain } = answers.evidence;
     const { threshold, domainShare } = this.settings;
-    const ownFault = this.histories[test].computeOwnFaultShare(reporter, counts.upstream);
+    const ownFault = this.reporterHistory.computeOwnFaultShare(test, reporter, upstream);
     const shares = this.computeShares(test, Math.max(healthy, ownFault));
-    const domainFault = this.domainHistories[test].computeOwnFaultShare(
-      failureDomain,
-      counts.upstream,
-    );
+    const domainFault = this.domainHistory.computeOwnFaultShare(test, failureDomain, upstream);
     const weight = Math.max(0, 1 - domainFaultFactor * Math.max(0, domainFault - healthy));
     statistics[test].score.addEvidence({
       reporter,
       failureDomain,
-      amount: weight * bad * Math.log(shares.gray / shares.healthy),
+      amount: weight * answers.count * Math.log(shares.gray / shares.healthy),
       reporterCap: this.reporterCap,
       domainCap: statistics.hasOtherDomains(failureDomain)
         ? threshold * domainShare
@@ -211,14 +193,6 @@
     });
   }
 
-  private countBad(test: TestName, entry: CountedEvidence): number {
-    return test === 'failed' ? entry.counts.failed : entry.slow;
-  }
-
-  private countGood(test: TestName, entry: CountedEvidence): number {
-    return test === 'failed' ? entry.good : entry.good + entry.counts.overdue - entry.slow;
-  }
-
   private computeShares(test: TestName, othersShare: number): Shares {
     const settings: TestSettings = this.settings[test];
     const healthy = Math.min(0.98, Math.max(settings.healthyShare, othersShare));
@@ -229,17 +203,31 @@
   private computeOthersShare(test: TestName, upstream: string): number {
     const others = this.listOthers(test, upstream);
     return Math.max(
-      computeTrimmedMean(others.map(({ recent }) => recent.share)),
-      computeTrimmedMean(others.map(({ longer }) => longer.share)),
+      this.computeHealthyShare(
+        test,
+        others.map(({ recent }) => recent.share),
+      ),
+      this.computeHealthyShare(
+        test,
+        others.map(({ longer }) => longer.share),
+      ),
     );
   }
 
+  // The trimmed mean is at most the mean, so a mean below the least share needs no sort.
+  private computeHealthyShare(test: TestName, values: readonly number[]): number {
+    const mean = values.reduce((sum, value) => sum + value, 0) / values.length;
+    if (mean < this.settings[test].healthyShare) return this.settings[test].healthyShare;
+    return computeTrimmedMean(values);
+  }
+
   private listOthers(test: TestName, upstream: string): readonly TestStatistics[] {
-    return [...this.upstreams].flatMap(([name, statistics]) =>
-      name !== upstream && statistics[test].recent.total >= leastWindowAnswers
-        ? [statistics[test]]
-        : [],
-    );
+    const others: TestStatistics[] = [];
+    this.upstreams.forEach((statistics, name) => {
+      const ofTest = statistics[test];
+      if (name !== upstream && ofTest.recent.total >= leastWindowAnswers) others.push(ofTest);
+    });
+    return others;
   }
 
   private isSuspect(upstream: string, statistics: UpstreamStatistics): boolean {
@@ -275,10 +263,8 @@
         score.dropOld(keepScore);
       }),
     );
-    testNames.forEach((test) => {
-      this.histories[test].dropOld(now);
-      this.domainHistories[test].dropOld(now);
-    });
+    this.reporterHistory.dropOld(now);
+    this.domainHistory.dropOld(now);
     if (now - this.lastBounds >= boundIntervalMs) this.updateBounds(now);
   }
 
@@ -289,25 +275,25 @@
     this.upstreams.forEach((statistics, name) => {
       statistics.dropOldLatencies(keep);
       if (statistics.latencies.total < 1e-6) this.upstreams.delete(name);
-      pool.mergeHistogram(statistics.latencies, 1);
+      pool.mergeHistogram(statistics.latencies);
     });
     this.upstreams.forEach((statistics) => {
-      const others = new LatencyHistogram();
-      others.mergeHistogram(pool, 1);
-      others.mergeHistogram(statistics.latencies, -1);
-      statistics.slowBucket = this.computeSlowBucket(others);
+      statistics.slowBucket = this.computeSlowBucket(pool, statistics.latencies);
     });
     const bucket = this.computeSlowBucket(pool);
     this.serviceBoundMs = bucket === undefined ? undefined : getBucketEdge(bucket);
-    Object.values(this.histories).forEach((history) => history.dropIdle(now - reporterIdleMs));
-    const reporters = this.histories.failed.countReporters(now - activeReporterMs);
+    this.reporterHistory.dropIdle(now - reporterIdleMs);
+    const reporters = this.reporterHistory.countReporters(now - activeReporterMs);
     const { threshold, reporterShare } = this.settings;
     this.reporterCap =
       threshold * Math.max(reporterShare, 1 / Math.ceil(Math.max(1, reporters) / 2));
   }
 
-  private computeSlowBucket(latencies: LatencyHistogram): number | undefined {
-    const median = latencies.findMedianBucket(leastAnswersForBound);
+  private computeSlowBucket(
+    latencies: LatencyHistogram,
+    part?: LatencyHistogram,
+  ): number | undefined {
+    const median = latencies.findMedianBucket(leastAnswersForBound, part);
     if (median === undefined) return undefined;
     return Math.max(median + slowBucketDistance, getLatencyBucket(leastSlowBoundMs));
   }
--- a/src/domain/detection/ReporterHistory.ts
+++ b/src/domain/detection/ReporterHistory.ts
@@ -1,6 +1,22 @@
-interface Cell {
-  bad: number;
-  total: number;
+import type { TestName } from './detectionSettings.ts';
+
+// Counts of all upstreams, four for each: bad and total of `failed`, bad and total of `slow`. Flat
+// arrays keep the counts of many reporters close together in memory.
+type CountRow = number[];
+
+interface ReporterRow {
+  seenAt: number;
+  readonly counts: CountRow;
+}
+
+/** Answers of one upstream that one reporter counted. */
+export interface CountedAnswers {
+  readonly upstream: string;
+  readonly failed: number;
+  readonly slow: number;
+  /** Good answers, slow or not. */
+  readonly good: number;
+  readonly overdue: number;
 }
 
 // Long enough for a host to see several answers, short enough to notice a broken link soon.
@@ -13,13 +29,21 @@
 // Imagined good answers, so that the first bad answer of a reporter discounts it little.
 const priorAnswers = 2;
 
+const countsOfUpstream = 4;
+const testOffsets: Readonly<Record<TestName, number>> = { failed: 0, slow: 2 };
+
+function addCount(row: CountRow, position: number, amount: number): void {
+  row[position] = (row[position] ?? 0) + amount;
+}
+
 /** What each reporter, or each failure domain, found at each upstream in the last seconds. */
 export default class ReporterHistory {
-  private readonly cells = new Map<string, Map<string, Cell>>();
+  private readonly rows = new Map<string, ReporterRow>();
 
-  private readonly sums = new Map<string, Cell>();
+  /** Position of the first count of each upstream in all rows. */
+  private readonly positions = new Map<string, number>();
 
-  private readonly seenAt = new Map<string, number>();
+  private readonly sums: CountRow = [];
 
   private growth = 1;
 
@@ -30,69 +54,85 @@
     this.growth *= 2 ** (Math.min(10 * halfLifeMs, Math.max(0, now - this.grownAt)) / halfLifeMs);
     this.grownAt = Math.max(this.grownAt, now);
     if (this.growth < mostGrowth) return;
-    [this.sums, ...this.cells.values()].forEach((cells) =>
-      cells.forEach((cell) => {
-        cell.bad /= this.growth;
-        cell.total /= this.growth;
-      }),
-    );
+    this.applyGrowth(this.sums);
+    this.rows.forEach(({ counts }) => this.applyGrowth(counts));
     this.growth = 1;
   }
 
-  recordAnswers(entry: {
-    readonly reporter: string;
-    readonly upstream: string;
-    readonly bad: number;
-    readonly total: number;
-    readonly now: number;
-  }): void {
-    const { reporter, upstream, bad, total, now } = entry;
-    this.seenAt.set(reporter, now);
-    const row = this.cells.get(reporter) ?? new Map<string, Cell>();
-    if (row.size === 0) this.cells.set(reporter, row);
-    this.addCounts(row, upstream, bad, total);
-    this.addCounts(this.sums, upstream, bad, total);
+  /** Adds answers to both tests at once, because finding the counts takes longer than adding. */
+  recordAnswers(reporter: string, answers: CountedAnswers, now: number): void {
+    const position = this.getPosition(answers.upstream);
+    this.addAnswers(this.getRow(reporter, position, now), position, answers);
+    this.addAnswers(this.sums, position, answers);
   }
 
   /** Number of reporters that had traffic since the instant. */
   countReporters(since: number): number {
-    return [...this.seenAt.values()].filter((at) => at >= since).length;
+    return [...this.rows.values()].filter(({ seenAt }) => seenAt >= since).length;
   }
 
   /**
    * Share of bad answers that a reporter sees at other upstreams that other reporters find good.
    * It is high when the reporter or its links are at fault.
    */
-  computeOwnFaultShare(reporter: string, upstream: string): number {
+  computeOwnFaultShare(test: TestName, reporter: string, upstream: string): number {
     let bad = 0;
     let total = priorAnswers * this.growth;
-    this.cells.get(reporter)?.forEach((cell, name) => {
-      const sum = this.sums.get(name);
-      if (name === upstream || !sum) return;
-      const others = (sum.bad - cell.bad) / (sum.total - cell.total + this.growth);
+    const counts = this.rows.get(reporter)?.counts ?? [];
+    this.positions.forEach((position, name) => {
+      if (name === upstream) return;
+      const at = position + testOffsets[test];
+      const { [at]: ownBad = 0, [at + 1]: ownTotal = 0 } = counts;
+      const { [at]: sumBad = 0, [at + 1]: sumTotal = 0 } = this.sums;
+      const others = (sumBad - ownBad) / (sumTotal - ownTotal + this.growth);
       if (others >= badShare) return;
-      bad += cell.bad;
-      total += cell.total;
+      bad += ownBad;
+      total += ownTotal;
     });
     return bad / total;
   }
 
   /** Forgets reporters that had no traffic since the instant. */
   dropIdle(since: number): void {
-    this.seenAt.forEach((at, reporter) => {
-      if (at >= since) return;
-      this.seenAt.delete(reporter);
-      this.cells.delete(reporter);
+    this.rows.forEach(({ seenAt }, reporter) => {
+      if (seenAt < since) this.rows.delete(reporter);
+    });
+  }
+
+  private applyGrowth(row: CountRow): void {
+    row.forEach((count, position) => {
+      row[position] = count / this.growth;
     });
   }
 
-  private addCounts(cells: Map<string, Cell>, upstream: string, bad: number, total: number): void {
-    const cell = cells.get(upstream);
-    if (!cell) {
-      cells.set(upstream, { bad: bad * this.growth, total: total * this.growth });
-      return;
-    }
-    cell.bad += bad * this.growth;
-    cell.total += total * this.growth;
+  private addAnswers(row: CountRow, position: number, answers: CountedAnswers): void {
+    const { failed, slow, good, overdue } = answers;
+    addCount(row, position, failed * this.growth);
+    addCount(row, position + 1, (failed + good) * this.growth);
+    addCount(row, position + 2, slow * this.growth);
+    addCount(row, position + 3, (overdue + good) * this.growth);
+  }
+
+  private getPosition(upstream: string): number {
+    const known = this.positions.get(upstream);
+    if (known !== undefined) return known;
+    const position = this.positions.size * countsOfUpstream;
+    this.positions.set(upstream, position);
+    return position;
+  }
+
+  private getRow(reporter: string, position: number, now: number): CountRow {
+    const row = this.rows.get(reporter) ?? this.createRow(reporter);
+    row.seenAt = now;
+    // Without gaps, so that the array stays a flat one.
+    const missing = position + countsOfUpstream - row.counts.length;
+    if (missing > 0) row.counts.push(...Array.from({ length: missing }, () => 0));
+    return row.counts;
+  }
+
+  private createRow(reporter: string): ReporterRow {
+    const row = { seenAt: 0, counts: [] };
+    this.rows.set(reporter, row);
+    return row;
   }
 }
--- a/src/domain/detection/UpstreamStatistics.ts
+++ b/src/domain/detection/UpstreamStatistics.ts
@@ -1,7 +1,22 @@
+import type ReporterEvidence from './Evidence.ts';
 import EvidenceScore from './EvidenceScore.ts';
 import LatencyHistogram from './LatencyHistogram.ts';
 import ShareWindow from './ShareWindow.ts';
 
+/** Bad answers of one report that are not yet weighed. */
+export interface BadAnswers {
+  readonly evidence: ReporterEvidence;
+  readonly count: number;
+}
+
+/** Answers of one round that are not yet weighed. */
+export interface RoundAnswers {
+  readonly good: number;
+  readonly bad: readonly BadAnswers[];
+}
+
+const noBadAnswers: readonly BadAnswers[] = [];
+
 /** Recent answers and the score of one test at one upstream. */
 export class TestStatistics {
   readonly recent = new ShareWindow();
@@ -10,9 +25,25 @@
 
   readonly score = new EvidenceScore();
 
-  addCounts(bad: number, total: number): void {
+  private good = 0;
+
+  private bad: BadAnswers[] = [];
+
+  /** Counts the answers of a report; those that are not bad are good. */
+  addAnswers(evidence: ReporterEvidence, bad: number, total: number): void {
     this.recent.addCounts(bad, total);
     this.longer.addCounts(bad, total);
+    this.good += total - bad;
+    if (bad > 0) this.bad.push({ evidence, count: bad });
+  }
+
+  /** Takes the answers that were counted since they were last taken. */
+  takeAnswers(): RoundAnswers {
+    const { good, bad } = this;
+    this.good = 0;
+    if (bad.length === 0) return { good, bad: noBadAnswers };
+    this.bad = [];
+    return { good, bad };
   }
 }
 
@@ -25,25 +56,29 @@
   readonly latencies = new LatencyHistogram();
 
   /** Answers by failure domain of the reporter, decayed like the latencies. */
-  readonly answersByDomain = new Map<string, number>();
+  private readonly answersByDomain = new Map<string, { count: number }>();
 
   /** First bucket whose answers are slow; undefined until enough other answers are known. */
   slowBucket: number | undefined = undefined;
 
   addDomainAnswers(failureDomain: string, count: number): void {
-    this.answersByDomain.set(failureDomain, (this.answersByDomain.get(failureDomain) ?? 0) + count);
+    const ofDomain = this.answersByDomain.get(failureDomain);
+    if (ofDomain) ofDomain.count += count;
+    else this.answersByDomain.set(failureDomain, { count });
   }
 
   /** Whether other failure domains send this upstream a tenth of its traffic or more. */
   hasOtherDomains(failureDomain: string): boolean {
-    const total = [...this.answersByDomain.values()].reduce((sum, count) => sum + count, 0);
-    return total - (this.answersByDomain.get(failureDomain) ?? 0) >= total / 10;
+    const total = [...this.answersByDomain.values()].reduce((sum, { count }) => sum + count, 0);
+    return total - (this.answersByDomain.get(failureDomain)?.count ?? 0) >= total / 10;
   }
 
   /** Ages the counts that change slowly. */
   dropOldLatencies(keep: number): void {
     this.latencies.dropOld(keep);
-    this.answersByDomain.forEach((count, name) => this.answersByDomain.set(name, count * keep));
+    this.answersByDomain.forEach((ofDomain) => {
+      ofDomain.count *= keep;
+    });
   }
 
   reset(): void {
--- a/src/domain/detection/detectionSettings.ts
+++ b/src/domain/detection/detectionSettings.ts
@@ -1,5 +1,8 @@
 import type { DetectionPreference } from '../presets/Preset.ts';
 
+/** Tests of the pooled detector, each on its own kind of evidence. */
+export type TestName = 'failed' | 'slow';
+
 /** One test of the pooled detector: how the share of bad answers tells gray from healthy. */
 export interface TestSettings {
   /** Least share of bad answers that a healthy upstream is assumed to have. */
