Let renewals in time wait for regular exchanges

Cause: an idle entry host began 59 gossip exchanges a second with 12 entry hosts instead of 12 regular ones and those that carry records. A renewal with less than 2 s of the held lease left was passed on at once, and an upstream with a lease of 3 s that renews every second always has a little less than that left, so each renewal began exchanges with all peers of all hosts.

Ruled out: a longer interval of the regular exchanges, which would delay every record. Keep-alive pings (0.9/s), detection reports (1.9/s) and preset watches (0.3/s) are few.

Change: a renewal waits while at least 1 s of the lease is left. A regular exchange comes within 500 ms and each host on the way decides again, so a host that gets the renewal late still passes it on with at least 500 ms left. Leases that end sooner are passed on at once as before.

Conclusion: most idle traffic came from renewals that had time left.

--- a/src/domain/membership/UpstreamDirectory.ts
+++ b/src/domain/membership/UpstreamDirectory.ts
@@ -3,8 +3,10 @@
 import type UpstreamRecord from './UpstreamRecord.ts';
 import type UpstreamSource from './UpstreamSource.ts';
 
-// With less time left than this, a renewal must not wait for regular exchanges over three hops.
-const shortLeaseMs = 2000;
+// A renewal may wait for the next regular exchange, 500 ms at most, while this much of the lease is
+// left. Every host on its way decides again, so one that gets it later passes it on at once. With
+// 2000 each renewal of a lease of 3 s every second began exchanges with all peers of all hosts.
+const shortLeaseMs = 1000;
 
 /** Returns the record when it is well-formed. */
 export type UpstreamRecordChecker = (value: unknown) => UpstreamRecord | undefined;
--- a/tests/membership/gossip.test.ts
+++ b/tests/membership/gossip.test.ts
@@ -98,6 +98,36 @@
     }
   });
 
+  // Guards against renewals that every host passes on at once although the lease has time left.
+  it('should renew upstreams by regular exchanges in time when links are cut one way', async () => {
+    fleet = new FakeFleet({ controlHosts: 3, entryHosts: 43 });
+    const names = ['a', 'b', 'c', 'd', 'e', 'f'];
+    const announceAll = (sequence: number): void =>
+      names.forEach((upstream, index) =>
+        fleet.announce(`e${index + 1}`, { upstream, sequence, leaseMs: 3000 }),
+      );
+    await fleet.clock.advanceBy(2000);
+    announceAll(1);
+    await fleet.clock.advanceBy(1000);
+    const chosen = [...fleet.network.exchanges.keys()].filter((key) => key.startsWith('e1>'));
+    chosen.slice(1).forEach((direction) => fleet.network.cuts.add(direction));
+    const { messages } = fleet.network;
+    const seconds = 10;
+
+    for (let step = 0; step < seconds * 10; step += 1) {
+      if (step % 10 === 0) announceAll(2 + step / 10);
+      await fleet.clock.advanceBy(100);
+      expect(listServingNames().map((list) => list.length)).toEqual(Array(46).fill(names.length));
+    }
+
+    const perHost = (fleet.network.messages - messages) / seconds / 46;
+    process.stdout.write(
+      `renewals of 3 s leases: ${perHost.toFixed(1)} messages per host and second\n`,
+    );
+    // 6 peers, 2 exchanges a second, each of 2 messages or, with records to send, 4.
+    expect(perHost).toBeLessThanOrEqual(6 * 2 * 4);
+  });
+
   // Guards against a position on a link that moves past changes whose message was lost.
   it.each(['e1>c1', 'c1>e1'])(
     'should exchange the changes made while %s was cut',
