Split the messages of gossip from its tasks

Change: GossipMessages composes and merges messages; Gossip has the tasks, peers and leases. Behaviour is the same.

--- a/src/application/membership/Gossip.ts
+++ b/src/application/membership/Gossip.ts
@@ -1,16 +1,14 @@
 import type HostDirectory from '../../domain/membership/HostDirectory.ts';
 import type GossipTopic from '../../domain/membership/GossipTopic.ts';
-import type { GossipDigest, GossipTopicName } from '../../domain/membership/GossipTopic.ts';
 import choosePeers, { computePhase } from '../../domain/membership/choosePeers.ts';
 import type { PeerAddress } from '../../domain/membership/choosePeers.ts';
-import { listLacking, readVersions } from '../../domain/membership/compareVersions.ts';
 import type Clock from '../../ports/Clock.ts';
 import type GossipLink from '../../ports/GossipLink.ts';
 import type { GossipMessage } from '../../ports/GossipLink.ts';
 import type Log from '../../ports/Log.ts';
 import type PeerDialer from '../../ports/PeerDialer.ts';
+import GossipMessages from './GossipMessages.ts';
 import GossipPeerTask from './GossipPeerTask.ts';
-import type { LinkPosition } from './GossipPeerTask.ts';
 
 const peerCount = 6;
 const exchangeTimeoutMs = 1000;
@@ -56,7 +54,7 @@
 
   private readonly running = new Set<Promise<void>>();
 
-  private readonly startedAt: number;
+  private readonly messages: GossipMessages;
 
   private lastHeardAt: number;
 
@@ -70,8 +68,8 @@
 
   constructor(options: GossipOptions) {
     this.options = options;
-    this.startedAt = options.clock.now();
-    this.lastHeardAt = this.startedAt;
+    this.messages = new GossipMessages(options);
+    this.lastHeardAt = options.clock.now();
   }
 
   /** Runs until the signal aborts and all tasks have ended. */
@@ -102,26 +100,10 @@
   /** Answers a peer's exchange: takes its records, returns what it lacks and asks for the rest. */
   answerExchange(message: GossipMessage): GossipMessage {
     this.mergeMessage(message);
-    const now = this.options.clock.now();
-    const { since } = message;
-    // The peer counts on what it told an earlier process of this host.
-    if (since !== undefined && (since < this.startedAt || since > now)) {
-      return { digests: {}, records: {}, mustRestart: true };
-    }
-    const compared = this.options.topics.flatMap((topic) => {
-      const digest = message.digests[topic.name];
-      return digest ? [{ topic, digest }] : [];
-    });
-    const digests = compared.map(
-      ({ topic, digest }) => [topic.name, listLacking(topic.listVersions(now), digest)] as const,
-    );
-    const isComplete = digests.every(([, lacking]) => Object.keys(lacking).length === 0);
-    if (isComplete) this.lastHeardAt = now;
-    const answer = this.createMessage(
-      digests.filter(([, lacking]) => Object.keys(lacking).length > 0),
-      compared.map(({ topic, digest }) => [topic.name, topic.listNewer(digest, now, since)]),
-    );
-    return compared.length > 0 ? { ...answer, preparedAt: now } : answer;
+    const answer = this.messages.createAnswer(message);
+    if (!answer) return { digests: {}, records: {}, mustRestart: true };
+    if (answer.isComplete) this.lastHeardAt = this.options.clock.now();
+    return answer.message;
   }
 
   /** Counters since the start. */
@@ -140,8 +122,7 @@
     const { clock, log } = this.options;
     const startedAt = clock.now();
     const position = task.getPosition();
-    const request = this.createRequest(position);
-    const answer = await this.sendMessage(task, request);
+    const answer = await this.sendMessage(task, this.messages.createRequest(position));
     if (answer?.mustRestart && position) {
       task.resetPosition();
       return this.exchangeOnce(task);
@@ -149,12 +130,10 @@
     if (answer) {
       this.mergeMessage(answer);
       this.lastHeardAt = clock.now();
-      const lacking = this.listRequested(answer);
+      const delivery = this.messages.createDelivery(answer);
       // The answer to the records carries nothing. Without it the position stays, so that the next
       // exchange offers the records again.
-      const isTaken =
-        lacking.length === 0 ||
-        (await this.sendMessage(task, this.createMessage([], lacking))) !== undefined;
+      const isTaken = !delivery || (await this.sendMessage(task, delivery)) !== undefined;
       if (isTaken && answer.preparedAt !== undefined) {
         const { preparedAt: heardUntil, digests: requested } = answer;
         task.setPosition({ sentUntil: startedAt, heardUntil, requested }, startedAt);
@@ -168,25 +147,6 @@
     return isAnswering;
   }
 
-  // Names the changes since the last exchange, and the records sent to the peer in it, which it
-  // would otherwise return as changes of its own.
-  private createRequest(position: LinkPosition | undefined): GossipMessage {
-    const { clock, topics } = this.options;
-    const now = clock.now();
-    if (!position) {
-      return this.createMessage(
-        topics.map((topic) => [topic.name, topic.listVersions(now)]),
-        [],
-      );
-    }
-    const digests = topics.map((topic) => {
-      const changed = topic.listVersions(now, position.sentUntil);
-      const requested = readVersions(topic.listVersions(now), position.requested[topic.name]);
-      return [topic.name, { ...changed, ...requested }] as const;
-    });
-    return { ...this.createMessage(digests, []), since: position.heardUntil };
-  }
-
   private async sendMessage(
     task: GossipPeerTask,
     message: GossipMessage,
@@ -199,34 +159,8 @@
     return undefined;
   }
 
-  // Only the keys that the peer asked for are sent.
-  private listRequested(answer: GossipMessage) {
-    const now = this.options.clock.now();
-    return this.options.topics.flatMap((topic) => {
-      const requested = answer.digests[topic.name];
-      if (!requested) return [];
-      const known = { ...topic.listVersions(now), ...requested };
-      const records = topic.listNewer(known, now);
-      return records.length > 0 ? [[topic.name, records] as const] : [];
-    });
-  }
-
   private mergeMessage(message: GossipMessage): void {
-    const now = this.options.clock.now();
-    const hasNews = this.options.topics
-      .map((topic) => topic.mergeRecords(message.records[topic.name] ?? [], now))
-      .includes(true);
-    if (hasNews) this.sendNews();
-  }
-
-  private createMessage(
-    digests: readonly (readonly [GossipTopicName, GossipDigest])[],
-    records: readonly (readonly [GossipTopicName, readonly unknown[]])[],
-  ): GossipMessage {
-    return {
-      digests: Object.fromEntries(digests),
-      records: Object.fromEntries(records.filter(([, list]) => list.length > 0)),
-    };
+    if (this.messages.mergeMessage(message)) this.sendNews();
   }
 
   private checkPartition(): void {
