Forget upstreams that left in the history of reporters

Cause: ReporterHistory kept counts of every upstream name that it ever saw, for each reporter. A judge of a service whose upstreams get new names when they are replaced would grow without bound, and each discount reads all of them. Found by reading.

Change: when the detector drops an idle upstream, its counts are cleared and their place is used for the next one.

Measured: npx vitest run tests/detection/reporterHistory: 100 upstreams that came and went take the place of one. tests/detection/traces and reports pass.

Conclusion: the memory of a judge follows the upstreams that it has.

--- a/src/domain/detection/PooledDetector.ts
+++ b/src/domain/detection/PooledDetector.ts
@@ -141,6 +141,12 @@
     this.domainHistory.recordAnswers(failureDomain, answers, now);
   }
 
+  private dropUpstream(upstream: string): void {
+    this.upstreams.delete(upstream);
+    this.reporterHistory.dropUpstream(upstream);
+    this.domainHistory.dropUpstream(upstream);
+  }
+
   private getStatistics(upstream: string): UpstreamStatistics {
     const known = this.upstreams.get(upstream);
     if (known) return known;
@@ -274,7 +280,7 @@
     const pool = new LatencyHistogram();
     this.upstreams.forEach((statistics, name) => {
       statistics.dropOldLatencies(keep);
-      if (statistics.latencies.total < 1e-6) this.upstreams.delete(name);
+      if (statistics.latencies.total < 1e-6) this.dropUpstream(name);
       pool.mergeHistogram(statistics.latencies);
     });
     this.upstreams.forEach((statistics) => {
--- a/src/domain/detection/ReporterHistory.ts
+++ b/src/domain/detection/ReporterHistory.ts
@@ -43,6 +43,9 @@
   /** Position of the first count of each upstream in all rows. */
   private readonly positions = new Map<string, number>();
 
+  /** Positions of upstreams that were dropped. */
+  private readonly freePositions: number[] = [];
+
   private readonly sums: CountRow = [];
 
   private growth = 1;
@@ -66,6 +69,11 @@
     this.addAnswers(this.sums, position, answers);
   }
 
+  /** Number of upstreams that memory is held for. */
+  get size(): number {
+    return this.positions.size + this.freePositions.length;
+  }
+
   /** Number of reporters that had traffic since the instant. */
   countReporters(since: number): number {
     return [...this.rows.values()].filter(({ seenAt }) => seenAt >= since).length;
@@ -99,6 +107,17 @@
     });
   }
 
+  /** Forgets an upstream, so that its place can be used for another one. */
+  dropUpstream(upstream: string): void {
+    const position = this.positions.get(upstream);
+    if (position === undefined) return;
+    this.positions.delete(upstream);
+    this.freePositions.push(position);
+    [this.sums, ...[...this.rows.values()].map(({ counts }) => counts)]
+      .filter(({ length }) => length > position)
+      .forEach((counts) => counts.fill(0, position, position + countsOfUpstream));
+  }
+
   private applyGrowth(row: CountRow): void {
     row.forEach((count, position) => {
       row[position] = count / this.growth;
@@ -116,7 +135,7 @@
   private getPosition(upstream: string): number {
     const known = this.positions.get(upstream);
     if (known !== undefined) return known;
-    const position = this.positions.size * countsOfUpstream;
+    const position = this.freePositions.pop() ?? this.positions.size * countsOfUpstream;
     this.positions.set(upstream, position);
     return position;
   }
