Store the first preset of a fleet in one place

Cause: tests/processes/groupFormedAgain.test.ts waited for a leader, stored the preset and selected it with the same three steps as the start of the example fleet. Found by reading the change again.

Change: both call applyFirstPreset. The checks stay.

Conclusion: no change of behaviour.

--- a/examples/fleet/startExampleFleet.ts
+++ b/examples/fleet/startExampleFleet.ts
@@ -97,7 +97,7 @@
 }
 
 /** Sends a change until it is decided; the change id makes it apply once. */
-export async function runChange(hosts: ProcessFleet, words: readonly string[]): Promise<void> {
+async function runChange(hosts: ProcessFleet, words: readonly string[]): Promise<void> {
   const command = ['preset', ...words, '--change-id', randomUUID()];
   await hosts.waitUntil(command.join(' '), async () => {
     const { code, output } = await hosts.runTool(command);
@@ -116,12 +116,8 @@
   await runChange(hosts, ['put', change.name, file, '--based-on', String(change.basedOn)]);
 }
 
-async function startProcesses(
-  hosts: ProcessFleet,
-  sizes: ExampleSizes,
-): Promise<readonly ExampleUpstream[]> {
-  hosts.startAllHosts(sizes.entryNodeArguments);
-  const upstreams = await startUpstreams(hosts, sizes);
+/** Waits until a new control group leads, then stores the preset `ordinary` and selects it. */
+export async function applyFirstPreset(hosts: ProcessFleet, sizes: ExampleSizes): Promise<void> {
   await hosts.waitUntil('the control group leads', async () => {
     const list = await hosts.runTool(['preset', 'list']);
     return list.code === 0;
@@ -129,6 +125,15 @@
   const text = createExamplePreset(sizes, 5000);
   await applyPreset(hosts, { name: 'ordinary', text, basedOn: 0 });
   await runChange(hosts, ['use', 'ordinary', '--based-on', '0']);
+}
+
+async function startProcesses(
+  hosts: ProcessFleet,
+  sizes: ExampleSizes,
+): Promise<readonly ExampleUpstream[]> {
+  hosts.startAllHosts(sizes.entryNodeArguments);
+  const upstreams = await startUpstreams(hosts, sizes);
+  await applyFirstPreset(hosts, sizes);
   await hosts.waitUntil('every entry host is ready', async () => {
     const ready = await Promise.all(hosts.entryHosts.map((host) => hosts.isReady(host)));
     return ready.every(Boolean);
--- a/tests/processes/groupFormedAgain.test.ts
+++ b/tests/processes/groupFormedAgain.test.ts
@@ -3,15 +3,10 @@
 import { request } from 'undici';
 import { describe, expect, it } from 'vitest';
 
-import {
-  applyPreset,
-  createExamplePreset,
-  runChange,
-} from '../../examples/fleet/startExampleFleet.ts';
+import { applyFirstPreset } from '../../examples/fleet/startExampleFleet.ts';
 import useExampleFleet from './useExampleFleet.ts';
 
 const sizes = { controlHosts: 3, entryHosts: 2, upstreams: 2, latencyMs: 10 };
-const text = createExamplePreset(sizes, 5000);
 
 // The steps of docs/operations.md, section "Lost majority".
 describe('a control group that is formed again, in separate processes', () => {
@@ -53,12 +48,7 @@
 
     await replaceDataFolders();
     expect(await lookUp()).toBe(200);
-    await hosts.waitUntil('the new group leads', async () => {
-      const { code } = await hosts.runTool(['preset', 'list']);
-      return code === 0;
-    });
-    await applyPreset(hosts, { name: 'ordinary', text, basedOn: 0 });
-    await runChange(hosts, ['use', 'ordinary', '--based-on', '0']);
+    await applyFirstPreset(hosts, sizes);
     await restartEntryHosts();
 
     expect(await caller.sendBooking(old.key, 0)).toBe('unknown');
