Open the request path and the control group for fleets without a list of hosts

Cause: the request path knows one set of header names, routes by method and pattern only, and a control group needs all its hosts in the settings. A fleet on a platform without a list of hosts has other header names, routes by host and prefix, and learns of control hosts while it runs. Change: RequestDialect holds the header names, OwnDialect is the present one. Routes may name a host, a split by weight, a bound on attempts; a route whose requests are operations of their own claims nothing. Replica takes links while it runs, and a lost voter gives way to a caught-up learner. Ruled out: passing the times of a group as constants; a group whose links cost by the byte needs others.

--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -6,8 +6,12 @@
 
 import createFailureAnswer from '../../application/requests/createFailureAnswer.ts';
 import type { CallerAnswer } from '../../application/requests/CallerRequest.ts';
+import OwnDialect from '../../application/requests/OwnDialect.ts';
+import type RequestDialect from '../../application/requests/RequestDialect.ts';
+import type { Header } from '../../application/requests/RequestDialect.ts';
 import type RequestHandler from '../../application/requests/RequestHandler.ts';
 import type Failure from '../../domain/errors/Failure.ts';
+import type { CallerLimits } from '../../domain/presets/Preset.ts';
 import type { ListenAddress } from '../../domain/settings/DaemonSettings.ts';
 import type Clock from '../../ports/Clock.ts';
 import type Log from '../../ports/Log.ts';
@@ -16,7 +20,7 @@
 import readBody from './readBody.ts';
 import writeClientError from './writeClientError.ts';
 
-const maxHeaderBytes = 16_384;
+const defaultMaxHeaderBytes = 16_384;
 // Longer than the idle timeout of common load balancers (60 s), so that they close first.
 const keepAliveTimeoutMs = 75_000;
 const defaultHeadersTimeoutMs = 10_000;
@@ -30,8 +34,6 @@
 // Time for callers to read their answers after the last deadline of a stopping host.
 const flushMs = 5000;
 
-type Header = readonly [string, string];
-
 /** What the front end needs. */
 export interface HttpFrontEndOptions {
   readonly handler: RequestHandler;
@@ -39,6 +41,10 @@
   readonly log: Log;
   /** Longest time for the headers of a request; 10 s unless set. */
   readonly headersTimeoutMs?: number;
+  /** Largest size of the headers of a request; 16 KiB unless set. */
+  readonly maxHeaderBytes?: number;
+  /** The project's own dialect unless set. */
+  readonly dialect?: RequestDialect;
 }
 
 function readHeaders(request: IncomingMessage): Header[] {
@@ -48,6 +54,11 @@
     .map((name, index) => [name.toLowerCase(), texts[2 * index + 1] ?? ''] as const);
 }
 
+// Each header line has a colon, a blank and two bytes that end it.
+function countHeaderBytes({ url = '', rawHeaders }: IncomingMessage): number {
+  return rawHeaders.reduce((sum, text) => sum + text.length + 2, url.length);
+}
+
 function hasBody(method: string | undefined, status: number): boolean {
   return method !== 'HEAD' && status !== 204 && status !== 304;
 }
@@ -60,15 +71,20 @@
 
   private readonly connections = new CallerConnections();
 
+  private readonly dialect: RequestDialect;
+
   private isStopping = false;
 
   private latestDeadline = 0;
 
+  private limits: CallerLimits | undefined;
+
   constructor(options: HttpFrontEndOptions) {
     this.options = options;
+    this.dialect = options.dialect ?? new OwnDialect();
     this.server = createServer(
       {
-        maxHeaderSize: maxHeaderBytes,
+        maxHeaderSize: options.maxHeaderBytes ?? defaultMaxHeaderBytes,
         keepAliveTimeout: keepAliveTimeoutMs,
         headersTimeout: options.headersTimeoutMs ?? defaultHeadersTimeoutMs,
         connectionsCheckingInterval: headersCheckMs,
@@ -109,6 +125,15 @@
     return this.server.address() as AddressInfo;
   }
 
+  /** Applies the limits of a preset to connections and requests from now on. */
+  useLimits(limits: CallerLimits | undefined): void {
+    this.limits = limits;
+    const { headersTimeoutMs } = this.options;
+    this.server.headersTimeout =
+      limits?.headersTimeoutMs ?? headersTimeoutMs ?? defaultHeadersTimeoutMs;
+    this.server.keepAliveTimeout = limits?.idleTimeoutMs ?? keepAliveTimeoutMs;
+  }
+
   /** From now on the answers tell callers to close their connections. */
   startClose(): void {
     this.isStopping = true;
@@ -153,6 +178,12 @@
       await this.refuseRequest(request, response, { kind: 'request_malformed', message });
       return;
     }
+    const headerBytes = countHeaderBytes(request);
+    if (headerBytes > (this.limits?.maxHeaderBytes ?? Infinity)) {
+      const message = `${head.method}: the headers have ${headerBytes} bytes: expected at most ${this.limits?.maxHeaderBytes}`;
+      await this.refuseRequest(request, response, { kind: 'headers_too_large', message });
+      return;
+    }
     const opened = this.options.handler.openRequest(head);
     if (!opened.ok) {
       await this.refuseRequest(request, response, opened.failure);
@@ -216,8 +247,7 @@
     const headers = [
       ...answer.headers.flat(),
       ...(isBodied ? ['content-length', String(answer.body.byteLength)] : []),
-      ...['pistachiohoist-outcome', answer.outcome],
-      ...(answer.errorKind ? ['pistachiohoist-error', answer.errorKind] : []),
+      ...this.dialect.createCallerHeaders(answer, this.options.clock.now()).flat(),
     ];
     response.writeHead(answer.status, headers);
     if (isBodied) response.write(answer.body);
--- a/src/adapters/http/UndiciUpstreamClient.ts
+++ b/src/adapters/http/UndiciUpstreamClient.ts
@@ -1,32 +1,49 @@
 import { Agent } from 'undici';
 
+import OwnDialect from '../../application/requests/OwnDialect.ts';
+import type RequestDialect from '../../application/requests/RequestDialect.ts';
 import type Clock from '../../ports/Clock.ts';
 import type UpstreamClient from '../../ports/UpstreamClient.ts';
 import type { UpstreamRequest, UpstreamResult } from '../../ports/UpstreamClient.ts';
 import ExchangeDeadlines from './ExchangeDeadlines.ts';
 import UpstreamExchange from './UpstreamExchange.ts';
 
-const connectTimeoutMs = 1000;
+const defaultConnectTimeoutMs = 1000;
 // Below the 5 s after which Node.js servers close an idle connection by default.
 const keepAliveTimeoutMs = 4000;
+// Bounds what an upstream may announce in its Keep-Alive header.
+const longestKeepAliveMs = 60_000;
+
+/** Options of the client. */
+export interface UndiciUpstreamClientOptions {
+  readonly clock: Clock;
+  readonly connectionsPerUpstream: number;
+  /** Longest time to open a connection, in milliseconds; 1 s unless set. */
+  readonly connectTimeoutMs?: number;
+  /** The project's own dialect unless set. */
+  readonly dialect?: RequestDialect;
+}
 
 /** Sends requests over kept-alive connections, one request at a time on each. */
 export default class UndiciUpstreamClient implements UpstreamClient {
   private readonly clock: Clock;
 
+  private readonly dialect: RequestDialect;
+
   private readonly agent: Agent;
 
   private readonly deadlines: ExchangeDeadlines;
 
-  constructor(options: { readonly clock: Clock; readonly connectionsPerUpstream: number }) {
+  constructor(options: UndiciUpstreamClientOptions) {
     this.clock = options.clock;
+    this.dialect = options.dialect ?? new OwnDialect();
     this.deadlines = new ExchangeDeadlines(options.clock);
     this.agent = new Agent({
       connections: options.connectionsPerUpstream,
       pipelining: 1,
-      connect: { timeout: connectTimeoutMs },
+      connect: { timeout: options.connectTimeoutMs ?? defaultConnectTimeoutMs },
       keepAliveTimeout: keepAliveTimeoutMs,
-      keepAliveMaxTimeout: keepAliveTimeoutMs,
+      keepAliveMaxTimeout: longestKeepAliveMs,
       // The request's own deadline bounds both.
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -38,7 +55,7 @@
     if (this.clock.now() >= request.deadline) {
       return { kind: 'not_sent', reason: 'deadline_passed' };
     }
-    const exchange = new UpstreamExchange({ request, clock: this.clock });
+    const exchange = new UpstreamExchange({ request, clock: this.clock, dialect: this.dialect });
     const onCancel = (): void => exchange.cancelExchange('cancelled');
     request.signal.addEventListener('abort', onCancel, { once: true });
     this.deadlines.addExchange(exchange, request.deadline);
@@ -64,12 +81,8 @@
   }
 
   private buildHeaders(request: UpstreamRequest): string[] {
-    return [
-      ...request.headers.flat(),
-      'pistachiohoist-request-id',
-      request.requestId,
-      'pistachiohoist-deadline',
-      String(Math.floor(request.deadline)),
-    ];
+    const { requestId, upstream, deadline } = request;
+    const own = { requestId, upstream, deadline, now: this.clock.now() };
+    return [...request.headers, ...this.dialect.createUpstreamHeaders(own)].flat();
   }
 }
--- a/src/adapters/http/UpstreamExchange.ts
+++ b/src/adapters/http/UpstreamExchange.ts
@@ -1,5 +1,7 @@
 import type { Dispatcher } from 'undici';
 
+import OwnDialect from '../../application/requests/OwnDialect.ts';
+import type RequestDialect from '../../application/requests/RequestDialect.ts';
 import type Clock from '../../ports/Clock.ts';
 import type {
   NotSentReason,
@@ -26,6 +28,8 @@
 
   private readonly clock: Clock;
 
+  private readonly dialect: RequestDialect;
+
   private controller: Dispatcher.DispatchController | undefined;
 
   private isDispatched = false;
@@ -42,8 +46,14 @@
 
   private readonly chunks: Buffer[] = [];
 
-  constructor(options: { readonly request: UpstreamRequest; readonly clock: Clock }) {
+  constructor(options: {
+    readonly request: UpstreamRequest;
+    readonly clock: Clock;
+    /** The project's own dialect unless set. */
+    readonly dialect?: RequestDialect;
+  }) {
     this.request = options.request;
+    this.dialect = options.dialect ?? new OwnDialect();
     this.clock = options.clock;
     this.result = new Promise((resolve) => {
       this.resolveResult = resolve;
@@ -73,14 +83,15 @@
     this.headers = this.readHeaders(controller.rawHeaders as Buffer[]);
     const length = this.findHeader('content-length');
     this.expectedBytes = length === undefined ? undefined : Number(length);
-    if (this.request.echoRequestId) {
-      const echoed = this.findHeader('pistachiohoist-request-id');
-      if (echoed !== this.request.requestId) this.failAnswer('mismatched');
-    }
+    const { requestId, echoRequestId } = this.request;
+    const head = { status, headers: this.headers };
+    if (echoRequestId && !this.dialect.isAnswerTo(requestId, head)) this.failAnswer('mismatched');
     // undici takes the length on a 304 for that of a body and would fail the whole answer.
     if (!this.mayHaveBody()) this.endAnswer();
-    // A body with neither ends with the connection, which a truncated one does too.
-    else if (length === undefined && !this.isChunked()) this.failAnswer('truncated');
+    // A body with neither ends with the connection.
+    else if (length === undefined && !this.isChunked() && !this.dialect.mayEndByClose) {
+      this.failAnswer('truncated');
+    }
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
--- a/src/application/replication/ElectionTask.ts
+++ b/src/application/replication/ElectionTask.ts
@@ -1,7 +1,6 @@
 import type { Member } from '../../domain/replication/ReplicaConfiguration.ts';
 import computeMajorityValue from '../../domain/replication/computeMajorityValue.ts';
 import type ReplicaContext from './ReplicaContext.ts';
-import { longestElectionMs, messageTimeoutMs, shortestElectionMs } from './replicaTimes.ts';
 
 /** What a candidate asks its peers. */
 interface Ballot {
@@ -43,7 +42,10 @@
     const { context } = this;
     const { leadership } = context;
     if (!leadership) return;
-    const deadline = leadership.computeQuorumDeadline(context.configuration, longestElectionMs);
+    const deadline = leadership.computeQuorumDeadline(
+      context.configuration,
+      context.times.longestElectionMs,
+    );
     if (context.now >= deadline) {
       context.options.log.warn('replication: stepping down: no majority was heard', {
         term: leadership.term,
@@ -56,6 +58,7 @@
 
   private async watchLeader(): Promise<void> {
     const { context } = this;
+    const { shortestElectionMs, longestElectionMs } = context.times;
     const span = longestElectionMs - shortestElectionMs;
     const timeoutMs = shortestElectionMs + context.options.random.next() * span;
     while (context.now < context.electionFrom + timeoutMs) {
@@ -91,7 +94,7 @@
   private startCandidacy(term: number, isTransfer: boolean): Promise<boolean> {
     const { context } = this;
     return context.runSerial(async () => {
-      const hasLeader = context.now < context.leaderHeardAt + shortestElectionMs;
+      const hasLeader = context.now < context.leaderHeardAt + context.times.shortestElectionMs;
       if (context.term !== term || context.leadership || (hasLeader && !isTransfer)) return false;
       // Entries in memory count for the vote, so they have to outlive a crash.
       await context.log.syncEntries();
@@ -113,7 +116,7 @@
       ) === 1;
     if (isWon()) return true;
     const ended = new AbortController();
-    const deadline = context.now + messageTimeoutMs;
+    const deadline = context.now + context.times.messageTimeoutMs;
     const calls = context.configuration.voters.map(async (voter) => {
       if (await this.requestVote(ballot, voter, deadline)) granted.add(voter.replicaId);
       if (isWon()) ended.abort();
@@ -127,7 +130,7 @@
 
   private async requestVote(ballot: Ballot, voter: Member, deadline: number): Promise<boolean> {
     const { context } = this;
-    const link = context.options.links.find(({ host }) => host === voter.host);
+    const link = context.links.find(({ host }) => host === voter.host);
     if (!link || voter.replicaId === context.own.replicaId) return false;
     const { lastIndex, lastTerm } = context.log;
     const head = context.createHead(voter.replicaId, ballot.term);
--- a/src/application/replication/GroupTask.ts
+++ b/src/application/replication/GroupTask.ts
@@ -1,7 +1,6 @@
 import type { ReplicaGroup } from '../../domain/replication/ReplicaConfiguration.ts';
 import decideGroup from '../../domain/replication/decideGroup.ts';
 import type ReplicaContext from './ReplicaContext.ts';
-import { groupPollMs, messageTimeoutMs } from './replicaTimes.ts';
 
 /** Finds the group that this host belongs to, or forms it when all hosts are empty. */
 export default class GroupTask<Command, Reply> {
@@ -15,7 +14,7 @@
   async runGroup(): Promise<void> {
     const { context } = this;
     while (!context.isStopped && !context.store.identity.group) {
-      const pollAt = context.now + groupPollMs;
+      const pollAt = context.now + context.times.groupPollMs;
       await this.decideNext();
       await context.changes.waitUntil(
         () => context.isStopped || context.store.identity.group !== undefined,
@@ -37,10 +36,10 @@
   }
 
   private async decideNext(): Promise<void> {
-    const { own, options } = this.context;
-    const deadline = this.context.now + messageTimeoutMs;
+    const { own, options, links, times } = this.context;
+    const deadline = this.context.now + times.messageTimeoutMs;
     const answers = await Promise.all(
-      options.links.map(async (link) => ({ link, status: await link.requestStatus(deadline) })),
+      links.map(async (link) => ({ link, status: await link.requestStatus(deadline) })),
     );
     const statuses = answers.flatMap(({ link, status }) =>
       status.ok && status.value.host === link.host ? [status.value] : [],
@@ -62,9 +61,9 @@
    * the same group. Hosts that miss the proposal find the group when they poll.
    */
   private async createGroup(group: ReplicaGroup): Promise<void> {
-    const { links } = this.context.options;
+    const { links, times } = this.context;
     await this.joinGroup(group);
-    const deadline = this.context.now + messageTimeoutMs;
+    const deadline = this.context.now + times.messageTimeoutMs;
     await Promise.all(
       group.founders.map(({ host, replicaId }) =>
         links.find((link) => link.host === host)?.sendGroup({ to: replicaId, group }, deadline),
--- a/src/application/replication/LeadershipTransfer.ts
+++ b/src/application/replication/LeadershipTransfer.ts
@@ -1,7 +1,6 @@
 import type Leadership from '../../domain/replication/Leadership.ts';
 import type { Member } from '../../domain/replication/ReplicaConfiguration.ts';
 import type ReplicaContext from './ReplicaContext.ts';
-import { longestElectionMs, messageTimeoutMs } from './replicaTimes.ts';
 
 /** Hands leadership to a follower that has the whole log, so that no election timeout passes. */
 export default class LeadershipTransfer<Command, Reply> {
@@ -22,21 +21,21 @@
       deadline,
     );
     const heir = this.findHeir(leadership);
-    const link = context.options.links.find(({ host }) => host === heir?.host);
+    const link = context.links.find(({ host }) => host === heir?.host);
     if (!leadership.isActive || !heir || !link) return;
     const head = context.createHead(heir.replicaId, leadership.term);
-    await link.transferLeadership(head, Math.min(deadline, context.now + messageTimeoutMs));
+    await link.transferLeadership(head, Math.min(deadline, context.now + context.times.messageTimeoutMs));
     await context.changes.waitUntil(
       () => !leadership.isActive,
-      Math.min(deadline, context.now + longestElectionMs),
+      Math.min(deadline, context.now + context.times.longestElectionMs),
     );
   }
 
   private findHeir(leadership: Leadership): Member | undefined {
-    const { log, configuration, own } = this.context;
+    const { log, configuration, own, times } = this.context;
     const voterIds = configuration.voters.map(({ replicaId }) => replicaId);
     return leadership
-      .listCaughtUp(log.lastIndex, this.context.now - longestElectionMs)
+      .listCaughtUp(log.lastIndex, this.context.now - times.longestElectionMs)
       .find(({ replicaId }) => replicaId !== own.replicaId && voterIds.includes(replicaId));
   }
 }
--- a/src/application/replication/MembershipTask.ts
+++ b/src/application/replication/MembershipTask.ts
@@ -3,12 +3,15 @@
 import type ReplicaConfiguration from '../../domain/replication/ReplicaConfiguration.ts';
 import chooseMembershipChange from '../../domain/replication/chooseMembershipChange.ts';
 import type ReplicaContext from './ReplicaContext.ts';
-import { heartbeatMs } from './replicaTimes.ts';
 
-// A learner that has not answered for this long gets no vote, because it may be gone again.
-const freshContactMs = 5 * heartbeatMs;
+// A learner that has not answered for so many heartbeats gets no vote: it may be gone again.
+const freshHeartbeats = 5;
+const defaultFewestVoters = 3;
 
-/** Gives caught-up learners a vote while this replica leads, one committed change at a time. */
+/**
+ * Gives caught-up learners a vote and takes it from voters that are lost while this replica leads,
+ * one committed change at a time.
+ */
 export default class MembershipTask<Command, Reply> {
   private readonly context: ReplicaContext<Command, Reply>;
 
@@ -20,9 +23,11 @@
   async runMembership(): Promise<void> {
     const { context } = this;
     while (!context.isStopped) {
+      // Without a voter to give up, only an announced change can make a difference.
+      const { lostVoterMs } = context.times;
       await context.changes.waitUntil(
         () => context.isStopped || this.findChange() !== undefined,
-        Infinity,
+        context.now + lostVoterMs,
       );
       const configuration = context.isStopped ? undefined : this.findChange();
       if (configuration) this.addChange(configuration);
@@ -32,7 +37,15 @@
   private findChange(): ReplicaConfiguration | undefined {
     const { leadership } = this.context;
     if (!leadership || !this.mayChange(leadership)) return undefined;
-    return chooseMembershipChange(this.context.configuration, this.listLearners(leadership));
+    const { configuration, times, now, options } = this.context;
+    const listSilent = (silentMs: number): readonly Member[] =>
+      leadership.listSilent(configuration, now - silentMs);
+    return chooseMembershipChange(configuration, {
+      caughtUp: this.listCaughtUp(leadership),
+      lost: listSilent(times.lostVoterMs),
+      gone: listSilent(times.goneVoterMs),
+      fewestVoters: options.fewestVoters ?? defaultFewestVoters,
+    });
   }
 
   /**
@@ -44,9 +57,9 @@
     return commitIndex >= leadership.startIndex && log.configuration.index <= commitIndex;
   }
 
-  private listLearners(leadership: Leadership): readonly Member[] {
-    const { commitIndex, now } = this.context;
-    return leadership.listCaughtUp(commitIndex, now - freshContactMs);
+  private listCaughtUp(leadership: Leadership): readonly Member[] {
+    const { commitIndex, now, times } = this.context;
+    return leadership.listCaughtUp(commitIndex, now - freshHeartbeats * times.heartbeatMs);
   }
 
   private addChange(configuration: ReplicaConfiguration): void {
--- a/src/application/replication/MessageHandler.ts
+++ b/src/application/replication/MessageHandler.ts
@@ -17,7 +17,6 @@
 import type ReplicaContext from './ReplicaContext.ts';
 import type ReplicationHandler from './ReplicationHandler.ts';
 import type SnapshotReceiver from './SnapshotReceiver.ts';
-import { shortestElectionMs } from './replicaTimes.ts';
 
 /** Answers the messages of other replicas, one at a time. */
 export default class MessageHandler<Command, Reply> implements ReplicationHandler {
@@ -57,9 +56,7 @@
     const { context } = this;
     return this.answer(request, async () => {
       const { lastIndex, lastTerm } = context.log;
-      const hasLeader =
-        context.leadership !== undefined ||
-        context.now < context.leaderHeardAt + shortestElectionMs;
+      const { hasLeader } = context;
       const { vote } = context.store;
       const decision = decideVote({
         ...request,
--- a/src/application/replication/PeerTask.ts
+++ b/src/application/replication/PeerTask.ts
@@ -3,7 +3,6 @@
 import type ReplicationLink from '../../ports/ReplicationLink.ts';
 import type ReplicaContext from './ReplicaContext.ts';
 import SnapshotSender from './SnapshotSender.ts';
-import { heartbeatMs, messageTimeoutMs } from './replicaTimes.ts';
 
 // Entries beyond this size wait for the next message.
 const batchBytes = 1_048_576;
@@ -54,7 +53,7 @@
       this.isReachable = await this.sendNext(leadership);
       await context.changes.waitUntil(
         () => !leadership.isActive || (this.isReachable && this.hasWork(leadership)),
-        sentAt + heartbeatMs,
+        sentAt + context.times.heartbeatMs,
       );
     }
   }
@@ -98,7 +97,7 @@
         entries: context.log.listEntries(progress.nextIndex, batchBytes),
         commitIndex,
       },
-      sentAt + messageTimeoutMs,
+      sentAt + context.times.messageTimeoutMs,
     );
     if (!answer.ok) return this.handleFailure(leadership, answer.failure.kind);
     await context.acceptTerm(answer.value.term);
@@ -106,7 +105,7 @@
     // Plain heartbeats wake no other task.
     const isNews =
       progress.confirmedRound < round ||
-      progress.contactAt < sentAt - 2 * heartbeatMs ||
+      progress.contactAt < sentAt - 2 * context.times.heartbeatMs ||
       !answer.value.isAccepted ||
       progress.matchIndex < answer.value.index;
     Object.assign(progress, { contactAt: sentAt, confirmedRound: round });
@@ -143,7 +142,7 @@
   /** Learns which replica lives on the peer; one without a group is offered this one. */
   private async findReplica(leadership: Leadership): Promise<boolean> {
     const { context, link } = this;
-    const status = await link.requestStatus(context.now + messageTimeoutMs);
+    const status = await link.requestStatus(context.now + context.times.messageTimeoutMs);
     if (!status.ok) return false;
     const { host, replicaId, group } = status.value;
     const own = context.store.identity.group;
@@ -155,7 +154,7 @@
       });
       return false;
     }
-    const deadline = context.now + messageTimeoutMs;
+    const deadline = context.now + context.times.messageTimeoutMs;
     if (!group && !(await link.sendGroup({ to: replicaId, group: own }, deadline)).ok) return false;
     if (!leadership.isActive) return false;
     if (leadership.findProgress(host)?.replicaId === replicaId) return true;
--- a/src/application/replication/Replica.ts
+++ b/src/application/replication/Replica.ts
@@ -1,6 +1,7 @@
 import type Failure from '../../domain/errors/Failure.ts';
 import type Result from '../../domain/errors/Result.ts';
 import type ReplicaConfiguration from '../../domain/replication/ReplicaConfiguration.ts';
+import type ReplicationLink from '../../ports/ReplicationLink.ts';
 import type {
   AppendRequest,
   GroupRequest,
@@ -46,6 +47,8 @@
 
   private isClosing = false;
 
+  private readonly tasks: Promise<void>[] = [];
+
   private ended: Promise<unknown> = Promise.resolve();
 
   private constructor(context: ReplicaContext<Command, Reply>) {
@@ -155,6 +158,21 @@
     await this.context.changes.waitUntil(() => this.appliedIndex > afterIndex, deadline);
   }
 
+  /** Begins to replicate to a control host that was not known before. */
+  addLink(link: ReplicationLink): void {
+    const { context } = this;
+    if (context.isStopped || context.links.some(({ host }) => host === link.host)) return;
+    context.links.push(link);
+    this.watchTask(new PeerTask(context, link).runPeer());
+    context.changes.announceChange();
+  }
+
+  /** Whether a leader was heard, or a majority as a leader, within the time of one election. */
+  get isCurrent(): boolean {
+    const { context } = this;
+    return context.hasLeader && !context.isStopped;
+  }
+
   /** Finishes accepted proposals, hands leadership over and ends all tasks. */
   async stop(deadline: number): Promise<void> {
     const { context } = this;
@@ -197,24 +215,32 @@
 
   private startTasks(): void {
     const { context } = this;
-    const peers = context.options.links.map((link) => new PeerTask(context, link));
-    const tasks = [
+    [
       this.groups.runGroup(),
       this.elections.runElections(),
       new WriterTask(context).runWriter(),
       new SnapshotTask(context).runSnapshots(),
       this.receiver.runInstallations(),
       new MembershipTask(context).runMembership(),
-      ...peers.map((peer) => peer.runPeer()),
-    ];
-    // A task that fails stops the replica, and that ends the others.
-    this.ended = Promise.all(
-      tasks.map((task) => task.catch((error: Error) => context.fail(error))),
-    ).then(() => {
+    ].forEach((task) => this.watchTask(task));
+    context.links.forEach((link) => this.watchTask(new PeerTask(context, link).runPeer()));
+    this.ended = this.waitTasks().then(() => {
       context.options.log.info('replication: ended', { failure: context.failure?.message });
     });
   }
 
+  // A task that fails stops the replica, and that ends the others.
+  private watchTask(task: Promise<void>): void {
+    this.tasks.push(task.catch((error: Error) => this.context.fail(error)));
+  }
+
+  // Tasks of hosts that became known meanwhile are awaited too.
+  private async waitTasks(): Promise<void> {
+    const { length } = this.tasks;
+    await Promise.all(this.tasks);
+    if (this.tasks.length > length) await this.waitTasks();
+  }
+
   private refuseNotLeader(call: string): { readonly ok: false; readonly failure: Failure } {
     const { own, leader } = this.context;
     const message = `${call}: host "${own.host}" does not lead; leader: ${leader?.host ?? 'unknown'}`;
--- a/src/application/replication/ReplicaContext.ts
+++ b/src/application/replication/ReplicaContext.ts
@@ -15,14 +15,19 @@
 import type LogStore from './LogStore.ts';
 import type ReplicaStore from './ReplicaStore.ts';
 import SerialRunner from './SerialRunner.ts';
+import replicaTimes from './replicaTimes.ts';
+import type { ReplicaTimes } from './replicaTimes.ts';
 
 /** What a replica needs. */
 export interface ReplicaOptions<Command, Reply> {
   /** Host name of this replica. */
   readonly host: string;
-  /** All control hosts in the order of the settings, this one included. */
+  /**
+   * The hosts that form the group, in an order that all of them use; none for a host that may only
+   * join one.
+   */
   readonly hosts: readonly string[];
-  /** One link to each of the other control hosts. */
+  /** Links to the other control hosts that are known at the start. */
   readonly links: readonly ReplicationLink[];
   readonly disk: Disk;
   readonly clock: Clock;
@@ -37,6 +42,9 @@
   readonly sliceBytes?: number;
   /** Size of the pieces that a snapshot is sent in; 1 MiB by default. */
   readonly pieceBytes?: number;
+  readonly times?: ReplicaTimes;
+  /** Votes are never taken from lost voters below this number; 3 by default. */
+  readonly fewestVoters?: number;
 }
 
 /** The part that a replica has in its group. */
@@ -54,6 +62,11 @@
   /** Announces every change that a task of this replica may wait for. */
   readonly changes: ChangeNotifier;
 
+  readonly times: ReplicaTimes;
+
+  /** Links to the other control hosts that are known so far. */
+  readonly links: ReplicationLink[];
+
   readonly applier: CommandApplier<Command, Reply>;
 
   role: ReplicaRole = 'follower';
@@ -78,6 +91,8 @@
     this.options = options;
     this.store = store;
     this.changes = new ChangeNotifier(options.clock);
+    this.times = options.times ?? replicaTimes;
+    this.links = [...options.links];
     this.applier = new CommandApplier(options.state);
     this.electionFrom = options.clock.now();
   }
@@ -106,6 +121,12 @@
     return this.configuration.voters.some(({ replicaId }) => replicaId === this.own.replicaId);
   }
 
+  /** Whether this replica leads or heard from a leader within the shortest election timeout. */
+  get hasLeader(): boolean {
+    if (this.leadership) return true;
+    return this.now < this.leaderHeardAt + this.times.shortestElectionMs;
+  }
+
   /** The replica that a message is meant for, and its sender. */
   createHead(to: string, term: number) {
     const { replicaId, host, group } = this.store.identity;
--- a/src/application/replication/SnapshotReceiver.ts
+++ b/src/application/replication/SnapshotReceiver.ts
@@ -3,7 +3,6 @@
 import type { SnapshotRequest } from '../../ports/ReplicationLink.ts';
 import type ReplicaContext from './ReplicaContext.ts';
 import { receivedSnapshotName } from './ReplicaStore.ts';
-import { heartbeatMs } from './replicaTimes.ts';
 
 interface ReceivingSnapshot {
   readonly from: string;
@@ -46,7 +45,7 @@
   async waitInstalled(request: SnapshotRequest): Promise<number> {
     const { context } = this;
     const isEnded = (): boolean => context.isStopped || !this.isWhole;
-    await context.changes.waitUntil(isEnded, context.now + heartbeatMs);
+    await context.changes.waitUntil(isEnded, context.now + context.times.heartbeatMs);
     if (request.snapshotIndex <= context.commitIndex) return request.size;
     if (!this.receiving || !this.isSame(this.receiving, request)) return 0;
     return Math.min(this.receiving.receivedBytes, Math.max(0, request.size - 1));
--- a/src/application/requests/CallerRequest.ts
+++ b/src/application/requests/CallerRequest.ts
@@ -13,6 +13,8 @@
   readonly route: RouteSettings;
   readonly receivedAt: number;
   readonly deadline: number;
+  /** The id that the caller gave the request, or one of this host. */
+  readonly requestId: string;
   /** Aborts when the caller disconnects. */
   readonly signal: AbortSignal;
 }
@@ -25,4 +27,6 @@
   readonly outcome: Outcome;
   /** Set when the fleet itself made the answer. */
   readonly errorKind: ErrorKind | undefined;
+  /** Instant at which the caller should come back, on refusals for lack of room. */
+  readonly retryAt?: number | undefined;
 }
--- /dev/null
+++ b/src/application/requests/OwnDialect.ts
@@ -0,0 +1,74 @@
+import type Result from '../../domain/errors/Result.ts';
+import type { UpstreamAnswer } from '../../ports/UpstreamClient.ts';
+import type { CallerAnswer } from './CallerRequest.ts';
+import type RequestDialect from './RequestDialect.ts';
+import type { AnswerSignals, Header, UpstreamHead } from './RequestDialect.ts';
+
+const requestIdName = 'pistachiohoist-request-id';
+const deadlineName = 'pistachiohoist-deadline';
+const outcomeName = 'pistachiohoist-outcome';
+const errorName = 'pistachiohoist-error';
+const loadName = 'pistachiohoist-load';
+
+function listValues(headers: readonly Header[], wanted: string): readonly string[] {
+  return headers.filter(([name]) => name === wanted).map(([, value]) => value);
+}
+
+/** The dialect of this project's own interface; docs/configuration.md lists the headers. */
+export default class OwnDialect implements RequestDialect {
+  readonly ownHeaders: ReadonlySet<string> = new Set([
+    requestIdName,
+    deadlineName,
+    outcomeName,
+    errorName,
+    loadName,
+  ]);
+
+  // A truncated body ends like that too.
+  readonly mayEndByClose = false;
+
+  readDeadline(headers: readonly Header[]): Result<number | undefined> {
+    const [text, ...others] = listValues(headers, deadlineName);
+    if (text === undefined) return { ok: true, value: undefined };
+    if (others.length > 0 || !/^\d{1,16}$/.test(text)) {
+      const value = [text, ...others].join(', ');
+      const message = `${deadlineName}: value "${value}": expected one number of milliseconds since the Unix epoch`;
+      return { ok: false, failure: { kind: 'deadline_invalid', message } };
+    }
+    return { ok: true, value: Number(text) };
+  }
+
+  findRequestId(): undefined {
+    return undefined;
+  }
+
+  createUpstreamHeaders({ requestId, deadline }: UpstreamHead): readonly Header[] {
+    return [
+      [requestIdName, requestId],
+      [deadlineName, String(Math.floor(deadline))],
+    ];
+  }
+
+  isAnswerTo(requestId: string, { headers }: { readonly headers: readonly Header[] }): boolean {
+    return listValues(headers, requestIdName)[0] === requestId;
+  }
+
+  readAnswerSignals({ status, headers }: UpstreamAnswer): AnswerSignals {
+    const outcomes = listValues(headers, outcomeName);
+    // Contradicting headers prove nothing.
+    const hasNotRun = outcomes.length > 0 && outcomes.every((value) => value === 'not-run');
+    const isShed = hasNotRun || (status === 503 && listValues(headers, 'retry-after').length > 0);
+    const load = listValues(headers, loadName)[0];
+    const reportedLoad = load !== undefined && /^\d{1,6}$/.test(load) ? Number(load) : undefined;
+    return { hasNotRun, isShed, isOtherUpstream: false, reportedLoad };
+  }
+
+  createCallerHeaders({ outcome, errorKind, retryAt }: CallerAnswer, now: number): Header[] {
+    const headers: Header[] = [[outcomeName, outcome]];
+    if (errorKind) headers.push([errorName, errorKind]);
+    if (retryAt !== undefined) {
+      headers.push(['retry-after', String(Math.max(1, Math.ceil((retryAt - now) / 1000)))]);
+    }
+    return headers;
+  }
+}
--- a/src/application/requests/RequestHandler.ts
+++ b/src/application/requests/RequestHandler.ts
@@ -6,8 +6,9 @@
 import type Result from '../../domain/errors/Result.ts';
 import type { RouteSettings, ServiceSettings } from '../../domain/presets/Preset.ts';
 import BudgetRetryPolicy from '../../domain/requests/BudgetRetryPolicy.ts';
+import chooseSplit from '../../domain/requests/chooseSplit.ts';
 import OnceRetryPolicy from '../../domain/requests/OnceRetryPolicy.ts';
-import RetryBudget from '../../domain/requests/RetryBudget.ts';
+import type RetryBudget from '../../domain/requests/RetryBudget.ts';
 import type Clock from '../../ports/Clock.ts';
 import type Log from '../../ports/Log.ts';
 import type RandomSource from '../../ports/RandomSource.ts';
@@ -17,7 +18,12 @@
 import type ActivePreset from './ActivePreset.ts';
 import type CallerRequest from './CallerRequest.ts';
 import type { CallerAnswer } from './CallerRequest.ts';
+import OwnDialect from './OwnDialect.ts';
+import type RequestDialect from './RequestDialect.ts';
+import type { Header } from './RequestDialect.ts';
 import type RequestObserver from './RequestObserver.ts';
+import type RetryBudgetSource from './RetryBudgetSource.ts';
+import ServiceRetryBudgets from './ServiceRetryBudgets.ts';
 import type UpstreamDispatcher from './UpstreamDispatcher.ts';
 import type { DispatchEnd } from './UpstreamDispatcher.ts';
 import createDeadline from './createDeadline.ts';
@@ -35,17 +41,20 @@
   readonly dispatcher: UpstreamDispatcher;
   readonly observer: RequestObserver;
   readonly log: Log;
+  /** The project's own dialect unless set. */
+  readonly dialect?: RequestDialect;
+  /** One budget of the default size for each service unless set. */
+  readonly budgets?: RetryBudgetSource;
 }
 
 /** A request whose head was accepted. */
 export interface OpenedRequest {
   readonly route: RouteSettings;
+  readonly requestId: string;
   readonly receivedAt: number;
   readonly deadline: number;
 }
 
-type Header = readonly [string, string];
-
 // A server error tells that the upstream failed, not how much of the operation it ran before.
 function decideAnswerOutcome(status: number): Outcome {
   return status >= 500 ? 'unknown' : 'ran';
@@ -55,10 +64,14 @@
 export default class RequestHandler {
   private readonly options: RequestHandlerOptions;
 
-  private readonly budgets = new Map<string, RetryBudget>();
+  private readonly dialect: RequestDialect;
+
+  private readonly budgets: RetryBudgetSource;
 
   constructor(options: RequestHandlerOptions) {
     this.options = options;
+    this.dialect = options.dialect ?? new OwnDialect();
+    this.budgets = options.budgets ?? new ServiceRetryBudgets();
   }
 
   /** Finds the route and the deadline from the head of a request, before its body is read. */
@@ -80,10 +93,13 @@
       return fail('host_not_ready', 'this host has not confirmed the active preset yet');
     }
     const path = head.target.split('?', 1)[0] ?? head.target;
-    const route = activePreset.routeTable.findRoute(head.method, path);
-    if (!route) return fail('route_unknown', 'no route of the active preset matches');
+    const host = head.headers.find(([name]) => name === 'host')?.[1];
+    const found = activePreset.routeTable.findRoute(head.method, path, host);
+    if (!found) return fail('route_unknown', 'no route of the active preset matches');
+    const route = this.chooseService(found);
     const receivedAt = clock.now();
     const deadline = createDeadline({
+      dialect: this.dialect,
       headers: head.headers,
       now: receivedAt,
       longestMs: route.deadlineMs,
@@ -92,7 +108,8 @@
     if (deadline.value <= receivedAt) {
       return fail('deadline_passed', 'the deadline passed before the request arrived');
     }
-    return { ok: true, value: { route, receivedAt, deadline: deadline.value } };
+    const requestId = this.dialect.findRequestId(head.headers) ?? this.options.random.createId();
+    return { ok: true, value: { route, requestId, receivedAt, deadline: deadline.value } };
   }
 
   /** Answers one request. Never rejects. */
@@ -120,9 +137,9 @@
       const message = `${request.method} ${request.target}: the active preset has no service "${request.route.service}"`;
       return { answer: createFailureAnswer({ kind: 'route_unknown', message }), attempts: 0 };
     }
-    return request.route.repeat === 'never'
-      ? this.runOnce(request, service)
-      : this.runRepeatable(request, service);
+    const { repeat, key } = request.route;
+    if (repeat === 'allowed') return this.runRepeatable(request, service);
+    return key === 'none' ? this.runUnclaimed(request, service) : this.runOnce(request, service);
   }
 
   private async runRepeatable(request: CallerRequest, service: ServiceSettings) {
@@ -131,6 +148,18 @@
     return { answer: this.createAnswer(end), attempts: end.attempts };
   }
 
+  private chooseService(route: RouteSettings): RouteSettings {
+    const service = route.split && chooseSplit(route.split, this.options.random.next());
+    return service === undefined ? route : { ...route, service };
+  }
+
+  // The request is an operation of its own: this host sends it once and nobody else knows of it.
+  private async runUnclaimed(request: CallerRequest, service: ServiceSettings) {
+    const policy = new OnceRetryPolicy(this.addToBudget(request, service));
+    const end = await this.options.dispatcher.dispatchRequest(request, service, policy);
+    return { answer: this.createAnswer(end), attempts: end.attempts };
+  }
+
   private async runOnce(request: CallerRequest, service: ServiceSettings) {
     const key = this.readKey(request);
     // Without this check a caller that left would still cost a claim and its release.
@@ -205,7 +234,7 @@
   private createStoredAnswer(answer: UpstreamAnswer): StoredAnswer {
     return {
       status: answer.status,
-      headers: listEndToEndHeaders(answer.headers),
+      headers: listEndToEndHeaders(answer.headers, this.dialect.ownHeaders),
       body: Buffer.from(answer.body).toString('base64'),
     };
   }
@@ -230,7 +259,7 @@
     if (outcome.kind === 'failed') return createFailureAnswer(outcome.failure);
     return {
       status: outcome.answer.status,
-      headers: listEndToEndHeaders(outcome.answer.headers),
+      headers: listEndToEndHeaders(outcome.answer.headers, this.dialect.ownHeaders),
       body: outcome.answer.body,
       outcome: decideAnswerOutcome(outcome.answer.status),
       errorKind: undefined,
@@ -238,8 +267,7 @@
   }
 
   private addToBudget({ route }: CallerRequest, service: ServiceSettings): RetryBudget {
-    const budget = this.budgets.get(route.service) ?? new RetryBudget();
-    this.budgets.set(route.service, budget);
+    const budget = this.budgets.getBudget(route.service);
     budget.addRequest(service.retryShare);
     return budget;
   }
--- a/src/application/requests/UpstreamDispatcher.ts
+++ b/src/application/requests/UpstreamDispatcher.ts
@@ -17,6 +17,8 @@
 import describeUnsent from './describeUnsent.ts';
 import describeUpstreamFailure from './describeUpstreamFailure.ts';
 import listEndToEndHeaders from './listEndToEndHeaders.ts';
+import OwnDialect from './OwnDialect.ts';
+import type RequestDialect from './RequestDialect.ts';
 
 /** What the dispatcher needs. */
 export interface UpstreamDispatcherOptions {
@@ -28,6 +30,8 @@
   readonly observer: AnswerObserver;
   readonly loadTracker: LoadTracker;
   readonly failureDomain: string;
+  /** The project's own dialect unless set. */
+  readonly dialect?: RequestDialect;
 }
 
 /** How a request ended. */
@@ -57,8 +61,11 @@
 
   private readonly sheddingRecords = new Map<string, SheddingRecord>();
 
+  private readonly dialect: RequestDialect;
+
   constructor(options: UpstreamDispatcherOptions) {
     this.options = options;
+    this.dialect = options.dialect ?? new OwnDialect();
   }
 
   /** Never rejects. */
@@ -68,11 +75,13 @@
     policy: RetryPolicy,
   ): Promise<DispatchEnd> {
     const tried = new Set<string>();
+    const { maxAttempts: maxRuns = Infinity } = request.route;
     const unsent = describeUnsent(request, this.options.clock.now());
     if (unsent) return { ...this.failUnsent(unsent), attempts: 0 };
     let candidates = this.listUntried(request, tried);
     let chosen = this.chooseUpstream(request, candidates);
     let reported: Attempt | undefined;
+    let runs = 0;
     while (chosen) {
       tried.add(chosen.record.upstream);
       const attempt = await this.sendAttempt(request, service, {
@@ -84,8 +93,9 @@
         }),
       });
       reported = chooseReported(reported, attempt);
+      if (attempt.mayHaveRun) runs += 1;
       // Nearly every attempt ends here, before the upstreams are listed again.
-      if (!policy.isRetryable(attempt.end) || !this.mayTryAgain(request)) break;
+      if (!policy.isRetryable(attempt.end) || runs >= maxRuns || !this.mayTryAgain(request)) break;
       candidates = this.listUntried(request, tried);
       chosen = this.chooseUpstream(request, candidates);
       // The policy spends budget, so it is asked last.
@@ -138,18 +148,19 @@
   ): Promise<Attempt> {
     const { clock, random, upstreamClient, pool, observer, loadTracker } = this.options;
     const { record } = chosen;
-    const requestId = random.createId();
+    const attemptId = random.createId();
     const startedAt = clock.now();
     const names = { service: record.service, upstream: record.upstream };
-    observer.recordStart({ ...names, requestId, startedAt });
+    observer.recordStart({ ...names, requestId: attemptId, startedAt });
     loadTracker.recordStart(record.service, record.upstream);
     const result = await upstreamClient.sendRequest({
       address: record.address,
       method: request.method,
       path: request.target,
-      headers: listEndToEndHeaders(request.headers),
+      headers: listEndToEndHeaders(request.headers, this.dialect.ownHeaders),
       body: request.body,
-      requestId,
+      requestId: this.dialect.findRequestId(request.headers) ?? attemptId,
+      upstream: record.upstream,
       deadline,
       maxAnswerBytes: request.route.maxAnswerBytes,
       echoRequestId: service.echoRequestId,
@@ -159,9 +170,12 @@
     });
     const endedAt = clock.now();
     const unsent = describeUnsent(request, clock.now());
-    const { end, answerClass, reportedLoad } = decideAttempt(result, unsent !== undefined);
+    const { end, answerClass, reportedLoad } = decideAttempt(result, {
+      isOver: unsent !== undefined,
+      dialect: this.dialect,
+    });
     loadTracker.recordEnd({ ...names, reportedLoad, now: endedAt });
-    observer.recordEnd(requestId, { ...names, answerClass, startedAt, endedAt, reportedLoad });
+    observer.recordEnd(attemptId, { ...names, answerClass, startedAt, endedAt, reportedLoad });
     if (result.kind === 'answered') {
       const sheddingRecord = this.getSheddingRecord(record.service);
       sheddingRecord.recordAnswer(record.upstream, answerClass === 'shed', endedAt);
--- a/src/application/requests/decideAttempt.ts
+++ b/src/application/requests/decideAttempt.ts
@@ -1,7 +1,7 @@
 import type { AnswerClass } from '../../domain/requests/AnswerObservation.ts';
 import type { UpstreamEnd } from '../../domain/requests/UpstreamEnd.ts';
 import type { NotSentReason, SentFailure, UpstreamResult } from '../../ports/UpstreamClient.ts';
-import readAnswerSignals from './readAnswerSignals.ts';
+import type RequestDialect from './RequestDialect.ts';
 
 const answerClasses: Readonly<Record<NotSentReason | SentFailure, AnswerClass>> = {
   timed_out: 'timed_out',
@@ -24,15 +24,20 @@
 }
 
 /** Decides what the result of an attempt means. `isOver`: the caller or its deadline is gone. */
-export default function decideAttempt(result: UpstreamResult, isOver: boolean): AttemptDecision {
+export default function decideAttempt(
+  result: UpstreamResult,
+  { isOver, dialect }: { readonly isOver: boolean; readonly dialect: RequestDialect },
+): AttemptDecision {
   if (result.kind === 'answered') {
-    const { hasNotRun, isShed, reportedLoad } = readAnswerSignals(result.answer);
+    const signals = dialect.readAnswerSignals(result.answer);
+    const { hasNotRun, isShed, reportedLoad } = signals;
     const isFaulty = result.answer.status >= 500;
     const answerEnd = isFaulty ? 'faulty_answer' : 'good_answer';
     const ownClass = isFaulty ? 'failed' : 'good';
+    const refusedClass = signals.isOtherUpstream ? 'misplaced' : 'shed';
     return {
       end: hasNotRun ? 'not_run' : answerEnd,
-      answerClass: isShed ? 'shed' : ownClass,
+      answerClass: isShed || signals.isOtherUpstream ? refusedClass : ownClass,
       reportedLoad,
     };
   }
--- a/src/domain/detection/EvidenceCollector.ts
+++ b/src/domain/detection/EvidenceCollector.ts
@@ -31,6 +31,7 @@
   timed_out: 'failed',
   unreachable: 'failed',
   shed: 'none',
+  misplaced: 'none',
   cancelled: 'none',
 };
 
--- a/src/domain/presets/Preset.ts
+++ b/src/domain/presets/Preset.ts
@@ -4,8 +4,28 @@
 /** Whether an operation may be sent again after it may have run. */
 export type RepeatRule = 'allowed' | 'never';
 
-/** Whether a caller must bring its own idempotency key on a route with `repeat: never`. */
-export type KeyRule = 'required' | 'generated';
+/**
+ * Where the identity of an operation comes from on a route with `repeat: never`. `none`: each
+ * request is an operation of its own, so that nothing is claimed for it.
+ */
+export type KeyRule = 'required' | 'generated' | 'none';
+
+/** A service that gets a part of the requests of a route. */
+export interface SplitPart {
+  readonly service: string;
+  /** Relative to the weights of the other parts; 0 gets nothing. */
+  readonly weight: number;
+}
+
+/** What a caller may send and how long it may take. */
+export interface CallerLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+  /** Longest time for the headers of a request, in milliseconds. */
+  readonly headersTimeoutMs: number;
+  /** Longest time without a request on an open connection, in milliseconds. */
+  readonly idleTimeoutMs: number;
+}
 
 /** Settings of one service. */
 export interface ServiceSettings {
@@ -39,6 +59,16 @@
   readonly deadlineMs: number;
   readonly maxBodyBytes: number;
   readonly maxAnswerBytes: number;
+  /** `Host` that the route serves, in lower case without a port; any host when undefined. */
+  readonly host?: string | undefined;
+  /** Parts of the requests by service; all go to `service` when undefined. */
+  readonly split?: readonly SplitPart[] | undefined;
+  /** Most upstreams that may run one request; as many as the retry budget allows when undefined. */
+  readonly maxAttempts?: number | undefined;
+  /** Time for an answer of full value, in milliseconds. */
+  readonly objectiveMs?: number | undefined;
+  /** Rank when room is short, 0 is the highest; equal when undefined. */
+  readonly priority?: number | undefined;
 }
 
 /** One named configuration of the whole fleet. */
@@ -46,4 +76,6 @@
   readonly fleet: { readonly entryHosts: number };
   readonly services: Readonly<Record<string, ServiceSettings>>;
   readonly routes: readonly RouteSettings[];
+  /** The front end's own limits apply when undefined. */
+  readonly limits?: CallerLimits | undefined;
 }
--- a/src/domain/replication/Leadership.ts
+++ b/src/domain/replication/Leadership.ts
@@ -96,6 +96,16 @@
       .map(([host, { replicaId }]) => ({ host, replicaId }));
   }
 
+  /** Voters that have not answered a message that was sent at the instant or later. */
+  listSilent({ voters }: ReplicaConfiguration, since: number): readonly Member[] {
+    return voters.filter(({ replicaId, host }) => {
+      if (replicaId === this.ownId) return false;
+      const progress = this.progress.get(host);
+      const isSame = progress?.replicaId === replicaId;
+      return (isSame ? progress.contactAt : this.startedAt) < since;
+    });
+  }
+
   private computeValue(
     configuration: ReplicaConfiguration,
     own: number,
--- a/src/domain/requests/AnswerObservation.ts
+++ b/src/domain/requests/AnswerObservation.ts
@@ -7,6 +7,8 @@
   | 'timed_out'
   | 'unreachable'
   | 'shed'
+  /** The address belongs to another upstream now. */
+  | 'misplaced'
   | 'cancelled';
 
 /** One finished request to one upstream. */
--- a/src/domain/requests/RetryBudget.ts
+++ b/src/domain/requests/RetryBudget.ts
@@ -1,13 +1,21 @@
 // Lets a service with little traffic retry at all, and bounds the burst after a quiet time.
-const mostTokens = 10;
+const defaultMostTokens = 10;
 
 /** Bounds the retries of a service to a share of its original requests. */
 export default class RetryBudget {
-  private tokens = mostTokens;
+  private readonly mostTokens: number;
+
+  private tokens: number;
+
+  /** `mostTokens`: retries that a host may make at once, 10 unless set. */
+  constructor({ mostTokens = defaultMostTokens }: { readonly mostTokens?: number } = {}) {
+    this.mostTokens = mostTokens;
+    this.tokens = mostTokens;
+  }
 
   /** Adds the share of a retry that one original request pays for. */
   addRequest(retryShare: number): void {
-    this.tokens = Math.min(mostTokens, this.tokens + retryShare);
+    this.tokens = Math.min(this.mostTokens, this.tokens + retryShare);
   }
 
   /** Whether a retry would be allowed now. */
--- a/src/ports/RouteTable.ts
+++ b/src/ports/RouteTable.ts
@@ -2,8 +2,8 @@
 
 /** Finds the route of a request. */
 export default interface RouteTable {
-  /** Path without query; undefined when no route matches. */
-  findRoute(method: string, path: string): RouteSettings | undefined;
+  /** Path without query; undefined when no route matches. `host` as the caller named it. */
+  findRoute(method: string, path: string, host?: string): RouteSettings | undefined;
 }
 
 /** Builds the route table of a preset. */
--- a/src/ports/UpstreamClient.ts
+++ b/src/ports/UpstreamClient.ts
@@ -7,6 +7,8 @@
   readonly headers: readonly (readonly [string, string])[];
   readonly body: Uint8Array;
   readonly requestId: string;
+  /** Name of the upstream that is meant; undefined where any at the address will do. */
+  readonly upstream?: string;
   readonly deadline: number;
   readonly maxAnswerBytes: number;
   /** Whether the answer must repeat the request id. */
--- a/tests/replication/commit.test.ts
+++ b/tests/replication/commit.test.ts
@@ -73,12 +73,14 @@
   it('should remove the old replica of a host before it adds the new one', () => {
     const learner = { host: 'c', replicaId: 'new id' };
 
-    const first = chooseMembershipChange({ voters: members }, [learner]);
-    const second = chooseMembershipChange(first ?? { voters: [] }, [learner]);
+    const first = chooseMembershipChange({ voters: members }, { caughtUp: [learner] });
+    const second = chooseMembershipChange(first ?? { voters: [] }, { caughtUp: [learner] });
 
     expect(first?.voters).toEqual(members.slice(0, 2));
     expect(second?.voters).toEqual([...members.slice(0, 2), learner]);
-    expect(chooseMembershipChange(second ?? { voters: [] }, [learner])).toBeUndefined();
+    expect(
+      chooseMembershipChange(second ?? { voters: [] }, { caughtUp: [learner] }),
+    ).toBeUndefined();
   });
 
   // Guards against two leaders in one term.
