--- a/eslint.config.js
+++ b/eslint.config.js
@@ -123,8 +123,15 @@
   })),
 );
 
+// The platform's names stay in platform/, so nothing of the product may import it.
+layerZones.push({
+  target: './src',
+  from: './platform',
+  message: 'src must not import platform; see docs/platform.md.',
+});
+
 export default [
-  { ignores: ['dist/**', 'coverage/**'] },
+  { ignores: ['dist/**', 'target/**', 'coverage/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -167,7 +174,7 @@
     },
   },
   {
-    files: ['src/**/*.ts'],
+    files: ['src/**/*.ts', 'platform/**/*.ts'],
     rules: {
       '@typescript-eslint/naming-convention': [
         'error',
@@ -191,6 +198,7 @@
       'src/adapters/**/*.ts',
       'src/daemon/**/*.ts',
       'src/cli/**/*.ts',
+      'platform/**/*.ts',
       'tests/**/*.ts',
       'bench/**/*.ts',
       'examples/**/*.ts',
@@ -207,7 +215,13 @@
     },
   },
   {
-    files: ['src/cli/**/*.ts', 'src/daemon/**/*.ts', 'bench/**/*.ts', 'examples/**/*.ts'],
+    files: [
+      'src/cli/**/*.ts',
+      'src/daemon/**/*.ts',
+      'platform/**/*.ts',
+      'bench/**/*.ts',
+      'examples/**/*.ts',
+    ],
     rules: { 'n/no-process-exit': 'off' },
   },
 ];
--- a/src/adapters/metrics/PrometheusMetrics.ts
+++ b/src/adapters/metrics/PrometheusMetrics.ts
@@ -24,9 +24,13 @@
 
   private readonly durations: Histogram<'service'>;
 
-  constructor(gauges: readonly GaugeSource[]) {
+  /** `hasProcessMetrics`: whether metrics of Node.js are kept, which wakes the process often. */
+  constructor(
+    gauges: readonly GaugeSource[],
+    { hasProcessMetrics = true }: { readonly hasProcessMetrics?: boolean } = {},
+  ) {
     const registers = [this.registry];
-    collectDefaultMetrics({ register: this.registry });
+    if (hasProcessMetrics) collectDefaultMetrics({ register: this.registry });
     this.requests = new Counter({
       name: 'pistachiohoist_requests_total',
       help: 'Requests of callers by service, status and error kind.',
--- /dev/null
+++ b/src/adapters/trpc/TrpcFleetLink.ts
@@ -0,0 +1,64 @@
+import type { z } from 'zod';
+
+import type ControlCommand from '../../domain/control/ControlCommand.ts';
+import type { ControlReply } from '../../domain/control/ControlCommand.ts';
+import type Result from '../../domain/errors/Result.ts';
+import type { ControlHostInfo } from '../../domain/fleet/FleetHosts.ts';
+import type Clock from '../../ports/Clock.ts';
+import type FleetLink from '../../ports/FleetLink.ts';
+import type { FeedAnswer, FeedRequest } from '../../ports/FleetLink.ts';
+import { feedAnswerSchema, meetAnswerSchema, proposeAnswerSchema } from './fleetMessages.ts';
+import type { SharedPeerConnection } from './TrpcPeerDialer.ts';
+
+/** The fleet's calls at a control host over the connection to it. */
+export default class TrpcFleetLink implements FleetLink {
+  private readonly shared: SharedPeerConnection;
+
+  private readonly clock: Clock;
+
+  private readonly closed = new AbortController();
+
+  constructor(shared: SharedPeerConnection, clock: Clock) {
+    this.shared = shared;
+    this.clock = clock;
+  }
+
+  exchangeHosts(
+    known: readonly ControlHostInfo[],
+    deadline: number,
+  ): Promise<Result<readonly ControlHostInfo[]>> {
+    return this.request('fleet.meet', known, meetAnswerSchema, deadline);
+  }
+
+  proposeCommand(command: ControlCommand, deadline: number): Promise<Result<ControlReply>> {
+    // Hosts' clocks differ, so the message says what is left.
+    const leftMs = Math.max(0, deadline - this.clock.now());
+    return this.request('fleet.propose', { command, leftMs }, proposeAnswerSchema, deadline);
+  }
+
+  followFeed(request: FeedRequest, deadline: number): Promise<Result<FeedAnswer>> {
+    return this.request('fleet.follow', request, feedAnswerSchema, deadline);
+  }
+
+  close(): void {
+    this.closed.abort('closed');
+    this.shared.release();
+  }
+
+  private async request<Value>(
+    path: string,
+    input: unknown,
+    output: z.ZodType<Result<Value>>,
+    deadline: number,
+  ): Promise<Result<Value>> {
+    const { signal } = this.closed;
+    const answer = await this.shared.connection.requestPeer({
+      path,
+      input,
+      output,
+      deadline,
+      signal,
+    });
+    return answer.ok ? answer.value : answer;
+  }
+}
--- a/src/adapters/trpc/TrpcPeerConnection.ts
+++ b/src/adapters/trpc/TrpcPeerConnection.ts
@@ -19,6 +19,12 @@
   readonly peerKey: string;
   readonly ownHost: string;
   readonly clock: Clock;
+  /**
+   * When set, the connection opens with its first call, closes after this time without one, in
+   * milliseconds, and is replaced when a call gets no answer in time. Otherwise it stays open and
+   * pings show whether it works.
+   */
+  readonly idleCloseMs?: number | undefined;
 }
 
 /** One call of a peer's procedure. */
@@ -37,12 +43,23 @@
 export default class TrpcPeerConnection {
   private readonly options: TrpcPeerConnectionOptions;
 
-  private readonly socket: TRPCWebSocketClient;
+  private socket: TRPCWebSocketClient;
 
-  private readonly client: TRPCUntypedClient<AnyTRPCRouter>;
+  private client: TRPCUntypedClient<AnyTRPCRouter>;
+
+  /** When the newest call that was answered had been sent. */
+  private answeredFrom = -Infinity;
+
+  private isClosed = false;
 
   constructor(options: TrpcPeerConnectionOptions) {
     this.options = options;
+    this.socket = this.openSocket();
+    this.client = createTRPCUntypedClient({ links: [wsLink({ client: this.socket })] });
+  }
+
+  private openSocket(): TRPCWebSocketClient {
+    const { options } = this;
     const headers = {
       authorization: `Bearer ${options.peerKey}`,
       'pistachiohoist-host': options.ownHost,
@@ -52,13 +69,14 @@
         super(url, { headers, maxPayload: maxPeerMessageBytes });
       }
     }
-    this.socket = createWSClient({
+    return createWSClient({
       url: `ws://${options.address}`,
       WebSocket: PeerSocket as unknown as typeof globalThis.WebSocket,
       retryDelayMs: (attempt) => Math.min(longestReconnectDelayMs, 50 * 2 ** attempt),
-      keepAlive: { enabled: true, intervalMs: pingIntervalMs, pongTimeoutMs },
+      ...(options.idleCloseMs === undefined
+        ? { keepAlive: { enabled: true, intervalMs: pingIntervalMs, pongTimeoutMs } }
+        : { lazy: { enabled: true, closeMs: options.idleCloseMs } }),
     });
-    this.client = createTRPCUntypedClient({ links: [wsLink({ client: this.socket })] });
   }
 
   /** Calls a procedure; `peer_unreachable` when no valid answer came by the deadline. */
@@ -68,6 +86,7 @@
       ok: false,
       failure: { kind: 'peer_unreachable', message: `${call.path} at ${address}: ${detail}` },
     });
+    const sentAt = clock.now();
     const overdue = new AbortController();
     const answered = new AbortController();
     const onAbort = (): void => overdue.abort('the call was ended');
@@ -79,10 +98,12 @@
     });
     try {
       const answer = await this.client.mutation(call.path, call.input, { signal: overdue.signal });
+      this.answeredFrom = Math.max(this.answeredFrom, sentAt);
       const parsed = call.output.safeParse(answer);
       return parsed.success ? { ok: true, value: parsed.data } : fail('the answer is malformed');
     } catch (error) {
       if (call.signal?.aborted) return fail('the call was ended');
+      if (overdue.signal.aborted) this.resetSilent(sentAt);
       return fail(overdue.signal.aborted ? 'no answer by the deadline' : (error as Error).message);
     } finally {
       call.signal?.removeEventListener('abort', onAbort);
@@ -91,8 +112,21 @@
     }
   }
 
+  // A connection can go silent for good without a reset while new ones work. One that answered a
+  // later call is slow, not silent.
+  private resetSilent(sentAt: number): void {
+    if (this.isClosed || this.options.idleCloseMs === undefined) return;
+    if (this.answeredFrom >= sentAt) return;
+    this.answeredFrom = this.options.clock.now();
+    const silent = this.socket;
+    this.socket = this.openSocket();
+    this.client = createTRPCUntypedClient({ links: [wsLink({ client: this.socket })] });
+    silent.close().catch(() => undefined);
+  }
+
   /** Ends the connection; later calls fail. */
   close(): void {
+    this.isClosed = true;
     this.socket.close().catch(() => undefined);
   }
 }
--- a/src/adapters/trpc/TrpcPeerDialer.ts
+++ b/src/adapters/trpc/TrpcPeerDialer.ts
@@ -14,6 +14,8 @@
   readonly peerKey: string;
   readonly ownHost: string;
   readonly clock: Clock;
+  /** See `TrpcPeerConnectionOptions`. */
+  readonly idleCloseMs?: number;
 }
 
 interface OpenConnection {
--- a/src/adapters/trpc/controlMessages.ts
+++ b/src/adapters/trpc/controlMessages.ts
@@ -8,6 +8,7 @@
 import FailureError from '../../domain/errors/FailureError.ts';
 import { claimChangeSchema, storedAnswerSchema } from './claimMessages.ts';
 import { createOptionalSchema, createResultSchema, winnerSchema } from './failureSchema.ts';
+import { numberedPresetSchema, registeredSchema, registrationSchema } from './registryMessages.ts';
 import presetSchema, { earlierSizeSchema } from './presetSchema.ts';
 
 const presetChange = {
@@ -22,6 +23,22 @@
   z.object({ kind: z.literal('put_preset'), preset: presetSchema, ...presetChange }),
   z.object({ kind: z.literal('use_preset'), ...presetChange }),
   z.object({ kind: z.literal('change_claims'), changes: z.array(claimChangeSchema) }),
+  z.object({
+    kind: z.literal('put_numbered_preset'),
+    number: z.number(),
+    document: z.string(),
+  }),
+  z.object({
+    kind: z.literal('register_upstream'),
+    registration: registrationSchema,
+    keeper: z.string(),
+  }),
+  z.object({
+    kind: z.literal('remove_upstream'),
+    upstream: z.string(),
+    bornAt: z.int(),
+    state: z.enum(['gone', 'silent']),
+  }),
 ]);
 
 /** The revision of an accepted change in a message. */
@@ -48,6 +65,10 @@
       }),
     ),
   }),
+  numberedPreset: createOptionalSchema(numberedPresetSchema),
+  registry: createOptionalSchema(
+    z.object({ records: z.array(registeredSchema), oldestKnownChange: z.int() }),
+  ),
   presets: z.object({
     presets: z.array(z.object({ ...winnerSchema.shape, name: z.string(), preset: presetSchema })),
     selection: createOptionalSchema(z.object({ ...winnerSchema.shape, name: z.string() })),
--- /dev/null
+++ b/src/adapters/trpc/createFleetRouter.ts
@@ -0,0 +1,54 @@
+import { z } from 'zod';
+
+import type FeedService from '../../application/fleet/FeedService.ts';
+import type HostMeeting from '../../application/fleet/HostMeeting.ts';
+import type CommandLog from '../../application/replication/CommandLog.ts';
+import type ControlCommand from '../../domain/control/ControlCommand.ts';
+import type { ControlReply } from '../../domain/control/ControlCommand.ts';
+import type Result from '../../domain/errors/Result.ts';
+import type { ControlHostInfo } from '../../domain/fleet/FleetHosts.ts';
+import type Clock from '../../ports/Clock.ts';
+import type { FeedAnswer } from '../../ports/FleetLink.ts';
+import { controlCommandSchema } from './controlMessages.ts';
+import { controlHostsSchema, feedRequestSchema } from './fleetMessages.ts';
+import parseInput from './parseInput.ts';
+import { procedure, router } from './trpcBase.ts';
+
+const longestProposalMs = 10_000;
+
+const proposalSchema = z.object({
+  command: controlCommandSchema,
+  leftMs: z.number().min(0).max(longestProposalMs),
+});
+
+/** What the procedures call. */
+export interface FleetRouterOptions {
+  readonly clock: Clock;
+  readonly feed: FeedService;
+  readonly meeting: HostMeeting;
+  readonly log: CommandLog<ControlCommand, ControlReply>;
+}
+
+/** The procedures `fleet.*` of a control host that is found through seeds. */
+export default function createFleetRouter({ clock, feed, meeting, log }: FleetRouterOptions) {
+  const inputProcedure = procedure.input((input: unknown) => input);
+  return router({
+    meet: inputProcedure.mutation(
+      async ({ input }): Promise<Result<readonly ControlHostInfo[]>> => {
+        const parsed = parseInput('fleet.meet', controlHostsSchema, input);
+        if (!parsed.ok) return parsed;
+        meeting.addHosts(parsed.value);
+        return { ok: true, value: meeting.listHosts() };
+      },
+    ),
+    propose: inputProcedure.mutation(async ({ input }): Promise<Result<ControlReply>> => {
+      const parsed = parseInput('fleet.propose', proposalSchema, input);
+      if (!parsed.ok) return parsed;
+      return log.proposeCommand(parsed.value.command, clock.now() + parsed.value.leftMs);
+    }),
+    follow: inputProcedure.mutation(async ({ input }): Promise<Result<FeedAnswer>> => {
+      const parsed = parseInput('fleet.follow', feedRequestSchema, input);
+      return parsed.ok ? { ok: true, value: await feed.answerFeed(parsed.value) } : parsed;
+    }),
+  });
+}
--- /dev/null
+++ b/src/adapters/trpc/registryMessages.ts
@@ -0,0 +1,36 @@
+import { z } from 'zod';
+
+import type RegisteredUpstream from '../../domain/membership/RegisteredUpstream.ts';
+import type { Registration } from '../../domain/membership/RegisteredUpstream.ts';
+import type NumberedPreset from '../../domain/presets/NumberedPreset.ts';
+
+const announced = {
+  upstream: z.string(),
+  service: z.string(),
+  address: z.string(),
+  failureDomain: z.string(),
+  slots: z.int(),
+  bornAt: z.int(),
+  sequence: z.int(),
+  warmMs: z.number(),
+};
+
+/** What an upstream announced. */
+export const registrationSchema: z.ZodType<Registration> = z.object({
+  ...announced,
+  state: z.enum(['serving', 'leaving']),
+});
+
+/** A registered upstream. */
+export const registeredSchema: z.ZodType<RegisteredUpstream> = z.object({
+  ...announced,
+  state: z.enum(['serving', 'leaving', 'silent', 'gone']),
+  keeper: z.string(),
+  changedAt: z.int(),
+});
+
+/** A preset with the operators' number. */
+export const numberedPresetSchema: z.ZodType<NumberedPreset> = z.object({
+  number: z.number(),
+  document: z.string(),
+});
--- /dev/null
+++ b/src/adapters/udp/UdpDatagramSocket.ts
@@ -0,0 +1,115 @@
+import { createHmac, timingSafeEqual } from 'node:crypto';
+import { createSocket } from 'node:dgram';
+import type { Socket } from 'node:dgram';
+
+import FailureError from '../../domain/errors/FailureError.ts';
+import type { ListenAddress } from '../../domain/settings/DaemonSettings.ts';
+import type DatagramSocket from '../../ports/DatagramSocket.ts';
+import type Log from '../../ports/Log.ts';
+
+// Enough against forged datagrams of the kind that only delay: 2^64 tries.
+const sealBytes = 8;
+// Fits into one packet of common networks.
+const mostBytes = 1400;
+
+/** What the socket needs. */
+export interface UdpDatagramSocketOptions {
+  readonly address: ListenAddress;
+  /** Shared by all hosts of the fleet. */
+  readonly peerKey: string;
+  readonly log: Log;
+}
+
+/** Datagrams of JSON, sealed with the key of the fleet. */
+export default class UdpDatagramSocket implements DatagramSocket {
+  private readonly options: UdpDatagramSocketOptions;
+
+  private readonly socket: Socket;
+
+  private refused = 0;
+
+  private unsent = 0;
+
+  private constructor(options: UdpDatagramSocketOptions) {
+    this.options = options;
+    this.socket = createSocket('udp4');
+  }
+
+  /** Opens the socket; rejects with `address_in_use`. */
+  static openSocket(options: UdpDatagramSocketOptions): Promise<UdpDatagramSocket> {
+    const { ip, port } = options.address;
+    const datagrams = new UdpDatagramSocket(options);
+    const { socket } = datagrams;
+    return new Promise((resolve, reject) => {
+      socket.once('error', (error) => {
+        const message = `key listen.peers: value "${ip}:${port}" (UDP): ${error.message}: expected a free address of this host`;
+        reject(new FailureError({ kind: 'address_in_use', message }));
+      });
+      socket.bind(port, ip, () => {
+        socket.removeAllListeners('error');
+        socket.on('error', (error) => {
+          options.log.warn('peers: the datagram socket failed', { error: error.message });
+        });
+        resolve(datagrams);
+      });
+    });
+  }
+
+  /** Datagrams that were not taken because they are damaged or lack the key. */
+  get refusedCount(): number {
+    return this.refused;
+  }
+
+  /** Datagrams that were too large or that the system refused to send. */
+  get unsentCount(): number {
+    return this.unsent;
+  }
+
+  sendDatagram(content: unknown, address: string): void {
+    const text = Buffer.from(JSON.stringify(content));
+    const bytes = Buffer.concat([this.createSeal(text), text]);
+    if (bytes.byteLength > mostBytes) {
+      this.unsent += 1;
+      return;
+    }
+    const separator = address.lastIndexOf(':');
+    this.socket.send(
+      bytes,
+      Number(address.slice(separator + 1)),
+      address.slice(0, separator),
+      (error) => {
+        if (error) this.unsent += 1;
+      },
+    );
+  }
+
+  onDatagram(receive: (content: unknown) => void): void {
+    this.socket.on('message', (bytes) => {
+      const content = this.openContent(bytes);
+      if (content === undefined) this.refused += 1;
+      else receive(content);
+    });
+  }
+
+  close(): void {
+    this.socket.close();
+  }
+
+  private createSeal(text: Uint8Array): Buffer {
+    return createHmac('sha256', this.options.peerKey).update(text).digest().subarray(0, sealBytes);
+  }
+
+  private openContent(bytes: Buffer): unknown {
+    const text = bytes.subarray(sealBytes);
+    const seal = bytes.subarray(0, sealBytes);
+    if (seal.byteLength < sealBytes || !timingSafeEqual(seal, this.createSeal(text))) {
+      return undefined;
+    }
+    try {
+      return JSON.parse(text.toString()) as unknown;
+    } catch {
+      // Counted by the caller: a host with the key sent what is no JSON.
+      return undefined;
+    }
+  }
+}
--- a/src/adapters/winston/WinstonLog.ts
+++ b/src/adapters/winston/WinstonLog.ts
@@ -1,36 +1,91 @@
 import winston from 'winston';
 
+import type Clock from '../../ports/Clock.ts';
 import type Log from '../../ports/Log.ts';
 import type { LogFields } from '../../ports/Log.ts';
+import LineStream from './LineStream.ts';
 
-/** Writes one JSON line per message to standard error. */
+// 400 lines of some 300 bytes are 120 KB/s, little for a disk and for a reader.
+const defaultLinesPerSecond = 400;
+const windowMs = 1000;
+
+type Level = 'error' | 'warn' | 'info' | 'debug';
+
+/** What the log needs. */
+export interface WinstonLogOptions {
+  readonly host: string;
+  readonly level: string;
+  readonly clock: Clock;
+  /** Most lines in a second; further ones are counted and reported. Errors always pass. */
+  readonly linesPerSecond?: number;
+  readonly lines?: LineStream;
+}
+
+/** Writes one JSON line per message to standard output, bounded and without blocking. */
 export default class WinstonLog implements Log {
   private readonly logger: winston.Logger;
 
-  constructor(options: { readonly host: string; readonly level: string }) {
+  private readonly lines: LineStream;
+
+  private readonly options: WinstonLogOptions;
+
+  private windowEndsAt = -Infinity;
+
+  private written = 0;
+
+  private dropped = 0;
+
+  constructor(options: WinstonLogOptions) {
+    this.options = options;
+    this.lines = options.lines ?? new LineStream();
     this.logger = winston.createLogger({
       level: options.level,
       defaultMeta: { host: options.host },
       format: winston.format.combine(winston.format.timestamp(), winston.format.json()),
-      transports: [
-        new winston.transports.Console({ stderrLevels: ['error', 'warn', 'info', 'debug'] }),
-      ],
+      transports: [new winston.transports.Stream({ stream: this.lines.stream })],
     });
   }
 
   debug(message: string, fields: LogFields = {}): void {
-    this.logger.debug(message, fields);
+    this.writeLine('debug', message, fields);
   }
 
   info(message: string, fields: LogFields = {}): void {
-    this.logger.info(message, fields);
+    this.writeLine('info', message, fields);
   }
 
   warn(message: string, fields: LogFields = {}): void {
-    this.logger.warn(message, fields);
+    this.writeLine('warn', message, fields);
   }
 
   error(message: string, fields: LogFields = {}): void {
-    this.logger.error(message, fields);
+    this.writeLine('error', message, fields);
+  }
+
+  /** Resolves when every line was handed to the operating system; later lines are lost. */
+  endLog(): Promise<void> {
+    return this.lines.endOutput();
+  }
+
+  private writeLine(level: Level, message: string, fields: LogFields): void {
+    if (!this.logger.isLevelEnabled(level)) return;
+    this.startWindow();
+    const { linesPerSecond = defaultLinesPerSecond } = this.options;
+    if (this.written >= linesPerSecond && level !== 'error') {
+      this.dropped += 1;
+      return;
+    }
+    this.written += 1;
+    this.logger.log(level, message, fields);
+  }
+
+  private startWindow(): void {
+    const now = this.options.clock.now();
+    if (now < this.windowEndsAt) return;
+    this.windowEndsAt = now + windowMs;
+    this.written = 0;
+    const dropped = this.dropped + this.lines.takeDropped();
+    this.dropped = 0;
+    if (dropped > 0) this.logger.log('warn', 'log: lines were dropped', { dropped });
   }
 }
--- /dev/null
+++ b/src/adapters/yaml/parseFleetSettings.ts
@@ -0,0 +1,109 @@
+import { z } from 'zod';
+
+import type Result from '../../domain/errors/Result.ts';
+import type FleetSettings from '../../domain/settings/FleetSettings.ts';
+import durationSchema from './durationSchema.ts';
+import listenAddressSchema from './listenAddressSchema.ts';
+import nameSchema from './nameSchema.ts';
+import parseYaml from './parseYaml.ts';
+
+const expectedKey = 'expected a text of at least 16 characters';
+
+const common = {
+  host: nameSchema,
+  failure_domain: nameSchema,
+  failure_domains: z.record(nameSchema, nameSchema, 'expected the region of each failure domain'),
+  seeds: z.array(listenAddressSchema, 'expected a list of addresses'),
+  peer_key: z.string(expectedKey).min(16, expectedKey),
+  log_level: z
+    .enum(['error', 'warn', 'info', 'debug'], 'expected one of error, warn, info, debug')
+    .default('info'),
+};
+
+const priceExpected = 'expected a number from 0 to 100';
+
+const entrySchema = z.strictObject({
+  ...common,
+  role: z.literal('entry'),
+  listen: z.strictObject({
+    callers: listenAddressSchema,
+    platform: listenAddressSchema,
+    peers: listenAddressSchema,
+    metrics: listenAddressSchema,
+  }),
+  retries: z.strictObject({
+    share: z.number('expected a number from 0 to 1').min(0).max(1),
+    extra: z.number('expected a number from 0').min(0),
+  }),
+  stop_grace: durationSchema.default(2200),
+  other_domain_price: z.number(priceExpected).min(0, priceExpected).max(100, priceExpected),
+  suspicion: durationSchema.default(9000),
+});
+
+const controlSchema = z.strictObject({
+  ...common,
+  role: z.literal('control'),
+  listen: z.strictObject({
+    operators: listenAddressSchema,
+    peers: listenAddressSchema,
+    metrics: listenAddressSchema,
+  }),
+  data_folder: z.string('expected the path of a folder').min(1, 'expected the path of a folder'),
+  forms_group: z.boolean('expected true or false').default(false),
+  lost_hosts: z
+    .int('expected a whole number from 0 to 10')
+    .min(0, 'expected a whole number from 0 to 10')
+    .max(10, 'expected a whole number from 0 to 10')
+    .default(1),
+  upstream_silence: durationSchema.default(30_000),
+});
+
+const settingsSchema = z.discriminatedUnion('role', [entrySchema, controlSchema], {
+  error: 'expected one of entry, control',
+});
+
+/** Reads and checks the settings of a daemon of a fleet that is found through seeds. */
+export default function parseFleetSettings(name: string, text: string): Result<FleetSettings> {
+  const parsed = parseYaml({
+    name,
+    text,
+    schema: settingsSchema,
+    failureKind: 'settings_invalid',
+  });
+  if (!parsed.ok) return parsed;
+  const settings = parsed.value;
+  const shared = {
+    host: settings.host,
+    failureDomain: settings.failure_domain,
+    failureDomains: Object.keys(settings.failure_domains),
+    seeds: settings.seeds,
+    peerKey: settings.peer_key,
+    logLevel: settings.log_level,
+  };
+  if (settings.role === 'entry') {
+    return {
+      ok: true,
+      value: {
+        ...shared,
+        role: settings.role,
+        listen: settings.listen,
+        retries: settings.retries,
+        stopGraceMs: settings.stop_grace,
+        otherDomainPrice: settings.other_domain_price,
+        suspicionMs: settings.suspicion,
+      },
+    };
+  }
+  return {
+    ok: true,
+    value: {
+      ...shared,
+      role: settings.role,
+      listen: settings.listen,
+      dataFolder: settings.data_folder,
+      formsGroup: settings.forms_group,
+      lostHosts: settings.lost_hosts,
+      upstreamSilenceMs: settings.upstream_silence,
+    },
+  };
+}
--- /dev/null
+++ b/src/application/fleet/DomainExchange.ts
@@ -0,0 +1,140 @@
+import type { Suspicion } from '../../domain/detection/SuspicionBook.ts';
+import type SuspicionBook from '../../domain/detection/SuspicionBook.ts';
+import type Clock from '../../ports/Clock.ts';
+import type DatagramSocket from '../../ports/DatagramSocket.ts';
+import type Log from '../../ports/Log.ts';
+import Wakeup from '../tasks/Wakeup.ts';
+import checkDomainMessage from './checkDomainMessage.ts';
+
+// Starts and ends of requests within this time travel together; suspicions don't wait.
+const gatherMs = 20;
+// Repeats what a lost datagram said while requests are open.
+const repeatMs = 1000;
+// A host that was not heard for this long has no open requests as far as others know.
+const forgetMs = 2500;
+
+/** What the exchange needs. */
+export interface DomainExchangeOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly socket: DatagramSocket;
+  readonly ownAddress: string;
+  /** Addresses of the other entry hosts of the failure domain. */
+  readonly listPeers: () => readonly string[];
+  /** Address of the control host that passes suspicions on to other failure domains. */
+  readonly findRelay: () => string | undefined;
+  readonly suspicions: SuspicionBook;
+}
+
+interface PeerFlight {
+  readonly counts: Readonly<Record<string, number>>;
+  readonly until: number;
+}
+
+/**
+ * What the entry hosts of one failure domain tell each other: their open requests and bad signs of
+ * upstreams. It needs no control host.
+ */
+export default class DomainExchange {
+  private readonly options: DomainExchangeOptions;
+
+  private readonly own = new Map<string, number>();
+
+  private readonly peers = new Map<string, PeerFlight>();
+
+  private readonly waiting: Suspicion[] = [];
+
+  private readonly wakeup: Wakeup;
+
+  private isChanged = false;
+
+  constructor(options: DomainExchangeOptions) {
+    this.options = options;
+    this.wakeup = new Wakeup(options.clock);
+    options.socket.onDatagram((content) => this.acceptMessage(content));
+  }
+
+  /** Requests that this and the other hosts of the domain have open at an upstream. */
+  countInFlight(upstream: string): number {
+    const now = this.options.clock.now();
+    return [...this.peers.values()].reduce(
+      (sum, { counts, until }) => (until > now ? sum + (counts[upstream] ?? 0) : sum),
+      this.own.get(upstream) ?? 0,
+    );
+  }
+
+  recordStart(upstream: string): void {
+    this.own.set(upstream, (this.own.get(upstream) ?? 0) + 1);
+    this.announceChange();
+  }
+
+  recordEnd(upstream: string): void {
+    const left = (this.own.get(upstream) ?? 1) - 1;
+    if (left > 0) this.own.set(upstream, left);
+    else this.own.delete(upstream);
+    this.announceChange();
+  }
+
+  /** Tells the others at once of a bad sign that this host has seen. */
+  reportSuspicion(suspicion: Suspicion, requestId: string): void {
+    const { clock, suspicions, log } = this.options;
+    const isNews = suspicions.addSuspicion(suspicion, clock.now());
+    log.info('detection: an upstream looks bad', { ...suspicion, requestId, isNews });
+    if (!isNews) return;
+    this.waiting.push(suspicion);
+    this.sendMessages();
+  }
+
+  /** Sends what changed until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, suspicions } = this.options;
+    signal.addEventListener('abort', () => this.wakeup.release(), { once: true });
+    while (!signal.aborted) {
+      await this.wakeup.waitUntil(clock.now() + repeatMs);
+      if (this.isChanged) await clock.sleepUntil(clock.now() + gatherMs, signal);
+      if (this.isChanged || this.own.size > 0) this.sendMessages();
+      suspicions.pruneHeld(clock.now());
+    }
+  }
+
+  private announceChange(): void {
+    if (this.isChanged) return;
+    this.isChanged = true;
+    this.wakeup.release();
+  }
+
+  private sendMessages(): void {
+    const { socket, ownAddress, listPeers, findRelay } = this.options;
+    const suspicions = this.waiting.splice(0);
+    this.isChanged = false;
+    const message = { from: ownAddress, inFlight: Object.fromEntries(this.own), suspicions };
+    listPeers()
+      .filter((address) => address !== ownAddress)
+      .forEach((address) => socket.sendDatagram(message, address));
+    const relay = suspicions.length > 0 ? findRelay() : undefined;
+    if (relay !== undefined) socket.sendDatagram({ from: ownAddress, suspicions }, relay);
+  }
+
+  private acceptMessage(content: unknown): void {
+    const { clock, suspicions, log } = this.options;
+    const message = checkDomainMessage(content);
+    if (!message) {
+      log.warn('detection: a datagram is malformed');
+      return;
+    }
+    const now = clock.now();
+    const { from, inFlight } = message;
+    if (inFlight) this.peers.set(from, { counts: inFlight, until: now + forgetMs });
+    message.suspicions.forEach((suspicion) => {
+      const isNews = suspicions.addSuspicion(suspicion, now);
+      if (isNews) log.info('detection: another host saw a bad upstream', { ...suspicion, from });
+    });
+    this.dropSilent(now);
+  }
+
+  private dropSilent(now: number): void {
+    [...this.peers]
+      .filter(([, { until }]) => until <= now)
+      .forEach(([address]) => this.peers.delete(address));
+  }
+}
--- /dev/null
+++ b/src/application/fleet/FeedService.ts
@@ -0,0 +1,137 @@
+import { createHash } from 'node:crypto';
+
+import type ControlState from '../../domain/control/ControlState.ts';
+import type { ControlHostInfo, EntryHostInfo } from '../../domain/fleet/FleetHosts.ts';
+import type Clock from '../../ports/Clock.ts';
+import type { FeedAnswer, FeedRequest } from '../../ports/FleetLink.ts';
+import Wakeup from '../tasks/Wakeup.ts';
+
+// Entry hosts ask again every few seconds; one that was killed is forgotten after this.
+const presenceMs = 8000;
+// How often a waiting answer looks whether this host lost its leader.
+const currencyCheckMs = 250;
+
+/** The replica as the feed sees it. */
+export interface FeedLog {
+  readonly groupId: string | undefined;
+  readonly appliedIndex: number;
+  readonly isCurrent: boolean;
+  waitApplied(afterIndex: number, deadline: number): Promise<void>;
+}
+
+/** What the feed needs. */
+export interface FeedServiceOptions {
+  readonly clock: Clock;
+  readonly log: FeedLog;
+  readonly state: Pick<ControlState, 'numberedPreset' | 'registry'>;
+  readonly listControlHosts: () => readonly ControlHostInfo[];
+}
+
+/** Tells entry hosts what the control group committed, and which hosts there are. */
+export default class FeedService {
+  private readonly options: FeedServiceOptions;
+
+  private readonly present = new Map<string, { info: EntryHostInfo; until: number }>();
+
+  private readonly news: Wakeup;
+
+  constructor(options: FeedServiceOptions) {
+    this.options = options;
+    this.news = new Wakeup(options.clock);
+  }
+
+  /** Wakes waiting answers when something was committed, until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, log } = this.options;
+    let { appliedIndex, isCurrent } = log;
+    while (!signal.aborted) {
+      await log.waitApplied(appliedIndex, clock.now() + currencyCheckMs);
+      if (log.appliedIndex !== appliedIndex || log.isCurrent !== isCurrent) this.news.release();
+      ({ appliedIndex, isCurrent } = log);
+    }
+  }
+
+  /** Wakes waiting answers after a control host became known. */
+  announceHosts(): void {
+    this.news.release();
+  }
+
+  /** Entry hosts that asked lately. */
+  listEntryHosts(): readonly EntryHostInfo[] {
+    const now = this.options.clock.now();
+    return [...this.present.values()].flatMap(({ info, until }) => (until > now ? [info] : []));
+  }
+
+  /** Answers when there is news, when this host loses its leader, or when the asker won't wait. */
+  async answerFeed(request: FeedRequest): Promise<FeedAnswer> {
+    const { clock } = this.options;
+    this.recordPresence(request.entryHost);
+    const deadline = clock.now() + request.waitMs;
+    while (!this.shouldAnswer(request) && clock.now() < deadline) {
+      await this.news.waitUntil(deadline);
+    }
+    return this.createAnswer(request);
+  }
+
+  // A host that knows nothing can do nothing else but wait; any other may try elsewhere.
+  private shouldAnswer(request: FeedRequest): boolean {
+    const { log } = this.options;
+    const knowsNothing = request.groupId === '';
+    if (!log.isCurrent) return !knowsNothing;
+    return this.hasNews(request);
+  }
+
+  private hasNews({ groupId, position, hostsVersion, entryHost }: FeedRequest): boolean {
+    const { log } = this.options;
+    const isOtherGroup = log.groupId !== undefined && log.groupId !== groupId;
+    return (
+      isOtherGroup ||
+      log.appliedIndex > position ||
+      hostsVersion !== this.createHostsVersion(entryHost.failureDomain)
+    );
+  }
+
+  private createAnswer(request: FeedRequest): FeedAnswer {
+    const { groupId, position, presetNumber, entryHost, hostsVersion } = request;
+    const { log, state, listControlHosts } = this.options;
+    const { numberedPreset, registry } = state;
+    const version = this.createHostsVersion(entryHost.failureDomain);
+    const isSameGroup = log.groupId === groupId;
+    const known = isSameGroup ? position : 0;
+    const isNewer = (numberedPreset?.number ?? -Infinity) > (presetNumber ?? -Infinity);
+    return {
+      isCurrent: log.isCurrent && (!isSameGroup || log.appliedIndex >= position),
+      groupId: log.groupId ?? '',
+      position: log.appliedIndex,
+      preset: isNewer || !isSameGroup ? numberedPreset : undefined,
+      upstreams: registry.listChanges(known),
+      hosts:
+        version === hostsVersion
+          ? undefined
+          : {
+              version,
+              controlHosts: listControlHosts(),
+              entryHosts: this.listDomain(entryHost.failureDomain),
+            },
+    };
+  }
+
+  private recordPresence(info: EntryHostInfo): void {
+    const { clock } = this.options;
+    const until = clock.now() + presenceMs;
+    const isKnown = this.listEntryHosts().some(({ address }) => address === info.address);
+    this.present.set(info.address, { info, until });
+    if (!isKnown) this.news.release();
+  }
+
+  private listDomain(failureDomain: string): readonly EntryHostInfo[] {
+    return this.listEntryHosts().filter((info) => info.failureDomain === failureDomain);
+  }
+
+  private createHostsVersion(failureDomain: string): string {
+    const control = this.options.listControlHosts().map(({ address }) => address);
+    const entry = this.listDomain(failureDomain).map(({ address }) => address);
+    const names = [...control.sort(), '/', ...entry.sort()].join(' ');
+    return createHash('sha256').update(names).digest('base64url').slice(0, 12);
+  }
+}
--- /dev/null
+++ b/src/application/fleet/FleetView.ts
@@ -0,0 +1,157 @@
+import type { ControlHostInfo, EntryHostInfo } from '../../domain/fleet/FleetHosts.ts';
+import type RegisteredUpstream from '../../domain/membership/RegisteredUpstream.ts';
+import type UpstreamRecord from '../../domain/membership/UpstreamRecord.ts';
+import type Preset from '../../domain/presets/Preset.ts';
+import type PresetState from '../../domain/presets/PresetState.ts';
+import type UsableUpstream from '../../domain/requests/UsableUpstream.ts';
+import type Clock from '../../ports/Clock.ts';
+import type { FeedAnswer, FeedHosts } from '../../ports/FleetLink.ts';
+import type Log from '../../ports/Log.ts';
+import type PresetCodec from '../../ports/PresetCodec.ts';
+import type RouteTable from '../../ports/RouteTable.ts';
+import type ActivePreset from '../requests/ActivePreset.ts';
+import PrefixRouteTable from '../requests/PrefixRouteTable.ts';
+import type UpstreamPool from '../requests/UpstreamPool.ts';
+
+// A cold upstream works at about half its speed.
+const coldWeight = 0.5;
+
+/** What the view needs. */
+export interface FleetViewOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly codec: PresetCodec;
+  /** Called with each preset that comes in force. */
+  readonly onPreset: (preset: Preset) => void;
+}
+
+interface SeenUpstream {
+  readonly record: UpstreamRecord;
+  readonly warmAt: number;
+}
+
+/** What an entry host knows of the fleet: the preset in force, upstreams and hosts. */
+export default class FleetView implements ActivePreset, UpstreamPool {
+  state: PresetState | undefined;
+
+  routeTable: RouteTable | undefined;
+
+  /** Group and index of the newest command that the view includes. */
+  groupId = '';
+
+  position = 0;
+
+  hostsVersion = '';
+
+  controlHosts: readonly ControlHostInfo[] = [];
+
+  /** Entry hosts of the own failure domain, this one included. */
+  entryHosts: readonly EntryHostInfo[] = [];
+
+  private readonly options: FleetViewOptions;
+
+  private readonly upstreams = new Map<string, SeenUpstream>();
+
+  private readonly services = new Map<string, readonly SeenUpstream[]>();
+
+  constructor(options: FleetViewOptions) {
+    this.options = options;
+  }
+
+  /** Whether requests can be served. */
+  get isReady(): boolean {
+    return this.routeTable !== undefined;
+  }
+
+  listUsable(service: string): readonly UsableUpstream[] {
+    const now = this.options.clock.now();
+    return (this.services.get(service) ?? []).map(({ record, warmAt }) => ({
+      record,
+      weight: now < warmAt ? coldWeight : 1,
+    }));
+  }
+
+  isUsable({ upstream, incarnation }: UpstreamRecord): boolean {
+    const held = this.upstreams.get(upstream)?.record;
+    return held?.state === 'serving' && held.incarnation === incarnation;
+  }
+
+  /** The run of an upstream that is known; 0 for an unknown one. */
+  findIncarnation(upstream: string): number {
+    return this.upstreams.get(upstream)?.record.incarnation ?? 0;
+  }
+
+  /** Takes what a control host answered; what is older than the view changes nothing. */
+  applyAnswer(answer: FeedAnswer): void {
+    const isOtherGroup = this.groupId !== '' && this.groupId !== answer.groupId;
+    this.applyHosts(answer.hosts);
+    if (isOtherGroup || answer.groupId === '') return;
+    this.groupId = answer.groupId;
+    if (answer.preset) this.applyPreset(answer.preset);
+    if (answer.position < this.position) return;
+    if (answer.position > this.position) this.applyUpstreams(answer.upstreams);
+    this.position = answer.position;
+  }
+
+  /** Takes the hosts alone, of a control host that is not in touch with its group. */
+  applyHosts(hosts: FeedHosts | undefined): void {
+    if (!hosts) return;
+    this.hostsVersion = hosts.version;
+    this.controlHosts = hosts.controlHosts;
+    this.entryHosts = hosts.entryHosts;
+  }
+
+  private applyPreset({ number, document }: { number: number; document: string }): void {
+    const { log, codec, onPreset } = this.options;
+    if (number <= (this.state?.revision ?? -Infinity)) return;
+    const decoded = codec.decodePreset(document);
+    if (!decoded.ok) {
+      log.error('presets: a committed preset cannot be read', {
+        number,
+        error: decoded.failure.message,
+      });
+      return;
+    }
+    const { preset } = decoded.value;
+    this.state = { groupId: this.groupId, revision: number, name: 'numbered', preset };
+    this.routeTable = new PrefixRouteTable(preset.routes);
+    log.info('presets: a preset is in force', { number, routes: preset.routes.length });
+    onPreset(preset);
+  }
+
+  private applyUpstreams({ isWhole, records }: FeedAnswer['upstreams']): void {
+    if (isWhole) this.upstreams.clear();
+    records.forEach((record) => this.applyUpstream(record));
+    this.services.clear();
+    this.upstreams.forEach((seen) => {
+      const { service, state } = seen.record;
+      if (state !== 'serving') return;
+      this.services.set(service, [...(this.services.get(service) ?? []), seen]);
+    });
+  }
+
+  private applyUpstream(registered: RegisteredUpstream): void {
+    const { log, clock } = this.options;
+    const { upstream, state, bornAt, service, address, failureDomain } = registered;
+    log.info('membership: an upstream changed', { upstream, service, address, state, bornAt });
+    if (state === 'gone' || state === 'silent') {
+      this.upstreams.delete(upstream);
+      return;
+    }
+    const record: UpstreamRecord = {
+      service,
+      upstream,
+      address,
+      failureDomain,
+      slots: registered.slots,
+      incarnation: bornAt,
+      sequence: registered.sequence,
+      state,
+      servingSince: 0,
+      // The control group tells when the upstream is gone.
+      leaseDeadline: Infinity,
+    };
+    const warmAt = clock.now() + registered.warmMs;
+    this.upstreams.set(upstream, { record, warmAt });
+  }
+}
--- /dev/null
+++ b/src/application/fleet/HostMeeting.ts
@@ -0,0 +1,94 @@
+import type { ControlHostInfo } from '../../domain/fleet/FleetHosts.ts';
+import type Clock from '../../ports/Clock.ts';
+import type FleetLink from '../../ports/FleetLink.ts';
+import type Log from '../../ports/Log.ts';
+import Wakeup from '../tasks/Wakeup.ts';
+
+const callTimeoutMs = 500;
+// Quick while the fleet starts, and kind to seeds that are down.
+const firstPauseMs = 50;
+const longestPauseMs = 1000;
+
+/** What the meeting needs. */
+export interface HostMeetingOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly own: ControlHostInfo;
+  /** Peers addresses at which control hosts may be found; they may change. */
+  readonly readSeeds: () => readonly string[];
+  readonly openLink: (address: string) => FleetLink;
+  /** Called once for each control host that became known, this one excluded. */
+  readonly onHost: (host: ControlHostInfo) => void;
+}
+
+/** How control hosts learn of each other: each tells the hosts it knows of a host that is new. */
+export default class HostMeeting {
+  private readonly options: HostMeetingOptions;
+
+  private readonly hosts = new Map<string, ControlHostInfo>();
+
+  /** Addresses of hosts that know this one. */
+  private readonly met = new Set<string>();
+
+  private readonly news: Wakeup;
+
+  constructor(options: HostMeetingOptions) {
+    this.options = options;
+    this.news = new Wakeup(options.clock);
+    this.hosts.set(options.own.address, options.own);
+  }
+
+  /** All control hosts that are known, this one included. */
+  listHosts(): readonly ControlHostInfo[] {
+    return [...this.hosts.values()];
+  }
+
+  findHost(address: string): ControlHostInfo | undefined {
+    return this.hosts.get(address);
+  }
+
+  addHosts(hosts: readonly ControlHostInfo[]): void {
+    const { own, log, onHost } = this.options;
+    hosts
+      .filter(({ address }) => address !== own.address && !this.hosts.has(address))
+      .forEach((host) => {
+        log.info('membership: a control host became known', {
+          address: host.address,
+          failureDomain: host.failureDomain,
+        });
+        this.hosts.set(host.address, host);
+        onHost(host);
+        this.news.release();
+      });
+  }
+
+  /** Meets every host that is known or a seed and was not met yet, until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock } = this.options;
+    signal.addEventListener('abort', () => this.news.release(), { once: true });
+    let pauseMs = firstPauseMs;
+    while (!signal.aborted) {
+      const before = this.met.size;
+      const addresses = this.listUnmet();
+      await Promise.all(addresses.map((address) => this.exchangeWithHost(address)));
+      pauseMs = this.met.size > before ? firstPauseMs : Math.min(2 * pauseMs, longestPauseMs);
+      if (!signal.aborted) await this.news.waitUntil(clock.now() + pauseMs);
+    }
+  }
+
+  private listUnmet(): readonly string[] {
+    const { own, readSeeds } = this.options;
+    const addresses = new Set([...readSeeds(), ...this.hosts.keys()]);
+    return [...addresses].filter((address) => address !== own.address && !this.met.has(address));
+  }
+
+  private async exchangeWithHost(address: string): Promise<void> {
+    const { clock, openLink } = this.options;
+    const link = openLink(address);
+    const answer = await link.exchangeHosts(this.listHosts(), clock.now() + callTimeoutMs);
+    link.close();
+    if (!answer.ok) return;
+    this.met.add(address);
+    this.addHosts(answer.value);
+  }
+}
--- /dev/null
+++ b/src/application/fleet/SuspicionObserver.ts
@@ -0,0 +1,98 @@
+import type { SuspicionKind } from '../../domain/detection/SuspicionBook.ts';
+import type SuspicionBook from '../../domain/detection/SuspicionBook.ts';
+import type AnswerObservation from '../../domain/requests/AnswerObservation.ts';
+import type { AnswerClass } from '../../domain/requests/AnswerObservation.ts';
+import type Clock from '../../ports/Clock.ts';
+import type AnswerObserver from '../requests/AnswerObserver.ts';
+import type { OpenRequest } from '../requests/AnswerObserver.ts';
+import type DomainExchange from './DomainExchange.ts';
+
+const watchIntervalMs = 100;
+// A request that is open for so many times the usual time is overdue. One in a hundred sound
+// answers takes three to five times as long as usual.
+const overdueFactor = 3.5;
+const shortestOverdueMs = 500;
+// Share of the newest answer in the usual time of a service.
+const newestShare = 0.1;
+
+const kinds: Readonly<Record<AnswerClass, SuspicionKind | undefined>> = {
+  good: undefined,
+  failed: 'faulty',
+  reset: 'broken',
+  truncated: 'broken',
+  mismatched: 'broken',
+  timed_out: 'broken',
+  unreachable: 'unreachable',
+  shed: undefined,
+  misplaced: 'misplaced',
+  cancelled: undefined,
+};
+
+/** What the observer needs. */
+export interface SuspicionObserverOptions {
+  readonly clock: Clock;
+  readonly suspicions: SuspicionBook;
+  readonly exchange: DomainExchange;
+  readonly findIncarnation: (upstream: string) => number;
+}
+
+interface Watched extends OpenRequest {
+  isOverdue: boolean;
+}
+
+/** Turns the ends of requests, and those that don't end, into signs of bad upstreams. */
+export default class SuspicionObserver implements AnswerObserver {
+  private readonly options: SuspicionObserverOptions;
+
+  private readonly open = new Map<string, Watched>();
+
+  /** Usual time of a good answer by service, in milliseconds. */
+  private readonly usualMs = new Map<string, number>();
+
+  constructor(options: SuspicionObserverOptions) {
+    this.options = options;
+  }
+
+  recordStart(request: OpenRequest): void {
+    this.open.set(request.requestId, { ...request, isOverdue: false });
+  }
+
+  recordEnd(requestId: string, observation: AnswerObservation): void {
+    const { suspicions } = this.options;
+    const { upstream, service, answerClass, startedAt, endedAt } = observation;
+    this.open.delete(requestId);
+    const kind = kinds[answerClass];
+    if (kind) this.reportSuspicion(upstream, kind, requestId);
+    if (answerClass !== 'good') return;
+    suspicions.addGoodAnswer(upstream, startedAt);
+    const tookMs = endedAt - startedAt;
+    const usual = this.usualMs.get(service) ?? tookMs;
+    this.usualMs.set(service, usual + newestShare * (tookMs - usual));
+  }
+
+  /** Looks for overdue requests until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock } = this.options;
+    while (!signal.aborted) {
+      await clock.sleepUntil(clock.now() + watchIntervalMs, signal);
+      const now = clock.now();
+      [...this.open.values()]
+        .filter((request) => !request.isOverdue && this.isOverdue(request, now))
+        .forEach((request) => {
+          request.isOverdue = true;
+          this.reportSuspicion(request.upstream, 'overdue', request.requestId);
+        });
+    }
+  }
+
+  private isOverdue({ service, startedAt }: Watched, now: number): boolean {
+    const usual = this.usualMs.get(service);
+    if (usual === undefined) return false;
+    return now - startedAt > Math.max(shortestOverdueMs, overdueFactor * usual);
+  }
+
+  private reportSuspicion(upstream: string, kind: SuspicionKind, requestId: string): void {
+    const incarnation = this.options.findIncarnation(upstream);
+    this.options.exchange.reportSuspicion({ upstream, incarnation, kind }, requestId);
+  }
+}
--- /dev/null
+++ b/src/application/fleet/SuspicionRelay.ts
@@ -0,0 +1,56 @@
+import type Clock from '../../ports/Clock.ts';
+import type DatagramSocket from '../../ports/DatagramSocket.ts';
+import type Log from '../../ports/Log.ts';
+import checkDomainMessage from './checkDomainMessage.ts';
+
+// Other failure domains hear of an upstream once in this time: one sign is enough for them, and
+// bytes between failure domains are dear.
+const quietMs = 1500;
+// Bounds the memory; old entries are dropped when it is reached.
+const mostHeard = 10_000;
+
+/** What the relay needs. */
+export interface SuspicionRelayOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly socket: DatagramSocket;
+  readonly ownAddress: string;
+  /** One control host of each other failure domain. */
+  readonly listRelays: () => readonly string[];
+  /** Datagram addresses of the entry hosts of the own failure domain. */
+  readonly listEntryHosts: () => readonly string[];
+}
+
+/** Passes bad signs of upstreams between the failure domains. */
+export default class SuspicionRelay {
+  private readonly options: SuspicionRelayOptions;
+
+  private readonly quietUntil = new Map<string, number>();
+
+  constructor(options: SuspicionRelayOptions) {
+    this.options = options;
+    options.socket.onDatagram((content) => this.handleMessage(content));
+  }
+
+  private handleMessage(content: unknown): void {
+    const { log, socket, ownAddress, listRelays, listEntryHosts } = this.options;
+    const message = checkDomainMessage(content);
+    if (!message) {
+      log.warn('detection: a datagram is malformed');
+      return;
+    }
+    const suspicions = message.suspicions.filter(({ upstream }) => this.isDue(upstream));
+    if (suspicions.length === 0) return;
+    const isFromDomain = listEntryHosts().includes(message.from);
+    const targets = isFromDomain ? listRelays() : listEntryHosts();
+    targets.forEach((address) => socket.sendDatagram({ from: ownAddress, suspicions }, address));
+  }
+
+  private isDue(upstream: string): boolean {
+    const now = this.options.clock.now();
+    if ((this.quietUntil.get(upstream) ?? 0) > now) return false;
+    if (this.quietUntil.size >= mostHeard) this.quietUntil.clear();
+    this.quietUntil.set(upstream, now + quietMs);
+    return true;
+  }
+}
--- a/src/application/replication/LeadershipTransfer.ts
+++ b/src/application/replication/LeadershipTransfer.ts
@@ -24,7 +24,10 @@
     const link = context.links.find(({ host }) => host === heir?.host);
     if (!leadership.isActive || !heir || !link) return;
     const head = context.createHead(heir.replicaId, leadership.term);
-    await link.transferLeadership(head, Math.min(deadline, context.now + context.times.messageTimeoutMs));
+    await link.transferLeadership(
+      head,
+      Math.min(deadline, context.now + context.times.messageTimeoutMs),
+    );
     await context.changes.waitUntil(
       () => !leadership.isActive,
       Math.min(deadline, context.now + context.times.longestElectionMs),
--- a/src/application/requests/LoadTracker.ts
+++ b/src/application/requests/LoadTracker.ts
@@ -1,4 +1,6 @@
 import type { UpstreamLoad } from '../../domain/requests/Balancer.ts';
+import type LoadSource from './LoadSource.ts';
+import type { EndedRequest } from './LoadSource.ts';
 
 // Far beyond the time for which a report counts: SlotBalancer's trust in it halves every 25 ms.
 const keepMs = 60_000;
@@ -18,7 +20,7 @@
  * Requests of this host in flight at each upstream, and the load that answers reported. Upstreams
  * without a request in the last minute are dropped, so that those that left take no memory.
  */
-export default class LoadTracker {
+export default class LoadTracker implements LoadSource {
   /** By service, then by upstream, so that a look-up builds no key. */
   private readonly loads = new Map<string, Map<string, MutableLoad>>();
 
@@ -37,12 +39,7 @@
     this.getLoad(service, upstream).inFlight += 1;
   }
 
-  recordEnd(end: {
-    readonly service: string;
-    readonly upstream: string;
-    readonly reportedLoad: number | undefined;
-    readonly now: number;
-  }): void {
+  recordEnd(end: EndedRequest): void {
     const load = this.getLoad(end.service, end.upstream);
     load.inFlight -= 1;
     load.endedAt = end.now;
--- a/src/application/requests/PrefixRouteTable.ts
+++ b/src/application/requests/PrefixRouteTable.ts
@@ -21,9 +21,7 @@
   }
 
   findRoute(method: string, path: string, host = ''): RouteSettings | undefined {
-    return (
-      this.findInHost(createHostKey(host), method, path) ?? this.findInHost('', method, path)
-    );
+    return this.findInHost(createHostKey(host), method, path) ?? this.findInHost('', method, path);
   }
 
   private addRoute(route: RouteSettings): void {
--- a/src/application/requests/RequestHandler.ts
+++ b/src/application/requests/RequestHandler.ts
@@ -118,6 +118,17 @@
       answer: this.createInternalAnswer(request, error),
       attempts: 0,
     }));
+    this.options.log.info('requests: answered', {
+      requestId: request.requestId,
+      service: request.route.service,
+      status: answer.status,
+      outcome: answer.outcome,
+      error: answer.errorKind,
+      attempts,
+      presetNumber: this.options.activePreset.state?.revision,
+      tookMs: Math.round(this.options.clock.now() - request.receivedAt),
+      leftMs: Math.round(request.deadline - this.options.clock.now()),
+    });
     this.options.observer.recordRequest({
       service: request.route.service,
       startedAt: request.receivedAt,
--- a/src/application/requests/UpstreamDispatcher.ts
+++ b/src/application/requests/UpstreamDispatcher.ts
@@ -6,12 +6,13 @@
 import type { UpstreamEnd } from '../../domain/requests/UpstreamEnd.ts';
 import type UsableUpstream from '../../domain/requests/UsableUpstream.ts';
 import type Clock from '../../ports/Clock.ts';
+import type Log from '../../ports/Log.ts';
 import type RandomSource from '../../ports/RandomSource.ts';
 import type UpstreamClient from '../../ports/UpstreamClient.ts';
 import type { UpstreamAnswer, UpstreamResult } from '../../ports/UpstreamClient.ts';
 import type AnswerObserver from './AnswerObserver.ts';
 import type CallerRequest from './CallerRequest.ts';
-import type LoadTracker from './LoadTracker.ts';
+import type LoadSource from './LoadSource.ts';
 import type UpstreamPool from './UpstreamPool.ts';
 import decideAttempt from './decideAttempt.ts';
 import describeUnsent from './describeUnsent.ts';
@@ -28,10 +29,12 @@
   readonly balancer: Balancer;
   readonly pool: UpstreamPool;
   readonly observer: AnswerObserver;
-  readonly loadTracker: LoadTracker;
+  readonly loadTracker: LoadSource;
   readonly failureDomain: string;
   /** The project's own dialect unless set. */
   readonly dialect?: RequestDialect;
+  /** Gets a line for each attempt. */
+  readonly log?: Log;
 }
 
 /** How a request ended. */
@@ -151,6 +154,7 @@
     const attemptId = random.createId();
     const startedAt = clock.now();
     const names = { service: record.service, upstream: record.upstream };
+    this.recordChoice(request, { attemptId, chosen, deadline });
     observer.recordStart({ ...names, requestId: attemptId, startedAt });
     loadTracker.recordStart(record.service, record.upstream);
     const result = await upstreamClient.sendRequest({
@@ -174,6 +178,15 @@
       isOver: unsent !== undefined,
       dialect: this.dialect,
     });
+    this.options.log?.info('requests: an attempt ended', {
+      requestId: request.requestId,
+      attemptId,
+      upstream: record.upstream,
+      end,
+      answerClass,
+      status: result.kind === 'answered' ? result.answer.status : undefined,
+      tookMs: Math.round(endedAt - startedAt),
+    });
     loadTracker.recordEnd({ ...names, reportedLoad, now: endedAt });
     observer.recordEnd(attemptId, { ...names, answerClass, startedAt, endedAt, reportedLoad });
     if (result.kind === 'answered') {
@@ -187,6 +200,38 @@
     return { end, mayHaveRun: result.kind === 'failed', outcome: { kind: 'failed', failure } };
   }
 
+  private recordChoice(
+    { requestId, route }: CallerRequest,
+    sent: {
+      readonly attemptId: string;
+      readonly chosen: UsableUpstream;
+      readonly deadline: number;
+    },
+  ): void {
+    const { log, clock, loadTracker, pool } = this.options;
+    if (!log) return;
+    const { record, weight } = sent.chosen;
+    const { inFlight, reportedLoad, reportedAt } = loadTracker.readLoad(
+      route.service,
+      record.upstream,
+    );
+    const now = clock.now();
+    log.info('requests: an upstream was chosen', {
+      requestId,
+      attemptId: sent.attemptId,
+      service: route.service,
+      upstream: record.upstream,
+      incarnation: record.incarnation,
+      failureDomain: record.failureDomain,
+      usable: pool.listUsable(route.service).length,
+      weight,
+      inFlight,
+      reportedLoad: reportedAt > 0 ? reportedLoad : undefined,
+      reportAgeMs: reportedAt > 0 ? Math.round(now - reportedAt) : undefined,
+      leftMs: Math.round(sent.deadline - now),
+    });
+  }
+
   private describeFailure(
     request: CallerRequest,
     { record }: UsableUpstream,
--- a/src/application/requests/decideAttempt.ts
+++ b/src/application/requests/decideAttempt.ts
@@ -5,7 +5,7 @@
 
 const answerClasses: Readonly<Record<NotSentReason | SentFailure, AnswerClass>> = {
   timed_out: 'timed_out',
-  reset: 'failed',
+  reset: 'reset',
   truncated: 'truncated',
   mismatched: 'mismatched',
   too_large: 'good',
--- a/src/application/tasks/Wakeup.ts
+++ b/src/application/tasks/Wakeup.ts
@@ -1,8 +1,10 @@
+import { setMaxListeners } from 'node:events';
+
 import type Clock from '../../ports/Clock.ts';
 
 /** Wakes a waiting task before its deadline; a wake-up with nobody waiting ends the next wait. */
 export default class Wakeup {
-  private controller = new AbortController();
+  private controller = Wakeup.createController();
 
   private readonly clock: Clock;
 
@@ -19,6 +21,13 @@
   async waitUntil(deadline: number): Promise<void> {
     const { controller } = this;
     await this.clock.sleepUntil(deadline, controller.signal);
-    if (this.controller === controller) this.controller = new AbortController();
+    if (this.controller === controller) this.controller = Wakeup.createController();
+  }
+
+  // Many tasks may wait at once; Node.js warns above 10 listeners.
+  private static createController(): AbortController {
+    const controller = new AbortController();
+    setMaxListeners(0, controller.signal);
+    return controller;
   }
 }
--- /dev/null
+++ b/src/daemon/FleetControlHost.ts
@@ -0,0 +1,312 @@
+import NodeDisk from '../adapters/disk/NodeDisk.ts';
+import PlatformFrontEnd from '../adapters/http/PlatformFrontEnd.ts';
+import PrometheusMetrics from '../adapters/metrics/PrometheusMetrics.ts';
+import TrpcFleetLink from '../adapters/trpc/TrpcFleetLink.ts';
+import TrpcPeerDialer from '../adapters/trpc/TrpcPeerDialer.ts';
+import TrpcPeerServer from '../adapters/trpc/TrpcPeerServer.ts';
+import TrpcReplicationLink from '../adapters/trpc/TrpcReplicationLink.ts';
+import { parseControlSnapshot } from '../adapters/trpc/controlMessages.ts';
+import createFleetRouter from '../adapters/trpc/createFleetRouter.ts';
+import createReplicationRouter from '../adapters/trpc/createReplicationRouter.ts';
+import { router } from '../adapters/trpc/trpcBase.ts';
+import UdpDatagramSocket from '../adapters/udp/UdpDatagramSocket.ts';
+import CommandForwarder from '../application/fleet/CommandForwarder.ts';
+import FeedService from '../application/fleet/FeedService.ts';
+import HostMeeting from '../application/fleet/HostMeeting.ts';
+import NumberedPresetService from '../application/fleet/NumberedPresetService.ts';
+import RegistrationService from '../application/fleet/RegistrationService.ts';
+import SuspicionRelay from '../application/fleet/SuspicionRelay.ts';
+import Replica from '../application/replication/Replica.ts';
+import type ControlCommand from '../domain/control/ControlCommand.ts';
+import type { ControlReply } from '../domain/control/ControlCommand.ts';
+import ControlState from '../domain/control/ControlState.ts';
+import type { ControlHostInfo } from '../domain/fleet/FleetHosts.ts';
+import type { FleetControlSettings } from '../domain/settings/FleetSettings.ts';
+import type Clock from '../ports/Clock.ts';
+import type FleetLink from '../ports/FleetLink.ts';
+import type Log from '../ports/Log.ts';
+import type PresetCodec from '../ports/PresetCodec.ts';
+import type RandomSource from '../ports/RandomSource.ts';
+import type Daemon from './Daemon.ts';
+import TaskGroup from './TaskGroup.ts';
+import fleetTimes, { peerIdleCloseMs } from './fleetTimes.ts';
+import formatAddress from './formatAddress.ts';
+import listSeedPeers from './listSeedPeers.ts';
+
+// Time for accepted proposals to commit and for another host to take over the lead.
+const stopMs = 3000;
+
+/** What a control host of a fleet that is found through seeds is built from. */
+export interface FleetControlOptions {
+  readonly settings: FleetControlSettings;
+  /** The settings as they are now. */
+  readonly readSettings: () => Pick<FleetControlSettings, 'seeds'>;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: Log;
+  readonly codec: PresetCodec;
+}
+
+interface ControlParts {
+  readonly state: ControlState;
+  readonly dialer: TrpcPeerDialer;
+  readonly replica: Replica<ControlCommand, ControlReply>;
+  readonly socket: UdpDatagramSocket;
+}
+
+/** Composition root of a control host of a fleet that is found through seeds. */
+export default class FleetControlHost implements Daemon {
+  readonly presets: NumberedPresetService;
+
+  readonly registrations: RegistrationService;
+
+  private readonly options: FleetControlOptions;
+
+  private readonly parts: ControlParts;
+
+  private readonly tasks: TaskGroup;
+
+  private readonly meeting: HostMeeting;
+
+  private readonly forwarder: CommandForwarder;
+
+  private readonly feed: FeedService;
+
+  private readonly peers: TrpcPeerServer;
+
+  private readonly metrics: PlatformFrontEnd;
+
+  private isStopping = false;
+
+  private decodedNumber: number | undefined;
+
+  private services: ReadonlySet<string> = new Set();
+
+  private constructor(options: FleetControlOptions, parts: ControlParts) {
+    const { settings, clock, log } = options;
+    const { replica, state } = parts;
+    this.options = options;
+    this.parts = parts;
+    this.tasks = new TaskGroup({ log });
+    const openLink = (address: string): FleetLink => this.openLink(address);
+    const ownAddress = formatAddress(settings.listen.peers);
+    this.meeting = this.createMeeting(openLink);
+    this.forwarder = new CommandForwarder({ clock, log: replica, ownAddress, openLink });
+    this.feed = new FeedService({
+      clock,
+      log: replica,
+      state,
+      listControlHosts: () => this.meeting.listHosts(),
+    });
+    this.presets = new NumberedPresetService({ clock, log, commandLog: replica, state });
+    this.registrations = new RegistrationService({
+      clock,
+      log,
+      registry: state.registry,
+      forwarder: this.forwarder,
+      ownAddress,
+      isKnownHost: (address) => this.meeting.findHost(address) !== undefined,
+      isLeading: () => replica.role === 'leader',
+      isKnownService: (service) => this.isKnownService(service),
+      silenceMs: settings.upstreamSilenceMs,
+    });
+    this.peers = new TrpcPeerServer({
+      router: router({
+        replication: createReplicationRouter(replica),
+        fleet: createFleetRouter({ clock, feed: this.feed, meeting: this.meeting, log: replica }),
+      }),
+      peerKey: settings.peerKey,
+      log,
+    });
+    this.metrics = new PlatformFrontEnd({
+      clock,
+      log,
+      metrics: this.createMetrics(),
+      readState: () => {
+        if (this.isStopping) return 'stopping';
+        return replica.isCurrent ? 'ready' : 'starting';
+      },
+    });
+  }
+
+  /** Opens data folder and listeners and starts the tasks; rejects with a `FailureError`. */
+  static async startHost(options: FleetControlOptions): Promise<FleetControlHost> {
+    const { settings, clock, random, log } = options;
+    const { peerKey, listen } = settings;
+    const ownAddress = formatAddress(listen.peers);
+    const state = new ControlState({ parseSnapshot: parseControlSnapshot });
+    const dialer = new TrpcPeerDialer({
+      peerKey,
+      ownHost: settings.host,
+      clock,
+      idleCloseMs: peerIdleCloseMs,
+    });
+    const seeds = listSeedPeers(settings);
+    const replica = await Replica.startReplica<ControlCommand, ControlReply>({
+      host: ownAddress,
+      hosts: settings.formsGroup ? seeds : [],
+      links: seeds
+        .filter((address) => address !== ownAddress)
+        .map((address) => {
+          const { connection } = dialer.takeConnection({ host: address, address });
+          return new TrpcReplicationLink({ host: address, connection });
+        }),
+      disk: await NodeDisk.openFolder(settings.dataFolder),
+      clock,
+      random,
+      log,
+      state,
+      times: fleetTimes,
+      fewestVoters: 2 * settings.lostHosts + 1,
+    });
+    const socket = await UdpDatagramSocket.openSocket({ address: listen.peers, peerKey, log });
+    const host = new FleetControlHost(options, { state, dialer, replica, socket });
+    await host.peers.openListener(listen.peers);
+    await host.metrics.openListener(listen.metrics);
+    host.startTasks();
+    return host;
+  }
+
+  /** Operators' address of the control host that leads, when it is known. */
+  findLeaderAddress(): string | undefined {
+    const { leader } = this.parts.replica;
+    return leader === undefined ? undefined : this.meeting.findHost(leader)?.operatorsAddress;
+  }
+
+  async stop(): Promise<void> {
+    const { replica, socket, dialer } = this.parts;
+    this.isStopping = true;
+    await replica.stop(this.options.clock.now() + stopMs);
+    await this.tasks.stop();
+    this.forwarder.close();
+    socket.close();
+    await this.metrics.closeListener();
+    await this.peers.closeListener();
+    dialer.close();
+  }
+
+  async waitFailed(): Promise<string> {
+    const ended = await this.parts.replica.waitEnded();
+    if (!ended.ok) return ended.failure.message;
+    // The replica ended because this host is stopping.
+    return new Promise(() => undefined);
+  }
+
+  // Decoded once for each preset: every announcement asks.
+  private isKnownService(service: string): boolean {
+    const { numberedPreset } = this.parts.state;
+    if (numberedPreset && numberedPreset.number !== this.decodedNumber) {
+      const decoded = this.options.codec.decodePreset(numberedPreset.document);
+      this.services = new Set(decoded.ok ? Object.keys(decoded.value.preset.services) : []);
+      this.decodedNumber = numberedPreset.number;
+    }
+    return this.services.has(service);
+  }
+
+  private startTasks(): void {
+    const { clock, log, settings } = this.options;
+    const { socket } = this.parts;
+    this.tasks.startTask('meeting', (signal) => this.meeting.run(signal));
+    this.tasks.startTask('feed', (signal) => this.feed.run(signal));
+    this.tasks.startTask('registrations', (signal) => this.registrations.run(signal));
+    // It answers datagrams and needs no task of its own.
+    const relay = new SuspicionRelay({
+      clock,
+      log,
+      socket,
+      ownAddress: formatAddress(settings.listen.peers),
+      listRelays: () => this.listRelays(),
+      listEntryHosts: () => this.feed.listEntryHosts().map(({ address }) => address),
+    });
+    log.debug('detection: relaying signs of bad upstreams', { relay: relay.constructor.name });
+  }
+
+  private createMeeting(openLink: (address: string) => FleetLink): HostMeeting {
+    const { settings, clock, log, readSettings } = this.options;
+    const { listen, failureDomain } = settings;
+    return new HostMeeting({
+      clock,
+      log,
+      own: {
+        address: formatAddress(listen.peers),
+        operatorsAddress: formatAddress(listen.operators),
+        failureDomain,
+      },
+      readSeeds: () => listSeedPeers({ ...settings, seeds: readSettings().seeds }),
+      openLink,
+      onHost: (host) => this.addControlHost(host),
+    });
+  }
+
+  private addControlHost({ address }: ControlHostInfo): void {
+    const { dialer, replica } = this.parts;
+    const { connection } = dialer.takeConnection({ host: address, address });
+    replica.addLink(new TrpcReplicationLink({ host: address, connection }));
+    this.feed.announceHosts();
+  }
+
+  private openLink(address: string): FleetLink {
+    const shared = this.parts.dialer.takeConnection({ host: address, address });
+    return new TrpcFleetLink(shared, this.options.clock);
+  }
+
+  /** The first control host of each other failure domain. */
+  private listRelays(): readonly string[] {
+    const { failureDomain } = this.options.settings;
+    const first = new Map<string, string>();
+    this.meeting
+      .listHosts()
+      .filter((host) => host.failureDomain !== failureDomain)
+      .forEach((host) => {
+        const known = first.get(host.failureDomain);
+        if (known === undefined || host.address < known) {
+          first.set(host.failureDomain, host.address);
+        }
+      });
+    return [...first.values()];
+  }
+
+  private createMetrics(): PrometheusMetrics {
+    const { replica, state } = this.parts;
+    return new PrometheusMetrics(
+      [
+        {
+          name: 'preset_number',
+          help: 'Number of the numbered preset in the state of this host.',
+          readValue: () => state.numberedPreset?.number ?? 0,
+        },
+        {
+          name: 'upstreams',
+          help: 'Registered upstreams that serve or leave.',
+          readValue: () => state.registry.listUpstreams().length,
+        },
+        {
+          name: 'entry_hosts',
+          help: 'Entry hosts that follow this host.',
+          readValue: () => this.feed.listEntryHosts().length,
+        },
+        {
+          name: 'control_hosts',
+          help: 'Control hosts that are known.',
+          readValue: () => this.meeting.listHosts().length,
+        },
+        {
+          name: 'control_leading',
+          help: '1 when this host leads the control group.',
+          readValue: () => (replica.role === 'leader' ? 1 : 0),
+        },
+        {
+          name: 'control_voting',
+          help: '1 when this host has a vote in the control group.',
+          readValue: () => (replica.isVoter ? 1 : 0),
+        },
+        {
+          name: 'control_term',
+          help: 'Term that this host knows.',
+          readValue: () => replica.term,
+        },
+      ],
+      { hasProcessMetrics: false },
+    );
+  }
+}
--- /dev/null
+++ b/src/daemon/FleetEntryHost.ts
@@ -0,0 +1,306 @@
+import HttpFrontEnd from '../adapters/http/HttpFrontEnd.ts';
+import PlatformFrontEnd from '../adapters/http/PlatformFrontEnd.ts';
+import UndiciUpstreamClient from '../adapters/http/UndiciUpstreamClient.ts';
+import PrometheusMetrics from '../adapters/metrics/PrometheusMetrics.ts';
+import TrpcFleetLink from '../adapters/trpc/TrpcFleetLink.ts';
+import TrpcPeerDialer from '../adapters/trpc/TrpcPeerDialer.ts';
+import UdpDatagramSocket from '../adapters/udp/UdpDatagramSocket.ts';
+import NoClaims from '../application/claims/NoClaims.ts';
+import DomainExchange from '../application/fleet/DomainExchange.ts';
+import DomainLoad from '../application/fleet/DomainLoad.ts';
+import FeedFollower from '../application/fleet/FeedFollower.ts';
+import FleetRetryBudgets from '../application/fleet/FleetRetryBudgets.ts';
+import FleetView from '../application/fleet/FleetView.ts';
+import SuspicionObserver from '../application/fleet/SuspicionObserver.ts';
+import Shutdown from '../application/lifecycle/Shutdown.ts';
+import LoadTracker from '../application/requests/LoadTracker.ts';
+import type RequestDialect from '../application/requests/RequestDialect.ts';
+import RequestHandler from '../application/requests/RequestHandler.ts';
+import UpstreamDispatcher from '../application/requests/UpstreamDispatcher.ts';
+import SuspicionBook from '../domain/detection/SuspicionBook.ts';
+import type { HostStateName } from '../domain/membership/HostRecord.ts';
+import PricedBalancer from '../domain/requests/PricedBalancer.ts';
+import type { FleetEntrySettings } from '../domain/settings/FleetSettings.ts';
+import type Clock from '../ports/Clock.ts';
+import type Log from '../ports/Log.ts';
+import type PresetCodec from '../ports/PresetCodec.ts';
+import type RandomSource from '../ports/RandomSource.ts';
+import type Daemon from './Daemon.ts';
+import TaskGroup from './TaskGroup.ts';
+import {
+  connectTimeoutMs,
+  connectionsPerUpstream,
+  loadHalfLifeMs,
+  peerIdleCloseMs,
+} from './fleetTimes.ts';
+import formatAddress from './formatAddress.ts';
+import listSeedPeers from './listSeedPeers.ts';
+
+// The limits of a preset are checked per request; the listener itself takes a little more.
+const maxHeaderBytes = 65_536;
+
+// In usual answer times: a bad upstream costs the request, and what waits longer than that is no
+// better off. docs/platform.md compares other prices.
+const suspicionPrice = 3;
+const busySlotsPrice = 0.3;
+const coldPrice = 0.6;
+const noisePrice = 0.1;
+
+/** What an entry host of a fleet that is found through seeds is built from. */
+export interface FleetEntryOptions {
+  readonly settings: FleetEntrySettings;
+  /** The settings as they are now. */
+  readonly readSettings: () => Pick<FleetEntrySettings, 'seeds'>;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: Log;
+  readonly dialect: RequestDialect;
+  readonly codec: PresetCodec;
+}
+
+/** Composition root of an entry host of a fleet that is found through seeds. */
+export default class FleetEntryHost implements Daemon {
+  private readonly options: FleetEntryOptions;
+
+  private readonly tasks: TaskGroup;
+
+  private readonly view: FleetView;
+
+  private readonly dialer: TrpcPeerDialer;
+
+  private readonly socket: UdpDatagramSocket;
+
+  private readonly follower: FeedFollower;
+
+  private readonly suspicions: SuspicionBook;
+
+  private readonly exchange: DomainExchange;
+
+  private readonly observer: SuspicionObserver;
+
+  private readonly upstreamClient: UndiciUpstreamClient;
+
+  private readonly callers: HttpFrontEnd;
+
+  private readonly platform: PlatformFrontEnd;
+
+  private readonly metrics: PlatformFrontEnd;
+
+  private readonly shutdown: Shutdown;
+
+  private isStopping = false;
+
+  private constructor(options: FleetEntryOptions, socket: UdpDatagramSocket) {
+    const { settings, clock, log, codec, dialect } = options;
+    this.options = options;
+    this.socket = socket;
+    this.tasks = new TaskGroup({ log });
+    this.view = new FleetView({
+      clock,
+      log,
+      codec,
+      onPreset: ({ limits }) => this.callers.useLimits(limits),
+    });
+    this.dialer = new TrpcPeerDialer({
+      peerKey: settings.peerKey,
+      ownHost: settings.host,
+      clock,
+      idleCloseMs: peerIdleCloseMs,
+    });
+    this.follower = this.createFollower();
+    this.suspicions = new SuspicionBook({ holdMs: settings.suspicionMs });
+    this.exchange = this.createExchange();
+    this.observer = new SuspicionObserver({
+      clock,
+      suspicions: this.suspicions,
+      exchange: this.exchange,
+      findIncarnation: (upstream) => this.view.findIncarnation(upstream),
+    });
+    this.upstreamClient = new UndiciUpstreamClient({
+      clock,
+      connectionsPerUpstream,
+      connectTimeoutMs,
+      dialect,
+    });
+    const metrics = this.createMetrics();
+    this.callers = new HttpFrontEnd({
+      handler: this.createHandler(metrics),
+      clock,
+      log,
+      dialect,
+      maxHeaderBytes,
+    });
+    const readState = (): HostStateName => this.getState();
+    this.platform = new PlatformFrontEnd({ clock, log, metrics, readState });
+    this.metrics = new PlatformFrontEnd({ clock, log, metrics, readState });
+    this.shutdown = this.createShutdown();
+  }
+
+  /** Opens the listeners and starts the tasks; rejects with a `FailureError`. */
+  static async startHost(options: FleetEntryOptions): Promise<FleetEntryHost> {
+    const { listen, peerKey } = options.settings;
+    const { log } = options;
+    const socket = await UdpDatagramSocket.openSocket({ address: listen.peers, peerKey, log });
+    const host = new FleetEntryHost(options, socket);
+    await host.platform.openListener(listen.platform);
+    await host.metrics.openListener(listen.metrics);
+    await host.callers.openListener(listen.callers);
+    host.startTasks();
+    return host;
+  }
+
+  async stop(): Promise<void> {
+    await this.shutdown.stopHost();
+    await this.tasks.stop();
+    await this.upstreamClient.close();
+    await this.platform.closeListener();
+    await this.metrics.closeListener();
+    this.socket.close();
+    this.dialer.close();
+  }
+
+  // Every part of an entry host recovers by itself.
+  waitFailed(): Promise<string> {
+    return new Promise(() => undefined);
+  }
+
+  private startTasks(): void {
+    this.tasks.startTask('feed', (signal) => this.follower.run(signal));
+    this.tasks.startTask('exchange', (signal) => this.exchange.run(signal));
+    this.tasks.startTask('suspicions', (signal) => this.observer.run(signal));
+  }
+
+  private getState(): HostStateName {
+    if (this.isStopping) return 'stopping';
+    return this.view.isReady ? 'ready' : 'starting';
+  }
+
+  private createFollower(): FeedFollower {
+    const { settings, clock, log, readSettings } = this.options;
+    const { host, failureDomain, listen } = settings;
+    return new FeedFollower({
+      clock,
+      log,
+      own: { host, address: formatAddress(listen.peers), failureDomain },
+      view: this.view,
+      readSeeds: () => listSeedPeers({ listen, seeds: readSettings().seeds }),
+      openLink: (address) =>
+        new TrpcFleetLink(this.dialer.takeConnection({ host: address, address }), clock),
+    });
+  }
+
+  private createExchange(): DomainExchange {
+    const { settings, clock, log } = this.options;
+    return new DomainExchange({
+      clock,
+      log,
+      socket: this.socket,
+      ownAddress: formatAddress(settings.listen.peers),
+      listPeers: () => this.view.entryHosts.map(({ address }) => address),
+      findRelay: () => this.findRelay(),
+      suspicions: this.suspicions,
+    });
+  }
+
+  // Only a control host of the own failure domain: the others' bytes are dear.
+  private findRelay(): string | undefined {
+    const { failureDomain } = this.options.settings;
+    const { source } = this.follower;
+    const host = this.view.controlHosts.find(({ address }) => address === source);
+    return host?.failureDomain === failureDomain ? source : undefined;
+  }
+
+  private createHandler(metrics: PrometheusMetrics): RequestHandler {
+    const { settings, clock, random, log, dialect } = this.options;
+    const { view, upstreamClient, exchange, observer, suspicions } = this;
+    const dispatcher = new UpstreamDispatcher({
+      clock,
+      random,
+      upstreamClient,
+      balancer: new PricedBalancer({
+        prices: {
+          busySlots: busySlotsPrice,
+          otherDomain: settings.otherDomainPrice,
+          suspicion: suspicionPrice,
+          cold: coldPrice,
+          noise: noisePrice,
+        },
+        readSuspicion: ({ record }) =>
+          suspicions.getLevel(record.upstream, record.incarnation, clock.now()),
+        loadHalfLifeMs,
+      }),
+      pool: view,
+      observer,
+      loadTracker: new DomainLoad({ own: new LoadTracker(), exchange }),
+      failureDomain: settings.failureDomain,
+      dialect,
+      log,
+    });
+    return new RequestHandler({
+      clock,
+      random,
+      log,
+      activePreset: view,
+      claims: new NoClaims(),
+      dispatcher,
+      observer: metrics,
+      dialect,
+      budgets: new FleetRetryBudgets({
+        extra: settings.retries.extra,
+        countEntryHosts: () => view.entryHosts.length * settings.failureDomains.length,
+      }),
+    });
+  }
+
+  private createMetrics(): PrometheusMetrics {
+    const { view, socket } = this;
+    return new PrometheusMetrics(
+      [
+        {
+          name: 'preset_number',
+          help: 'Number of the preset in force.',
+          readValue: () => view.state?.revision ?? 0,
+        },
+        {
+          name: 'entry_hosts',
+          help: 'Entry hosts of the own failure domain.',
+          readValue: () => view.entryHosts.length,
+        },
+        {
+          name: 'following',
+          help: '1 while a control host answers.',
+          readValue: () => (this.follower.source === undefined ? 0 : 1),
+        },
+        {
+          name: 'datagrams_refused',
+          help: 'Datagrams that are damaged or lack the key.',
+          readValue: () => socket.refusedCount,
+        },
+        {
+          name: 'datagrams_unsent',
+          help: 'Datagrams that could not be sent.',
+          readValue: () => socket.unsentCount,
+        },
+      ],
+      { hasProcessMetrics: false },
+    );
+  }
+
+  private createShutdown(): Shutdown {
+    const { settings, clock, log } = this.options;
+    return new Shutdown({
+      clock,
+      log,
+      readiness: {
+        markStopping: () => {
+          this.isStopping = true;
+        },
+      },
+      listeners: [this.callers],
+      claims: new NoClaims(),
+      // Control hosts forget an entry host that no longer asks them.
+      hostRecord: { announceStopping: async () => undefined, removeRecord: async () => undefined },
+      stopGraceMs: settings.stopGraceMs,
+    });
+  }
+}
--- /dev/null
+++ b/src/daemon/FleetSettingsFile.ts
@@ -0,0 +1,86 @@
+import { readFile } from 'node:fs/promises';
+
+import parseFleetSettings from '../adapters/yaml/parseFleetSettings.ts';
+import type Result from '../domain/errors/Result.ts';
+import type FleetSettings from '../domain/settings/FleetSettings.ts';
+import type Clock from '../ports/Clock.ts';
+import type Log from '../ports/Log.ts';
+import Wakeup from '../application/tasks/Wakeup.ts';
+
+// Settings may change without a signal; a small file costs little to read.
+const pollMs = 2000;
+
+/** Reads the settings file of a daemon; the failure names file, key, value and what is allowed. */
+export async function readFleetSettings(file: string): Promise<Result<FleetSettings>> {
+  try {
+    return parseFleetSettings(file, await readFile(file, 'utf8'));
+  } catch (error) {
+    const detail = (error as NodeJS.ErrnoException).code ?? (error as Error).message;
+    const message = `${file}: ${detail}: expected a readable YAML file`;
+    return { ok: false, failure: { kind: 'settings_invalid', message } };
+  }
+}
+
+/** The settings file of a running daemon. New seeds count at once, other changes at a restart. */
+export default class FleetSettingsFile {
+  private readonly file: string;
+
+  private readonly clock: Clock;
+
+  private readonly log: Log;
+
+  private readonly wakeup: Wakeup;
+
+  private current: FleetSettings;
+
+  private text = '';
+
+  constructor(options: {
+    readonly file: string;
+    readonly settings: FleetSettings;
+    readonly clock: Clock;
+    readonly log: Log;
+  }) {
+    this.file = options.file;
+    this.current = options.settings;
+    this.clock = options.clock;
+    this.log = options.log;
+    this.wakeup = new Wakeup(options.clock);
+  }
+
+  /** The newest settings that could be read. */
+  get settings(): FleetSettings {
+    return this.current;
+  }
+
+  /** Reads the file now. */
+  readAgain(): void {
+    this.wakeup.release();
+  }
+
+  /** Follows changes of the file until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    signal.addEventListener('abort', () => this.wakeup.release(), { once: true });
+    while (!signal.aborted) {
+      await this.readChange();
+      await this.wakeup.waitUntil(this.clock.now() + pollMs);
+    }
+  }
+
+  private async readChange(): Promise<void> {
+    const { log, file } = this;
+    const read = await readFleetSettings(file);
+    if (!read.ok) {
+      log.warn('lifecycle: the changed settings are not used', { error: read.failure.message });
+      return;
+    }
+    const text = JSON.stringify(read.value);
+    if (text === this.text) return;
+    const isFirst = this.text === '';
+    this.text = text;
+    this.current = read.value;
+    if (isFirst) return;
+    const seeds = read.value.seeds.map(({ ip, port }) => `${ip}:${port}`).join(' ');
+    log.info('lifecycle: settings reloaded', { seeds });
+  }
+}
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -57,7 +57,8 @@
   const read = await readSettings(file);
   if (!read.ok) refuseStart(read.failure.message);
   const settings = read.value;
-  const log = new WinstonLog({ host: settings.host, level: settings.logLevel });
+  const clock = new SystemClock();
+  const log = new WinstonLog({ host: settings.host, level: settings.logLevel, clock });
   // From here on a signal waits for the start to finish instead of ending the process.
   const signalled = waitSignal().then((signal) => {
     log.info('lifecycle: signal received', { signal });
@@ -65,7 +66,7 @@
   });
   const options = {
     settings,
-    clock: new SystemClock(),
+    clock,
     random: new SystemRandomSource(),
     log,
   };
@@ -84,6 +85,7 @@
   const failure = await Promise.race([signalled, daemon.waitFailed()]);
   if (failure !== undefined) log.error('lifecycle: failed', { error: failure });
   await daemon.stop();
+  await log.endLog();
   process.exit(failure === undefined ? 0 : exitFailed);
 }
 
--- a/src/domain/control/ControlCommand.ts
+++ b/src/domain/control/ControlCommand.ts
@@ -1,5 +1,8 @@
 import type { ClaimChange, ClaimDecision } from '../claims/Claim.ts';
 import type Result from '../errors/Result.ts';
+import type { Registration } from '../membership/RegisteredUpstream.ts';
+import type { Removal } from '../membership/UpstreamRegistry.ts';
+import type NumberedPreset from '../presets/NumberedPreset.ts';
 import type Preset from '../presets/Preset.ts';
 
 /** Stores a preset under a name. */
@@ -23,6 +26,24 @@
   readonly operator: string;
 }
 
+/** Puts a preset with an operators' number in force unless a higher number is. */
+export interface PutNumberedPreset extends NumberedPreset {
+  readonly kind: 'put_numbered_preset';
+}
+
+/** Takes what an upstream announced about itself. */
+export interface RegisterUpstream {
+  readonly kind: 'register_upstream';
+  readonly registration: Registration;
+  /** Peers address of the control host that heard the announcement. */
+  readonly keeper: string;
+}
+
+/** Ends the run of an upstream. */
+export interface RemoveUpstream extends Removal {
+  readonly kind: 'remove_upstream';
+}
+
 /** Decides a batch of claim changes in order. */
 export interface ChangeClaims {
   readonly kind: 'change_claims';
@@ -30,7 +51,8 @@
 }
 
 /** A command of the control group's log. */
-type ControlCommand = PutPreset | UsePreset | ChangeClaims;
+type ControlCommand =
+  PutPreset | UsePreset | ChangeClaims | PutNumberedPreset | RegisterUpstream | RemoveUpstream;
 
 export type { ControlCommand as default };
 
@@ -42,4 +64,5 @@
 /** What applying a command gives its proposer. */
 export type ControlReply =
   | { readonly kind: 'preset_change'; readonly result: Result<AcceptedChange> }
+  | { readonly kind: 'accepted' }
   | { readonly kind: 'claims'; readonly decisions: readonly ClaimDecision[] };
--- a/src/domain/control/ControlState.ts
+++ b/src/domain/control/ControlState.ts
@@ -1,5 +1,7 @@
 import ClaimBook from '../claims/ClaimBook.ts';
 import type { ClaimBookOptions } from '../claims/ClaimBook.ts';
+import UpstreamRegistry from '../membership/UpstreamRegistry.ts';
+import type NumberedPreset from '../presets/NumberedPreset.ts';
 import PresetBook from '../presets/PresetBook.ts';
 import type ReplicatedState from '../replication/ReplicatedState.ts';
 import type {
@@ -10,6 +12,7 @@
 import type ControlCommand from './ControlCommand.ts';
 import type { ControlReply, PutPreset, UsePreset } from './ControlCommand.ts';
 import type ControlSnapshot from './ControlSnapshot.ts';
+import type { RegistrySnapshot } from './ControlSnapshot.ts';
 
 /** What a control state needs. */
 export interface ControlStateOptions {
@@ -18,12 +21,17 @@
   readonly claimLimits?: ClaimBookOptions;
 }
 
-/** The state that the control group replicates: the presets and the claims. */
+/** The state that the control group replicates: presets, claims and registered upstreams. */
 export default class ControlState implements ReplicatedState<ControlCommand, ControlReply> {
   readonly presets = new PresetBook();
 
   readonly claims: ClaimBook;
 
+  readonly registry = new UpstreamRegistry();
+
+  /** The numbered preset in force. */
+  numberedPreset: NumberedPreset | undefined;
+
   private readonly options: ControlStateOptions;
 
   constructor(options: ControlStateOptions) {
@@ -36,6 +44,15 @@
       case 'put_preset':
       case 'use_preset':
         return this.applyPresetChange(command, position);
+      case 'put_numbered_preset':
+        this.applyNumberedPreset(command);
+        return { kind: 'accepted' };
+      case 'register_upstream':
+        this.registry.applyRegistration(command.registration, command.keeper, position.index);
+        return { kind: 'accepted' };
+      case 'remove_upstream':
+        this.registry.applyRemoval(command, position.index);
+        return { kind: 'accepted' };
       case 'change_claims':
         return { kind: 'claims', decisions: this.claims.applyChanges(command.changes, position) };
       default:
@@ -52,7 +69,17 @@
     return { kind: 'preset_change', result };
   }
 
+  private applyNumberedPreset({ number, document }: NumberedPreset): void {
+    if (number <= (this.numberedPreset?.number ?? -Infinity)) return;
+    this.numberedPreset = { number, document };
+  }
+
   takeSnapshot(): SnapshotParts<ControlSnapshot> {
+    const { numberedPreset } = this;
+    const registry = {
+      records: this.registry.listRecords(),
+      oldestKnownChange: this.registry.oldestKnownChange,
+    };
     const claims = this.claims.takeSnapshot();
     const presets = this.presets.takeSnapshot();
     return {
@@ -61,6 +88,7 @@
       readPart: (position) => ({
         claims: claims.readPart(position),
         presets: presets.readPart(position),
+        ...(position === 0 ? { numberedPreset, registry } : {}),
       }),
     };
   }
@@ -70,15 +98,21 @@
     const { parseSnapshot, claimLimits } = this.options;
     const claims = new ClaimBook(claimLimits);
     const presets = new PresetBook();
+    let numberedPreset: NumberedPreset | undefined;
+    let registry: RegistrySnapshot | undefined;
     return {
       addPart: (part) => {
         const parsed = parseSnapshot(part);
         claims.addPart(parsed.claims);
         presets.addPart(parsed.presets);
+        numberedPreset = parsed.numberedPreset ?? numberedPreset;
+        registry = parsed.registry ?? registry;
       },
       useParts: () => {
         this.claims.restoreFrom(claims);
         this.presets.restoreFrom(presets);
+        this.numberedPreset = numberedPreset;
+        this.registry.restoreRecords(registry?.records ?? [], registry?.oldestKnownChange ?? 0);
       },
     };
   }
--- a/src/domain/detection/EvidenceCollector.ts
+++ b/src/domain/detection/EvidenceCollector.ts
@@ -26,6 +26,7 @@
 const kinds: Readonly<Record<AnswerClass, 'good' | 'failed' | 'none'>> = {
   good: 'good',
   failed: 'failed',
+  reset: 'failed',
   truncated: 'failed',
   mismatched: 'failed',
   timed_out: 'failed',
--- a/src/domain/errors/errorAnswers.ts
+++ b/src/domain/errors/errorAnswers.ts
@@ -38,7 +38,7 @@
   claims_full: refuse(503),
 
   no_upstream: refuse(503),
-  upstream_unreachable: refuse(502),
+  upstream_unreachable: refuse(503),
   upstream_refused: refuse(503),
   upstream_timeout: leaveOpen(504),
   upstream_reset: leaveOpen(502),
--- a/src/domain/requests/AnswerObservation.ts
+++ b/src/domain/requests/AnswerObservation.ts
@@ -1,7 +1,9 @@
 /** How a request to an upstream ended, as evidence of the upstream's health. */
 export type AnswerClass =
   | 'good'
+  /** A whole answer that reports a fault. */
   | 'failed'
+  | 'reset'
   | 'truncated'
   | 'mismatched'
   | 'timed_out'
--- a/src/domain/requests/RetryBudget.ts
+++ b/src/domain/requests/RetryBudget.ts
@@ -3,7 +3,7 @@
 
 /** Bounds the retries of a service to a share of its original requests. */
 export default class RetryBudget {
-  private readonly mostTokens: number;
+  private mostTokens: number;
 
   private tokens: number;
 
@@ -18,6 +18,11 @@
     this.tokens = Math.min(this.mostTokens, this.tokens + retryShare);
   }
 
+  /** Changes the number of retries that may be made at once. */
+  setMostTokens(mostTokens: number): void {
+    this.mostTokens = mostTokens;
+  }
+
   /** Whether a retry would be allowed now. */
   hasRetry(): boolean {
     return this.tokens >= 1;
--- a/tests/requests/callersListener.test.ts
+++ b/tests/requests/callersListener.test.ts
@@ -228,7 +228,7 @@
       await closed;
 
       expect((await caller.waitClosed()).match(/HTTP\/1\.1 200/g)).toHaveLength(2);
-      expect(path.log.messages).toEqual([]);
+      expect(path.log.messages).toEqual(['requests: answered', 'requests: answered']);
     });
 
     // Guards against destroying a connection whose last answer is not fully sent yet.
