Price the risk of an upstream, and spend retries per failure domain

Cause: half of Filtros' history requests and a third of its bookings crossed failure domains. Entry hosts stayed with the first seed that answered, so that signs of bad upstreams never reached the other domains' hosts; single 500s and overdue requests counted nearly as much as a reset; and a host's own retry budget (one token, a fifth more with each request) was empty when it was needed: 28 of 435 look-ups failed for that. What tells is how long ago an upstream was proven good. Change: a follower moves to a better control host; the risk of an upstream grows while it is unused; price of another domain by the size of the answers; retries are counted in a window that a domain shares; connections have a timer of their own (undici's 400 ms took 1 s).

--- a/bench/capacity/measureDetection.ts
+++ b/bench/capacity/measureDetection.ts
@@ -140,7 +140,7 @@
       const startedAt = clock.now();
       reporter.recordEnd(`${run}-${request}`, {
         ...{ service: `service-${service % services}`, upstream: 'upstream-1', answerClass },
-        ...{ startedAt, endedAt: startedAt + 25, reportedLoad: undefined },
+        ...{ startedAt, endedAt: startedAt + 25, reportedLoad: undefined, answerBytes: 0 },
       });
       if (request % 17 === 16) await clock.advanceBy(200);
     }
--- a/src/adapters/http/UndiciUpstreamClient.ts
+++ b/src/adapters/http/UndiciUpstreamClient.ts
@@ -5,6 +5,7 @@
 import type Clock from '../../ports/Clock.ts';
 import type UpstreamClient from '../../ports/UpstreamClient.ts';
 import type { UpstreamRequest, UpstreamResult } from '../../ports/UpstreamClient.ts';
+import createConnector from './createConnector.ts';
 import ExchangeDeadlines from './ExchangeDeadlines.ts';
 import UpstreamExchange from './UpstreamExchange.ts';
 
@@ -41,7 +42,7 @@
     this.agent = new Agent({
       connections: options.connectionsPerUpstream,
       pipelining: 1,
-      connect: { timeout: options.connectTimeoutMs ?? defaultConnectTimeoutMs },
+      connect: createConnector(options.connectTimeoutMs ?? defaultConnectTimeoutMs),
       keepAliveTimeout: keepAliveTimeoutMs,
       keepAliveMaxTimeout: longestKeepAliveMs,
       // The request's own deadline bounds both.
--- /dev/null
+++ b/src/adapters/http/createConnector.ts
@@ -0,0 +1,31 @@
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+
+import type { buildConnector } from 'undici';
+
+const keepAliveMs = 5000;
+
+/**
+ * Opens connections to upstreams. undici's own timeout is checked about every half second only, so
+ * that 400 ms would end after 1 s.
+ */
+export default function createConnector(timeoutMs: number): buildConnector.connector {
+  return ({ hostname, port }, callback): Socket => {
+    const socket = connect({ host: hostname, port: Number(port), noDelay: true });
+    socket.setKeepAlive(true, keepAliveMs);
+    const timer = setTimeout(() => {
+      socket.destroy(new Error(`no connection to ${hostname}:${port} within ${timeoutMs} ms`));
+    }, timeoutMs);
+    const onError = (error: Error): void => {
+      clearTimeout(timer);
+      callback(error, null);
+    };
+    socket.once('error', onError);
+    socket.once('connect', () => {
+      clearTimeout(timer);
+      socket.off('error', onError);
+      callback(null, socket);
+    });
+    return socket;
+  };
+}
--- a/src/adapters/yaml/parseFleetSettings.ts
+++ b/src/adapters/yaml/parseFleetSettings.ts
@@ -34,6 +34,7 @@
   retries: z.strictObject({
     share: z.number('expected a number from 0 to 1').min(0).max(1),
     extra: z.number('expected a number from 0').min(0),
+    window: durationSchema,
   }),
   stop_grace: durationSchema.default(2200),
   other_domain_price: z.number(priceExpected).min(0, priceExpected).max(100, priceExpected),
@@ -87,7 +88,11 @@
         ...shared,
         role: settings.role,
         listen: settings.listen,
-        retries: settings.retries,
+        retries: {
+          share: settings.retries.share,
+          extra: settings.retries.extra,
+          windowMs: settings.retries.window,
+        },
         stopGraceMs: settings.stop_grace,
         otherDomainPrice: settings.other_domain_price,
         suspicionMs: settings.suspicion,
--- a/src/application/fleet/DomainExchange.ts
+++ b/src/application/fleet/DomainExchange.ts
@@ -1,10 +1,12 @@
 import type { Suspicion } from '../../domain/detection/SuspicionBook.ts';
 import type SuspicionBook from '../../domain/detection/SuspicionBook.ts';
+import type { RetryCounts } from '../../domain/requests/RetryWindow.ts';
 import type Clock from '../../ports/Clock.ts';
 import type DatagramSocket from '../../ports/DatagramSocket.ts';
 import type Log from '../../ports/Log.ts';
 import Wakeup from '../tasks/Wakeup.ts';
 import checkDomainMessage from './checkDomainMessage.ts';
+import type { HostWork } from './checkDomainMessage.ts';
 
 // Starts and ends of requests within this time travel together; suspicions don't wait.
 const gatherMs = 20;
@@ -24,13 +26,16 @@
   /** Address of the control host that passes suspicions on to other failure domains. */
   readonly findRelay: () => string | undefined;
   readonly suspicions: SuspicionBook;
+  /** What this host counted in the newest window, by service. */
+  readonly readRetries: () => Readonly<Record<string, RetryCounts>>;
 }
 
-interface PeerFlight {
-  readonly counts: Readonly<Record<string, number>>;
+interface PeerWork extends HostWork {
   readonly until: number;
 }
 
+const noRetries: RetryCounts = { requests: 0, retries: 0 };
+
 /**
  * What the entry hosts of one failure domain tell each other: their open requests and bad signs of
  * upstreams. It needs no control host.
@@ -40,7 +45,9 @@
 
   private readonly own = new Map<string, number>();
 
-  private readonly peers = new Map<string, PeerFlight>();
+  private readonly peers = new Map<string, PeerWork>();
+
+  private readonly proven = new Set<string>();
 
   private readonly waiting: Suspicion[] = [];
 
@@ -58,11 +65,23 @@
   countInFlight(upstream: string): number {
     const now = this.options.clock.now();
     return [...this.peers.values()].reduce(
-      (sum, { counts, until }) => (until > now ? sum + (counts[upstream] ?? 0) : sum),
+      (sum, { inFlight, until }) => (until > now ? sum + (inFlight[upstream] ?? 0) : sum),
       this.own.get(upstream) ?? 0,
     );
   }
 
+  /** Requests and retries that the other hosts of the domain counted for a service. */
+  countRetries(service: string): RetryCounts {
+    const now = this.options.clock.now();
+    return [...this.peers.values()].reduce((sum, { retries, until }) => {
+      const counts = (until > now && retries[service]) || noRetries;
+      return {
+        requests: sum.requests + counts.requests,
+        retries: sum.retries + counts.retries,
+      };
+    }, noRetries);
+  }
+
   recordStart(upstream: string): void {
     this.own.set(upstream, (this.own.get(upstream) ?? 0) + 1);
     this.announceChange();
@@ -75,12 +94,18 @@
     this.announceChange();
   }
 
+  /** Tells the others with the next message that an upstream gave a good answer. */
+  reportProof(upstream: string): void {
+    this.proven.add(upstream);
+  }
+
   /** Tells the others at once of a bad sign that this host has seen. */
   reportSuspicion(suspicion: Suspicion, requestId: string): void {
     const { clock, suspicions, log } = this.options;
     const isNews = suspicions.addSuspicion(suspicion, clock.now());
     log.info('detection: an upstream looks bad', { ...suspicion, requestId, isNews });
-    if (!isNews) return;
+    // Whether a connection can be opened depends on the host that tries.
+    if (!isNews || suspicion.kind === 'unreachable') return;
     this.waiting.push(suspicion);
     this.sendMessages();
   }
@@ -104,10 +129,16 @@
   }
 
   private sendMessages(): void {
-    const { socket, ownAddress, listPeers, findRelay } = this.options;
+    const { socket, ownAddress, listPeers, findRelay, readRetries } = this.options;
     const suspicions = this.waiting.splice(0);
     this.isChanged = false;
-    const message = { from: ownAddress, inFlight: Object.fromEntries(this.own), suspicions };
+    const work: HostWork = {
+      inFlight: Object.fromEntries(this.own),
+      retries: readRetries(),
+      proven: [...this.proven],
+    };
+    this.proven.clear();
+    const message = { from: ownAddress, suspicions, work };
     listPeers()
       .filter((address) => address !== ownAddress)
       .forEach((address) => socket.sendDatagram(message, address));
@@ -123,10 +154,11 @@
       return;
     }
     const now = clock.now();
-    const { from, inFlight } = message;
-    if (inFlight) this.peers.set(from, { counts: inFlight, until: now + forgetMs });
+    const { from, work } = message;
+    if (work) this.peers.set(from, { ...work, until: now + forgetMs });
+    work?.proven.forEach((upstream) => suspicions.addProof(upstream, now));
     message.suspicions.forEach((suspicion) => {
-      const isNews = suspicions.addSuspicion(suspicion, now);
+      const isNews = suspicions.addSuspicion(suspicion, now, 'other');
       if (isNews) log.info('detection: another host saw a bad upstream', { ...suspicion, from });
     });
     this.dropSilent(now);
--- /dev/null
+++ b/src/application/fleet/DomainRetryBudgets.ts
@@ -0,0 +1,74 @@
+import type RetryAllowance from '../../domain/requests/RetryAllowance.ts';
+import RetryWindow from '../../domain/requests/RetryWindow.ts';
+import type { RetryCounts } from '../../domain/requests/RetryWindow.ts';
+import type Clock from '../../ports/Clock.ts';
+import type RetryBudgetSource from '../requests/RetryBudgetSource.ts';
+
+// Hosts of a domain hear of each other's retries a moment late, so a part stays unused.
+const usedShare = 0.8;
+
+/** What the budgets need. */
+export interface DomainRetryBudgetsOptions {
+  readonly clock: Clock;
+  /** Retries for each request in any window, summed over all entry hosts. */
+  readonly share: number;
+  /** Retries beyond the share in any window, summed over all entry hosts. */
+  readonly extra: number;
+  readonly windowMs: number;
+  readonly failureDomains: number;
+  /** What the other entry hosts of the failure domain counted in the newest window. */
+  readonly readOthers: (service: string) => RetryCounts;
+}
+
+/**
+ * Keeps the retries of all entry hosts within the bound of each service: each failure domain has
+ * its part, which its hosts spend together.
+ */
+export default class DomainRetryBudgets implements RetryBudgetSource {
+  private readonly options: DomainRetryBudgetsOptions;
+
+  private readonly windows = new Map<string, RetryWindow>();
+
+  constructor(options: DomainRetryBudgetsOptions) {
+    this.options = options;
+  }
+
+  getBudget(service: string): RetryAllowance {
+    const window = this.getWindow(service);
+    const { clock } = this.options;
+    return {
+      addRequest: () => window.addRequest(clock.now()),
+      hasRetry: () => this.hasRetry(service),
+      takeRetry: () => {
+        if (!this.hasRetry(service)) return false;
+        window.addRetry(clock.now());
+        return true;
+      },
+    };
+  }
+
+  /** What this host counted in the newest window, by service. */
+  readOwn(): Readonly<Record<string, RetryCounts>> {
+    const now = this.options.clock.now();
+    const counts = [...this.windows].map(
+      ([service, window]) => [service, window.readCounts(now)] as const,
+    );
+    return Object.fromEntries(counts.filter(([, { requests }]) => requests > 0));
+  }
+
+  private hasRetry(service: string): boolean {
+    const { clock, share, extra, failureDomains, readOthers } = this.options;
+    const own = this.getWindow(service).readCounts(clock.now());
+    const others = readOthers(service);
+    const allowed = share * (own.requests + others.requests) + extra / failureDomains;
+    return own.retries + others.retries + 1 <= usedShare * allowed;
+  }
+
+  private getWindow(service: string): RetryWindow {
+    const known = this.windows.get(service);
+    if (known) return known;
+    const window = new RetryWindow({ windowMs: this.options.windowMs });
+    this.windows.set(service, window);
+    return window;
+  }
+}
--- a/src/application/fleet/FeedFollower.ts
+++ b/src/application/fleet/FeedFollower.ts
@@ -13,7 +13,7 @@
 // Between two rounds through the control hosts; doubled while none of them is in touch.
 const firstPauseMs = 100;
 const longestPauseMs = 1600;
-// How often a host that follows another failure domain looks for a control host of its own.
+// A control host that did not answer is tried again after this time, or when none is left.
 const returnMs = 3000;
 
 /** What the follower needs. */
@@ -33,6 +33,9 @@
 
   private followed: string | undefined;
 
+  /** When a control host that did not answer may be tried again. */
+  private readonly retryAt = new Map<string, number>();
+
   constructor(options: FeedFollowerOptions) {
     this.options = options;
   }
@@ -48,51 +51,58 @@
     let pauseMs = firstPauseMs;
     while (!signal.aborted) {
       const addresses = this.listAddresses();
-      pauseMs = Math.min(2 * pauseMs, longestPauseMs);
-      for (const address of addresses) {
-        if (signal.aborted) break;
-        const isPreferred = address === addresses[0];
-        const hasAnswered = await this.followHost(address, { isPreferred, signal });
-        if (!hasAnswered) continue;
-        // The order may have changed with what was learned.
-        pauseMs = firstPauseMs;
-        break;
+      const address = addresses.find((candidate) => this.mayTry(candidate));
+      const hasAnswered = address !== undefined && (await this.followHost(address, signal));
+      if (hasAnswered) pauseMs = firstPauseMs;
+      if (address === undefined) {
+        // All were tried; those of the own failure domain may be back.
+        this.retryAt.clear();
+        await clock.sleepUntil(clock.now() + pauseMs, signal);
+        pauseMs = Math.min(2 * pauseMs, longestPauseMs);
       }
-      await clock.sleepUntil(clock.now() + pauseMs, signal);
     }
   }
 
+  private mayTry(address: string): boolean {
+    return (this.retryAt.get(address) ?? 0) <= this.options.clock.now();
+  }
+
   private listAddresses(): readonly string[] {
     const { view, own, readSeeds } = this.options;
     const known = chooseControlHosts(view.controlHosts, own).map(({ address }) => address);
     return [...new Set([...known, ...readSeeds()])];
   }
 
+  /** Whether a control host that is preferred to the followed one may be tried. */
+  private hasBetter(address: string): boolean {
+    const addresses = this.listAddresses();
+    return addresses
+      .slice(0, Math.max(0, addresses.indexOf(address)))
+      .some((candidate) => this.mayTry(candidate));
+  }
+
   /** Returns whether the host answered as one that is in touch with its group. */
-  private async followHost(
-    address: string,
-    { isPreferred, signal }: { readonly isPreferred: boolean; readonly signal: AbortSignal },
-  ): Promise<boolean> {
-    const { clock, openLink } = this.options;
+  private async followHost(address: string, signal: AbortSignal): Promise<boolean> {
+    const { clock, openLink, view } = this.options;
     const link = openLink(address);
     const onAbort = (): void => link.close();
     signal.addEventListener('abort', onAbort, { once: true });
-    const leaveAt = isPreferred ? Infinity : clock.now() + returnMs;
     let hasAnswered = false;
     let isGood = true;
-    while (isGood && !signal.aborted && clock.now() < leaveAt) {
+    while (isGood && !signal.aborted && !(hasAnswered && this.hasBetter(address))) {
       // A host that looks for another one must not wait for one that may be out of touch.
-      const mayWait = hasAnswered || !this.options.view.isReady;
+      const mayWait = hasAnswered || !view.isReady;
       const answer = await this.askFeed(link, mayWait ? waitMs : 0);
       isGood = answer?.isCurrent ?? false;
       if (isGood) this.markFollowed(address);
       hasAnswered ||= isGood;
       // A host that knows nothing yet learns of the others from any answer.
-      if (answer && (isGood || this.options.view.isReady)) this.options.view.applyAnswer(answer);
-      else if (answer) this.options.view.applyHosts(answer.hosts);
+      if (answer && (isGood || view.isReady)) view.applyAnswer(answer);
+      else if (answer) view.applyHosts(answer.hosts);
     }
     signal.removeEventListener('abort', onAbort);
     link.close();
+    if (!isGood) this.retryAt.set(address, clock.now() + returnMs);
     if (hasAnswered && !isGood) this.markLost(address);
     return hasAnswered;
   }
--- a/src/application/fleet/SuspicionObserver.ts
+++ b/src/application/fleet/SuspicionObserver.ts
@@ -49,6 +49,8 @@
   /** Usual time of a good answer by service, in milliseconds. */
   private readonly usualMs = new Map<string, number>();
 
+  private readonly usualBytes = new Map<string, number>();
+
   constructor(options: SuspicionObserverOptions) {
     this.options = options;
   }
@@ -64,12 +66,19 @@
     const kind = kinds[answerClass];
     if (kind) this.reportSuspicion(upstream, kind, requestId);
     if (answerClass !== 'good') return;
-    suspicions.addGoodAnswer(upstream, startedAt);
+    suspicions.addGoodAnswer(upstream, startedAt, endedAt);
+    this.options.exchange.reportProof(upstream);
+    this.recordSize(service, observation.answerBytes);
     const tookMs = endedAt - startedAt;
     const usual = this.usualMs.get(service) ?? tookMs;
     this.usualMs.set(service, usual + newestShare * (tookMs - usual));
   }
 
+  /** Usual size of a good answer, in bytes; undefined before the first one. */
+  readUsualBytes(service: string): number | undefined {
+    return this.usualBytes.get(service);
+  }
+
   /** Looks for overdue requests until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock } = this.options;
@@ -85,6 +94,11 @@
     }
   }
 
+  private recordSize(service: string, bytes: number): void {
+    const usual = this.usualBytes.get(service) ?? bytes;
+    this.usualBytes.set(service, usual + newestShare * (bytes - usual));
+  }
+
   private isOverdue({ service, startedAt }: Watched, now: number): boolean {
     const usual = this.usualMs.get(service);
     if (usual === undefined) return false;
--- a/src/application/fleet/SuspicionRelay.ts
+++ b/src/application/fleet/SuspicionRelay.ts
@@ -43,6 +43,14 @@
     if (suspicions.length === 0) return;
     const isFromDomain = listEntryHosts().includes(message.from);
     const targets = isFromDomain ? listRelays() : listEntryHosts();
+    suspicions.forEach((suspicion) => {
+      const { from } = message;
+      log.info('detection: passing on a bad upstream', {
+        ...suspicion,
+        from,
+        targets: targets.length,
+      });
+    });
     targets.forEach((address) => socket.sendDatagram({ from: ownAddress, suspicions }, address));
   }
 
--- a/src/application/fleet/checkDomainMessage.ts
+++ b/src/application/fleet/checkDomainMessage.ts
@@ -1,12 +1,23 @@
 import type { Suspicion, SuspicionKind } from '../../domain/detection/SuspicionBook.ts';
+import type { RetryCounts } from '../../domain/requests/RetryWindow.ts';
 
 /** What an entry host tells the others of its failure domain, and control hosts pass on. */
 export interface DomainMessage {
   /** Address of the sender's datagrams. */
   readonly from: string;
-  /** Requests that the sender has open, by upstream; undefined from a control host. */
-  readonly inFlight: Readonly<Record<string, number>> | undefined;
   readonly suspicions: readonly Suspicion[];
+  /** Undefined from a control host. */
+  readonly work: HostWork | undefined;
+}
+
+/** What one entry host is doing. */
+export interface HostWork {
+  /** Open requests by upstream. */
+  readonly inFlight: Readonly<Record<string, number>>;
+  /** Requests and retries in the newest window, by service. */
+  readonly retries: Readonly<Record<string, RetryCounts>>;
+  /** Upstreams that gave good answers since the last message. */
+  readonly proven: readonly string[];
 }
 
 const kinds: Readonly<Record<SuspicionKind, true>> = {
@@ -17,8 +28,19 @@
   misplaced: true,
 };
 
+type Fields = Readonly<Record<string, unknown>>;
+
+function isFields(value: unknown): value is Fields {
+  return typeof value === 'object' && value !== null;
+}
+
+function isCount(value: unknown): value is number {
+  return Number.isInteger(value) && Number(value) >= 0;
+}
+
 function isSuspicion(value: unknown): value is Suspicion {
-  const { upstream, incarnation, kind } = (value ?? {}) as Record<string, unknown>;
+  if (!isFields(value)) return false;
+  const { upstream, incarnation, kind } = value;
   return (
     typeof upstream === 'string' &&
     typeof incarnation === 'number' &&
@@ -27,22 +49,31 @@
   );
 }
 
-function isCounts(value: unknown): value is Record<string, number> {
-  if (typeof value !== 'object' || value === null) return false;
-  return Object.values(value).every((count) => Number.isInteger(count) && Number(count) >= 0);
+function isRetryCounts(value: unknown): value is RetryCounts {
+  return isFields(value) && isCount(value.requests) && isCount(value.retries);
+}
+
+function isWork(value: unknown): value is HostWork {
+  if (!isFields(value)) return false;
+  const { inFlight, retries, proven } = value;
+  return (
+    isFields(inFlight) &&
+    Object.values(inFlight).every(isCount) &&
+    isFields(retries) &&
+    Object.values(retries).every(isRetryCounts) &&
+    Array.isArray(proven) &&
+    proven.every((upstream) => typeof upstream === 'string')
+  );
 }
 
-/**
- * The message when it is well-formed. Written by hand: each host checks dozens a second, and a
- * schema took ten times as long.
- */
+/** The message when it is well-formed. A schema library took ten times as long. */
 export default function checkDomainMessage(value: unknown): DomainMessage | undefined {
-  if (typeof value !== 'object' || value === null) return undefined;
-  const { from, inFlight, suspicions } = value as Record<string, unknown>;
+  if (!isFields(value)) return undefined;
+  const { from, suspicions, work } = value;
   const isValid =
     typeof from === 'string' &&
-    (inFlight === undefined || isCounts(inFlight)) &&
     Array.isArray(suspicions) &&
-    suspicions.every(isSuspicion);
-  return isValid ? { from, inFlight, suspicions } : undefined;
+    suspicions.every(isSuspicion) &&
+    (work === undefined || isWork(work));
+  return isValid ? { from, suspicions, work } : undefined;
 }
--- a/src/application/requests/RequestHandler.ts
+++ b/src/application/requests/RequestHandler.ts
@@ -8,7 +8,7 @@
 import BudgetRetryPolicy from '../../domain/requests/BudgetRetryPolicy.ts';
 import chooseSplit from '../../domain/requests/chooseSplit.ts';
 import OnceRetryPolicy from '../../domain/requests/OnceRetryPolicy.ts';
-import type RetryBudget from '../../domain/requests/RetryBudget.ts';
+import type RetryAllowance from '../../domain/requests/RetryAllowance.ts';
 import type Clock from '../../ports/Clock.ts';
 import type Log from '../../ports/Log.ts';
 import type RandomSource from '../../ports/RandomSource.ts';
@@ -277,7 +277,7 @@
     };
   }
 
-  private addToBudget({ route }: CallerRequest, service: ServiceSettings): RetryBudget {
+  private addToBudget({ route }: CallerRequest, service: ServiceSettings): RetryAllowance {
     const budget = this.budgets.getBudget(route.service);
     budget.addRequest(service.retryShare);
     return budget;
--- a/src/application/requests/RetryBudgetSource.ts
+++ b/src/application/requests/RetryBudgetSource.ts
@@ -1,6 +1,6 @@
-import type RetryBudget from '../../domain/requests/RetryBudget.ts';
+import type RetryAllowance from '../../domain/requests/RetryAllowance.ts';
 
-/** The retry budget of each service. */
+/** The retries of each service. */
 export default interface RetryBudgetSource {
-  getBudget(service: string): RetryBudget;
+  getBudget(service: string): RetryAllowance;
 }
--- a/src/application/requests/UpstreamDispatcher.ts
+++ b/src/application/requests/UpstreamDispatcher.ts
@@ -188,7 +188,14 @@
       tookMs: Math.round(endedAt - startedAt),
     });
     loadTracker.recordEnd({ ...names, reportedLoad, now: endedAt });
-    observer.recordEnd(attemptId, { ...names, answerClass, startedAt, endedAt, reportedLoad });
+    observer.recordEnd(attemptId, {
+      ...names,
+      answerClass,
+      startedAt,
+      endedAt,
+      reportedLoad,
+      answerBytes: result.kind === 'answered' ? result.answer.body.byteLength : 0,
+    });
     if (result.kind === 'answered') {
       const sheddingRecord = this.getSheddingRecord(record.service);
       sheddingRecord.recordAnswer(record.upstream, answerClass === 'shed', endedAt);
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -8,8 +8,8 @@
 import NoClaims from '../application/claims/NoClaims.ts';
 import DomainExchange from '../application/fleet/DomainExchange.ts';
 import DomainLoad from '../application/fleet/DomainLoad.ts';
+import DomainRetryBudgets from '../application/fleet/DomainRetryBudgets.ts';
 import FeedFollower from '../application/fleet/FeedFollower.ts';
-import FleetRetryBudgets from '../application/fleet/FleetRetryBudgets.ts';
 import FleetView from '../application/fleet/FleetView.ts';
 import SuspicionObserver from '../application/fleet/SuspicionObserver.ts';
 import Shutdown from '../application/lifecycle/Shutdown.ts';
@@ -20,6 +20,7 @@
 import SuspicionBook from '../domain/detection/SuspicionBook.ts';
 import type { HostStateName } from '../domain/membership/HostRecord.ts';
 import PricedBalancer from '../domain/requests/PricedBalancer.ts';
+import type { BalancerPrices } from '../domain/requests/PricedBalancer.ts';
 import type { FleetEntrySettings } from '../domain/settings/FleetSettings.ts';
 import type Clock from '../ports/Clock.ts';
 import type Log from '../ports/Log.ts';
@@ -39,12 +40,16 @@
 // The limits of a preset are checked per request; the listener itself takes a little more.
 const maxHeaderBytes = 65_536;
 
-// In usual answer times: a bad upstream costs the request, and what waits longer than that is no
-// better off. docs/platform.md compares other prices.
-const suspicionPrice = 3;
-const busySlotsPrice = 0.3;
-const coldPrice = 0.6;
-const noisePrice = 0.1;
+// Prices of the choice of an upstream. The unit is about a quarter of what a request is worth;
+// docs/platform.md has the trials.
+const prices = { busySlots: 0.3, wait: 0.6, cold: 0.5, noise: 0.1 };
+// A failed request is lost unless it may be repeated; then it costs a retry and some time.
+const lostPrice = 4;
+const repeatedPrice = 1.2;
+// Heads of request and answer, in bytes.
+const headBytes = 700;
+// Before the first answer is known.
+const unknownBytes = 2000;
 
 /** What an entry host of a fleet that is found through seeds is built from. */
 export interface FleetEntryOptions {
@@ -74,6 +79,8 @@
 
   private readonly suspicions: SuspicionBook;
 
+  private readonly budgets: DomainRetryBudgets;
+
   private readonly exchange: DomainExchange;
 
   private readonly observer: SuspicionObserver;
@@ -109,6 +116,12 @@
     });
     this.follower = this.createFollower();
     this.suspicions = new SuspicionBook({ holdMs: settings.suspicionMs });
+    this.budgets = new DomainRetryBudgets({
+      clock,
+      ...settings.retries,
+      failureDomains: settings.failureDomains.length,
+      readOthers: (service) => this.exchange.countRetries(service),
+    });
     this.exchange = this.createExchange();
     this.observer = new SuspicionObserver({
       clock,
@@ -199,6 +212,7 @@
       listPeers: () => this.view.entryHosts.map(({ address }) => address),
       findRelay: () => this.findRelay(),
       suspicions: this.suspicions,
+      readRetries: () => this.budgets.readOwn(),
     });
   }
 
@@ -218,15 +232,9 @@
       random,
       upstreamClient,
       balancer: new PricedBalancer({
-        prices: {
-          busySlots: busySlotsPrice,
-          otherDomain: settings.otherDomainPrice,
-          suspicion: suspicionPrice,
-          cold: coldPrice,
-          noise: noisePrice,
-        },
-        readSuspicion: ({ record }) =>
-          suspicions.getLevel(record.upstream, record.incarnation, clock.now()),
+        readPrices: (service) => this.readPrices(service),
+        readRisk: ({ record }) =>
+          suspicions.getRisk(record.upstream, record.incarnation, clock.now()),
         loadHalfLifeMs,
       }),
       pool: view,
@@ -245,13 +253,20 @@
       dispatcher,
       observer: metrics,
       dialect,
-      budgets: new FleetRetryBudgets({
-        extra: settings.retries.extra,
-        countEntryHosts: () => view.entryHosts.length * settings.failureDomains.length,
-      }),
+      budgets: this.budgets,
     });
   }
 
+  private readPrices(service: string): BalancerPrices {
+    const { otherDomainPrice } = this.options.settings;
+    const bytes = headBytes + (this.observer.readUsualBytes(service) ?? unknownBytes);
+    return {
+      ...prices,
+      otherDomain: (otherDomainPrice * bytes) / 1024,
+      failure: this.view.mayRepeat(service) ? repeatedPrice : lostPrice,
+    };
+  }
+
   private createMetrics(): PrometheusMetrics {
     const { view, socket } = this;
     return new PrometheusMetrics(
--- a/src/domain/requests/AnswerObservation.ts
+++ b/src/domain/requests/AnswerObservation.ts
@@ -20,6 +20,8 @@
   readonly answerClass: AnswerClass;
   readonly startedAt: number;
   readonly endedAt: number;
+  /** Size of the body; 0 without an answer. */
+  readonly answerBytes: number;
   /** Slots in use that the answer reported, when it did. */
   readonly reportedLoad: number | undefined;
 }
--- a/src/domain/requests/BudgetRetryPolicy.ts
+++ b/src/domain/requests/BudgetRetryPolicy.ts
@@ -1,13 +1,13 @@
-import type RetryBudget from './RetryBudget.ts';
+import type RetryAllowance from './RetryAllowance.ts';
 import type RetryPolicy from './RetryPolicy.ts';
 import type { AttemptTimes } from './RetryPolicy.ts';
 import type { UpstreamEnd } from './UpstreamEnd.ts';
 
 /** For operations that may repeat: another try after any fault while the service's budget lasts. */
 export default class BudgetRetryPolicy implements RetryPolicy {
-  private readonly budget: RetryBudget;
+  private readonly budget: RetryAllowance;
 
-  constructor(budget: RetryBudget) {
+  constructor(budget: RetryAllowance) {
     this.budget = budget;
   }
 
--- a/src/domain/settings/FleetSettings.ts
+++ b/src/domain/settings/FleetSettings.ts
@@ -6,6 +6,7 @@
   readonly share: number;
   /** Retries beyond the share in any window. */
   readonly extra: number;
+  readonly windowMs: number;
 }
 
 interface CommonSettings {
@@ -31,7 +32,7 @@
   readonly retries: FleetRetrySettings;
   /** Time between `/ready` turning 503 and the callers' listener closing, in milliseconds. */
   readonly stopGraceMs: number;
-  /** What the choice of an upstream of another failure domain costs, in usual answer times. */
+  /** What a KiB from another failure domain costs; a lost request costs 4. */
   readonly otherDomainPrice: number;
   /** How long a bad sign of an upstream counts, in milliseconds. */
   readonly suspicionMs: number;
--- a/tests/detection/reports.test.ts
+++ b/tests/detection/reports.test.ts
@@ -62,6 +62,7 @@
     collector.recordEnd(id, {
       ...{ service: 'history', upstream: 'a', answerClass, startedAt: 0, endedAt: ms },
       reportedLoad: undefined,
+      answerBytes: 0,
     });
 
   // Guards against blaming an upstream for shedding load or for a caller that left.
@@ -147,7 +148,12 @@
           const names = { service: 'history', upstream: record.upstream };
           host.reporter.recordStart({ requestId: id, ...names, startedAt: now - 25 });
           const answerClass = record.upstream === failing ? 'failed' : 'good';
-          const times = { startedAt: now - 25, endedAt: now, reportedLoad: undefined };
+          const times = {
+            startedAt: now - 25,
+            endedAt: now,
+            reportedLoad: undefined,
+            answerBytes: 0,
+          };
           host.reporter.recordEnd(id, { ...names, ...times, answerClass });
         });
         await clock.advanceBy(50);
