--- a/src/application/fleet/DomainExchange.ts
+++ b/src/application/fleet/DomainExchange.ts
@@ -8,8 +8,13 @@
 import checkDomainMessage from './checkDomainMessage.ts';
 import type { HostWork } from './checkDomainMessage.ts';
 
-// Starts and ends of requests within this time travel together; suspicions don't wait.
-const gatherMs = 20;
+// Changes at a busy upstream are told at once, because others are about to choose it too; a little
+// wait lets a start and an end travel together.
+const busyGatherMs = 20;
+// At others they can wait: half a second is about one request of a host.
+const calmGatherMs = 400;
+// An upstream is busy from so many open requests: half of the slots that upstreams commonly have.
+const busyRequests = 2;
 // Repeats what a lost datagram said while requests are open.
 const repeatMs = 1000;
 // A host that was not heard for this long has no open requests as far as others know.
@@ -53,7 +58,8 @@
 
   private readonly wakeup: Wakeup;
 
-  private isChanged = false;
+  /** When the others should know what changed since the last message. */
+  private dueAt = Infinity;
 
   constructor(options: DomainExchangeOptions) {
     this.options = options;
@@ -84,14 +90,14 @@
 
   recordStart(upstream: string): void {
     this.own.set(upstream, (this.own.get(upstream) ?? 0) + 1);
-    this.announceChange();
+    this.announceChange(upstream);
   }
 
   recordEnd(upstream: string): void {
+    this.announceChange(upstream);
     const left = (this.own.get(upstream) ?? 1) - 1;
     if (left > 0) this.own.set(upstream, left);
     else this.own.delete(upstream);
-    this.announceChange();
   }
 
   /** Tells the others with the next message that an upstream gave a good answer. */
@@ -114,24 +120,32 @@
   async run(signal: AbortSignal): Promise<void> {
     const { clock, suspicions } = this.options;
     signal.addEventListener('abort', () => this.wakeup.release(), { once: true });
+    let repeatAt = clock.now() + repeatMs;
     while (!signal.aborted) {
-      await this.wakeup.waitUntil(clock.now() + repeatMs);
-      if (this.isChanged) await clock.sleepUntil(clock.now() + gatherMs, signal);
-      if (this.isChanged || this.own.size > 0) this.sendMessages();
-      suspicions.pruneHeld(clock.now());
+      await this.wakeup.waitUntil(Math.min(this.dueAt, repeatAt));
+      const now = clock.now();
+      if (now >= this.dueAt || (now >= repeatAt && this.own.size > 0)) {
+        this.sendMessages();
+        repeatAt = now + repeatMs;
+      }
+      if (now < repeatAt) continue;
+      repeatAt = now + repeatMs;
+      suspicions.pruneHeld(now);
     }
   }
 
-  private announceChange(): void {
-    if (this.isChanged) return;
-    this.isChanged = true;
+  private announceChange(upstream: string): void {
+    const isBusy = this.countInFlight(upstream) >= busyRequests;
+    const dueAt = this.options.clock.now() + (isBusy ? busyGatherMs : calmGatherMs);
+    if (dueAt >= this.dueAt) return;
+    this.dueAt = dueAt;
     this.wakeup.release();
   }
 
   private sendMessages(): void {
     const { socket, ownAddress, listPeers, findRelay, readRetries } = this.options;
     const suspicions = this.waiting.splice(0);
-    this.isChanged = false;
+    this.dueAt = Infinity;
     const work: HostWork = {
       inFlight: Object.fromEntries(this.own),
       retries: readRetries(),
--- a/src/application/fleet/SuspicionObserver.ts
+++ b/src/application/fleet/SuspicionObserver.ts
@@ -7,7 +7,7 @@
 import type { OpenRequest } from '../requests/AnswerObserver.ts';
 import type DomainExchange from './DomainExchange.ts';
 
-const watchIntervalMs = 100;
+const watchIntervalMs = 200;
 // A request that is open for so many times the usual time is overdue. One in a hundred sound
 // answers takes three to five times as long as usual.
 const overdueFactor = 3.5;
