Test the parts of the fleet that is found through seeds

Cause: the adapter and the parts of the product behind it landed with the path alone. The feed's test found a fault: a host with a group but no preset asked its control host without a pause while there was no leader (16 calls in 2 s instead of 3 at most); fixed.

--- a/src/application/fleet/FeedService.ts
+++ b/src/application/fleet/FeedService.ts
@@ -76,7 +76,7 @@
   // A host that knows nothing can do nothing else but wait; any other may try elsewhere.
   private shouldAnswer(request: FeedRequest): boolean {
     const { log } = this.options;
-    const knowsNothing = request.groupId === '';
+    const knowsNothing = request.presetNumber === undefined;
     if (!log.isCurrent) return !knowsNothing;
     return this.hasNews(request);
   }
--- /dev/null
+++ b/tests/fleet/domainExchange.test.ts
@@ -0,0 +1,132 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+
+import DomainExchange from '../../src/application/fleet/DomainExchange.ts';
+import SuspicionRelay from '../../src/application/fleet/SuspicionRelay.ts';
+import SuspicionBook from '../../src/domain/detection/SuspicionBook.ts';
+import FakeClock from '../fixtures/FakeClock.ts';
+import FakeDatagrams from '../fixtures/FakeDatagrams.ts';
+import SilentLog from '../fixtures/SilentLog.ts';
+
+const reset = { upstream: 'u1', incarnation: 1, kind: 'broken' } as const;
+
+describe('exchange between the entry hosts of a failure domain', () => {
+  let clock: FakeClock;
+  let datagrams: FakeDatagrams;
+  let stopping: AbortController;
+  let tasks: Promise<void>[];
+
+  beforeEach(() => {
+    clock = new FakeClock();
+    datagrams = new FakeDatagrams();
+    stopping = new AbortController();
+    tasks = [];
+  });
+
+  afterEach(async () => {
+    stopping.abort();
+    await Promise.all(tasks);
+  });
+
+  function startHost(own: string, peers: readonly string[], relay?: string) {
+    const suspicions = new SuspicionBook({ holdMs: 9000 });
+    const exchange = new DomainExchange({
+      clock,
+      log: new SilentLog(),
+      socket: datagrams.openSocket(own),
+      ownAddress: own,
+      listPeers: () => peers,
+      findRelay: () => relay,
+      suspicions,
+      readRetries: () => ({ kilns: { requests: 5, retries: 1 } }),
+    });
+    tasks.push(exchange.run(stopping.signal));
+    return { exchange, suspicions };
+  }
+
+  // Guards against losing a second request to an upstream that another host has seen fail.
+  it('should tell a bad sign at once and without a control host', () => {
+    const first = startHost('a', ['a', 'b']);
+    const second = startHost('b', ['a', 'b']);
+
+    first.exchange.reportSuspicion(reset, 'request');
+
+    expect(second.suspicions.getRisk('u1', 1, clock.now())).toBe(1);
+  });
+
+  it('should know the open requests and retries of the other hosts', async () => {
+    const first = startHost('a', ['a', 'b']);
+    const second = startHost('b', ['a', 'b']);
+
+    first.exchange.recordStart('u1');
+    first.exchange.recordStart('u1');
+    await clock.advanceBy(50);
+    const open = second.exchange.countInFlight('u1');
+    first.exchange.recordEnd('u1');
+    first.exchange.recordEnd('u1');
+    await clock.advanceBy(500);
+
+    expect([open, second.exchange.countInFlight('u1')]).toEqual([2, 0]);
+    expect(second.exchange.countRetries('kilns')).toEqual({ requests: 5, retries: 1 });
+  });
+
+  // Guards against slots that a host that was killed keeps busy for good.
+  it('should forget the open requests of a host that fell silent', async () => {
+    const first = startHost('a', ['a', 'b']);
+    const second = startHost('b', ['a', 'b']);
+    first.exchange.recordStart('u1');
+    await clock.advanceBy(500);
+    const before = second.exchange.countInFlight('u1');
+
+    datagrams.openSocket('b');
+    await clock.advanceBy(3000);
+
+    expect([before, second.exchange.countInFlight('u1')]).toEqual([1, 0]);
+  });
+
+  it('should repeat what a lost datagram said while requests are open', async () => {
+    const first = startHost('a', ['a', 'b']);
+    first.exchange.recordStart('u1');
+    await clock.advanceBy(500);
+
+    const late = startHost('b', ['a', 'b']);
+    await clock.advanceBy(1100);
+
+    expect(late.exchange.countInFlight('u1')).toBe(1);
+  });
+
+  it('should drop malformed datagrams and keep working', () => {
+    const { suspicions } = startHost('a', ['a']);
+
+    [null, 7, {}, { from: 'b', suspicions: [{ upstream: 1 }] }].forEach((content) =>
+      datagrams.deliver('a', content),
+    );
+    datagrams.deliver('a', { from: 'b', suspicions: [reset] });
+
+    expect(suspicions.getRisk('u1', 1, clock.now())).toBe(1);
+  });
+
+  it('should pass a sign on to the other failure domains once in a while', () => {
+    const north = startHost('n1', ['n1'], 'nc');
+    const south = startHost('s1', ['s1']);
+    [
+      ['nc', ['n1'], ['sc']],
+      ['sc', ['s1'], ['nc']],
+    ].forEach(([own, entryHosts, relays]) => {
+      const relay = new SuspicionRelay({
+        clock,
+        log: new SilentLog(),
+        socket: datagrams.openSocket(own as string),
+        ownAddress: own as string,
+        listRelays: () => relays as string[],
+        listEntryHosts: () => entryHosts as string[],
+      });
+      expect(relay).toBeDefined();
+    });
+
+    north.exchange.reportSuspicion(reset, 'request');
+    north.exchange.reportSuspicion({ ...reset, incarnation: 2 }, 'request');
+
+    expect(south.suspicions.getRisk('u1', 1, clock.now())).toBe(1);
+    expect(datagrams.sent.filter(({ from, to }) => from === 'nc' && to === 'sc')).toHaveLength(1);
+  });
+});
--- /dev/null
+++ b/tests/fleet/feed.test.ts
@@ -0,0 +1,235 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+
+import FeedFollower from '../../src/application/fleet/FeedFollower.ts';
+import FeedService from '../../src/application/fleet/FeedService.ts';
+import FleetView from '../../src/application/fleet/FleetView.ts';
+import type { ControlHostInfo } from '../../src/domain/fleet/FleetHosts.ts';
+import UpstreamRegistry from '../../src/domain/membership/UpstreamRegistry.ts';
+import type NumberedPreset from '../../src/domain/presets/NumberedPreset.ts';
+import type FleetLink from '../../src/ports/FleetLink.ts';
+import createPreset, { createRoute } from '../fixtures/createPreset.ts';
+import createRegistration from '../fixtures/createRegistration.ts';
+import FakeClock from '../fixtures/FakeClock.ts';
+import SilentLog from '../fixtures/SilentLog.ts';
+
+/** A control host whose replica a test moves by hand. */
+class FakeControl {
+  groupId: string | undefined = 'group';
+
+  appliedIndex = 0;
+
+  isCurrent = true;
+
+  isDown = false;
+
+  calls = 0;
+
+  readonly state: { numberedPreset: NumberedPreset | undefined; registry: UpstreamRegistry };
+
+  readonly feed: FeedService;
+
+  private readonly clock: FakeClock;
+
+  constructor(clock: FakeClock, listControlHosts: () => readonly ControlHostInfo[]) {
+    this.clock = clock;
+    this.state = { numberedPreset: undefined, registry: new UpstreamRegistry() };
+    this.feed = new FeedService({ clock, log: this, state: this.state, listControlHosts });
+  }
+
+  async waitApplied(afterIndex: number, deadline: number): Promise<void> {
+    while (this.appliedIndex <= afterIndex && this.clock.now() < deadline) {
+      await this.clock.sleepUntil(Math.min(deadline, this.clock.now() + 10));
+    }
+  }
+
+  commitPreset(number: number): void {
+    this.state.numberedPreset = { number, document: String(number) };
+    this.appliedIndex += 1;
+  }
+
+  createLink(): FleetLink {
+    return {
+      exchangeHosts: async () => ({ ok: true, value: [] }),
+      proposeCommand: async () => ({ ok: true, value: { kind: 'accepted' } }),
+      followFeed: async (request, deadline) => {
+        this.calls += 1;
+        const answer = this.isDown ? undefined : await this.feed.answerFeed(request);
+        if (answer && !this.isDown) return { ok: true, value: answer };
+        await this.clock.sleepUntil(deadline);
+        return { ok: false, failure: { kind: 'peer_unreachable', message: 'no answer' } };
+      },
+      close: () => undefined,
+    };
+  }
+}
+
+describe('feed of entry hosts', () => {
+  let clock: FakeClock;
+  let stopping: AbortController;
+  let controls: Map<string, FakeControl>;
+  let view: FleetView;
+  let follower: FeedFollower;
+  let tasks: Promise<void>[];
+  const infos: readonly ControlHostInfo[] = ['south', 'north', 'west'].map((failureDomain) => ({
+    address: `${failureDomain}:1`,
+    operatorsAddress: `${failureDomain}:2`,
+    failureDomain,
+  }));
+
+  function getControl(address: string): FakeControl {
+    const control = controls.get(address);
+    if (!control) throw new Error(`no control host "${address}"`);
+    return control;
+  }
+
+  beforeEach(() => {
+    clock = new FakeClock();
+    stopping = new AbortController();
+    controls = new Map(
+      infos.map(({ address }) => [address, new FakeControl(clock, () => infos)] as const),
+    );
+    view = new FleetView({
+      clock,
+      log: new SilentLog(),
+      codec: {
+        decodePreset: (document) => ({
+          ok: true,
+          value: {
+            numbered: { number: Number(document), document },
+            preset: createPreset({ routes: [createRoute({ path: '/history/*', host: 'a' })] }),
+          },
+        }),
+      },
+      onPreset: () => undefined,
+    });
+    follower = new FeedFollower({
+      clock,
+      log: new SilentLog(),
+      own: { host: 'n1', address: 'n1:1', failureDomain: 'north' },
+      view,
+      readSeeds: () => ['south:1', 'west:1'],
+      openLink: (address) => getControl(address).createLink(),
+    });
+    tasks = [...controls.values()].map(({ feed }) => feed.run(stopping.signal));
+    tasks.push(follower.run(stopping.signal));
+  });
+
+  afterEach(async () => {
+    stopping.abort();
+    await clock.advanceBy(10_000);
+    await Promise.all(tasks);
+  });
+
+  function commitEverywhere(number: number): void {
+    controls.forEach((control) => control.commitPreset(number));
+  }
+
+  // Guards against bytes between failure domains for as long as the process runs.
+  it('should move from the seed that answered first to a control host of its own domain', async () => {
+    commitEverywhere(1);
+
+    await clock.advanceBy(3000);
+
+    expect(follower.source).toBe('north:1');
+    expect(view.state?.revision).toBe(1);
+  });
+
+  // Guards against all hosts asking all control hosts again and again while there is no leader.
+  it('should wait at one control host while the group has no leader', async () => {
+    controls.forEach((control) => {
+      Object.assign(control, { isCurrent: false });
+    });
+
+    await clock.advanceBy(2000);
+
+    const calls = [...controls.values()].reduce((sum, control) => sum + control.calls, 0);
+    expect(calls).toBeLessThanOrEqual(3);
+    expect(view.isReady).toBe(false);
+  });
+
+  it('should learn of a preset within milliseconds', async () => {
+    commitEverywhere(1);
+    await clock.advanceBy(3000);
+
+    commitEverywhere(5);
+    await clock.advanceBy(20);
+
+    expect(view.state?.revision).toBe(5);
+  });
+
+  it('should leave a control host that lost its leader', async () => {
+    commitEverywhere(1);
+    await clock.advanceBy(3000);
+    const north = getControl('north:1');
+
+    north.isCurrent = false;
+    ['south:1', 'west:1'].forEach((address) => getControl(address).commitPreset(2));
+    await clock.advanceBy(500);
+    const meanwhile = view.state?.revision;
+    north.isCurrent = true;
+    north.commitPreset(2);
+    await clock.advanceBy(6000);
+
+    expect(meanwhile).toBe(2);
+    expect(follower.source).toBe('north:1');
+  });
+
+  it('should leave a control host that does not answer and return to it', async () => {
+    commitEverywhere(1);
+    await clock.advanceBy(3000);
+    const north = getControl('north:1');
+
+    north.isDown = true;
+    await clock.advanceBy(5000);
+    const meanwhile = follower.source;
+    north.isDown = false;
+    await clock.advanceBy(8000);
+
+    expect(meanwhile).not.toBe('north:1');
+    expect(follower.source).toBe('north:1');
+  });
+
+  // Guards against a host that goes back to an older preset or older upstreams.
+  it('should not take older state from a control host that lags', async () => {
+    commitEverywhere(1);
+    commitEverywhere(3);
+    await clock.advanceBy(3000);
+    const south = getControl('south:1');
+    Object.assign(south, { appliedIndex: 1 });
+    south.state.numberedPreset = { number: 1, document: '1' };
+    ['north:1', 'west:1'].forEach((address) => {
+      getControl(address).isDown = true;
+    });
+
+    await clock.advanceBy(6000);
+
+    expect(view.state?.revision).toBe(3);
+    expect(view.position).toBe(2);
+  });
+
+  it('should use upstreams that serve and drop those that leave', async () => {
+    commitEverywhere(1);
+    await clock.advanceBy(3000);
+    const change = (state: 'serving' | 'leaving', sequence: number): void => {
+      controls.forEach((control) => {
+        const index = control.appliedIndex + 1;
+        control.state.registry.applyRegistration(
+          createRegistration({ state, sequence }),
+          'c1',
+          index,
+        );
+        Object.assign(control, { appliedIndex: index });
+      });
+    };
+
+    change('serving', 1);
+    await clock.advanceBy(50);
+    const [usable] = view.listUsable('kilns');
+    change('leaving', 2);
+    await clock.advanceBy(50);
+
+    expect(usable?.record.address).toBe('10.0.0.1:8080');
+    expect(view.listUsable('kilns')).toEqual([]);
+    expect(usable && view.isUsable(usable.record)).toBe(false);
+  });
+});
--- /dev/null
+++ b/tests/fleet/openGroup.test.ts
@@ -0,0 +1,101 @@
+import { afterEach, describe, expect, it } from 'vitest';
+
+import type { ReplicaTimes } from '../../src/application/replication/replicaTimes.ts';
+import replicaTimes from '../../src/application/replication/replicaTimes.ts';
+import chooseMembershipChange from '../../src/domain/replication/chooseMembershipChange.ts';
+import ReplicaGroupFixture, { listIds } from '../fixtures/ReplicaGroupFixture.ts';
+
+const times: ReplicaTimes = { ...replicaTimes, lostVoterMs: 600, goneVoterMs: 5000 };
+const founders = ['a', 'b', 'c'];
+
+describe('control group that is found through seeds', () => {
+  let group: ReplicaGroupFixture;
+
+  afterEach(() => group.stopAll());
+
+  /** Starts a host that only knows the founders; they learn of it as `HostMeeting` tells them. */
+  async function startJoining(host: string): Promise<void> {
+    await group.startJoining(host);
+    founders
+      .filter((founder) => group.running.has(founder))
+      .forEach((founder) => group.addLink(founder, host));
+  }
+
+  function listVoters(): string[] {
+    const leader = group.findLeader();
+    return leader ? leader.replica.configuration.voters.map(({ host }) => host).sort() : [];
+  }
+
+  async function startGroup(): Promise<void> {
+    group = new ReplicaGroupFixture({ hosts: founders, joining: ['d', 'e'], times });
+    await group.startAll();
+    await group.commitAll(listIds(10));
+  }
+
+  it('should give a host that the settings do not name a vote once it has caught up', async () => {
+    await startGroup();
+
+    await startJoining('d');
+    await group.waitFor(() => listVoters().length === 4);
+
+    expect(group.get('d').state.ids).toEqual(listIds(10));
+  });
+
+  // Guards against a group that needs the votes of hosts that were replaced for good.
+  it('should replace a lost voter by a host at another address', async () => {
+    await startGroup();
+    const lost = group.findLeader()?.host ?? '';
+    group.wipe(lost);
+
+    await startJoining('d');
+    await group.waitFor(() => listVoters().includes('d') && !listVoters().includes(lost));
+    await group.commit('later');
+
+    expect(listVoters()).toHaveLength(3);
+    expect(group.get('d').state.ids).toEqual([...listIds(10), 'later']);
+  });
+
+  // Guards against an accepted change on too few disks.
+  it('should keep the votes of voters that are gone while only three are left', async () => {
+    await startGroup();
+    await startJoining('d');
+    await group.waitFor(() => listVoters().length === 4);
+    const leader = (await group.waitLeader()).host;
+    const [first, second] = ['a', 'b', 'c', 'd'].filter((host) => host !== leader);
+
+    group.kill(first ?? '');
+    await group.clock.advanceBy(7000);
+    const three = listVoters();
+    group.kill(second ?? '');
+    await group.clock.advanceBy(7000);
+
+    expect(three).not.toContain(first);
+    expect(group.findLeader()?.replica.configuration.voters.length ?? 3).toBe(3);
+  });
+
+  it('should not form a second group from hosts that may only join', async () => {
+    group = new ReplicaGroupFixture({ hosts: founders, joining: ['d', 'e'], times });
+    await Promise.all(['d', 'e'].map((host) => group.startJoining(host)));
+
+    await group.clock.advanceBy(5000);
+
+    expect([...group.running.values()].map(({ replica }) => replica.groupId)).toEqual([
+      undefined,
+      undefined,
+    ]);
+  });
+
+  it('should take a lost voter out before it adds another, and add when none is lost', () => {
+    const voters = founders.map((host) => ({ host, replicaId: host }));
+    const learner = { host: 'd', replicaId: 'd' };
+
+    const replacing = chooseMembershipChange(
+      { voters },
+      { caughtUp: [learner], lost: voters.slice(0, 1) },
+    );
+    const growing = chooseMembershipChange({ voters }, { caughtUp: [learner] });
+
+    expect(replacing?.voters).toEqual(voters.slice(1));
+    expect(growing?.voters).toEqual([...voters, learner]);
+  });
+});
--- /dev/null
+++ b/tests/fleet/suspicion.test.ts
@@ -0,0 +1,147 @@
+import { describe, expect, it } from 'vitest';
+
+import SuspicionBook from '../../src/domain/detection/SuspicionBook.ts';
+import type { SuspicionKind } from '../../src/domain/detection/SuspicionBook.ts';
+import PricedBalancer from '../../src/domain/requests/PricedBalancer.ts';
+import type UsableUpstream from '../../src/domain/requests/UsableUpstream.ts';
+import { createUpstream } from '../fixtures/createRecords.ts';
+
+const holdMs = 9000;
+
+function createSign(kind: SuspicionKind, incarnation = 1) {
+  return { upstream: 'u1', incarnation, kind };
+}
+
+describe('risk of upstreams', () => {
+  it('should fade evenly after a reset', () => {
+    const book = new SuspicionBook({ holdMs });
+    book.addGoodAnswer('u1', 0, 1000);
+    book.addSuspicion(createSign('broken'), 1000);
+
+    const risks = [1000, 4000, 7000].map((now) => book.getRisk('u1', 1, now));
+
+    expect(risks.map((risk) => Math.round(risk * 100))).toEqual([100, 67, 33]);
+  });
+
+  // Guards against losing a request at each upstream that nobody has used for a while.
+  it('should grow while an upstream is not used, and end with proof by another host', () => {
+    const book = new SuspicionBook({ holdMs });
+    book.addGoodAnswer('u1', 0, 0);
+    const unused = book.getRisk('u1', 1, holdMs);
+
+    book.addProof('u1', holdMs);
+
+    expect(unused).toBeCloseTo(0.3);
+    expect(book.getRisk('u1', 1, holdMs)).toBe(0);
+  });
+
+  // Guards against new upstreams that never get a request.
+  it('should be zero for an upstream that nobody has tried', () => {
+    const book = new SuspicionBook({ holdMs });
+
+    expect(book.getRisk('u1', 1, 50_000)).toBe(0);
+  });
+
+  // Guards against a host with one bad link that keeps all others away from a good upstream.
+  it('should count a connection that another host could not open for nothing', () => {
+    const book = new SuspicionBook({ holdMs });
+    book.addGoodAnswer('u1', 0, 1000);
+
+    const isNews = book.addSuspicion(createSign('unreachable'), 1000, 'other');
+
+    expect(isNews).toBe(false);
+    expect(book.getRisk('u1', 1, 1000)).toBe(0);
+  });
+
+  it('should not hold the past of an earlier run against a new one', () => {
+    const book = new SuspicionBook({ holdMs });
+    book.addSuspicion(createSign('broken', 1), 1000);
+
+    const isLate = book.addSuspicion(createSign('broken', 2), 1100);
+    const isOld = book.addSuspicion(createSign('broken', 1), 1200);
+
+    expect([isLate, isOld]).toEqual([true, false]);
+    expect(book.getRisk('u1', 3, 1300)).toBe(0);
+  });
+
+  it('should fall with good answers to requests that were sent after the sign only', () => {
+    const book = new SuspicionBook({ holdMs });
+    book.addSuspicion(createSign('broken'), 1000);
+
+    book.addGoodAnswer('u1', 900, 1000);
+    const before = book.getRisk('u1', 1, 1000);
+    book.addGoodAnswer('u1', 1100, 1000);
+
+    expect(before).toBe(1);
+    expect(book.getRisk('u1', 1, 1000)).toBeCloseTo(0.4);
+  });
+});
+
+interface Pattern {
+  readonly name: string;
+  readonly domain: string;
+  readonly load: number;
+  readonly risk: number;
+}
+
+describe('choice by price', () => {
+  function choose(patterns: readonly Pattern[], failure = 4): string | undefined {
+    const byName = new Map(patterns.map((pattern) => [pattern.name, pattern]));
+    const candidates: UsableUpstream[] = patterns.map(({ name, domain }) => ({
+      weight: 1,
+      record: createUpstream({ upstream: name, failureDomain: domain, slots: 4 }),
+    }));
+    const balancer = new PricedBalancer({
+      readPrices: () => ({
+        busySlots: 0.3,
+        wait: 0.6,
+        otherDomain: 1.4,
+        failure,
+        cold: 0.5,
+        noise: 0.1,
+      }),
+      readRisk: ({ record }) => byName.get(record.upstream)?.risk ?? 0,
+      loadHalfLifeMs: 300,
+    });
+    const chosen = balancer.chooseUpstream({
+      candidates,
+      readLoad: (upstream) => ({
+        inFlight: byName.get(upstream)?.load ?? 0,
+        reportedLoad: 0,
+        reportedAt: 0,
+      }),
+      now: 1000,
+      random: () => 0,
+      failureDomain: 'north',
+    });
+    return chosen?.record.upstream;
+  }
+
+  const near = { name: 'near', domain: 'north', load: 0, risk: 0 };
+  const far = { name: 'far', domain: 'south', load: 0, risk: 0 };
+
+  it.each([
+    ['a busy one of the own domain over an idle one of another', { ...near, load: 6 }, 'near'],
+    ['another domain over a long queue', { ...near, load: 16 }, 'far'],
+    ['another domain over a sure failure', { ...near, risk: 1 }, 'far'],
+    ['the own domain over a small risk', { ...near, risk: 0.3 }, 'near'],
+  ])('should choose %s', (_title, pattern, expected) => {
+    expect(choose([pattern, far])).toBe(expected);
+  });
+
+  // Pattern: all upstreams of a service turn bad at once. Guards against refusing everything.
+  it('should choose the least risky one when all are bad', () => {
+    const bad = [0.9, 0.6, 1].map((risk, index) => ({ ...near, name: `n${index}`, risk }));
+
+    expect(choose(bad)).toBe('n1');
+  });
+
+  // Pattern: a look-up may be repeated, so a risk is worth less than a crossing.
+  it('should risk a retry rather than cross', () => {
+    expect(choose([{ ...near, risk: 0.9 }, far], 1.2)).toBe('near');
+  });
+
+  it('should choose nothing when there is nothing', () => {
+    expect(choose([])).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/tests/fleet/upstreamRegistry.test.ts
@@ -0,0 +1,98 @@
+import { describe, expect, it } from 'vitest';
+
+import UpstreamRegistry from '../../src/domain/membership/UpstreamRegistry.ts';
+import createRegistration from '../fixtures/createRegistration.ts';
+
+function createRegistry(): UpstreamRegistry {
+  const registry = new UpstreamRegistry();
+  registry.applyRegistration(createRegistration(), 'c1', 1);
+  return registry;
+}
+
+function listStates(registry: UpstreamRegistry): string[] {
+  return registry.listUpstreams().map(({ upstream, state }) => `${upstream} ${state}`);
+}
+
+describe('registry of upstreams', () => {
+  // Guards against a commit for each announcement, which crosses failure domains.
+  it('should find nothing new in a later announcement that says the same', () => {
+    const registry = createRegistry();
+
+    const verdict = registry.checkRegistration(createRegistration({ sequence: 9 }), 'c1');
+
+    expect(verdict).toBe('unchanged');
+  });
+
+  // Guards against a delayed announcement that brings a leaving upstream back.
+  it.each([
+    ['an earlier announcement', { sequence: 3, state: 'serving' }],
+    ['a later announcement that serves again', { sequence: 6, state: 'serving' }],
+  ] as const)('should keep an upstream leaving after %s', (_title, changes) => {
+    const registry = createRegistry();
+    registry.applyRegistration(createRegistration({ state: 'leaving', sequence: 5 }), 'c1', 2);
+
+    registry.applyRegistration(createRegistration(changes), 'c1', 3);
+
+    expect(listStates(registry)).toEqual(['u1 leaving']);
+  });
+
+  it('should take a new run under the name of one that left', () => {
+    const registry = createRegistry();
+    registry.applyRemoval({ upstream: 'u1', bornAt: 1000, state: 'gone' }, 2);
+
+    registry.applyRegistration(createRegistration({ sequence: 50 }), 'c1', 3);
+    const before = listStates(registry);
+    registry.applyRegistration(createRegistration({ bornAt: 2000 }), 'c1', 4);
+
+    expect(before).toEqual([]);
+    expect(listStates(registry)).toEqual(['u1 serving']);
+  });
+
+  it('should bring a silent upstream back with its next announcement', () => {
+    const registry = createRegistry();
+    registry.applyRemoval({ upstream: 'u1', bornAt: 1000, state: 'silent' }, 2);
+
+    registry.applyRegistration(createRegistration({ sequence: 7 }), 'c2', 3);
+
+    expect(listStates(registry)).toEqual(['u1 serving']);
+  });
+
+  // Guards against requests to a dead upstream whose address another one has taken over.
+  it('should drop the older upstream of an address, and not the younger one', () => {
+    const registry = createRegistry();
+    const younger = createRegistration({ upstream: 'u2', service: 'history', bornAt: 2000 });
+
+    registry.applyRegistration(younger, 'c1', 2);
+    const late = registry.checkRegistration(createRegistration({ sequence: 2 }), 'c1');
+
+    expect(listStates(registry)).toEqual(['u2 serving']);
+    expect(late).toBe('stale');
+  });
+
+  it('should list only what changed after an index, with those that left', () => {
+    const registry = createRegistry();
+    registry.applyRegistration(createRegistration({ upstream: 'u2', address: 'b:1' }), 'c1', 2);
+    registry.applyRemoval({ upstream: 'u1', bornAt: 1000, state: 'gone' }, 3);
+
+    const { isWhole, records } = registry.listChanges(2);
+
+    expect(isWhole).toBe(false);
+    expect(records.map(({ upstream, state }) => `${upstream} ${state}`)).toEqual(['u1 gone']);
+  });
+
+  // Guards against a host that keeps an upstream whose removal was forgotten.
+  it('should list everything to a host that lags behind the kept removals', () => {
+    const registry = createRegistry();
+    Array.from({ length: 1002 }, (_, index) => {
+      const upstream = `gone${index}`;
+      const address = `10.1.0.1:${index}`;
+      registry.applyRegistration(createRegistration({ upstream, address }), 'c1', 2 + 2 * index);
+      registry.applyRemoval({ upstream, bornAt: 1000, state: 'gone' }, 3 + 2 * index);
+      return upstream;
+    });
+
+    expect(registry.listChanges(3).isWhole).toBe(true);
+    expect(registry.listChanges(1000).isWhole).toBe(false);
+    expect(registry.listRecords()).toHaveLength(1001);
+  });
+});
--- /dev/null
+++ b/tests/logs/boundedLog.test.ts
@@ -0,0 +1,68 @@
+import { mkdtemp, open, readFile, rm } from 'node:fs/promises';
+import type { FileHandle } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+
+import LineStream from '../../src/adapters/winston/LineStream.ts';
+import WinstonLog from '../../src/adapters/winston/WinstonLog.ts';
+import FakeClock from '../fixtures/FakeClock.ts';
+
+interface Line {
+  readonly message: string;
+  readonly level: string;
+  readonly dropped?: number;
+  readonly requestId?: string;
+}
+
+describe('log on standard output', () => {
+  let folder: string;
+  let file: FileHandle;
+
+  beforeEach(async () => {
+    folder = await mkdtemp(join(tmpdir(), 'log-'));
+    file = await open(join(folder, 'out'), 'w');
+  });
+
+  afterEach(async () => {
+    await file.close();
+    await rm(folder, { recursive: true });
+  });
+
+  function createLog(clock: FakeClock, linesPerSecond: number): WinstonLog {
+    const lines = new LineStream({ descriptor: file.fd });
+    return new WinstonLog({ host: 'n1', level: 'info', clock, linesPerSecond, lines });
+  }
+
+  async function readLines(): Promise<Line[]> {
+    const text = (await readFile(join(folder, 'out'), 'utf8')).trim();
+    return text.split('\n').map((line) => JSON.parse(line) as Line);
+  }
+
+  it('should write one JSON line with its fields for each message', async () => {
+    const log = createLog(new FakeClock(), 10);
+
+    log.info('requests: answered', { requestId: 'r1' });
+    await log.endLog();
+
+    expect(await readLines()).toMatchObject([{ message: 'requests: answered', requestId: 'r1' }]);
+  });
+
+  // Guards against a log that fills a disk or takes the processor under load.
+  it('should drop lines above the bound, report how many, and keep errors', async () => {
+    const clock = new FakeClock();
+    const log = createLog(clock, 10);
+
+    Array.from({ length: 25 }, (_, index) => log.info(`requests: ${index}`));
+    log.error('requests: failed');
+    await clock.advanceBy(1000);
+    log.info('requests: next');
+    await log.endLog();
+
+    const lines = await readLines();
+    expect(lines).toHaveLength(13);
+    expect(lines[10]?.message).toBe('requests: failed');
+    expect(lines[11]).toMatchObject({ message: 'log: lines were dropped', dropped: 15 });
+  });
+});
--- /dev/null
+++ b/tests/platform/dialect.test.ts
@@ -0,0 +1,77 @@
+import { describe, expect, it } from 'vitest';
+
+import PlatformDialect from '../../platform/PlatformDialect.ts';
+
+const dialect = new PlatformDialect();
+const head = [
+  ['x-attempt-id', 'r1'],
+  ['x-response-signature', 'signed'],
+] as const;
+
+describe("headers of the platform's requests", () => {
+  it.each([
+    ['3000', 4000],
+    ['0.5', 1000.5],
+    [undefined, undefined],
+  ])('should read a time budget of %s as the deadline %s', (text, deadline) => {
+    const headers = text === undefined ? [] : [['x-time-budget-ms', text] as const];
+
+    expect(dialect.readDeadline(headers, 1000)).toEqual({ ok: true, value: deadline });
+  });
+
+  it.each(['-5', 'soon', '1e3'])('should refuse a time budget of %s', (text) => {
+    const read = dialect.readDeadline([['x-time-budget-ms', text]], 1000);
+
+    expect(read.ok ? '' : read.failure.kind).toBe('deadline_invalid');
+  });
+
+  // Guards against work that goes on after the caller has given up.
+  it('should hand on what is left, and the upstream that is meant', () => {
+    const headers = dialect.createUpstreamHeaders({
+      requestId: 'r1',
+      upstream: 'i-1',
+      deadline: 2500.7,
+      now: 1000,
+    });
+
+    expect(headers).toEqual([
+      ['x-time-budget-ms', '1500'],
+      ['x-expected-instance', 'i-1'],
+    ]);
+  });
+
+  it.each([
+    ['a signed answer to the request', 200, head, true],
+    ['an answer to another request', 200, [['x-attempt-id', 'r0'], head[1]], false],
+    ['a good answer without a signature', 200, [head[0]], false],
+    ['a good answer without the request', 200, [head[1]], false],
+    ['a coded body', 200, [...head, ['content-encoding', 'gzip']], false],
+    ['a refusal without the request', 503, [['x-not-executed', '1']], true],
+    ['a failure for another request', 500, [['x-attempt-id', 'r0']], false],
+  ] as const)('should judge %s', (_title, status, headers, isOwn) => {
+    expect(dialect.isAnswerTo('r1', { status, headers })).toBe(isOwn);
+  });
+
+  // Guards against a second run: only these answers allow another upstream.
+  it.each([
+    ['503 with the header', 503, [['x-not-executed', '1']], true, false],
+    ['421', 421, [], true, true],
+    ['503 without the header', 503, [], false, false],
+    ['500', 500, [], false, false],
+  ] as const)('should read %s', (_title, status, headers, hasNotRun, isOther) => {
+    const signals = dialect.readAnswerSignals({ status, headers, body: new Uint8Array() });
+
+    expect([signals.hasNotRun, signals.isOtherUpstream]).toEqual([hasNotRun, isOther]);
+  });
+
+  it.each([
+    ['3,2,4', 5],
+    ['garbage', undefined],
+    ['3', undefined],
+  ])('should read the load %s as %s', (text, load) => {
+    const headers = [['x-server-load', text]] as const;
+    const signals = dialect.readAnswerSignals({ status: 200, headers, body: new Uint8Array() });
+
+    expect(signals.reportedLoad).toBe(load);
+  });
+});
