Give the last attempt of a request the whole time that is left

Cause: an attempt ended at half of the time that was left even where no other could follow. Ruled out: the retry budget: routes that allow one attempt never ask it. Change: no alternative counts once the bound on attempts is reached; the last choice also prices a failure as a loss, not as a repeat.

--- a/src/application/requests/UpstreamDispatcher.ts
+++ b/src/application/requests/UpstreamDispatcher.ts
@@ -81,10 +81,10 @@
     const { maxAttempts: maxRuns = Infinity } = request.route;
     const unsent = describeUnsent(request, this.options.clock.now());
     if (unsent) return { ...this.failUnsent(unsent), attempts: 0 };
+    let runs = 0;
     let candidates = this.listUntried(request, tried);
-    let chosen = this.chooseUpstream(request, candidates);
+    let chosen = this.chooseUpstream(request, candidates, maxRuns === 1);
     let reported: Attempt | undefined;
-    let runs = 0;
     while (chosen) {
       tried.add(chosen.record.upstream);
       const attempt = await this.sendAttempt(request, service, {
@@ -92,7 +92,7 @@
         deadline: policy.computeAttemptDeadline({
           now: this.options.clock.now(),
           deadline: request.deadline,
-          hasAlternative: candidates.length > 1,
+          hasAlternative: candidates.length > 1 && runs + 1 < maxRuns,
         }),
       });
       reported = chooseReported(reported, attempt);
@@ -100,7 +100,7 @@
       // Nearly every attempt ends here, before the upstreams are listed again.
       if (!policy.isRetryable(attempt.end) || runs >= maxRuns || !this.mayTryAgain(request)) break;
       candidates = this.listUntried(request, tried);
-      chosen = this.chooseUpstream(request, candidates);
+      chosen = this.chooseUpstream(request, candidates, runs + 1 >= maxRuns);
       // The policy spends budget, so it is asked last.
       if (chosen && !policy.mayRetry(attempt.end)) chosen = undefined;
     }
@@ -125,10 +125,12 @@
   private chooseUpstream(
     request: CallerRequest,
     candidates: readonly UsableUpstream[],
+    isLast: boolean,
   ): UsableUpstream | undefined {
     const { balancer, clock, random, failureDomain, loadTracker } = this.options;
     return balancer.chooseUpstream({
       candidates,
+      isLast,
       readLoad: (upstream) => loadTracker.readLoad(request.route.service, upstream),
       now: clock.now(),
       random: () => random.next(),
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -232,7 +232,7 @@
       random,
       upstreamClient,
       balancer: new PricedBalancer({
-        readPrices: (service) => this.readPrices(service),
+        readPrices: (service, isLast) => this.readPrices(service, isLast),
         readRisk: ({ record }) =>
           suspicions.getRisk(record.upstream, record.incarnation, clock.now()),
         loadHalfLifeMs,
@@ -257,13 +257,13 @@
     });
   }
 
-  private readPrices(service: string): BalancerPrices {
+  private readPrices(service: string, isLast: boolean): BalancerPrices {
     const { otherDomainPrice } = this.options.settings;
     const bytes = headBytes + (this.observer.readUsualBytes(service) ?? unknownBytes);
     return {
       ...prices,
       otherDomain: (otherDomainPrice * bytes) / 1024,
-      failure: this.view.mayRepeat(service) ? repeatedPrice : lostPrice,
+      failure: this.view.mayRepeat(service) && !isLast ? repeatedPrice : lostPrice,
     };
   }
 
--- a/src/domain/requests/Balancer.ts
+++ b/src/domain/requests/Balancer.ts
@@ -12,6 +12,8 @@
 /** One choice to make. */
 export interface BalancerChoice {
   readonly candidates: readonly UsableUpstream[];
+  /** Whether no other upstream may follow when this one fails. */
+  readonly isLast?: boolean;
   readonly readLoad: (upstream: string) => UpstreamLoad;
   readonly now: number;
   /** A random number from 0 up to, but not including, 1. */
