--- a/tests/processes/groupFormedAgain.test.ts
+++ b/tests/processes/groupFormedAgain.test.ts
@@ -8,7 +8,7 @@
 
 const sizes = { controlHosts: 3, entryHosts: 2, upstreams: 2, latencyMs: 10 };
 
-// The steps of docs/operations.md, section "Lost majority".
+// The steps of docs/OPERATIONS.md, section "Lost majority".
 describe('a control group that is formed again, in separate processes', () => {
   const getStarted = useExampleFleet(sizes);
 
