Refuse an unframed answer whose connection was reset

Ruled out: an orderly close that looks the same: the test with an ended connection passes before and after. Change: the connector gives the error another code before undici sees it. Measured: tests/platform/unframedAnswers.test.ts fails before and passes after.

--- a/src/adapters/http/createConnector.ts
+++ b/src/adapters/http/createConnector.ts
@@ -5,6 +5,12 @@
 
 const keepAliveMs = 5000;
 
+// undici takes ECONNRESET for the end of an answer without a length. Under another code it is the
+// failure that it is; this listener runs before undici's.
+function markReset(error: NodeJS.ErrnoException): void {
+  if (error.code === 'ECONNRESET') Object.assign(error, { code: 'UPSTREAM_RESET' });
+}
+
 /**
  * Opens connections to upstreams. undici's own timeout is checked about every half second only, so
  * that 400 ms would end after 1 s.
@@ -13,6 +19,7 @@
   return ({ hostname, port }, callback): Socket => {
     const socket = connect({ host: hostname, port: Number(port), noDelay: true });
     socket.setKeepAlive(true, keepAliveMs);
+    socket.on('error', markReset);
     const timer = setTimeout(() => {
       socket.destroy(new Error(`no connection to ${hostname}:${port} within ${timeoutMs} ms`));
     }, timeoutMs);
--- /dev/null
+++ b/tests/platform/unframedAnswers.test.ts
@@ -0,0 +1,53 @@
+import { afterEach, describe, expect, it } from 'vitest';
+
+import PlatformDialect from '../../platform/PlatformDialect.ts';
+import UndiciUpstreamClient from '../../src/adapters/http/UndiciUpstreamClient.ts';
+import SystemClock from '../../src/adapters/system/SystemClock.ts';
+import RawUpstream from '../fixtures/RawUpstream.ts';
+
+const head = 'HTTP/1.1 200 OK\r\nx-attempt-id: r1\r\nx-response-signature: signed\r\n\r\n';
+// Time for the first bytes to be read before the connection ends.
+const pauseMs = 50;
+
+describe('answers without a length', () => {
+  let upstream: RawUpstream;
+  let client: UndiciUpstreamClient;
+
+  afterEach(async () => {
+    upstream.close();
+    await client.close();
+  });
+
+  // Guards against a library that takes a reset for the end of such an answer: a crashed upstream's
+  // part of a body went to the caller as the whole one.
+  it.each([
+    ['whole when its connection ends in order', 'end', 'answered'],
+    ['broken when its connection is reset', 'resetAndDestroy', 'failed truncated'],
+  ] as const)('should be %s', async (_title, end, expected) => {
+    const clock = new SystemClock();
+    upstream = new RawUpstream(({ socket }) => {
+      socket.write(`${head}part`);
+      setTimeout(() => socket[end](), pauseMs);
+    });
+    const address = await upstream.open();
+    const dialect = new PlatformDialect();
+    client = new UndiciUpstreamClient({ clock, connectionsPerUpstream: 1, dialect });
+
+    const result = await client.sendRequest({
+      address,
+      method: 'GET',
+      path: '/',
+      headers: [],
+      body: new Uint8Array(),
+      requestId: 'r1',
+      upstream: 'i-1',
+      deadline: clock.now() + 5000,
+      maxAnswerBytes: 1000,
+      echoRequestId: true,
+      signal: new AbortController().signal,
+      mayDispatch: () => true,
+    });
+
+    expect(result.kind === 'failed' ? `failed ${result.reason}` : result.kind).toBe(expected);
+  });
+});
