Share reported loads in a domain, price long queues, and say when to return

Refusals named no time to return. After all processes were killed the first election took its full timeout. Ruled out: a larger price for the queue from the first waiting request on: short queues still answer in time. Change: loads reported to any host of a domain are known to all; queues beyond one working time cost more; 503 that says not run carries Retry-After, spread over 0.4 to 1.2 s; the first election after a start is early.

--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -4,7 +4,6 @@
 import type { AddressInfo, Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 
-import createFailureAnswer from '../../application/requests/createFailureAnswer.ts';
 import type { CallerAnswer } from '../../application/requests/CallerRequest.ts';
 import OwnDialect from '../../application/requests/OwnDialect.ts';
 import type RequestDialect from '../../application/requests/RequestDialect.ts';
@@ -224,7 +223,7 @@
       request.headers['transfer-encoding'] !== undefined ||
       Number(request.headers['content-length'] ?? 0) !== 0;
     if (announcesBody || this.isStopping) this.markLast(request, response);
-    this.writeAnswer(request, response, createFailureAnswer(failure));
+    this.writeAnswer(request, response, this.options.handler.createRefusal(failure));
     if (announcesBody && !request.complete) {
       const ended = new AbortController();
       ['end', 'close'].forEach((event) => request.once(event, () => ended.abort()));
--- a/src/application/fleet/DomainExchange.ts
+++ b/src/application/fleet/DomainExchange.ts
@@ -19,6 +19,8 @@
 const repeatMs = 1000;
 // A host that was not heard for this long has no open requests as far as others know.
 const forgetMs = 2500;
+// Far beyond the time for which a reported load says anything.
+const forgetLoadMs = 30_000;
 
 /** What the exchange needs. */
 export interface DomainExchangeOptions {
@@ -39,6 +41,12 @@
   readonly until: number;
 }
 
+/** A load that an upstream reported. */
+export interface HeardLoad {
+  readonly load: number;
+  readonly at: number;
+}
+
 const noRetries: RetryCounts = { requests: 0, retries: 0 };
 
 /**
@@ -54,6 +62,11 @@
 
   private readonly proven = new Set<string>();
 
+  private readonly loads = new Map<string, number>();
+
+  /** What upstreams reported last, to any host of the domain. */
+  private readonly heardLoads = new Map<string, HeardLoad>();
+
   private readonly waiting: Suspicion[] = [];
 
   private readonly wakeup: Wakeup;
@@ -100,6 +113,17 @@
     else this.own.delete(upstream);
   }
 
+  /** The load that an upstream reported last, to this or another host of the domain. */
+  readLoad(upstream: string): HeardLoad | undefined {
+    return this.heardLoads.get(upstream);
+  }
+
+  /** Takes a load that an upstream reported to this host, for the others too. */
+  reportLoad(upstream: string, load: number): void {
+    this.loads.set(upstream, load);
+    this.heardLoads.set(upstream, { load, at: this.options.clock.now() });
+  }
+
   /** Tells the others with the next message that an upstream gave a good answer. */
   reportProof(upstream: string): void {
     this.proven.add(upstream);
@@ -149,9 +173,11 @@
     const work: HostWork = {
       inFlight: Object.fromEntries(this.own),
       retries: readRetries(),
+      loads: Object.fromEntries(this.loads),
       proven: [...this.proven],
     };
     this.proven.clear();
+    this.loads.clear();
     const message = { from: ownAddress, suspicions, work };
     listPeers()
       .filter((address) => address !== ownAddress)
@@ -170,6 +196,9 @@
     const now = clock.now();
     const { from, work } = message;
     if (work) this.peers.set(from, { ...work, until: now + forgetMs });
+    Object.entries(work?.loads ?? {}).forEach(([upstream, load]) =>
+      this.heardLoads.set(upstream, { load, at: now }),
+    );
     work?.proven.forEach((upstream) => suspicions.addProof(upstream, now));
     message.suspicions.forEach((suspicion) => {
       const isNews = suspicions.addSuspicion(suspicion, now, 'other');
@@ -182,5 +211,8 @@
     [...this.peers]
       .filter(([, { until }]) => until <= now)
       .forEach(([address]) => this.peers.delete(address));
+    [...this.heardLoads]
+      .filter(([, { at }]) => at + forgetLoadMs <= now)
+      .forEach(([upstream]) => this.heardLoads.delete(upstream));
   }
 }
--- a/src/application/fleet/DomainLoad.ts
+++ b/src/application/fleet/DomainLoad.ts
@@ -5,27 +5,27 @@
 
 /** The load of upstreams as all entry hosts of the failure domain know it together. */
 export default class DomainLoad implements LoadSource {
-  private readonly own: LoadSource;
-
   private readonly exchange: DomainExchange;
 
-  constructor(options: { readonly own: LoadSource; readonly exchange: DomainExchange }) {
-    this.own = options.own;
+  constructor(options: { readonly exchange: DomainExchange }) {
     this.exchange = options.exchange;
   }
 
-  readLoad(service: string, upstream: string): UpstreamLoad {
-    const inFlight = this.exchange.countInFlight(upstream);
-    return { ...this.own.readLoad(service, upstream), inFlight };
+  readLoad(_service: string, upstream: string): UpstreamLoad {
+    const heard = this.exchange.readLoad(upstream);
+    return {
+      inFlight: this.exchange.countInFlight(upstream),
+      reportedLoad: heard?.load ?? 0,
+      reportedAt: heard?.at ?? 0,
+    };
   }
 
-  recordStart(service: string, upstream: string): void {
-    this.own.recordStart(service, upstream);
+  recordStart(_service: string, upstream: string): void {
     this.exchange.recordStart(upstream);
   }
 
-  recordEnd(end: EndedRequest): void {
-    this.own.recordEnd(end);
-    this.exchange.recordEnd(end.upstream);
+  recordEnd({ upstream, reportedLoad }: EndedRequest): void {
+    if (reportedLoad !== undefined) this.exchange.reportLoad(upstream, reportedLoad);
+    this.exchange.recordEnd(upstream);
   }
 }
--- a/src/application/fleet/FeedFollower.ts
+++ b/src/application/fleet/FeedFollower.ts
@@ -12,7 +12,7 @@
 const answerGraceMs = 600;
 // Between two rounds through the control hosts; doubled while none of them is in touch.
 const firstPauseMs = 100;
-const longestPauseMs = 1600;
+const longestPauseMs = 800;
 // A control host that did not answer is tried again after this time, or when none is left.
 const returnMs = 3000;
 
--- a/src/application/fleet/checkDomainMessage.ts
+++ b/src/application/fleet/checkDomainMessage.ts
@@ -16,6 +16,8 @@
   readonly inFlight: Readonly<Record<string, number>>;
   /** Requests and retries in the newest window, by service. */
   readonly retries: Readonly<Record<string, RetryCounts>>;
+  /** Loads that upstreams reported since the last message. */
+  readonly loads: Readonly<Record<string, number>>;
   /** Upstreams that gave good answers since the last message. */
   readonly proven: readonly string[];
 }
@@ -55,10 +57,12 @@
 
 function isWork(value: unknown): value is HostWork {
   if (!isFields(value)) return false;
-  const { inFlight, retries, proven } = value;
+  const { inFlight, retries, loads, proven } = value;
   return (
     isFields(inFlight) &&
     Object.values(inFlight).every(isCount) &&
+    isFields(loads) &&
+    Object.values(loads).every(isCount) &&
     isFields(retries) &&
     Object.values(retries).every(isRetryCounts) &&
     Array.isArray(proven) &&
--- a/src/application/replication/ReplicaContext.ts
+++ b/src/application/replication/ReplicaContext.ts
@@ -94,7 +94,8 @@
     this.times = options.times ?? replicaTimes;
     this.links = [...options.links];
     this.applier = new CommandApplier(options.state);
-    this.electionFrom = options.clock.now();
+    const { shortestElectionMs, firstElectionMs } = this.times;
+    this.electionFrom = options.clock.now() - (shortestElectionMs - firstElectionMs);
   }
 
   get now(): number {
--- a/src/application/replication/replicaTimes.ts
+++ b/src/application/replication/replicaTimes.ts
@@ -5,6 +5,8 @@
   /** An election timeout is drawn between these two. */
   readonly shortestElectionMs: number;
   readonly longestElectionMs: number;
+  /** Takes the place of the shortest one after a start, until a leader is heard. */
+  readonly firstElectionMs: number;
   /** Shorter than the shortest election timeout, so that one lost message starts no election. */
   readonly messageTimeoutMs: number;
   /** Time between two attempts of a host without a group to find or form one. */
@@ -20,6 +22,7 @@
   heartbeatMs: 100,
   shortestElectionMs: 500,
   longestElectionMs: 1000,
+  firstElectionMs: 500,
   messageTimeoutMs: 400,
   groupPollMs: 200,
   lostVoterMs: Infinity,
--- a/src/application/requests/RequestHandler.ts
+++ b/src/application/requests/RequestHandler.ts
@@ -32,6 +32,10 @@
 import isOriginForm from './isOriginForm.ts';
 import listEndToEndHeaders from './listEndToEndHeaders.ts';
 
+// Room comes back with the answers of the requests that fill the slots, which take 0.2 s to 1 s.
+const soonestReturnMs = 400;
+const returnSpreadMs = 800;
+
 /** What the handler needs. */
 export interface RequestHandlerOptions {
   readonly clock: Clock;
@@ -267,7 +271,7 @@
   }
 
   private createAnswer({ outcome }: DispatchEnd): CallerAnswer {
-    if (outcome.kind === 'failed') return createFailureAnswer(outcome.failure);
+    if (outcome.kind === 'failed') return this.createRefusal(outcome.failure);
     return {
       status: outcome.answer.status,
       headers: listEndToEndHeaders(outcome.answer.headers, this.dialect.ownHeaders),
@@ -277,6 +281,14 @@
     };
   }
 
+  /** A refusal that the caller may try again says when, spread so that not all come at once. */
+  createRefusal(failure: Failure): CallerAnswer {
+    const { clock, random } = this.options;
+    const answer = createFailureAnswer(failure);
+    if (answer.status !== 503 || answer.outcome !== 'not-run') return answer;
+    return { ...answer, retryAt: clock.now() + soonestReturnMs + returnSpreadMs * random.next() };
+  }
+
   private addToBudget({ route }: CallerRequest, service: ServiceSettings): RetryAllowance {
     const budget = this.budgets.getBudget(route.service);
     budget.addRequest(service.retryShare);
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -13,12 +13,12 @@
 import FleetView from '../application/fleet/FleetView.ts';
 import SuspicionObserver from '../application/fleet/SuspicionObserver.ts';
 import Shutdown from '../application/lifecycle/Shutdown.ts';
-import LoadTracker from '../application/requests/LoadTracker.ts';
 import type RequestDialect from '../application/requests/RequestDialect.ts';
 import RequestHandler from '../application/requests/RequestHandler.ts';
 import UpstreamDispatcher from '../application/requests/UpstreamDispatcher.ts';
 import SuspicionBook from '../domain/detection/SuspicionBook.ts';
 import type { HostStateName } from '../domain/membership/HostRecord.ts';
+import computePrices, { unknownAnswerBytes } from '../domain/requests/computePrices.ts';
 import PricedBalancer from '../domain/requests/PricedBalancer.ts';
 import type { BalancerPrices } from '../domain/requests/PricedBalancer.ts';
 import type { FleetEntrySettings } from '../domain/settings/FleetSettings.ts';
@@ -40,17 +40,6 @@
 // The limits of a preset are checked per request; the listener itself takes a little more.
 const maxHeaderBytes = 65_536;
 
-// Prices of the choice of an upstream. The unit is about a quarter of what a request is worth;
-// docs/platform.md has the trials.
-const prices = { busySlots: 0.3, wait: 0.6, cold: 0.5, noise: 0.1 };
-// A failed request is lost unless it may be repeated; then it costs a retry and some time.
-const lostPrice = 4;
-const repeatedPrice = 1.2;
-// Heads of request and answer, in bytes.
-const headBytes = 700;
-// Before the first answer is known.
-const unknownBytes = 2000;
-
 /** What an entry host of a fleet that is found through seeds is built from. */
 export interface FleetEntryOptions {
   readonly settings: FleetEntrySettings;
@@ -239,7 +228,7 @@
       }),
       pool: view,
       observer,
-      loadTracker: new DomainLoad({ own: new LoadTracker(), exchange }),
+      loadTracker: new DomainLoad({ exchange }),
       failureDomain: settings.failureDomain,
       dialect,
       log,
@@ -258,13 +247,11 @@
   }
 
   private readPrices(service: string, isLast: boolean): BalancerPrices {
-    const { otherDomainPrice } = this.options.settings;
-    const bytes = headBytes + (this.observer.readUsualBytes(service) ?? unknownBytes);
-    return {
-      ...prices,
-      otherDomain: (otherDomainPrice * bytes) / 1024,
-      failure: this.view.mayRepeat(service) && !isLast ? repeatedPrice : lostPrice,
-    };
+    return computePrices({
+      otherDomainPrice: this.options.settings.otherDomainPrice,
+      answerBytes: this.observer.readUsualBytes(service) ?? unknownAnswerBytes,
+      mayRepeat: this.view.mayRepeat(service) && !isLast,
+    });
   }
 
   private createMetrics(): PrometheusMetrics {
--- a/src/daemon/fleetTimes.ts
+++ b/src/daemon/fleetTimes.ts
@@ -11,6 +11,8 @@
   longestElectionMs: 2000,
   messageTimeoutMs: 450,
   groupPollMs: 200,
+  // After a start nobody was heard; a pre-vote keeps a leader that exists.
+  firstElectionMs: 300,
   // Three heartbeats and a half: a host that only lost messages answers one of them.
   lostVoterMs: 1700,
   goneVoterMs: 10_000,
@@ -27,5 +29,5 @@
 /** Connections of one entry host to one upstream; enough for its share of any burst. */
 export const connectionsPerUpstream = 32;
 
-/** A reported load halves in this time, about that of an answer. */
-export const loadHalfLifeMs = 300;
+/** A reported load halves in this time: a queue of some ten requests needs about as long. */
+export const loadHalfLifeMs = 800;
--- a/src/domain/requests/PricedBalancer.ts
+++ b/src/domain/requests/PricedBalancer.ts
@@ -8,6 +8,8 @@
   readonly busySlots: number;
   /** Waiting for the time that one request takes to be worked on. */
   readonly wait: number;
+  /** Each such time beyond the first one, on top. */
+  readonly longWait: number;
   /** An upstream of another failure domain. */
   readonly otherDomain: number;
   /** A request that fails. */
@@ -80,6 +82,7 @@
     const load = Math.max(inFlight, reported);
     const { slots } = record;
     if (load < slots) return (prices.busySlots * load) / slots;
-    return prices.busySlots + (prices.wait * (load - slots + 1)) / slots;
+    const waits = (load - slots + 1) / slots;
+    return prices.busySlots + prices.wait * waits + prices.longWait * Math.max(0, waits - 1);
   }
 }
--- /dev/null
+++ b/src/domain/requests/computePrices.ts
@@ -0,0 +1,36 @@
+import type { BalancerPrices } from './PricedBalancer.ts';
+
+// A failed request is lost unless it may be repeated; then it costs a retry and some time.
+const lostPrice = 4;
+const repeatedPrice = 1.2;
+// Heads of request and answer, in bytes.
+const headBytes = 700;
+const bytesPerKib = 1024;
+/** Size of an answer before the first one is known, in bytes. */
+export const unknownAnswerBytes = 2000;
+
+/** What the prices of one choice depend on. */
+export interface PriceFacts {
+  /** What a KiB from another failure domain costs. */
+  readonly otherDomainPrice: number;
+  readonly answerBytes: number;
+  /** Whether another upstream may follow when the chosen one fails. */
+  readonly mayRepeat: boolean;
+}
+
+/**
+ * The prices of a choice. The unit is about a quarter of what a request is worth. A short queue
+ * costs little, since answers are still in time; a long one is likely to shed the request.
+ */
+export default function computePrices(facts: PriceFacts): BalancerPrices {
+  const { otherDomainPrice, answerBytes, mayRepeat } = facts;
+  return {
+    busySlots: 0.3,
+    wait: 0.6,
+    longWait: 1.2,
+    cold: 0.5,
+    noise: 0.1,
+    otherDomain: (otherDomainPrice * (headBytes + answerBytes)) / bytesPerKib,
+    failure: mayRepeat ? repeatedPrice : lostPrice,
+  };
+}
