Take the state from the own failure domain only, and price a failure that can't be repeated as a loss

The risk of an upstream was priced as a retry even when the budget was spent. Ruled out: the bookings that cross (704 of 4068, 3.9 MB) as the whole of the 11 MB. Change: a host that knows only seeds asks for the hosts first; the last attempt is one that no other may follow, also for want of budget.

--- a/src/adapters/trpc/fleetMessages.ts
+++ b/src/adapters/trpc/fleetMessages.ts
@@ -30,6 +30,7 @@
   position: z.int().min(0),
   presetNumber: createOptionalSchema(z.number()),
   hostsVersion: z.string(),
+  wantsHostsOnly: z.boolean(),
   waitMs: z.number().min(0).max(longestWaitMs),
 });
 
--- a/src/application/fleet/FeedFollower.ts
+++ b/src/application/fleet/FeedFollower.ts
@@ -85,11 +85,12 @@
   private async followHost(address: string, signal: AbortSignal): Promise<boolean> {
     const { clock, openLink, view } = this.options;
     const link = openLink(address);
+    if (view.controlHosts.length === 0) await this.askHosts(link);
     const onAbort = (): void => link.close();
     signal.addEventListener('abort', onAbort, { once: true });
     let hasAnswered = false;
     let isGood = true;
-    while (isGood && !signal.aborted && !(hasAnswered && this.hasBetter(address))) {
+    while (isGood && !signal.aborted && !this.hasBetter(address)) {
       // A host that looks for another one must not wait for one that may be out of touch.
       const mayWait = hasAnswered || !view.isReady;
       const answer = await this.askFeed(link, mayWait ? waitMs : 0);
@@ -102,12 +103,22 @@
     }
     signal.removeEventListener('abort', onAbort);
     link.close();
-    if (!isGood) this.retryAt.set(address, clock.now() + returnMs);
+    if (!isGood && !signal.aborted) this.retryAt.set(address, clock.now() + returnMs);
     if (hasAnswered && !isGood) this.markLost(address);
     return hasAnswered;
   }
 
-  private async askFeed(link: FleetLink, askedMs: number): Promise<FeedAnswer | undefined> {
+  // The state is large, so a host that knows only seeds asks for the hosts of its own domain first.
+  private async askHosts(link: FleetLink): Promise<void> {
+    const answer = await this.askFeed(link, 0, true);
+    if (answer) this.options.view.applyHosts(answer.hosts);
+  }
+
+  private async askFeed(
+    link: FleetLink,
+    askedMs: number,
+    wantsHostsOnly = false,
+  ): Promise<FeedAnswer | undefined> {
     const { clock, own, view } = this.options;
     const answer = await link.followFeed(
       {
@@ -116,6 +127,7 @@
         position: view.position,
         presetNumber: view.state?.revision,
         hostsVersion: view.hostsVersion,
+        wantsHostsOnly,
         waitMs: askedMs,
       },
       clock.now() + askedMs + answerGraceMs,
--- a/src/application/fleet/FeedService.ts
+++ b/src/application/fleet/FeedService.ts
@@ -3,7 +3,7 @@
 import type ControlState from '../../domain/control/ControlState.ts';
 import type { ControlHostInfo, EntryHostInfo } from '../../domain/fleet/FleetHosts.ts';
 import type Clock from '../../ports/Clock.ts';
-import type { FeedAnswer, FeedRequest } from '../../ports/FleetLink.ts';
+import type { FeedAnswer, FeedHosts, FeedRequest } from '../../ports/FleetLink.ts';
 import Wakeup from '../tasks/Wakeup.ts';
 
 // Entry hosts ask again every few seconds; one that was killed is forgotten after this.
@@ -70,12 +70,13 @@
     while (!this.shouldAnswer(request) && clock.now() < deadline) {
       await this.news.waitUntil(deadline);
     }
-    return this.createAnswer(request);
+    return request.wantsHostsOnly ? this.createHostsAnswer(request) : this.createAnswer(request);
   }
 
   // A host that knows nothing can do nothing else but wait; any other may try elsewhere.
   private shouldAnswer(request: FeedRequest): boolean {
     const { log } = this.options;
+    if (request.wantsHostsOnly) return true;
     const knowsNothing = request.presetNumber === undefined;
     if (!log.isCurrent) return !knowsNothing;
     return this.hasNews(request);
@@ -92,10 +93,9 @@
   }
 
   private createAnswer(request: FeedRequest): FeedAnswer {
-    const { groupId, position, presetNumber, entryHost, hostsVersion } = request;
-    const { log, state, listControlHosts } = this.options;
+    const { groupId, position, presetNumber } = request;
+    const { log, state } = this.options;
     const { numberedPreset, registry } = state;
-    const version = this.createHostsVersion(entryHost.failureDomain);
     const isSameGroup = log.groupId === groupId;
     const known = isSameGroup ? position : 0;
     const isNewer = (numberedPreset?.number ?? -Infinity) > (presetNumber ?? -Infinity);
@@ -105,14 +105,28 @@
       position: log.appliedIndex,
       preset: isNewer || !isSameGroup ? numberedPreset : undefined,
       upstreams: registry.listChanges(known),
-      hosts:
-        version === hostsVersion
-          ? undefined
-          : {
-              version,
-              controlHosts: listControlHosts(),
-              entryHosts: this.listDomain(entryHost.failureDomain),
-            },
+      hosts: this.createHosts(request),
+    };
+  }
+
+  private createHostsAnswer(request: FeedRequest): FeedAnswer {
+    return {
+      isCurrent: false,
+      groupId: '',
+      position: 0,
+      preset: undefined,
+      upstreams: { isWhole: false, records: [] },
+      hosts: this.createHosts(request),
+    };
+  }
+
+  private createHosts({ entryHost, hostsVersion }: FeedRequest): FeedHosts | undefined {
+    const version = this.createHostsVersion(entryHost.failureDomain);
+    if (version === hostsVersion) return undefined;
+    return {
+      version,
+      controlHosts: this.options.listControlHosts(),
+      entryHosts: this.listDomain(entryHost.failureDomain),
     };
   }
 
--- a/src/application/fleet/FleetView.ts
+++ b/src/application/fleet/FleetView.ts
@@ -50,8 +50,6 @@
 
   private readonly options: FleetViewOptions;
 
-  private onceServices: ReadonlySet<string> = new Set();
-
   private readonly upstreams = new Map<string, SeenUpstream>();
 
   private readonly services = new Map<string, readonly SeenUpstream[]>();
@@ -78,11 +76,6 @@
     return held?.state === 'serving' && held.incarnation === incarnation;
   }
 
-  /** Whether every route to the service allows repeats. */
-  mayRepeat(service: string): boolean {
-    return !this.onceServices.has(service);
-  }
-
   /** The run of an upstream that is known; 0 for an unknown one. */
   findIncarnation(upstream: string): number {
     return this.upstreams.get(upstream)?.record.incarnation ?? 0;
@@ -122,11 +115,6 @@
     const { preset } = decoded.value;
     this.state = { groupId: this.groupId, revision: number, name: 'numbered', preset };
     this.routeTable = new PrefixRouteTable(preset.routes);
-    this.onceServices = new Set(
-      preset.routes
-        .filter(({ repeat }) => repeat === 'never')
-        .flatMap(({ service: only, split }) => split?.map((part) => part.service) ?? [only]),
-    );
     log.info('presets: a preset is in force', { number, routes: preset.routes.length });
     onPreset(preset);
   }
--- a/src/application/requests/UpstreamDispatcher.ts
+++ b/src/application/requests/UpstreamDispatcher.ts
@@ -83,7 +83,8 @@
     if (unsent) return { ...this.failUnsent(unsent), attempts: 0 };
     let runs = 0;
     let candidates = this.listUntried(request, tried);
-    let chosen = this.chooseUpstream(request, candidates, maxRuns === 1);
+    const isLast = (): boolean => runs + 1 >= maxRuns || !policy.hasRepeat();
+    let chosen = this.chooseUpstream(request, candidates, isLast());
     let reported: Attempt | undefined;
     while (chosen) {
       tried.add(chosen.record.upstream);
@@ -100,7 +101,7 @@
       // Nearly every attempt ends here, before the upstreams are listed again.
       if (!policy.isRetryable(attempt.end) || runs >= maxRuns || !this.mayTryAgain(request)) break;
       candidates = this.listUntried(request, tried);
-      chosen = this.chooseUpstream(request, candidates, runs + 1 >= maxRuns);
+      chosen = this.chooseUpstream(request, candidates, isLast());
       // The policy spends budget, so it is asked last.
       if (chosen && !policy.mayRetry(attempt.end)) chosen = undefined;
     }
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -250,7 +250,7 @@
     return computePrices({
       otherDomainPrice: this.options.settings.otherDomainPrice,
       answerBytes: this.observer.readUsualBytes(service) ?? unknownAnswerBytes,
-      mayRepeat: this.view.mayRepeat(service) && !isLast,
+      mayRepeat: !isLast,
     });
   }
 
--- a/src/domain/requests/BudgetRetryPolicy.ts
+++ b/src/domain/requests/BudgetRetryPolicy.ts
@@ -15,6 +15,10 @@
     return end !== 'good_answer' && end !== 'given_up';
   }
 
+  hasRepeat(): boolean {
+    return this.budget.hasRetry();
+  }
+
   mayRetry(end: UpstreamEnd): boolean {
     if (!this.isRetryable(end)) return false;
     // A request that no upstream received adds nothing to the load of the service.
--- a/src/domain/requests/OnceRetryPolicy.ts
+++ b/src/domain/requests/OnceRetryPolicy.ts
@@ -15,6 +15,10 @@
     return end === 'not_sent' || end === 'not_run';
   }
 
+  hasRepeat(): boolean {
+    return false;
+  }
+
   mayRetry(end: UpstreamEnd): boolean {
     if (!this.isRetryable(end)) return false;
     // Only a retry that follows an answer adds to the load of the service.
--- a/src/domain/requests/RetryPolicy.ts
+++ b/src/domain/requests/RetryPolicy.ts
@@ -13,6 +13,8 @@
 export default interface RetryPolicy {
   /** Whether another attempt may ever follow such an end; takes nothing from the budget. */
   isRetryable(end: UpstreamEnd): boolean;
+  /** Whether an attempt that fails after it was sent could be followed by another one now. */
+  hasRepeat(): boolean;
   /** True when another attempt may follow; takes its share of the retry budget. */
   mayRetry(end: UpstreamEnd): boolean;
   /** Instant at which an attempt ends without an answer. */
--- a/src/ports/FleetLink.ts
+++ b/src/ports/FleetLink.ts
@@ -15,6 +15,8 @@
   readonly presetNumber: number | undefined;
   /** Fingerprint of the hosts that it was told last. */
   readonly hostsVersion: string;
+  /** Whether it only wants to know the hosts, and at once. */
+  readonly wantsHostsOnly: boolean;
   /** How long the answer may wait for news, in milliseconds. */
   readonly waitMs: number;
 }
--- a/tests/fleet/feed.test.ts
+++ b/tests/fleet/feed.test.ts
@@ -24,6 +24,9 @@
 
   calls = 0;
 
+  /** Answers with a preset or upstreams. */
+  states = 0;
+
   readonly state: { numberedPreset: NumberedPreset | undefined; registry: UpstreamRegistry };
 
   readonly feed: FeedService;
@@ -54,6 +57,7 @@
       followFeed: async (request, deadline) => {
         this.calls += 1;
         const answer = this.isDown ? undefined : await this.feed.answerFeed(request);
+        if (answer?.preset || answer?.upstreams.records.length) this.states += 1;
         if (answer && !this.isDown) return { ok: true, value: answer };
         await this.clock.sleepUntil(deadline);
         return { ok: false, failure: { kind: 'peer_unreachable', message: 'no answer' } };
@@ -111,7 +115,6 @@
       openLink: (address) => getControl(address).createLink(),
     });
     tasks = [...controls.values()].map(({ feed }) => feed.run(stopping.signal));
-    tasks.push(follower.run(stopping.signal));
   });
 
   afterEach(async () => {
@@ -120,12 +123,17 @@
     await Promise.all(tasks);
   });
 
+  function startFollower(): void {
+    tasks.push(follower.run(stopping.signal));
+  }
+
   function commitEverywhere(number: number): void {
     controls.forEach((control) => control.commitPreset(number));
   }
 
   // Guards against bytes between failure domains for as long as the process runs.
   it('should move from the seed that answered first to a control host of its own domain', async () => {
+    startFollower();
     commitEverywhere(1);
 
     await clock.advanceBy(3000);
@@ -134,11 +142,26 @@
     expect(view.state?.revision).toBe(1);
   });
 
+  // Guards against the whole state of every starting host crossing failure domains.
+  it('should take the state from its own domain only, also at the start', async () => {
+    commitEverywhere(1);
+    startFollower();
+
+    await clock.advanceBy(3000);
+
+    expect([...controls].map(([address, { states }]) => [address, states])).toEqual([
+      ['south:1', 0],
+      ['north:1', 1],
+      ['west:1', 0],
+    ]);
+  });
+
   // Guards against all hosts asking all control hosts again and again while there is no leader.
   it('should wait at one control host while the group has no leader', async () => {
     controls.forEach((control) => {
       Object.assign(control, { isCurrent: false });
     });
+    startFollower();
 
     await clock.advanceBy(2000);
 
@@ -148,6 +171,7 @@
   });
 
   it('should learn of a preset within milliseconds', async () => {
+    startFollower();
     commitEverywhere(1);
     await clock.advanceBy(3000);
 
@@ -158,6 +182,7 @@
   });
 
   it('should leave a control host that lost its leader', async () => {
+    startFollower();
     commitEverywhere(1);
     await clock.advanceBy(3000);
     const north = getControl('north:1');
@@ -175,6 +200,7 @@
   });
 
   it('should leave a control host that does not answer and return to it', async () => {
+    startFollower();
     commitEverywhere(1);
     await clock.advanceBy(3000);
     const north = getControl('north:1');
@@ -191,6 +217,7 @@
 
   // Guards against a host that goes back to an older preset or older upstreams.
   it('should not take older state from a control host that lags', async () => {
+    startFollower();
     commitEverywhere(1);
     commitEverywhere(3);
     await clock.advanceBy(3000);
@@ -208,6 +235,7 @@
   });
 
   it('should use upstreams that serve and drop those that leave', async () => {
+    startFollower();
     commitEverywhere(1);
     await clock.advanceBy(3000);
     const change = (state: 'serving' | 'leaving', sequence: number): void => {
