Keep known entry hosts while a control host learns of them again

Cause: found in reading: after a restart a control host knows only the entry hosts that asked it again, and the others dropped their peers until then, just when the control hosts were down. An upstream that announced itself to a host without a preset got 400, a final answer. Change: an entry host that is no longer listed counts 10 s longer; 503 before the first preset. Measured: tests/fleet/feed.test.ts and tests/platform/controlFrontEnd.test.ts fail before and pass after.

--- a/src/application/fleet/FleetView.ts
+++ b/src/application/fleet/FleetView.ts
@@ -15,6 +15,8 @@
 
 // A cold upstream works at about half its speed.
 const coldWeight = 0.5;
+// A control host that has restarted knows the entry hosts again within a few seconds.
+const unlistedMs = 10_000;
 
 /** What the view needs. */
 export interface FleetViewOptions {
@@ -45,19 +47,25 @@
 
   controlHosts: readonly ControlHostInfo[] = [];
 
-  /** Entry hosts of the own failure domain, this one included. */
-  entryHosts: readonly EntryHostInfo[] = [];
-
   private readonly options: FleetViewOptions;
 
   private readonly upstreams = new Map<string, SeenUpstream>();
 
+  /** Entry hosts of the own failure domain, this one included, and until when each counts. */
+  private readonly peers = new Map<string, { info: EntryHostInfo; until: number }>();
+
   private readonly services = new Map<string, readonly SeenUpstream[]>();
 
   constructor(options: FleetViewOptions) {
     this.options = options;
   }
 
+  /** Entry hosts of the own failure domain, this one included. */
+  get entryHosts(): readonly EntryHostInfo[] {
+    const now = this.options.clock.now();
+    return [...this.peers.values()].flatMap(({ info, until }) => (until > now ? [info] : []));
+  }
+
   /** Whether requests can be served. */
   get isReady(): boolean {
     return this.routeTable !== undefined;
@@ -98,7 +106,12 @@
     if (!hosts) return;
     this.hostsVersion = hosts.version;
     this.controlHosts = hosts.controlHosts;
-    this.entryHosts = hosts.entryHosts;
+    const now = this.options.clock.now();
+    [...this.peers].forEach(([address, peer]) => {
+      if (peer.until <= now) this.peers.delete(address);
+      else this.peers.set(address, { ...peer, until: Math.min(peer.until, now + unlistedMs) });
+    });
+    hosts.entryHosts.forEach((info) => this.peers.set(info.address, { info, until: Infinity }));
   }
 
   private applyPreset({ number, document }: { number: number; document: string }): void {
--- a/src/application/fleet/RegistrationService.ts
+++ b/src/application/fleet/RegistrationService.ts
@@ -1,4 +1,5 @@
 import type { RegisterUpstream, RemoveUpstream } from '../../domain/control/ControlCommand.ts';
+import type Failure from '../../domain/errors/Failure.ts';
 import type Result from '../../domain/errors/Result.ts';
 import type { Registration } from '../../domain/membership/RegisteredUpstream.ts';
 import type UpstreamRegistry from '../../domain/membership/UpstreamRegistry.ts';
@@ -11,6 +12,9 @@
 const sweepIntervalMs = 1000;
 const callsToKeep = 3;
 
+/** What a control host knows of a service. */
+export type ServiceStanding = 'known' | 'unknown' | 'undecided';
+
 /** What the service needs. */
 export interface RegistrationServiceOptions {
   readonly clock: Clock;
@@ -22,8 +26,8 @@
   /** Whether the control host with this peers address is known. */
   readonly isKnownHost: (address: string) => boolean;
   readonly isLeading: () => boolean;
-  /** Whether the preset in force names the service. */
-  readonly isKnownService: (service: string) => boolean;
+  /** Whether the preset in force names the service; `undecided` before the first preset. */
+  readonly checkService: (service: string) => ServiceStanding;
   /** An upstream that says nothing for this long is taken for gone, in milliseconds. */
   readonly silenceMs: number;
 }
@@ -47,12 +51,10 @@
    * committed. `no_quorum` and `not_leader` mean that another control host may manage.
    */
   async acceptRegistration(registration: Registration): Promise<Result<void>> {
-    const { registry, log, isKnownService } = this.options;
+    const { registry, log } = this.options;
     const { upstream, service } = registration;
-    if (!isKnownService(service)) {
-      const message = `announcement of "${upstream}": service "${service}": expected a service of the preset in force`;
-      return { ok: false, failure: { kind: 'announcement_invalid', message } };
-    }
+    const refusal = this.findRefusal(upstream, service);
+    if (refusal) return { ok: false, failure: refusal };
     const keeper = this.chooseKeeper(upstream);
     const verdict = registry.checkRegistration(registration, keeper);
     if (verdict === 'stale') {
@@ -88,6 +90,15 @@
     }
   }
 
+  private findRefusal(upstream: string, service: string): Failure | undefined {
+    const standing = this.options.checkService(service);
+    if (standing === 'known') return undefined;
+    const call = `announcement of "${upstream}": service "${service}"`;
+    return standing === 'undecided'
+      ? { kind: 'host_not_ready', message: `${call}: this host knows no preset yet` }
+      : { kind: 'announcement_invalid', message: `${call}: expected a service of the preset` };
+  }
+
   private async removeSilent(): Promise<void> {
     const { clock, registry, log } = this.options;
     const now = clock.now();
--- a/src/application/fleet/SuspicionRelay.ts
+++ b/src/application/fleet/SuspicionRelay.ts
@@ -27,9 +27,14 @@
 
   private readonly quietUntil = new Map<string, number>();
 
-  constructor(options: SuspicionRelayOptions) {
+  private constructor(options: SuspicionRelayOptions) {
     this.options = options;
-    options.socket.onDatagram((content) => this.handleMessage(content));
+  }
+
+  /** Relays until the socket closes. */
+  static startRelay(options: SuspicionRelayOptions): void {
+    const relay = new SuspicionRelay(options);
+    options.socket.onDatagram((content) => relay.handleMessage(content));
   }
 
   private handleMessage(content: unknown): void {
--- a/src/daemon/FleetControlHost.ts
+++ b/src/daemon/FleetControlHost.ts
@@ -15,6 +15,7 @@
 import HostMeeting from '../application/fleet/HostMeeting.ts';
 import NumberedPresetService from '../application/fleet/NumberedPresetService.ts';
 import RegistrationService from '../application/fleet/RegistrationService.ts';
+import type { ServiceStanding } from '../application/fleet/RegistrationService.ts';
 import SuspicionRelay from '../application/fleet/SuspicionRelay.ts';
 import Replica from '../application/replication/Replica.ts';
 import type ControlCommand from '../domain/control/ControlCommand.ts';
@@ -107,7 +108,7 @@
       ownAddress,
       isKnownHost: (address) => this.meeting.findHost(address) !== undefined,
       isLeading: () => replica.role === 'leader',
-      isKnownService: (service) => this.isKnownService(service),
+      checkService: (service) => this.checkService(service),
       silenceMs: settings.upstreamSilenceMs,
     });
     this.peers = new TrpcPeerServer({
@@ -193,14 +194,15 @@
   }
 
   // Decoded once for each preset: every announcement asks.
-  private isKnownService(service: string): boolean {
+  private checkService(service: string): ServiceStanding {
     const { numberedPreset } = this.parts.state;
-    if (numberedPreset && numberedPreset.number !== this.decodedNumber) {
+    if (!numberedPreset) return 'undecided';
+    if (numberedPreset.number !== this.decodedNumber) {
       const decoded = this.options.codec.decodePreset(numberedPreset.document);
       this.services = new Set(decoded.ok ? Object.keys(decoded.value.preset.services) : []);
       this.decodedNumber = numberedPreset.number;
     }
-    return this.services.has(service);
+    return this.services.has(service) ? 'known' : 'unknown';
   }
 
   private startTasks(): void {
@@ -210,7 +212,7 @@
     this.tasks.startTask('feed', (signal) => this.feed.run(signal));
     this.tasks.startTask('registrations', (signal) => this.registrations.run(signal));
     // It answers datagrams and needs no task of its own.
-    const relay = new SuspicionRelay({
+    SuspicionRelay.startRelay({
       clock,
       log,
       socket,
@@ -218,7 +220,6 @@
       listRelays: () => this.listRelays(),
       listEntryHosts: () => this.feed.listEntryHosts().map(({ address }) => address),
     });
-    log.debug('detection: relaying signs of bad upstreams', { relay: relay.constructor.name });
   }
 
   private createMeeting(openLink: (address: string) => FleetLink): HostMeeting {
--- a/tests/fleet/domainExchange.test.ts
+++ b/tests/fleet/domainExchange.test.ts
@@ -112,7 +112,7 @@
       ['nc', ['n1'], ['sc']],
       ['sc', ['s1'], ['nc']],
     ].forEach(([own, entryHosts, relays]) => {
-      const relay = new SuspicionRelay({
+      SuspicionRelay.startRelay({
         clock,
         log: new SilentLog(),
         socket: datagrams.openSocket(own as string),
@@ -120,7 +120,6 @@
         listRelays: () => relays as string[],
         listEntryHosts: () => entryHosts as string[],
       });
-      expect(relay).toBeDefined();
     });
 
     north.exchange.reportSuspicion(reset, 'request');
--- a/tests/fleet/feed.test.ts
+++ b/tests/fleet/feed.test.ts
@@ -260,4 +260,21 @@
     expect(view.listUsable('kilns')).toEqual([]);
     expect(usable && view.isUsable(usable.record)).toBe(false);
   });
+
+  // Guards against hosts that stop telling each other of bad upstreams when a control host restarts.
+  it('should keep hosts of its domain that a restarted control host does not know', async () => {
+    const peer = { host: 'n2', address: 'n2:1', failureDomain: 'north' };
+    const listPeers = (): string[] => view.entryHosts.map(({ address }) => address).sort();
+    commitEverywhere(1);
+    startFollower();
+    await clock.advanceBy(3000);
+    view.applyHosts({ version: 'both', controlHosts: infos, entryHosts: [peer] });
+
+    view.applyHosts({ version: 'restarted', controlHosts: infos, entryHosts: [] });
+    const atOnce = listPeers();
+    await clock.advanceBy(15_000);
+
+    expect(atOnce).toContain('n2:1');
+    expect(listPeers()).toEqual(['n1:1']);
+  });
 });
--- a/tests/platform/controlFrontEnd.test.ts
+++ b/tests/platform/controlFrontEnd.test.ts
@@ -85,7 +85,10 @@
         ownAddress: 'c1',
         isKnownHost: () => true,
         isLeading: () => true,
-        isKnownService: (service) => service === 'kilns',
+        checkService: (service) => {
+          if (!state.numberedPreset) return 'undecided';
+          return service === 'kilns' ? 'known' : 'unknown';
+        },
         silenceMs: 1000,
       }),
       findLeaderAddress: () => '10.0.0.9:80',
@@ -100,6 +103,13 @@
   const put = (path: string, body: string) =>
     fetch(`${origin}${path}`, { method: 'PUT', body, redirect: 'manual' });
 
+  // Guards against an upstream that takes a host that has just started for one that refuses it.
+  it('should ask an upstream to come back while no configuration is known', async () => {
+    const refused = await put('/instances/i-1', JSON.stringify(announcement));
+
+    expect(refused.status).toBe(503);
+  });
+
   it('should put a configuration in force and read it back as it was sent', async () => {
     const accepted = await put('/config', createDocument(7));
     const read = await fetch(`${origin}/config`);
