Price a failure that may be repeated at half

Ruled out: the price of a KiB, which bookings share. Change: 0.6 instead of 1.2; without a repeat left a failure still counts as a loss.

--- a/src/domain/requests/computePrices.ts
+++ b/src/domain/requests/computePrices.ts
@@ -2,7 +2,7 @@
 
 // A failed request is lost unless it may be repeated; then it costs a retry and some time.
 const lostPrice = 4;
-const repeatedPrice = 1.2;
+const repeatedPrice = 0.6;
 // Heads of request and answer, in bytes.
 const headBytes = 700;
 const bytesPerKib = 1024;
