Pass an unframed answer on without a frame

Change: a body that ended with its connection goes to the caller in the same way, unless another request is pipelined behind it. Measured: tests/platform/unframedAnswers.test.ts fails before and passes after.

--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -237,15 +237,26 @@
     if (this.connections.markLast(request.socket, response)) response.shouldKeepAlive = false;
   }
 
+  // A length would say that the body is whole, which nobody knows. With another request pipelined
+  // behind it, closing the connection would cut that one off.
+  private markUnframed(request: IncomingMessage, response: ServerResponse): boolean {
+    if (!this.connections.markLast(request.socket, response)) return false;
+    response.shouldKeepAlive = false;
+    response.useChunkedEncodingByDefault = false;
+    return true;
+  }
+
   private writeAnswer(
     request: IncomingMessage,
     response: ServerResponse,
     answer: CallerAnswer,
   ): void {
     const isBodied = hasBody(request.method, answer.status);
+    const isUnframed =
+      isBodied && (answer.isUnframed ?? false) && this.markUnframed(request, response);
     const headers = [
       ...answer.headers.flat(),
-      ...(isBodied ? ['content-length', String(answer.body.byteLength)] : []),
+      ...(isBodied && !isUnframed ? ['content-length', String(answer.body.byteLength)] : []),
       ...this.dialect.createCallerHeaders(answer, this.options.clock.now()).flat(),
     ];
     response.writeHead(answer.status, headers);
--- a/src/adapters/http/UpstreamExchange.ts
+++ b/src/adapters/http/UpstreamExchange.ts
@@ -147,6 +147,7 @@
       status: this.status,
       headers: this.headers,
       body: Buffer.concat(this.chunks),
+      isUnframed: this.mayHaveBody() && this.expectedBytes === undefined && !this.isChunked(),
     };
     this.endExchange({ kind: 'answered', answer });
   }
--- a/src/application/requests/CallerRequest.ts
+++ b/src/application/requests/CallerRequest.ts
@@ -27,6 +27,8 @@
   readonly outcome: Outcome;
   /** Set when the fleet itself made the answer. */
   readonly errorKind: ErrorKind | undefined;
+  /** Whether the end of the connection must be the only sign of the end of the body. */
+  readonly isUnframed?: boolean | undefined;
   /** Instant at which the caller should come back, on refusals for lack of room. */
   readonly retryAt?: number | undefined;
 }
--- a/src/application/requests/RequestHandler.ts
+++ b/src/application/requests/RequestHandler.ts
@@ -276,6 +276,7 @@
       status: outcome.answer.status,
       headers: listEndToEndHeaders(outcome.answer.headers, this.dialect.ownHeaders),
       body: outcome.answer.body,
+      isUnframed: outcome.answer.isUnframed,
       outcome: decideAnswerOutcome(outcome.answer.status),
       errorKind: undefined,
     };
--- a/src/ports/UpstreamClient.ts
+++ b/src/ports/UpstreamClient.ts
@@ -19,11 +19,13 @@
   readonly mayDispatch: () => boolean;
 }
 
-/** A whole answer whose length was checked. */
+/** A whole answer whose length was checked, unless it had none. */
 export interface UpstreamAnswer {
   readonly status: number;
   readonly headers: readonly (readonly [string, string])[];
   readonly body: Uint8Array;
+  /** Whether the body had no length and ended with its connection, so that it may be a part. */
+  readonly isUnframed?: boolean;
 }
 
 /** Why nothing was sent; `malformed`: the request can't be written as HTTP. */
--- a/tests/platform/unframedAnswers.test.ts
+++ b/tests/platform/unframedAnswers.test.ts
@@ -3,6 +3,8 @@
 import PlatformDialect from '../../platform/PlatformDialect.ts';
 import UndiciUpstreamClient from '../../src/adapters/http/UndiciUpstreamClient.ts';
 import SystemClock from '../../src/adapters/system/SystemClock.ts';
+import createEntryPath, { createUsable } from '../fixtures/createEntryPath.ts';
+import RawCaller from '../fixtures/RawCaller.ts';
 import RawUpstream from '../fixtures/RawUpstream.ts';
 
 const head = 'HTTP/1.1 200 OK\r\nx-attempt-id: r1\r\nx-response-signature: signed\r\n\r\n';
@@ -11,11 +13,12 @@
 
 describe('answers without a length', () => {
   let upstream: RawUpstream;
-  let client: UndiciUpstreamClient;
+  let client: UndiciUpstreamClient | undefined;
 
   afterEach(async () => {
     upstream.close();
-    await client.close();
+    await client?.close();
+    client = undefined;
   });
 
   // Guards against a library that takes a reset for the end of such an answer: a crashed upstream's
@@ -50,4 +53,24 @@
 
     expect(result.kind === 'failed' ? `failed ${result.reason}` : result.kind).toBe(expected);
   });
+
+  // Guards against a frame that says whole: an upstream that crashes ends its connection in order
+  // too, and nobody can tell its part of a body from a whole one.
+  it('should go to the caller without a frame of their own', async () => {
+    upstream = new RawUpstream(({ socket }) => socket.end(`${head}part`));
+    const address = await upstream.open();
+    const path = await createEntryPath({
+      upstreams: [createUsable('a', address)],
+      dialect: new PlatformDialect(),
+    });
+    const caller = await RawCaller.connectTo(path.origin);
+
+    caller.write('GET /history/1 HTTP/1.1\r\nhost: a\r\nx-attempt-id: r1\r\n\r\n');
+    const answer = await caller.waitClosed();
+    await path.close();
+
+    expect(answer).toMatch(/^HTTP\/1.1 200 OK\r\n/);
+    expect(answer).not.toMatch(/content-length|transfer-encoding/i);
+    expect(answer).toMatch(/connection: close\r\n[^]*\r\npart$/i);
+  });
 });
