Test the platform's programs as separate processes

Change: three control hosts and two entry hosts start from platform/main.ts on loopback addresses of their own; a configuration, an announcement, a booking, a killed control host, a stop. Of two failed tries of the test one waited inside beforeAll with a call that only works in tests, one used fetch, which sets Host itself (404).

--- a/examples/fleet/ManagedProcess.ts
+++ b/examples/fleet/ManagedProcess.ts
@@ -13,9 +13,17 @@
 
   private readonly ended: Promise<number | string>;
 
-  constructor(name: string, args: readonly string[]) {
+  /** `variables` are added to those of this process. */
+  constructor(
+    name: string,
+    args: readonly string[],
+    variables: Readonly<Record<string, string>> = {},
+  ) {
     this.name = name;
-    this.child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'] });
+    this.child = spawn(process.execPath, args, {
+      stdio: ['ignore', 'pipe', 'pipe'],
+      env: { ...process.env, ...variables },
+    });
     const keep = (chunk: Buffer): void => {
       this.text = (this.text + chunk.toString()).slice(-longestKeptBytes);
     };
--- /dev/null
+++ b/tests/platform/fleetProcesses.test.ts
@@ -0,0 +1,185 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { fetch, request } from 'undici';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+
+import ManagedProcess from '../../examples/fleet/ManagedProcess.ts';
+
+// On a busy machine a process takes seconds to start.
+const longestStartMs = 60_000;
+const pollMs = 100;
+// Every host has an address of its own, so that all can use the same ports. The network is drawn
+// by process id, so that runs beside each other don't meet.
+const network = `127.${(process.pid % 250) + 2}.${(Math.floor(process.pid / 250) % 250) + 2}`;
+const ports = { operators: 7801, callers: 7802, platform: 7803, peers: 7804, metrics: 7805 };
+const controlIps = [1, 2, 3].map((number) => `${network}.${number}`);
+const entryIps = [4, 5].map((number) => `${network}.${number}`);
+
+function createSettings(ip: string): string {
+  const isEntry = entryIps.includes(ip);
+  const listen = isEntry ? { callers: 0, platform: 0, peers: 0, metrics: 0 } : undefined;
+  const names = Object.keys(listen ?? { operators: 0, peers: 0, metrics: 0 });
+  const addresses = names.map((name) => `  ${name}: ${ip}:${ports[name as keyof typeof ports]}`);
+  return [
+    `host: h${ip.split('.').at(-1)}`,
+    'failure_domain: north',
+    'failure_domains: { north: here }',
+    `seeds: [${controlIps.map((seed) => `"${seed}:${ports.operators}"`).join(', ')}]`,
+    'peer_key: 0123456789abcdef',
+    `role: ${isEntry ? 'entry' : 'control'}`,
+    'listen:',
+    ...addresses,
+    ...(isEntry
+      ? ['retries: { share: 0.2, extra: 10, window: 10s }', 'other_domain_price: 0.25']
+      : [`data_folder: data-${ip}`, 'forms_group: true']),
+  ].join('\n');
+}
+
+function createDocument(version: number): string {
+  const route = { host: 'a.example', timeout: '2s', maxAttempts: 2, service: 'kilns' };
+  return JSON.stringify({
+    version,
+    routes: [
+      { ...route, pathPrefix: '/look/', kind: 'safe' },
+      { ...route, pathPrefix: '/book/', kind: 'unsafe' },
+    ],
+    services: [{ name: 'kilns' }],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_000_000,
+      headerTimeout: '3s',
+      idleTimeout: '15s',
+    },
+  });
+}
+
+describe("fleet on the platform's calls, in separate processes", () => {
+  const processes = new Map<string, ManagedProcess>();
+  const runs: string[] = [];
+  const upstream = createServer((incoming, response) => {
+    runs.push(`${incoming.method} ${incoming.url}`);
+    response.setHeader('x-attempt-id', incoming.headers['x-attempt-id'] ?? '');
+    response.setHeader('x-response-signature', 'signed');
+    response.end('answer');
+  });
+  let folder: string;
+
+  async function startProcess(ip: string): Promise<void> {
+    const file = join(folder, `${ip}.yaml`);
+    await writeFile(file, createSettings(ip).replace('data-', `${folder}/data-`));
+    const args = ['--import', 'tsx', 'platform/main.ts'];
+    processes.set(ip, new ManagedProcess(ip, args, { PISTACHIOHOIST_BOOT: file }));
+  }
+
+  /** Calls until the answer has the status; a host that starts refuses connections. */
+  async function waitStatus(
+    call: () => Promise<{ readonly status: number }>,
+    status: number,
+  ): Promise<void> {
+    const deadline = Date.now() + longestStartMs;
+    let seen: number | string = 'none';
+    while (seen !== status) {
+      if (Date.now() >= deadline) throw new Error(`status ${status}: saw ${seen} last`);
+      seen = await call().then((answer) => answer.status, String);
+      if (seen !== status) await sleep(pollMs);
+    }
+  }
+
+  const put = (ip: string, path: string, body: string) =>
+    fetch(`http://${ip}:${ports.operators}/pistachiohoist${path}`, { method: 'PUT', body });
+
+  // `fetch` sets the Host header by itself.
+  async function ask(ip: string, method: 'GET' | 'POST', path: string, requestId: string) {
+    const answer = await request(`http://${ip}:${ports.callers}${path}`, {
+      method,
+      headers: { host: 'a.example', 'x-attempt-id': requestId, 'x-time-budget-ms': '5000' },
+    });
+    const { statusCode: status, headers, body } = answer;
+    return { status, headers, text: await body.text() };
+  }
+
+  beforeAll(async () => {
+    folder = await mkdtemp(join(tmpdir(), 'fleet-'));
+    await new Promise<void>((resolve) => {
+      upstream.listen(0, '127.0.0.1', resolve);
+    });
+    await Promise.all([...controlIps, ...entryIps].map(startProcess));
+    await waitStatus(() => put(controlIps[0] ?? '', '/config', createDocument(1)), 200);
+    const { port } = upstream.address() as AddressInfo;
+    const announcement = {
+      service: 'kilns',
+      address: `127.0.0.1:${port}`,
+      zone: 'north',
+      slots: 4,
+      state: 'ready',
+      warmupLeft: '0ms',
+      sequence: 1,
+      born: 1,
+    };
+    await waitStatus(
+      () => put(controlIps[1] ?? '', '/instances/i-1', JSON.stringify(announcement)),
+      200,
+    );
+    await Promise.all(
+      entryIps.map((ip) => waitStatus(() => ask(ip, 'GET', '/look/first', `first-${ip}`), 200)),
+    );
+  }, 2 * longestStartMs);
+
+  afterAll(async () => {
+    await Promise.all([...processes.values()].map((running) => running.kill()));
+    upstream.close();
+    upstream.closeAllConnections();
+    await rm(folder, { recursive: true });
+  }, longestStartMs);
+
+  it("should run a booking once and answer with the upstream's bytes", async () => {
+    const answer = await ask(entryIps[0] ?? '', 'POST', '/book/1', 'booking');
+
+    expect(answer.status).toBe(200);
+    expect(answer.headers['x-response-signature']).toBe('signed');
+    expect(answer.text).toBe('answer');
+    expect(runs.filter((run) => run === 'POST /book/1')).toHaveLength(1);
+  });
+
+  it('should refuse a path without a route', async () => {
+    expect((await ask(entryIps[0] ?? '', 'GET', '/none/1', 'none')).status).toBe(404);
+  });
+
+  // Guards against a change that is lost with the host that acknowledged it.
+  it(
+    'should keep an acknowledged configuration when any one control host is killed',
+    async () => {
+      await waitStatus(() => put(controlIps[2] ?? '', '/config', createDocument(2)), 200);
+
+      await processes.get(controlIps[2] ?? '')?.kill();
+      const read = () => fetch(`http://${controlIps[0]}:${ports.operators}/pistachiohoist/config`);
+      await waitStatus(read, 200);
+
+      expect(await (await read()).text()).toBe(createDocument(2));
+    },
+    longestStartMs,
+  );
+
+  it(
+    'should end with code 0 after a stop and not be ready before',
+    async () => {
+      const ip = entryIps[1] ?? '';
+      const ready = () => fetch(`http://${ip}:${ports.platform}/ready`);
+      await waitStatus(ready, 200);
+
+      const ended = processes.get(ip)?.stop();
+      await waitStatus(ready, 503);
+      const meanwhile = await ask(ip, 'GET', '/look/last', 'last');
+
+      expect(meanwhile.status).toBe(200);
+      expect(meanwhile.headers.connection).toBe('close');
+      expect(await ended).toBe(0);
+    },
+    longestStartMs,
+  );
+});
