--- a/src/adapters/udp/UdpDatagramSocket.ts
+++ b/src/adapters/udp/UdpDatagramSocket.ts
@@ -65,13 +65,17 @@
     return this.unsent;
   }
 
-  sendDatagram(content: unknown, address: string): void {
+  sendDatagrams(content: unknown, addresses: readonly string[]): void {
     const text = Buffer.from(JSON.stringify(content));
     const bytes = Buffer.concat([this.createSeal(text), text]);
     if (bytes.byteLength > mostBytes) {
-      this.unsent += 1;
+      this.unsent += addresses.length;
       return;
     }
+    addresses.forEach((address) => this.sendBytes(bytes, address));
+  }
+
+  private sendBytes(bytes: Buffer, address: string): void {
     const separator = address.lastIndexOf(':');
     this.socket.send(
       bytes,
--- a/src/application/fleet/DomainExchange.ts
+++ b/src/application/fleet/DomainExchange.ts
@@ -179,11 +179,12 @@
     this.proven.clear();
     this.loads.clear();
     const message = { from: ownAddress, suspicions, work };
-    listPeers()
-      .filter((address) => address !== ownAddress)
-      .forEach((address) => socket.sendDatagram(message, address));
+    socket.sendDatagrams(
+      message,
+      listPeers().filter((address) => address !== ownAddress),
+    );
     const relay = suspicions.length > 0 ? findRelay() : undefined;
-    if (relay !== undefined) socket.sendDatagram({ from: ownAddress, suspicions }, relay);
+    if (relay !== undefined) socket.sendDatagrams({ from: ownAddress, suspicions }, [relay]);
   }
 
   private acceptMessage(content: unknown): void {
--- a/src/application/fleet/SuspicionObserver.ts
+++ b/src/application/fleet/SuspicionObserver.ts
@@ -40,6 +40,11 @@
   isOverdue: boolean;
 }
 
+function recordUsual(usual: Map<string, number>, service: string, newest: number): void {
+  const before = usual.get(service) ?? newest;
+  usual.set(service, before + newestShare * (newest - before));
+}
+
 /** Turns the ends of requests, and those that don't end, into signs of bad upstreams. */
 export default class SuspicionObserver implements AnswerObserver {
   private readonly options: SuspicionObserverOptions;
@@ -68,10 +73,9 @@
     if (answerClass !== 'good') return;
     suspicions.addGoodAnswer(upstream, startedAt, endedAt);
     this.options.exchange.reportProof(upstream);
-    this.recordSize(service, observation.answerBytes);
+    recordUsual(this.usualBytes, service, observation.answerBytes);
     const tookMs = endedAt - startedAt;
-    const usual = this.usualMs.get(service) ?? tookMs;
-    this.usualMs.set(service, usual + newestShare * (tookMs - usual));
+    recordUsual(this.usualMs, service, tookMs);
   }
 
   /** Usual size of a good answer, in bytes; undefined before the first one. */
@@ -94,11 +98,6 @@
     }
   }
 
-  private recordSize(service: string, bytes: number): void {
-    const usual = this.usualBytes.get(service) ?? bytes;
-    this.usualBytes.set(service, usual + newestShare * (bytes - usual));
-  }
-
   private isOverdue({ service, startedAt }: Watched, now: number): boolean {
     const usual = this.usualMs.get(service);
     if (usual === undefined) return false;
--- a/src/application/fleet/SuspicionRelay.ts
+++ b/src/application/fleet/SuspicionRelay.ts
@@ -56,7 +56,7 @@
         targets: targets.length,
       });
     });
-    targets.forEach((address) => socket.sendDatagram({ from: ownAddress, suspicions }, address));
+    socket.sendDatagrams({ from: ownAddress, suspicions }, targets);
   }
 
   private isDue(upstream: string): boolean {
