Send entry hosts on from a control host without its disk, and start with compiled code

Change: a control host that may only join and has nothing yet answers at once. The build keeps the engine's compiled code beside the bundle. What a failed look-up costs in the choice grows with the share of the service's retries that are taken, instead of a step when none is left. Operations that must not repeat get a connection of their own, so that a connection that was lost without notice shows before anything is sent.

--- a/src/adapters/http/UndiciUpstreamClient.ts
+++ b/src/adapters/http/UndiciUpstreamClient.ts
@@ -25,13 +25,18 @@
   readonly dialect?: RequestDialect;
 }
 
-/** Sends requests over kept-alive connections, one request at a time on each. */
+/**
+ * Sends requests, one at a time on each connection. Connections are kept, but for operations that
+ * must not repeat.
+ */
 export default class UndiciUpstreamClient implements UpstreamClient {
   private readonly clock: Clock;
 
   private readonly dialect: RequestDialect;
 
-  private readonly agent: Agent;
+  private readonly keptConnections: Agent;
+
+  private readonly ownConnections: Agent;
 
   private readonly deadlines: ExchangeDeadlines;
 
@@ -39,16 +44,21 @@
     this.clock = options.clock;
     this.dialect = options.dialect ?? new OwnDialect();
     this.deadlines = new ExchangeDeadlines(options.clock);
-    this.agent = new Agent({
+    const shared = {
       connections: options.connectionsPerUpstream,
-      pipelining: 1,
       connect: createConnector(options.connectTimeoutMs ?? defaultConnectTimeoutMs),
-      keepAliveTimeout: keepAliveTimeoutMs,
-      keepAliveMaxTimeout: longestKeepAliveMs,
       // The request's own deadline bounds both.
       headersTimeout: 0,
       bodyTimeout: 0,
+    };
+    this.keptConnections = new Agent({
+      ...shared,
+      pipelining: 1,
+      keepAliveTimeout: keepAliveTimeoutMs,
+      keepAliveMaxTimeout: longestKeepAliveMs,
     });
+    // undici's way to keep no connection.
+    this.ownConnections = new Agent({ ...shared, pipelining: 0 });
   }
 
   async sendRequest(request: UpstreamRequest): Promise<UpstreamResult> {
@@ -60,7 +70,8 @@
     const onCancel = (): void => exchange.cancelExchange('cancelled');
     request.signal.addEventListener('abort', onCancel, { once: true });
     this.deadlines.addExchange(exchange, request.deadline);
-    this.agent.dispatch(
+    const agent = request.mayRepeat ? this.keptConnections : this.ownConnections;
+    agent.dispatch(
       {
         origin: `http://${request.address}`,
         method: request.method,
@@ -77,7 +88,7 @@
   }
 
   async close(): Promise<void> {
-    await this.agent.close();
+    await Promise.all([this.keptConnections.close(), this.ownConnections.close()]);
     await this.deadlines.close();
   }
 
--- a/src/application/fleet/DomainRetryBudgets.ts
+++ b/src/application/fleet/DomainRetryBudgets.ts
@@ -39,6 +39,7 @@
     return {
       addRequest: () => window.addRequest(clock.now()),
       hasRetry: () => this.hasRetry(service),
+      readScarcity: () => this.readScarcity(service),
       takeRetry: () => {
         if (!this.hasRetry(service)) return false;
         window.addRetry(clock.now());
@@ -57,11 +58,22 @@
   }
 
   private hasRetry(service: string): boolean {
+    const { taken, allowed } = this.countRetries(service);
+    return taken + 1 <= allowed;
+  }
+
+  private readScarcity(service: string): number {
+    const { taken, allowed } = this.countRetries(service);
+    return taken + 1 <= allowed ? taken / allowed : 1;
+  }
+
+  /** Retries of the domain in the newest window. */
+  private countRetries(service: string): { readonly taken: number; readonly allowed: number } {
     const { clock, share, extra, failureDomains, readOthers } = this.options;
     const own = this.getWindow(service).readCounts(clock.now());
     const others = readOthers(service);
     const allowed = share * (own.requests + others.requests) + extra / failureDomains;
-    return own.retries + others.retries + 1 <= usedShare * allowed;
+    return { taken: own.retries + others.retries, allowed: usedShare * allowed };
   }
 
   private getWindow(service: string): RetryWindow {
--- a/src/application/fleet/FeedService.ts
+++ b/src/application/fleet/FeedService.ts
@@ -16,6 +16,8 @@
   readonly groupId: string | undefined;
   readonly appliedIndex: number;
   readonly isCurrent: boolean;
+  /** Whether this host came to its group without a disk and has nothing of it yet. */
+  readonly isEmptyJoiner: boolean;
   waitApplied(afterIndex: number, deadline: number): Promise<void>;
 }
 
@@ -73,12 +75,13 @@
     return request.wantsHostsOnly ? this.createHostsAnswer(request) : this.createAnswer(request);
   }
 
-  // A host that knows nothing can do nothing else but wait; any other may try elsewhere.
+  // A host that knows nothing can do nothing else but wait, unless this host knows nothing either;
+  // any other may try elsewhere.
   private shouldAnswer(request: FeedRequest): boolean {
     const { log } = this.options;
     if (request.wantsHostsOnly) return true;
     const knowsNothing = request.presetNumber === undefined;
-    if (!log.isCurrent) return !knowsNothing;
+    if (!log.isCurrent) return !knowsNothing || log.isEmptyJoiner;
     return this.hasNews(request);
   }
 
--- a/src/application/replication/Replica.ts
+++ b/src/application/replication/Replica.ts
@@ -96,12 +96,12 @@
     return this.context.term;
   }
 
-  /** The newest configuration in the log of this replica. */
   /** Whether this replica has a vote, by the newest configuration in its log. */
   get isVoter(): boolean {
     return this.context.isVoter;
   }
 
+  /** The newest configuration in the log of this replica. */
   get configuration(): ReplicaConfiguration {
     return this.context.configuration;
   }
@@ -173,6 +173,11 @@
     return context.hasLeader && !context.isStopped;
   }
 
+  /** Whether this replica may only join a group and has applied no command of one yet. */
+  get isEmptyJoiner(): boolean {
+    return this.context.options.hosts.length === 0 && this.appliedIndex === 0;
+  }
+
   /** Finishes accepted proposals, hands leadership over and ends all tasks. */
   async stop(deadline: number): Promise<void> {
     const { context } = this;
--- a/src/application/requests/UpstreamDispatcher.ts
+++ b/src/application/requests/UpstreamDispatcher.ts
@@ -83,8 +83,8 @@
     if (unsent) return { ...this.failUnsent(unsent), attempts: 0 };
     let runs = 0;
     let candidates = this.listUntried(request, tried);
-    const isLast = (): boolean => runs + 1 >= maxRuns || !policy.hasRepeat();
-    let chosen = this.chooseUpstream(request, candidates, isLast());
+    const readScarcity = (): number => (runs + 1 >= maxRuns ? 1 : policy.readScarcity());
+    let chosen = this.chooseUpstream(request, candidates, readScarcity());
     let reported: Attempt | undefined;
     while (chosen) {
       tried.add(chosen.record.upstream);
@@ -101,7 +101,7 @@
       // Nearly every attempt ends here, before the upstreams are listed again.
       if (!policy.isRetryable(attempt.end) || runs >= maxRuns || !this.mayTryAgain(request)) break;
       candidates = this.listUntried(request, tried);
-      chosen = this.chooseUpstream(request, candidates, isLast());
+      chosen = this.chooseUpstream(request, candidates, readScarcity());
       // The policy spends budget, so it is asked last.
       if (chosen && !policy.mayRetry(attempt.end)) chosen = undefined;
     }
@@ -126,12 +126,12 @@
   private chooseUpstream(
     request: CallerRequest,
     candidates: readonly UsableUpstream[],
-    isLast: boolean,
+    retryScarcity: number,
   ): UsableUpstream | undefined {
     const { balancer, clock, random, failureDomain, loadTracker } = this.options;
     return balancer.chooseUpstream({
       candidates,
-      isLast,
+      retryScarcity,
       readLoad: (upstream) => loadTracker.readLoad(request.route.service, upstream),
       now: clock.now(),
       random: () => random.next(),
@@ -166,6 +166,7 @@
       path: request.target,
       headers: listEndToEndHeaders(request.headers, this.dialect.ownHeaders),
       body: request.body,
+      mayRepeat: request.route.repeat === 'allowed',
       requestId: this.dialect.findRequestId(request.headers) ?? attemptId,
       upstream: record.upstream,
       deadline,
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -222,7 +222,7 @@
       random,
       upstreamClient,
       balancer: new PricedBalancer({
-        readPrices: (service, isLast) => this.readPrices(service, isLast),
+        readPrices: (service, retryScarcity) => this.readPrices(service, retryScarcity),
         readRisk: ({ record }) =>
           suspicions.getRisk(record.upstream, record.incarnation, clock.now()),
         loadHalfLifeMs,
@@ -247,11 +247,11 @@
     });
   }
 
-  private readPrices(service: string, isLast: boolean): BalancerPrices {
+  private readPrices(service: string, retryScarcity: number): BalancerPrices {
     return computePrices({
       otherDomainPrice: this.options.settings.otherDomainPrice,
       answerBytes: this.observer.readUsualBytes(service) ?? unknownAnswerBytes,
-      mayRepeat: !isLast,
+      retryScarcity,
     });
   }
 
--- a/src/domain/requests/Balancer.ts
+++ b/src/domain/requests/Balancer.ts
@@ -12,8 +12,11 @@
 /** One choice to make. */
 export interface BalancerChoice {
   readonly candidates: readonly UsableUpstream[];
-  /** Whether no other upstream may follow when this one fails. */
-  readonly isLast?: boolean;
+  /**
+   * How scarce the attempts are that may follow when this one fails: from 0 to 1, when none may
+   * follow; 0 unless set.
+   */
+  readonly retryScarcity?: number;
   readonly readLoad: (upstream: string) => UpstreamLoad;
   readonly now: number;
   /** A random number from 0 up to, but not including, 1. */
--- a/src/domain/requests/BudgetRetryPolicy.ts
+++ b/src/domain/requests/BudgetRetryPolicy.ts
@@ -15,8 +15,8 @@
     return end !== 'good_answer' && end !== 'given_up';
   }
 
-  hasRepeat(): boolean {
-    return this.budget.hasRetry();
+  readScarcity(): number {
+    return this.budget.readScarcity();
   }
 
   mayRetry(end: UpstreamEnd): boolean {
--- a/src/domain/requests/OnceRetryPolicy.ts
+++ b/src/domain/requests/OnceRetryPolicy.ts
@@ -15,8 +15,8 @@
     return end === 'not_sent' || end === 'not_run';
   }
 
-  hasRepeat(): boolean {
-    return false;
+  readScarcity(): number {
+    return 1;
   }
 
   mayRetry(end: UpstreamEnd): boolean {
--- a/src/domain/requests/PricedBalancer.ts
+++ b/src/domain/requests/PricedBalancer.ts
@@ -22,8 +22,8 @@
 
 /** What the balancer needs. */
 export interface PricedBalancerOptions {
-  /** `isLast`: no other upstream may follow when the chosen one fails. */
-  readonly readPrices: (service: string, isLast: boolean) => BalancerPrices;
+  /** `retryScarcity` is that of the choice. */
+  readonly readPrices: (service: string, retryScarcity: number) => BalancerPrices;
   /** Risk that a request to the upstream fails, 0 to 1. */
   readonly readRisk: (upstream: UsableUpstream) => number;
   /** Time in which a reported load halves, in milliseconds. */
@@ -45,7 +45,7 @@
   chooseUpstream(choice: BalancerChoice): UsableUpstream | undefined {
     const [first] = choice.candidates;
     if (!first) return undefined;
-    const prices = this.options.readPrices(first.record.service, choice.isLast ?? false);
+    const prices = this.options.readPrices(first.record.service, choice.retryScarcity ?? 0);
     let best: UsableUpstream | undefined;
     let lowest = Infinity;
     choice.candidates.forEach((candidate) => {
--- a/src/domain/requests/RetryAllowance.ts
+++ b/src/domain/requests/RetryAllowance.ts
@@ -4,6 +4,8 @@
   addRequest(retryShare: number): void;
   /** Whether a retry would be allowed now. */
   hasRetry(): boolean;
+  /** How scarce retries are: 0 while none of those allowed is taken, 1 when none is left. */
+  readScarcity(): number;
   /** Takes one retry; false when none is allowed. */
   takeRetry(): boolean;
 }
--- a/src/domain/requests/RetryBudget.ts
+++ b/src/domain/requests/RetryBudget.ts
@@ -15,6 +15,10 @@
     return this.tokens >= 1;
   }
 
+  readScarcity(): number {
+    return this.hasRetry() ? 1 - this.tokens / mostTokens : 1;
+  }
+
   takeRetry(): boolean {
     if (!this.hasRetry()) return false;
     this.tokens -= 1;
--- a/src/domain/requests/RetryPolicy.ts
+++ b/src/domain/requests/RetryPolicy.ts
@@ -13,8 +13,11 @@
 export default interface RetryPolicy {
   /** Whether another attempt may ever follow such an end; takes nothing from the budget. */
   isRetryable(end: UpstreamEnd): boolean;
-  /** Whether an attempt that fails after it was sent could be followed by another one now. */
-  hasRepeat(): boolean;
+  /**
+   * How scarce the attempts are that may follow one that fails after it was sent: from 0 to 1, when
+   * none may follow.
+   */
+  readScarcity(): number;
   /** True when another attempt may follow; takes its share of the retry budget. */
   mayRetry(end: UpstreamEnd): boolean;
   /** Instant at which an attempt ends without an answer. */
--- a/src/domain/requests/computePrices.ts
+++ b/src/domain/requests/computePrices.ts
@@ -1,6 +1,7 @@
 import type { BalancerPrices } from './PricedBalancer.ts';
 
-// A failed request is lost unless it may be repeated; then it costs a retry and some time.
+// A failed request is lost unless it may be repeated; then it costs a retry and some time. A retry
+// that is taken while few are left is missing where the next request fails.
 const lostPrice = 4;
 const repeatedPrice = 0.6;
 // Heads of request and answer, in bytes.
@@ -14,8 +15,8 @@
   /** What a KiB from another failure domain costs. */
   readonly otherDomainPrice: number;
   readonly answerBytes: number;
-  /** Whether another upstream may follow when the chosen one fails. */
-  readonly mayRepeat: boolean;
+  /** From 0 while retries abound to 1 when none may follow. */
+  readonly retryScarcity: number;
 }
 
 /**
@@ -23,7 +24,7 @@
  * costs little, since answers are still in time; a long one is likely to shed the request.
  */
 export default function computePrices(facts: PriceFacts): BalancerPrices {
-  const { otherDomainPrice, answerBytes, mayRepeat } = facts;
+  const { otherDomainPrice, answerBytes, retryScarcity } = facts;
   return {
     busySlots: 0.3,
     wait: 0.6,
@@ -31,6 +32,6 @@
     cold: 0.5,
     noise: 0.1,
     otherDomain: (otherDomainPrice * (headBytes + answerBytes)) / bytesPerKib,
-    failure: mayRepeat ? repeatedPrice : lostPrice,
+    failure: repeatedPrice + (lostPrice - repeatedPrice) * retryScarcity ** 2,
   };
 }
--- a/src/ports/UpstreamClient.ts
+++ b/src/ports/UpstreamClient.ts
@@ -6,6 +6,11 @@
   readonly path: string;
   readonly headers: readonly (readonly [string, string])[];
   readonly body: Uint8Array;
+  /**
+   * Whether the request may be sent once more. One that may not gets a connection of its own: a
+   * kept one can be lost without notice, which shows only after the request was sent.
+   */
+  readonly mayRepeat: boolean;
   readonly requestId: string;
   /** Name of the upstream that is meant; undefined where any at the address will do. */
   readonly upstream?: string;
--- a/tests/fleet/feed.test.ts
+++ b/tests/fleet/feed.test.ts
@@ -20,6 +20,8 @@
 
   isCurrent = true;
 
+  isEmptyJoiner = false;
+
   isDown = false;
 
   calls = 0;
@@ -170,6 +172,19 @@
     expect(view.isReady).toBe(false);
   });
 
+  // Guards against a fleet that waits for one host after all were killed and one lost its disk.
+  it('should not wait at a control host that came back without its disk', async () => {
+    commitEverywhere(1);
+    const empty = new FakeControl(clock, () => infos.slice(0, 1));
+    Object.assign(empty, { isCurrent: false, isEmptyJoiner: true });
+    controls.set('south:1', empty);
+    startFollower();
+
+    await clock.advanceBy(150);
+
+    expect(view.state?.revision).toBe(1);
+  });
+
   it('should learn of a preset within milliseconds', async () => {
     startFollower();
     commitEverywhere(1);
--- a/tests/fleet/retryBudgets.test.ts
+++ b/tests/fleet/retryBudgets.test.ts
@@ -39,6 +39,17 @@
     expect(budgets.getBudget('history').hasRetry()).toBe(false);
   });
 
+  it('should tell how scarce the retries of the domain are', () => {
+    const budgets = createBudgets(new FakeClock(), nobody);
+    const budget = budgets.getBudget('history');
+    const before = budget.readScarcity();
+    countRetries(budgets, 8);
+
+    expect([before, budget.readScarcity()]).toEqual([0, 0.5]);
+    countRetries(budgets, 100);
+    expect(budget.readScarcity()).toBe(1);
+  });
+
   it('should allow retries again when the window has passed', async () => {
     const clock = new FakeClock();
     const budgets = createBudgets(clock, nobody);
--- a/tests/fleet/suspicion.test.ts
+++ b/tests/fleet/suspicion.test.ts
@@ -87,14 +87,14 @@
 
 describe('choice by price', () => {
   // Answers of 5 KB, as large as bookings' answers.
-  function choose(patterns: readonly Pattern[], mayRepeat = false): string | undefined {
+  function choose(patterns: readonly Pattern[], retryScarcity = 1): string | undefined {
     const byName = new Map(patterns.map((pattern) => [pattern.name, pattern]));
     const candidates: UsableUpstream[] = patterns.map(({ name, domain }) => ({
       weight: 1,
       record: createUpstream({ upstream: name, failureDomain: domain, slots: 4 }),
     }));
     const balancer = new PricedBalancer({
-      readPrices: () => computePrices({ otherDomainPrice: 0.25, answerBytes: 5000, mayRepeat }),
+      readPrices: () => computePrices({ otherDomainPrice: 0.25, answerBytes: 5000, retryScarcity }),
       readRisk: ({ record }) => byName.get(record.upstream)?.risk ?? 0,
       loadHalfLifeMs: 300,
     });
@@ -133,7 +133,21 @@
 
   // Pattern: a look-up may be repeated, so a risk is worth less than a crossing.
   it('should risk a retry rather than cross', () => {
-    expect(choose([{ ...near, risk: 0.9 }, far], true)).toBe('near');
+    expect(choose([{ ...near, risk: 0.9 }, far], 0)).toBe('near');
+  });
+
+  // Pattern: many look-ups meet bad upstreams at once, until no retry is left for the others.
+  it('should avoid a risk like that of a lost request when retries run short', () => {
+    expect(choose([{ ...near, risk: 0.9 }, far], 0.8)).toBe('far');
+    expect(
+      choose(
+        [
+          { ...near, load: 3, risk: 0.9 },
+          { ...near, name: 'busy', load: 6 },
+        ],
+        0.7,
+      ),
+    ).toBe('busy');
   });
 
   // Pattern: all sound upstreams are full and the others were bad some seconds ago.
--- a/tests/platform/fleetProcesses.test.ts
+++ b/tests/platform/fleetProcesses.test.ts
@@ -1,9 +1,11 @@
+import { execFile } from 'node:child_process';
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { promisify } from 'node:util';
 
 import { fetch, request } from 'undici';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
@@ -72,7 +74,7 @@
   async function startProcess(ip: string): Promise<void> {
     const file = join(folder, `${ip}.yaml`);
     await writeFile(file, createSettings(ip).replace('data-', `${folder}/data-`));
-    const args = ['--import', 'tsx', 'platform/main.ts'];
+    const args = ['--max-old-space-size=160', join(folder, 'start.mjs')];
     processes.set(ip, new ManagedProcess(ip, args, { PISTACHIOHOIST_BOOT: file }));
   }
 
@@ -105,6 +107,7 @@
 
   beforeAll(async () => {
     folder = await mkdtemp(join(tmpdir(), 'fleet-'));
+    await promisify(execFile)('sh', ['deploy/build.sh', folder]);
     await new Promise<void>((resolve) => {
       upstream.listen(0, '127.0.0.1', resolve);
     });
--- /dev/null
+++ b/tests/platform/startCached.test.ts
@@ -0,0 +1,54 @@
+import { execFile } from 'node:child_process';
+import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { promisify } from 'node:util';
+
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+
+const run = promisify(execFile);
+
+describe('bundle with compiled code', () => {
+  let folder: string;
+  let cache: string;
+
+  beforeAll(async () => {
+    folder = await mkdtemp(join(tmpdir(), 'bundle-'));
+    cache = join(folder, 'pistachiohoist.cjs.cache');
+    await run('sh', ['deploy/build.sh', folder]);
+  }, 60_000);
+
+  afterAll(() => rm(folder, { recursive: true }));
+
+  /** Starts the daemon without settings, which it refuses. */
+  async function startDaemon() {
+    const env = { ...process.env };
+    delete env.PISTACHIOHOIST_BOOT;
+    return run(process.execPath, [join(folder, 'start.mjs')], { env }).then(
+      () => ({ code: 0, stderr: '' }),
+      (error: { readonly code: number; readonly stderr: string }) => error,
+    );
+  }
+
+  const refusal = {
+    code: 2,
+    stderr: 'pistachiohoist: variable PISTACHIOHOIST_BOOT is missing: expected a path\n',
+  };
+
+  it('should be built with its compiled code', async () => {
+    expect((await readFile(cache)).length).toBeGreaterThan(100_000);
+    expect(await startDaemon()).toMatchObject(refusal);
+  });
+
+  it.each(['', 'not compiled code'])('should start beside a cache of %j', async (content) => {
+    await writeFile(cache, content);
+
+    expect(await startDaemon()).toMatchObject(refusal);
+  });
+
+  it('should start without a cache', async () => {
+    await rm(cache);
+
+    expect(await startDaemon()).toMatchObject(refusal);
+  });
+});
--- a/tests/platform/unframedAnswers.test.ts
+++ b/tests/platform/unframedAnswers.test.ts
@@ -42,6 +42,7 @@
       path: '/',
       headers: [],
       body: new Uint8Array(),
+      mayRepeat: true,
       requestId: 'r1',
       upstream: 'i-1',
       deadline: clock.now() + 5000,
--- a/tests/requests/singleWrite.test.ts
+++ b/tests/requests/singleWrite.test.ts
@@ -18,6 +18,7 @@
     path: '/bookings',
     headers: [],
     body: Buffer.from('operation'),
+    mayRepeat: true,
     requestId: 'one',
     deadline: Number.MAX_SAFE_INTEGER,
     maxAnswerBytes: 1000,
@@ -75,9 +76,14 @@
   });
 
   // Guards against a resend when an idle connection closes while the next request is written.
-  it.each(['end', 'resetAndDestroy'] as const)(
-    'should write each request at most once when idle connections close by %s',
-    async (method) => {
+  it.each([
+    ['kept', 'end'],
+    ['kept', 'resetAndDestroy'],
+    ['own', 'end'],
+    ['own', 'resetAndDestroy'],
+  ] as const)(
+    'should write each request at most once on %s connections when idle ones close by %s',
+    async (connections, method) => {
       const { upstream, send } = await startUpstream(({ socket, index }) => {
         socket.write(answer);
         const close = (): void => {
@@ -91,7 +97,7 @@
       const ids = Array.from({ length: 300 }, (_, index) => `request-${index}`);
       const results = new Map<string, string>();
       for (const id of ids) {
-        const result = await send(id);
+        const result = await send(id, { mayRepeat: connections === 'kept' });
         results.set(id, result.kind);
         if (results.size % 2 === 0) await FakeClock.settle();
       }
@@ -106,20 +112,26 @@
 
   // Guards against a resend of a request whose connection was reset after it had arrived, also
   // while other requests wait in the queue of the library.
-  it('should not send again after a reset, and send each waiting request once', async () => {
-    const { upstream, send } = await startUpstream(({ socket, index }) => {
-      if (index % 2 === 0) socket.resetAndDestroy();
-      else socket.write(answer);
-    });
+  it.each([
+    ['kept', true],
+    ['own', false],
+  ])(
+    'should send each waiting request once after a reset on %s connections',
+    async (_kind, mayRepeat) => {
+      const { upstream, send } = await startUpstream(({ socket, index }) => {
+        if (index % 2 === 0) socket.resetAndDestroy();
+        else socket.write(answer);
+      });
 
-    const ids = Array.from({ length: 20 }, (_, index) => `request-${index}`);
-    const results = await Promise.all(ids.map((id) => send(id)));
+      const ids = Array.from({ length: 20 }, (_, index) => `request-${index}`);
+      const results = await Promise.all(ids.map((id) => send(id, { mayRepeat })));
 
-    expect(upstream.requestIds).toEqual(ids);
-    expect(results.map(({ kind }) => kind)).toEqual(
-      ids.map((_, index) => (index % 2 === 0 ? 'failed' : 'answered')),
-    );
-  });
+      expect(upstream.requestIds).toEqual(ids);
+      expect(results.map(({ kind }) => kind)).toEqual(
+        ids.map((_, index) => (index % 2 === 0 ? 'failed' : 'answered')),
+      );
+    },
+  );
 
   // Guards against pipelining, where one failed answer makes the requests behind it uncertain.
   it('should keep one request at a time on a connection', async () => {
--- a/tests/requests/upstreamAnswers.test.ts
+++ b/tests/requests/upstreamAnswers.test.ts
@@ -31,6 +31,7 @@
         path: '/history/1',
         headers: [],
         body: new Uint8Array(),
+        mayRepeat: true,
         requestId,
         deadline: clock.now() + 10_000,
         maxAnswerBytes: 1000,
