Tell an entry host that starts which upstreams look bad

Ruled out: waiting for the others' news: each tells a sign once only. Change: with its first preset a host asks its peers, and each answers with the upstreams that are more likely bad than not. Conclusion: costs one round of datagrams inside the domain for each start.

--- a/src/application/fleet/DomainExchange.ts
+++ b/src/application/fleet/DomainExchange.ts
@@ -142,6 +142,11 @@
     this.sendMessages();
   }
 
+  /** Asks the other hosts which upstreams look bad, once this host knows its peers. */
+  askPeers(): void {
+    this.sendMessages(true);
+  }
+
   /** Sends what changed until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock, suspicions } = this.options;
@@ -168,7 +173,7 @@
     this.wakeup.release();
   }
 
-  private sendMessages(): void {
+  private sendMessages(asksHeld = false): void {
     const { socket, ownAddress, listPeers, findRelay, readRetries } = this.options;
     const suspicions = this.waiting.splice(0);
     this.dueAt = Infinity;
@@ -180,7 +185,7 @@
     };
     this.proven.clear();
     this.loads.clear();
-    const message = { from: ownAddress, suspicions, work };
+    const message = { from: ownAddress, suspicions, work, ...(asksHeld && { asksHeld }) };
     socket.sendDatagrams(
       message,
       listPeers().filter((address) => address !== ownAddress),
@@ -207,9 +212,17 @@
       const isNews = suspicions.addSuspicion(suspicion, now, 'other');
       if (isNews) log.info('detection: another host saw a bad upstream', { ...suspicion, from });
     });
+    if (message.asksHeld) this.answerHeld(from, now);
     this.dropSilent(now);
   }
 
+  private answerHeld(address: string, now: number): void {
+    const { socket, ownAddress, suspicions } = this.options;
+    const held = suspicions.listBroken(now);
+    if (held.length === 0) return;
+    socket.sendDatagrams({ from: ownAddress, suspicions: held }, [address]);
+  }
+
   private dropSilent(now: number): void {
     [...this.peers]
       .filter(([, { until }]) => until <= now)
--- a/src/application/fleet/checkDomainMessage.ts
+++ b/src/application/fleet/checkDomainMessage.ts
@@ -6,6 +6,8 @@
   /** Address of the sender's datagrams. */
   readonly from: string;
   readonly suspicions: readonly Suspicion[];
+  /** Whether the sender starts and asks which upstreams look bad. */
+  readonly asksHeld: boolean;
   /** Undefined from a control host. */
   readonly work: HostWork | undefined;
 }
@@ -74,11 +76,12 @@
 /** The message when it is well-formed. A schema library took ten times as long. */
 export default function checkDomainMessage(value: unknown): DomainMessage | undefined {
   if (!isFields(value)) return undefined;
-  const { from, suspicions, work } = value;
+  const { from, suspicions, work, asksHeld = false } = value;
   const isValid =
     typeof from === 'string' &&
     Array.isArray(suspicions) &&
     suspicions.every(isSuspicion) &&
+    typeof asksHeld === 'boolean' &&
     (work === undefined || isWork(work));
-  return isValid ? { from, suspicions, work } : undefined;
+  return isValid ? { from, suspicions, work, asksHeld } : undefined;
 }
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -18,6 +18,7 @@
 import UpstreamDispatcher from '../application/requests/UpstreamDispatcher.ts';
 import SuspicionBook from '../domain/detection/SuspicionBook.ts';
 import type { HostStateName } from '../domain/membership/HostRecord.ts';
+import type Preset from '../domain/presets/Preset.ts';
 import computePrices, { unknownAnswerBytes } from '../domain/requests/computePrices.ts';
 import PricedBalancer from '../domain/requests/PricedBalancer.ts';
 import type { BalancerPrices } from '../domain/requests/PricedBalancer.ts';
@@ -86,6 +87,8 @@
 
   private isStopping = false;
 
+  private hasAskedPeers = false;
+
   private constructor(options: FleetEntryOptions, socket: UdpDatagramSocket) {
     const { settings, clock, log, codec, dialect } = options;
     this.options = options;
@@ -95,7 +98,7 @@
       clock,
       log,
       codec,
-      onPreset: ({ limits }) => this.callers.useLimits(limits),
+      onPreset: ({ limits }) => this.usePreset(limits),
     });
     this.dialer = new TrpcPeerDialer({
       peerKey: settings.peerKey,
@@ -173,6 +176,14 @@
     this.tasks.startTask('suspicions', (signal) => this.observer.run(signal));
   }
 
+  private usePreset(limits: Preset['limits']): void {
+    this.callers.useLimits(limits);
+    if (this.hasAskedPeers) return;
+    // The first preset comes with the list of peers or after it.
+    this.hasAskedPeers = true;
+    this.exchange.askPeers();
+  }
+
   private getState(): HostStateName {
     if (this.isStopping) return 'stopping';
     return this.view.isReady ? 'ready' : 'starting';
--- a/src/domain/detection/SuspicionBook.ts
+++ b/src/domain/detection/SuspicionBook.ts
@@ -64,6 +64,8 @@
 const unusedRisk = 0.3;
 // A sign against an upstream that looks this bad already is no news for others.
 const newsRisk = 0.9;
+// A host that starts hears of upstreams with this risk.
+const toldRisk = 0.5;
 // What others see over their links says nothing about an upstream that answered so lately.
 const recentProofMs = 1500;
 
@@ -144,6 +146,13 @@
     return Math.max(unused, seen ? computeRisk(seen, now) : 0);
   }
 
+  /** Signs that tell a host without any knowledge which upstreams are more likely bad than not. */
+  listBroken(now: number): readonly Suspicion[] {
+    return [...this.held]
+      .filter(([, { spells }]) => spells.upstream.computeRisk(now) >= toldRisk)
+      .map(([upstream, { incarnation }]) => ({ upstream, incarnation, kind: 'broken' }));
+  }
+
   /** Forgets upstreams of which nothing was seen for a long time. */
   pruneHeld(now: number): void {
     const oldest = now - 10 * this.holdMs;
--- a/tests/fleet/domainExchange.test.ts
+++ b/tests/fleet/domainExchange.test.ts
@@ -53,6 +53,21 @@
     expect(second.suspicions.getRisk('u1', 1, clock.now())).toBe(1);
   });
 
+  // Pattern: hosts are stopped and started in turn. Guards against a new host that finds out by its
+  // own lost requests which upstreams the others stay away from.
+  it('should tell a host that starts which upstreams look bad', async () => {
+    const first = startHost('a', ['a', 'b']);
+    first.exchange.reportSuspicion(reset, 'request');
+    first.exchange.reportSuspicion({ ...reset, upstream: 'u2', kind: 'faulty' }, 'request');
+    await clock.advanceBy(500);
+    const second = startHost('b', ['a', 'b']);
+
+    second.exchange.askPeers();
+
+    const risks = ['u1', 'u2'].map((name) => second.suspicions.getRisk(name, 1, clock.now()));
+    expect(risks).toEqual([1, 0]);
+  });
+
   it('should know the open requests and retries of the other hosts', async () => {
     const first = startHost('a', ['a', 'b']);
     const second = startHost('b', ['a', 'b']);
