Let requests wait for up to 0.8 s at a host that starts

Ruled out: only a later Retry-After: the callers come back after the objective, and many of them with too little time. Change: a host without a preset keeps a request for at most 0.8 s, until it knows one; the wait counts against the request's time. Conclusion: a refusal is still true and comes within a second.

--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -183,20 +183,22 @@
       await this.refuseRequest(request, response, { kind: 'headers_too_large', message });
       return;
     }
-    const opened = this.options.handler.openRequest(head);
+    const { clock, handler } = this.options;
+    const receivedAt = clock.now();
+    await handler.waitReady(receivedAt);
+    const opened = handler.openRequest({ ...head, receivedAt });
     if (!opened.ok) {
       await this.refuseRequest(request, response, opened.failure);
       return;
     }
     const { deadline, route } = opened.value;
     this.latestDeadline = Math.max(this.latestDeadline, deadline);
-    const { clock } = this.options;
     const body = await readBody(request, { maxBytes: route.maxBodyBytes, deadline, clock });
     if (!body.ok) {
       await this.refuseRequest(request, response, body.failure);
       return;
     }
-    const answer = await this.options.handler.handleRequest({
+    const answer = await handler.handleRequest({
       ...head,
       ...opened.value,
       body: body.value,
--- a/src/application/fleet/FleetView.ts
+++ b/src/application/fleet/FleetView.ts
@@ -12,6 +12,7 @@
 import type ActivePreset from '../requests/ActivePreset.ts';
 import PrefixRouteTable from '../requests/PrefixRouteTable.ts';
 import type UpstreamPool from '../requests/UpstreamPool.ts';
+import Wakeup from '../tasks/Wakeup.ts';
 
 // A cold upstream works at about half its speed.
 const coldWeight = 0.5;
@@ -56,8 +57,11 @@
 
   private readonly services = new Map<string, readonly SeenUpstream[]>();
 
+  private readonly news: Wakeup;
+
   constructor(options: FleetViewOptions) {
     this.options = options;
+    this.news = new Wakeup(options.clock);
   }
 
   /** Entry hosts of the own failure domain, this one included. */
@@ -71,6 +75,12 @@
     return this.routeTable !== undefined;
   }
 
+  /** Resolves when requests can be served, or at the deadline. */
+  async waitReady(deadline: number): Promise<void> {
+    const { clock } = this.options;
+    while (!this.isReady && clock.now() < deadline) await this.news.waitUntil(deadline);
+  }
+
   listUsable(service: string): readonly UsableUpstream[] {
     const now = this.options.clock.now();
     return (this.services.get(service) ?? []).map(({ record, warmAt }) => ({
@@ -129,6 +139,7 @@
     this.state = { groupId: this.groupId, revision: number, name: 'numbered', preset };
     this.routeTable = new PrefixRouteTable(preset.routes);
     log.info('presets: a preset is in force', { number, routes: preset.routes.length });
+    this.news.release();
     onPreset(preset);
   }
 
--- a/src/application/requests/RequestHandler.ts
+++ b/src/application/requests/RequestHandler.ts
@@ -33,6 +33,10 @@
 import isOriginForm from './isOriginForm.ts';
 import listEndToEndHeaders from './listEndToEndHeaders.ts';
 
+// Hosts knew the preset about 1 s after their start when all were killed. A caller that is refused
+// comes back later than that.
+const longestReadyWaitMs = 800;
+
 /** What the handler needs. */
 export interface RequestHandlerOptions {
   readonly clock: Clock;
@@ -44,6 +48,8 @@
   readonly log: Log;
   /** The project's own dialect unless set. */
   readonly dialect?: RequestDialect;
+  /** Resolves when this host knows a preset, or at the deadline; at once unless set. */
+  readonly waitReady?: (deadline: number) => Promise<void>;
   /** One budget of the default size for each service unless set. */
   readonly budgets?: RetryBudgetSource;
 }
@@ -75,13 +81,21 @@
     this.budgets = options.budgets ?? new ServiceRetryBudgets();
   }
 
+  /** Waits a little while this host starts, so that what it can soon serve is not refused. */
+  async waitReady(receivedAt: number): Promise<void> {
+    const { activePreset, waitReady } = this.options;
+    if (!activePreset.routeTable) await waitReady?.(receivedAt + longestReadyWaitMs);
+  }
+
   /** Finds the route and the deadline from the head of a request, before its body is read. */
   openRequest(head: {
     readonly method: string;
     readonly target: string;
     readonly headers: readonly Header[];
+    readonly receivedAt: number;
   }): Result<OpenedRequest> {
     const { activePreset, clock } = this.options;
+    const { receivedAt } = head;
     const call = `${head.method} ${head.target}`;
     const fail = (
       kind: 'request_malformed' | 'host_not_ready' | 'route_unknown' | 'deadline_passed',
@@ -98,7 +112,6 @@
     const found = activePreset.routeTable.findRoute(head.method, path, host);
     if (!found) return fail('route_unknown', 'no route of the active preset matches');
     const route = this.chooseService(found);
-    const receivedAt = clock.now();
     const deadline = createDeadline({
       dialect: this.dialect,
       headers: head.headers,
@@ -106,7 +119,7 @@
       longestMs: route.deadlineMs,
     });
     if (!deadline.ok) return deadline;
-    if (deadline.value <= receivedAt) {
+    if (deadline.value <= clock.now()) {
       return fail('deadline_passed', 'the deadline passed before the request arrived');
     }
     const requestId = this.dialect.findRequestId(head.headers) ?? this.options.random.createId();
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -250,6 +250,7 @@
       random,
       log,
       activePreset: view,
+      waitReady: (deadline) => view.waitReady(deadline),
       claims: new NoClaims(),
       dispatcher,
       observer: metrics,
--- /dev/null
+++ b/tests/requests/startingHost.test.ts
@@ -0,0 +1,67 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+
+import PlatformDialect from '../../platform/PlatformDialect.ts';
+import createEntryPath, { createUsable } from '../fixtures/createEntryPath.ts';
+import type { EntryPath } from '../fixtures/createEntryPath.ts';
+import RawCaller from '../fixtures/RawCaller.ts';
+import RawUpstream from '../fixtures/RawUpstream.ts';
+
+const answer =
+  'HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx-attempt-id: r1\r\nx-response-signature: s\r\n\r\nok';
+
+describe('request at a host that starts', () => {
+  const heads: string[] = [];
+  let upstream: RawUpstream;
+  let path: EntryPath;
+
+  beforeEach(() => {
+    heads.length = 0;
+    upstream = new RawUpstream(({ head, socket }) => {
+      heads.push(head);
+      socket.write(answer);
+    });
+  });
+
+  afterEach(async () => {
+    await path.close();
+    upstream.close();
+  });
+
+  async function ask(startMs: number): Promise<string> {
+    path = await createEntryPath({
+      upstreams: [createUsable('a', await upstream.open())],
+      dialect: new PlatformDialect(),
+      startMs,
+    });
+    const caller = await RawCaller.connectTo(path.origin);
+    caller.write(
+      'GET /history/1 HTTP/1.1\r\nhost: a\r\nx-attempt-id: r1\r\nx-time-budget-ms: 1500\r\nconnection: close\r\n\r\n',
+    );
+    return caller.waitClosed();
+  }
+
+  // Pattern: all processes were killed and are back. Guards against refusals of requests that the
+  // host can serve some moments later.
+  it('should be served when the host becomes ready soon', async () => {
+    expect(await ask(300)).toMatch(/^HTTP\/1.1 200/);
+  });
+
+  it('should be sent on with the time that is left after the wait', async () => {
+    await ask(300);
+
+    const left = Number(/x-time-budget-ms: (\d+)/i.exec(heads[0] ?? '')?.[1]);
+    // The host began to start a little before the request came.
+    expect(left).toBeLessThanOrEqual(1300);
+    expect(left).toBeGreaterThan(0);
+  });
+
+  it('should be refused with a time to return when the host takes longer', async () => {
+    const startedAt = performance.now();
+    const text = await ask(60_000);
+
+    expect(text).toMatch(/^HTTP\/1.1 503/);
+    expect(Number(/retry-after: ([\d.]+)/i.exec(text)?.[1])).toBeGreaterThanOrEqual(1);
+    expect(performance.now() - startedAt).toBeGreaterThanOrEqual(790);
+    expect(heads).toEqual([]);
+  });
+});
