Log refusals before an upstream is looked for, and the believed risk of a choice

Measured: tests; 'requests: answered' keeps to requests that were handled. Conclusion: every answer of an entry host has a line now.

--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -225,7 +225,8 @@
       request.headers['transfer-encoding'] !== undefined ||
       Number(request.headers['content-length'] ?? 0) !== 0;
     if (announcesBody || this.isStopping) this.markLast(request, response);
-    this.writeAnswer(request, response, this.options.handler.createRefusal(failure));
+    const head = { headers: readHeaders(request) };
+    this.writeAnswer(request, response, this.options.handler.refuseRequest(failure, head));
     if (announcesBody && !request.complete) {
       const ended = new AbortController();
       ['end', 'close'].forEach((event) => request.once(event, () => ended.abort()));
--- a/src/application/requests/RequestHandler.ts
+++ b/src/application/requests/RequestHandler.ts
@@ -292,8 +292,24 @@
     };
   }
 
+  /** The answer to a request that ends before it is handled. */
+  refuseRequest(failure: Failure, head: { readonly headers: readonly Header[] }): CallerAnswer {
+    const { clock, random, log, activePreset } = this.options;
+    const answer = this.createRefusal(failure);
+    log.info('requests: refused', {
+      requestId: this.dialect.findRequestId(head.headers) ?? random.createId(),
+      status: answer.status,
+      outcome: answer.outcome,
+      error: failure.kind,
+      detail: failure.message,
+      presetNumber: activePreset.state?.revision,
+      returnMs: answer.retryAt === undefined ? undefined : Math.round(answer.retryAt - clock.now()),
+    });
+    return answer;
+  }
+
   /** A refusal that the caller may try again says when, spread so that not all come at once. */
-  createRefusal(failure: Failure): CallerAnswer {
+  private createRefusal(failure: Failure): CallerAnswer {
     const { clock, random } = this.options;
     const answer = createFailureAnswer(failure);
     if (answer.status !== 503 || answer.outcome !== 'not-run') return answer;
--- a/src/application/requests/UpstreamDispatcher.ts
+++ b/src/application/requests/UpstreamDispatcher.ts
@@ -35,6 +35,8 @@
   readonly dialect?: RequestDialect;
   /** Gets a line for each attempt. */
   readonly log?: Log;
+  /** Risk that a request to the upstream fails, 0 to 1, for the line of a choice. */
+  readonly readRisk?: (upstream: UsableUpstream) => number;
 }
 
 /** How a request ended. */
@@ -219,7 +221,7 @@
       readonly deadline: number;
     },
   ): void {
-    const { log, clock, loadTracker, pool } = this.options;
+    const { log, clock, loadTracker, pool, readRisk } = this.options;
     if (!log) return;
     const { record, weight } = sent.chosen;
     const { inFlight, reportedLoad, reportedAt } = loadTracker.readLoad(
@@ -236,6 +238,7 @@
       failureDomain: record.failureDomain,
       usable: pool.listUsable(route.service).length,
       weight,
+      risk: readRisk && Math.round(100 * readRisk(sent.chosen)) / 100,
       inFlight,
       reportedLoad: reportedAt > 0 ? reportedLoad : undefined,
       reportAgeMs: reportedAt > 0 ? Math.round(now - reportedAt) : undefined,
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -22,6 +22,7 @@
 import computePrices, { unknownAnswerBytes } from '../domain/requests/computePrices.ts';
 import PricedBalancer from '../domain/requests/PricedBalancer.ts';
 import type { BalancerPrices } from '../domain/requests/PricedBalancer.ts';
+import type UsableUpstream from '../domain/requests/UsableUpstream.ts';
 import type { FleetEntrySettings } from '../domain/settings/FleetSettings.ts';
 import type Clock from '../ports/Clock.ts';
 import type Log from '../ports/Log.ts';
@@ -228,14 +229,15 @@
   private createHandler(metrics: PrometheusMetrics): RequestHandler {
     const { settings, clock, random, log, dialect } = this.options;
     const { view, upstreamClient, exchange, observer, suspicions } = this;
+    const readRisk = ({ record }: UsableUpstream): number =>
+      suspicions.getRisk(record.upstream, record.incarnation, clock.now());
     const dispatcher = new UpstreamDispatcher({
       clock,
       random,
       upstreamClient,
       balancer: new PricedBalancer({
         readPrices: (service, retryScarcity) => this.readPrices(service, retryScarcity),
-        readRisk: ({ record }) =>
-          suspicions.getRisk(record.upstream, record.incarnation, clock.now()),
+        readRisk,
         loadHalfLifeMs,
       }),
       pool: view,
@@ -244,6 +246,7 @@
       failureDomain: settings.failureDomain,
       dialect,
       log,
+      readRisk,
     });
     return new RequestHandler({
       clock,
--- a/tests/requests/startingHost.test.ts
+++ b/tests/requests/startingHost.test.ts
@@ -63,5 +63,6 @@
     expect(Number(/retry-after: ([\d.]+)/i.exec(text)?.[1])).toBeGreaterThanOrEqual(1);
     expect(performance.now() - startedAt).toBeGreaterThanOrEqual(790);
     expect(heads).toEqual([]);
+    expect(path.log.messages).toEqual(['requests: refused']);
   });
 });
