--- a/tests/fleet/openGroup.fuzz.test.ts
+++ b/tests/fleet/openGroup.fuzz.test.ts
@@ -2,7 +2,9 @@
 import { describe, expect, it } from 'vitest';
 
 import fleetTimes from '../../src/daemon/fleetTimes.ts';
-import LogOracle from '../fixtures/LogOracle.ts';
+import createFuzzStep from '../fixtures/createFuzzStep.ts';
+import type LogOracle from '../fixtures/LogOracle.ts';
+import LogWorkload from '../fixtures/LogWorkload.ts';
 import ReplicaGroupFixture from '../fixtures/ReplicaGroupFixture.ts';
 import SeededRandom from '../fixtures/SeededRandom.ts';
 import readFuzzSettings from '../fixtures/readFuzzSettings.ts';
@@ -15,7 +17,6 @@
 const spares = ['f', 'g', 'h', 'i'];
 /** Time in which a host that came back has to be as good as any other one, in milliseconds. */
 const catchUpMs = 4000;
-const proposeMs = 1500;
 
 const totals = { acknowledged: 0, confirmed: 0, wiped: 0, replaced: 0, elected: 0 };
 
@@ -23,7 +24,7 @@
 class OpenGroupRun {
   readonly group: ReplicaGroupFixture;
 
-  readonly oracle = new LogOracle();
+  readonly workload: LogWorkload;
 
   readonly random: SeededRandom;
 
@@ -32,13 +33,9 @@
 
   private readonly gone: string[] = [];
 
-  private readonly calls: Promise<void>[] = [];
-
   /** Hosts that came back or joined, until when they still count as lost. */
   private readonly catchingUp = new Map<string, number>();
 
-  private nextId = 0;
-
   constructor(runSeed: number) {
     this.random = new SeededRandom(runSeed + 1);
     this.group = new ReplicaGroupFixture({
@@ -49,6 +46,11 @@
       pieceBytes: 90,
       times: fleetTimes,
     });
+    this.workload = new LogWorkload(this.group);
+  }
+
+  get oracle(): LogOracle {
+    return this.workload.oracle;
   }
 
   async startFleet(): Promise<void> {
@@ -128,25 +130,12 @@
     network.isAnswerLost = () => false;
   }
 
-  /** Sends to every host that believes to lead, be it right or not. */
-  async work(count: number, ms: number): Promise<void> {
-    const leaders = [...this.group.running.values()].filter(
-      ({ replica }) => replica.role === 'leader',
-    );
-    leaders.forEach(({ host }) => {
-      this.confirm(host);
-      Array.from({ length: count }).forEach(() => this.propose(host));
-      this.confirm(host);
-    });
-    await this.group.clock.advanceBy(ms);
-  }
-
   /** Repairs everything; all hosts have to agree, to serve and to have a vote. */
   async finish(): Promise<void> {
     const { group, oracle } = this;
     this.heal();
     group.disks.forEach((disk) => Object.assign(disk, { stopAt: Infinity }));
-    await group.run(Promise.all(this.calls));
+    await this.workload.waitCalls();
     await group.clock.advanceBy(6000);
     for (const member of this.members) await this.join(member);
     await group.commit('last');
@@ -156,35 +145,11 @@
     oracle.checkStates(group.running.values());
     oracle.checkFinal(ids);
     totals.acknowledged += oracle.acknowledged.size;
+    totals.confirmed += this.workload.confirmed;
     totals.elected += group.log.messages.filter((line) => line === 'replication: leading').length;
     await group.stopAll();
   }
 
-  private propose(host: string): void {
-    const running = this.group.running.get(host);
-    if (!running) return;
-    const { acknowledgedEnd } = this.oracle;
-    const id = `x${this.nextId}`;
-    this.nextId += 1;
-    const call = this.group.propose(running, id, proposeMs).then((result) => {
-      if (result.ok) this.oracle.recordAcknowledged(id, result.value, acknowledgedEnd);
-    });
-    this.calls.push(call);
-  }
-
-  private confirm(host: string): void {
-    const running = this.group.running.get(host);
-    if (!running) return;
-    const { acknowledgedEnd } = this.oracle;
-    const deadline = this.group.getDeadline(host, proposeMs);
-    const call = running.replica.confirmRead(deadline).then((result) => {
-      if (!result.ok) return;
-      totals.confirmed += 1;
-      expect(running.state.ids.length, 'confirmed read').toBeGreaterThanOrEqual(acknowledgedEnd);
-    });
-    this.calls.push(call);
-  }
-
   private hasAllVotes(): boolean {
     const leader = this.group.findLeader();
     const voters = leader?.replica.configuration.voters.map(({ host }) => host).sort() ?? [];
@@ -206,26 +171,19 @@
   }
 }
 
-function createStep<Data>(
+const createStep = <Data>(
   name: string,
   arbitrary: fc.Arbitrary<Data>,
   step: (run: OpenGroupRun, data: Data) => Promise<void> | void,
-): fc.Arbitrary<fc.AsyncCommand<object, OpenGroupRun>> {
-  return arbitrary.map((data) => ({
-    check: () => true,
-    run: async (_model, run) => {
-      await step(run, data);
-      run.oracle.checkStates(run.group.running.values());
-    },
-    toString: () => `${name} ${JSON.stringify(data)}`,
-  }));
-}
+) => createFuzzStep<OpenGroupRun, Data>(name, arbitrary, step);
 
 const place = fc.integer({ min: 0, max: 4 });
 const upTo = (max: number) => fc.integer({ min: 0, max });
 const nothing = fc.constant(undefined);
 const share = fc.double({ min: 0, max: 0.4, noNaN: true });
-const work = createStep('work', fc.tuple(upTo(4), upTo(1500)), (run, data) => run.work(...data));
+const work = createStep('work', fc.tuple(upTo(4), upTo(1500)), (run, data) =>
+  run.workload.work(...data),
+);
 const join = createStep('join', place, (run, at) => run.join(run.getMember(at)));
 const heal = createStep('heal', nothing, (run) => run.heal());
 const calm = createStep('calm', nothing, async (run) => {
--- a/tests/replication/fuzz.test.ts
+++ b/tests/replication/fuzz.test.ts
@@ -1,7 +1,9 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 
-import LogOracle from '../fixtures/LogOracle.ts';
+import createFuzzStep from '../fixtures/createFuzzStep.ts';
+import type LogOracle from '../fixtures/LogOracle.ts';
+import LogWorkload from '../fixtures/LogWorkload.ts';
 import ReplicaGroupFixture from '../fixtures/ReplicaGroupFixture.ts';
 import SeededRandom from '../fixtures/SeededRandom.ts';
 import readFuzzSettings from '../fixtures/readFuzzSettings.ts';
@@ -15,17 +17,18 @@
 class FuzzRun {
   readonly group: ReplicaGroupFixture;
 
-  readonly oracle = new LogOracle();
+  readonly workload: LogWorkload;
 
   readonly random: SeededRandom;
 
-  private readonly calls: Promise<void>[] = [];
-
-  private nextId = 0;
-
   constructor(runSeed: number) {
     this.group = new ReplicaGroupFixture({ seed: runSeed, snapshotEntries: 8, pieceBytes: 90 });
     this.random = new SeededRandom(runSeed + 1);
+    this.workload = new LogWorkload(this.group);
+  }
+
+  get oracle(): LogOracle {
+    return this.workload.oracle;
   }
 
   async restart(host: string, keptBytes: number, ms: number): Promise<void> {
@@ -46,7 +49,7 @@
     const { group, oracle } = this;
     this.heal();
     group.disks.forEach((disk) => Object.assign(disk, { stopAt: Infinity }));
-    await group.run(Promise.all(this.calls));
+    await this.workload.waitCalls();
     // A replica whose disk failed ends with its open calls.
     await group.clock.advanceBy(6000);
     for (const host of group.hosts) await this.start(host);
@@ -57,6 +60,7 @@
     oracle.checkFinal(ids);
     const count = (text: string) => group.log.messages.filter((line) => line === text).length;
     totals.acknowledged += oracle.acknowledged.size;
+    totals.confirmed += this.workload.confirmed;
     totals.installed += count('replication: snapshot installed');
     totals.elected += count('replication: leading');
     await group.stopAll();
@@ -90,62 +94,15 @@
   stopLeader(): void {
     const { group } = this;
     const leader = group.findLeader();
-    if (leader) this.calls.push(leader.replica.stop(group.clock.now() + 2000));
-  }
-
-  /** Sends to every host that believes to lead, be it right or not. */
-  async work(count: number, ms: number): Promise<void> {
-    const leaders = [...this.group.running.values()].filter(
-      ({ replica }) => replica.role === 'leader',
-    );
-    leaders.forEach((leader) => {
-      this.confirm(leader.host);
-      Array.from({ length: count }).forEach(() => this.propose(leader.host));
-      this.confirm(leader.host);
-    });
-    await this.group.clock.advanceBy(ms);
-  }
-
-  propose(host: string): void {
-    const running = this.group.running.get(host);
-    if (!running) return;
-    const { acknowledgedEnd } = this.oracle;
-    const id = `x${this.nextId}`;
-    this.nextId += 1;
-    const call = this.group.propose(running, id, 1500).then((result) => {
-      if (result.ok) this.oracle.recordAcknowledged(id, result.value, acknowledgedEnd);
-    });
-    this.calls.push(call);
-  }
-
-  private confirm(host: string): void {
-    const running = this.group.running.get(host);
-    if (!running) return;
-    const { acknowledgedEnd } = this.oracle;
-    const deadline = this.group.clock.now() + 1500;
-    const call = running.replica.confirmRead(deadline).then((result) => {
-      if (!result.ok) return;
-      totals.confirmed += 1;
-      expect(running.state.ids.length, 'confirmed read').toBeGreaterThanOrEqual(acknowledgedEnd);
-    });
-    this.calls.push(call);
+    if (leader) this.workload.addCall(leader.replica.stop(group.clock.now() + 2000));
   }
 }
 
-function createStep<Data>(
+const createStep = <Data>(
   name: string,
   arbitrary: fc.Arbitrary<Data>,
   step: (run: FuzzRun, data: Data) => Promise<void> | void,
-): fc.Arbitrary<fc.AsyncCommand<object, FuzzRun>> {
-  return arbitrary.map((data) => ({
-    check: () => true,
-    run: async (_model, run) => {
-      await step(run, data);
-      run.oracle.checkStates(run.group.running.values());
-    },
-    toString: () => `${name} ${JSON.stringify(data)}`,
-  }));
-}
+) => createFuzzStep<FuzzRun, Data>(name, arbitrary, step);
 
 const host = fc.constantFrom('a', 'b', 'c');
 const ways = fc.constantFrom('both' as const, 'out' as const, 'in' as const);
@@ -153,12 +110,14 @@
 const upTo = (max: number) => fc.integer({ min: 0, max });
 const share = fc.double({ min: 0, max: 0.4, noNaN: true });
 const keptBytes = upTo(200);
-const work = createStep('work', fc.tuple(upTo(4), upTo(1500)), (run, data) => run.work(...data));
+const work = createStep('work', fc.tuple(upTo(4), upTo(1500)), (run, data) =>
+  run.workload.work(...data),
+);
 const start = createStep('start', host, (run, name) => run.start(name));
 const heal = createStep('heal', nothing, (run) => run.heal());
 const steps = [
   ...[work, work, work, work, work, work, work, start, start, start, heal, heal, heal],
-  createStep('propose', host, (run, name) => run.propose(name)),
+  createStep('propose', host, (run, name) => run.workload.propose(name)),
   createStep('advance', upTo(3000), (run, ms) => run.group.clock.advanceBy(ms)),
   createStep('kill', fc.tuple(host, keptBytes), (run, data) => run.group.kill(...data)),
   createStep('restart', fc.tuple(host, keptBytes, upTo(2000)), (run, data) => run.restart(...data)),
