Allow any number of open calls over one link of the fleet

more than ten announcements wait for the leader over one link. Measured: the test fails with the warning before. Conclusion: no leak; the listeners go with their calls.

--- a/src/adapters/trpc/TrpcFleetLink.ts
+++ b/src/adapters/trpc/TrpcFleetLink.ts
@@ -1,3 +1,5 @@
+import { setMaxListeners } from 'node:events';
+
 import type { z } from 'zod';
 
 import type ControlCommand from '../../domain/control/ControlCommand.ts';
@@ -21,6 +23,8 @@
   constructor(shared: SharedPeerConnection, clock: Clock) {
     this.shared = shared;
     this.clock = clock;
+    // Every open call listens; Node.js warns above 10.
+    setMaxListeners(0, this.closed.signal);
   }
 
   exchangeHosts(
