Bound the wait at a host that starts by a quarter of the request's time

The new test fails without the bound. Conclusion: the wait stays, shorter for those who have little time.

--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -184,9 +184,9 @@
       return;
     }
     const { clock, handler } = this.options;
-    const receivedAt = clock.now();
-    await handler.waitReady(receivedAt);
-    const opened = handler.openRequest({ ...head, receivedAt });
+    const received = { ...head, receivedAt: clock.now() };
+    await handler.waitReady(received);
+    const opened = handler.openRequest(received);
     if (!opened.ok) {
       await this.refuseRequest(request, response, opened.failure);
       return;
--- a/src/application/requests/RequestHandler.ts
+++ b/src/application/requests/RequestHandler.ts
@@ -36,6 +36,8 @@
 // Hosts knew the preset about 1 s after their start when all were killed. A caller that is refused
 // comes back later than that.
 const longestReadyWaitMs = 800;
+// More of its time would be missing at the upstream.
+const longestReadyShare = 0.25;
 
 /** What the handler needs. */
 export interface RequestHandlerOptions {
@@ -54,6 +56,14 @@
   readonly budgets?: RetryBudgetSource;
 }
 
+/** The head of a request. */
+export interface RequestHead {
+  readonly method: string;
+  readonly target: string;
+  readonly headers: readonly Header[];
+  readonly receivedAt: number;
+}
+
 /** A request whose head was accepted. */
 export interface OpenedRequest {
   readonly route: RouteSettings;
@@ -82,18 +92,17 @@
   }
 
   /** Waits a little while this host starts, so that what it can soon serve is not refused. */
-  async waitReady(receivedAt: number): Promise<void> {
+  async waitReady({ headers, receivedAt }: RequestHead): Promise<void> {
     const { activePreset, waitReady } = this.options;
-    if (!activePreset.routeTable) await waitReady?.(receivedAt + longestReadyWaitMs);
+    if (activePreset.routeTable || !waitReady) return;
+    const longestMs = longestReadyWaitMs / longestReadyShare;
+    const left = createDeadline({ dialect: this.dialect, headers, now: receivedAt, longestMs });
+    // A request that can't be understood is refused at once.
+    if (left.ok) await waitReady(receivedAt + (left.value - receivedAt) * longestReadyShare);
   }
 
   /** Finds the route and the deadline from the head of a request, before its body is read. */
-  openRequest(head: {
-    readonly method: string;
-    readonly target: string;
-    readonly headers: readonly Header[];
-    readonly receivedAt: number;
-  }): Result<OpenedRequest> {
+  openRequest(head: RequestHead): Result<OpenedRequest> {
     const { activePreset, clock } = this.options;
     const { receivedAt } = head;
     const call = `${head.method} ${head.target}`;
--- a/tests/requests/startingHost.test.ts
+++ b/tests/requests/startingHost.test.ts
@@ -27,7 +27,7 @@
     upstream.close();
   });
 
-  async function ask(startMs: number): Promise<string> {
+  async function ask(startMs: number, budgetMs = 4000): Promise<string> {
     path = await createEntryPath({
       upstreams: [createUsable('a', await upstream.open())],
       dialect: new PlatformDialect(),
@@ -35,7 +35,7 @@
     });
     const caller = await RawCaller.connectTo(path.origin);
     caller.write(
-      'GET /history/1 HTTP/1.1\r\nhost: a\r\nx-attempt-id: r1\r\nx-time-budget-ms: 1500\r\nconnection: close\r\n\r\n',
+      `GET /history/1 HTTP/1.1\r\nhost: a\r\nx-attempt-id: r1\r\nx-time-budget-ms: ${budgetMs}\r\nconnection: close\r\n\r\n`,
     );
     return caller.waitClosed();
   }
@@ -47,7 +47,7 @@
   });
 
   it('should be sent on with the time that is left after the wait', async () => {
-    await ask(300);
+    await ask(300, 1500);
 
     const left = Number(/x-time-budget-ms: (\d+)/i.exec(heads[0] ?? '')?.[1]);
     // The host began to start a little before the request came.
@@ -55,6 +55,14 @@
     expect(left).toBeGreaterThan(0);
   });
 
+  it('should be refused after a quarter of its time when that is short', async () => {
+    const startedAt = performance.now();
+    const text = await ask(60_000, 400);
+
+    expect(text).toMatch(/^HTTP\/1.1 503/);
+    expect(performance.now() - startedAt).toBeLessThan(400);
+  });
+
   it('should be refused with a time to return when the host takes longer', async () => {
     const startedAt = performance.now();
     const text = await ask(60_000);
