Take a timeout for silence only when the upstream had several times the usual time

Ruled out: none other; the lines of the attempts show tookMs 400. Change: a timeout is a sign only after 3.5 times the usual time, or 2 s before the first answer. Conclusion: callers with little time say nothing of an upstream.

--- a/src/application/fleet/SuspicionObserver.ts
+++ b/src/application/fleet/SuspicionObserver.ts
@@ -12,6 +12,8 @@
 // answers takes three to five times as long as usual.
 const overdueFactor = 3.5;
 const shortestOverdueMs = 500;
+// Without an answer yet a request is overdue after this time, which sound answers seldom take.
+const longestUsualMs = 2000;
 // Share of the newest answer in the usual time of a service.
 const newestShare = 0.1;
 
@@ -68,7 +70,10 @@
     const { suspicions } = this.options;
     const { upstream, service, answerClass, startedAt, endedAt } = observation;
     this.open.delete(requestId);
-    const kind = kinds[answerClass];
+    // A caller with little time says nothing of the upstream.
+    const isTooShort =
+      answerClass === 'timed_out' && !this.isOverdue({ service, startedAt }, endedAt);
+    const kind = isTooShort ? undefined : kinds[answerClass];
     if (kind) this.reportSuspicion(upstream, kind, requestId);
     if (answerClass !== 'good') return;
     const isProof = suspicions.addGoodAnswer(upstream, startedAt, endedAt);
@@ -98,9 +103,13 @@
     }
   }
 
-  private isOverdue({ service, startedAt }: Watched, now: number): boolean {
+  private isOverdue(
+    { service, startedAt }: Pick<OpenRequest, 'service' | 'startedAt'>,
+    now: number,
+  ): boolean {
     const usual = this.usualMs.get(service);
-    if (usual === undefined) return false;
+    // Before the first answer nothing is known to be usual.
+    if (usual === undefined) return now - startedAt > longestUsualMs;
     return now - startedAt > Math.max(shortestOverdueMs, overdueFactor * usual);
   }
 
