Sum up the open requests of a domain as they are told

A choice among 139 upstreams with 25 peers took 1.14 ms: each candidate added up what all peers have open. Ruled out: reading datagrams, 13 us each. Change: the sum for each upstream is kept as messages come and peers fall silent.

--- a/src/application/fleet/DomainExchange.ts
+++ b/src/application/fleet/DomainExchange.ts
@@ -60,6 +60,12 @@
 
   private readonly peers = new Map<string, PeerWork>();
 
+  /** Open requests of all peers by upstream; a choice among a hundred upstreams asks for each. */
+  private readonly peersInFlight = new Map<string, number>();
+
+  /** A peer may have fallen silent from here on. */
+  private forgetAt = Infinity;
+
   private readonly proven = new Set<string>();
 
   private readonly loads = new Map<string, number>();
@@ -83,10 +89,8 @@
   /** Requests that this and the other hosts of the domain have open at an upstream. */
   countInFlight(upstream: string): number {
     const now = this.options.clock.now();
-    return [...this.peers.values()].reduce(
-      (sum, { inFlight, until }) => (until > now ? sum + (inFlight[upstream] ?? 0) : sum),
-      this.own.get(upstream) ?? 0,
-    );
+    if (now >= this.forgetAt) this.dropSilent(now);
+    return (this.own.get(upstream) ?? 0) + (this.peersInFlight.get(upstream) ?? 0);
   }
 
   /** Requests and retries that the other hosts of the domain counted for a service. */
@@ -203,7 +207,7 @@
     }
     const now = clock.now();
     const { from, work } = message;
-    if (work) this.peers.set(from, { ...work, until: now + forgetMs });
+    if (work) this.setPeer(from, { ...work, until: now + forgetMs });
     Object.entries(work?.loads ?? {}).forEach(([upstream, load]) =>
       this.heardLoads.set(upstream, { load, at: now }),
     );
@@ -223,10 +227,27 @@
     socket.sendDatagrams({ from: ownAddress, suspicions: held }, [address]);
   }
 
+  private setPeer(address: string, work: PeerWork | undefined): void {
+    this.addInFlight(this.peers.get(address), -1);
+    this.addInFlight(work, 1);
+    if (work) this.peers.set(address, work);
+    else this.peers.delete(address);
+    this.forgetAt = Math.min(this.forgetAt, work?.until ?? Infinity);
+  }
+
+  private addInFlight(work: PeerWork | undefined, sign: 1 | -1): void {
+    Object.entries(work?.inFlight ?? {}).forEach(([upstream, count]) => {
+      const sum = (this.peersInFlight.get(upstream) ?? 0) + sign * count;
+      if (sum > 0) this.peersInFlight.set(upstream, sum);
+      else this.peersInFlight.delete(upstream);
+    });
+  }
+
   private dropSilent(now: number): void {
     [...this.peers]
       .filter(([, { until }]) => until <= now)
-      .forEach(([address]) => this.peers.delete(address));
+      .forEach(([address]) => this.setPeer(address, undefined));
+    this.forgetAt = Math.min(Infinity, ...[...this.peers.values()].map(({ until }) => until));
     [...this.heardLoads]
       .filter(([, { at }]) => at + forgetLoadMs <= now)
       .forEach(([upstream]) => this.heardLoads.delete(upstream));
--- a/tests/fleet/domainExchange.test.ts
+++ b/tests/fleet/domainExchange.test.ts
@@ -85,6 +85,30 @@
   });
 
   // Guards against slots that a host that was killed keeps busy for good.
+  // Guards against sums that drift while hosts tell again and again what they have open.
+  it('should know the open requests of many hosts after many changes', async () => {
+    const names = ['a', 'b', 'c'];
+    const hosts = names.map((name) => startHost(name, names));
+    for (const round of [1, 2, 3, 4]) {
+      hosts.forEach(({ exchange }, index) => {
+        exchange.recordStart(`u${(round + index) % 2}`);
+        exchange.recordStart('u2');
+        exchange.recordEnd('u2');
+      });
+      await clock.advanceBy(500);
+    }
+
+    const counts = ['u0', 'u1', 'u2'].map((name) =>
+      hosts.map(({ exchange }) => exchange.countInFlight(name)),
+    );
+
+    expect(counts).toEqual([
+      [6, 6, 6],
+      [6, 6, 6],
+      [0, 0, 0],
+    ]);
+  });
+
   it('should forget the open requests of a host that fell silent', async () => {
     const first = startHost('a', ['a', 'b']);
     const second = startHost('b', ['a', 'b']);
