fleet: every process logs its load, late timers and the age of its feed

Change: LoadMonitor measures how late timers fire and logs 'lifecycle: load' every 5 s with processor time, datagrams and their bytes and the age of the feed; gauges timer_delay_ms and feed_age_ms; docs/OPERATIONS.md says how to read them. Measured: tests/metrics/loadMonitor.test.ts.

--- a/src/adapters/udp/UdpDatagramSocket.ts
+++ b/src/adapters/udp/UdpDatagramSocket.ts
@@ -31,6 +31,13 @@
 
   private unsent = 0;
 
+  private readonly traffic = {
+    datagramsSent: 0,
+    datagramBytesSent: 0,
+    datagramsReceived: 0,
+    datagramBytesReceived: 0,
+  };
+
   private constructor(options: UdpDatagramSocketOptions) {
     this.options = options;
     this.socket = createSocket('udp4');
@@ -69,6 +76,11 @@
     return this.unsent;
   }
 
+  /** Datagrams and their bytes since the start, without the headers of UDP and IP. */
+  get totals(): Readonly<Record<string, number>> {
+    return { ...this.traffic };
+  }
+
   sendDatagrams(content: unknown, addresses: readonly string[]): void {
     const text = Buffer.from(JSON.stringify(content));
     const bytes = Buffer.concat([this.createMac(text), text]);
@@ -80,6 +92,8 @@
   }
 
   private sendBytes(bytes: Buffer, address: string): void {
+    this.traffic.datagramsSent += 1;
+    this.traffic.datagramBytesSent += bytes.byteLength;
     const separator = address.lastIndexOf(':');
     this.socket.send(
       bytes,
@@ -93,6 +107,8 @@
 
   onDatagram(receive: (content: unknown) => void): void {
     this.socket.on('message', (bytes) => {
+      this.traffic.datagramsReceived += 1;
+      this.traffic.datagramBytesReceived += bytes.byteLength;
       const content = this.verifyContent(bytes);
       if (content === undefined) this.refused += 1;
       else receive(content);
--- a/src/application/fleet/FeedSubscriber.ts
+++ b/src/application/fleet/FeedSubscriber.ts
@@ -35,11 +35,23 @@
 
   private followed: string | undefined;
 
+  /** Instant of the last answer of a control host that was current. */
+  private answeredAt: number;
+
   /** Instant at which a control host that failed may be tried again, by address. */
   private readonly retryAt = new Map<string, number>();
 
   constructor(options: FeedSubscriberOptions) {
     this.options = options;
+    this.answeredAt = options.clock.now();
+  }
+
+  /**
+   * Time since the last answer of a control host that was current, or since the start, in
+   * milliseconds.
+   */
+  get feedAgeMs(): number {
+    return this.options.clock.now() - this.answeredAt;
   }
 
   /** Peers address of the control host that is followed now. */
@@ -145,6 +157,7 @@
   }
 
   private markFollowed(address: string): void {
+    this.answeredAt = this.options.clock.now();
     if (this.followed === address) return;
     this.followed = address;
     this.options.log.info('membership: following a control host', { address });
--- a/src/daemon/FleetControlHost.ts
+++ b/src/daemon/FleetControlHost.ts
@@ -17,6 +17,7 @@
 import RegistrationService from '../application/fleet/RegistrationService.ts';
 import type { ServiceCheckResult } from '../application/fleet/RegistrationService.ts';
 import SuspicionRelay from '../application/fleet/SuspicionRelay.ts';
+import LoadMonitor from '../application/metrics/LoadMonitor.ts';
 import Replica from '../application/replication/Replica.ts';
 import type ControlCommand from '../domain/control/ControlCommand.ts';
 import type { ControlReply } from '../domain/control/ControlCommand.ts';
@@ -30,10 +31,12 @@
 import type RandomSource from '../ports/RandomSource.ts';
 import type Daemon from './Daemon.ts';
 import listControlGauges from './listControlGauges.ts';
+import listLoadGauges from './listLoadGauges.ts';
 import TaskGroup from './TaskGroup.ts';
 import fleetTimes, { peerIdleCloseMs } from './fleetTimes.ts';
 import formatAddress from './formatAddress.ts';
 import listSeedPeers from './listSeedPeers.ts';
+import readProcessorMs from './readProcessorMs.ts';
 
 // Time limit for accepted proposals to commit and for the leadership to move to another host.
 const stopMs = 3000;
@@ -78,6 +81,8 @@
 
   private readonly metricsFrontEnd: PlatformFrontEnd;
 
+  private readonly loadMonitor: LoadMonitor;
+
   private isStopping = false;
 
   private decodedPresetNumber: number | undefined;
@@ -125,6 +130,11 @@
       peerKey: settings.peerKey,
       log,
     });
+    this.loadMonitor = new LoadMonitor({
+      clock,
+      log,
+      readTotals: () => ({ processorMs: readProcessorMs(), ...components.socket.totals }),
+    });
     this.metricsFrontEnd = new PlatformFrontEnd({
       clock,
       log,
@@ -221,6 +231,7 @@
     this.tasks.startTask('discovery', (signal) => this.discovery.run(signal));
     this.tasks.startTask('feed', (signal) => this.feed.run(signal));
     this.tasks.startTask('registrations', (signal) => this.registrations.run(signal));
+    this.tasks.startTask('load', (signal) => this.loadMonitor.run(signal));
     // The relay only reacts to datagrams and needs no task of its own.
     SuspicionRelay.startRelay({
       clock,
@@ -301,6 +312,7 @@
           help: 'Control hosts that this host has discovered.',
           readValue: () => this.discovery.listHosts().length,
         },
+        ...listLoadGauges(this.loadMonitor),
         ...listControlGauges(replica),
       ],
       { hasProcessMetrics: false },
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -13,6 +13,7 @@
 import FleetView from '../application/fleet/FleetView.ts';
 import SuspicionObserver from '../application/fleet/SuspicionObserver.ts';
 import Shutdown from '../application/lifecycle/Shutdown.ts';
+import LoadMonitor from '../application/metrics/LoadMonitor.ts';
 import type RequestDialect from '../application/requests/RequestDialect.ts';
 import RequestHandler from '../application/requests/RequestHandler.ts';
 import UpstreamDispatcher from '../application/requests/UpstreamDispatcher.ts';
@@ -37,7 +38,9 @@
   peerIdleCloseMs,
 } from './fleetTimes.ts';
 import formatAddress from './formatAddress.ts';
+import listEntryGauges from './listEntryGauges.ts';
 import listSeedPeers from './listSeedPeers.ts';
+import readProcessorMs from './readProcessorMs.ts';
 
 // The listener accepts slightly more than a preset allows; the limits of the preset are checked for
 // each request.
@@ -61,13 +64,15 @@
 
   private readonly tasks: TaskGroup;
 
-  private readonly view: FleetView;
+  readonly view: FleetView;
 
   private readonly dialer: TrpcPeerDialer;
 
-  private readonly socket: UdpDatagramSocket;
+  readonly socket: UdpDatagramSocket;
 
-  private readonly subscriber: FeedSubscriber;
+  readonly subscriber: FeedSubscriber;
+
+  readonly loadMonitor: LoadMonitor;
 
   private readonly suspicions: SuspicionTracker;
 
@@ -130,6 +135,12 @@
       connectTimeoutMs,
       dialect,
     });
+    this.loadMonitor = new LoadMonitor({
+      clock,
+      log,
+      readTotals: () => ({ processorMs: readProcessorMs(), ...socket.totals }),
+      readValues: () => ({ feedAgeMs: Math.round(this.subscriber.feedAgeMs) }),
+    });
     const metrics = this.createMetrics();
     this.callers = new HttpFrontEnd({
       handler: this.createHandler(metrics),
@@ -179,6 +190,7 @@
     this.tasks.startTask('feed', (signal) => this.subscriber.run(signal));
     this.tasks.startTask('exchange', (signal) => this.exchange.run(signal));
     this.tasks.startTask('suspicions', (signal) => this.observer.run(signal));
+    this.tasks.startTask('load', (signal) => this.loadMonitor.run(signal));
   }
 
   private handlePreset(limits: Preset['limits']): void {
@@ -277,37 +289,7 @@
   }
 
   private createMetrics(): PrometheusMetrics {
-    const { view, socket } = this;
-    return new PrometheusMetrics(
-      [
-        {
-          name: 'preset_number',
-          help: 'Number of the active preset.',
-          readValue: () => view.state?.revision ?? 0,
-        },
-        {
-          name: 'entry_hosts',
-          help: 'Entry hosts in the failure domain of this host.',
-          readValue: () => view.entryHosts.length,
-        },
-        {
-          name: 'following',
-          help: '1 while this host receives the feed of a control host.',
-          readValue: () => (this.subscriber.source === undefined ? 0 : 1),
-        },
-        {
-          name: 'datagrams_refused',
-          help: 'Received datagrams that were damaged or not authenticated with the peer key.',
-          readValue: () => socket.refusedCount,
-        },
-        {
-          name: 'datagrams_unsent',
-          help: 'Datagrams that could not be sent.',
-          readValue: () => socket.unsentCount,
-        },
-      ],
-      { hasProcessMetrics: false },
-    );
+    return new PrometheusMetrics(listEntryGauges(this), { hasProcessMetrics: false });
   }
 
   private createShutdown(): Shutdown {
