src/application/fleet: the exchange in a failure domain sends a bounded number of bytes

Each entry host sent every change of its open requests at once to all hosts of its domain, with its whole state: bytes grow with the square of the hosts times their load. Connection time-outs on the full links became suspicions (11 a second and host), each one sent to all hosts again. Ruled out: processor time (0.07 of 0.27 cores, timers on time); the search for a control host (feeds were not lost). Change: messages hold what changed since the last one instead of the whole state, with short names and without empty parts; a RateLimit (generic cell rate algorithm) spreads them over 14 KB/s a host; changes wait together for the next message. Suspicions that alone show a bad upstream may use a quarter of a second in advance. What a peer reported expires by itself after 2.5 s, so there is no whole state any more. Encoding and checking moved to the adapter.

--- a/src/adapters/udp/UdpDatagramSocket.ts
+++ b/src/adapters/udp/UdpDatagramSocket.ts
@@ -3,15 +3,21 @@
 import type { Socket } from 'node:dgram';
 
 import FailureError from '../../domain/errors/FailureError.ts';
+import type { DomainMessage } from '../../domain/fleet/DomainMessage.ts';
 import type { ListenAddress } from '../../domain/settings/DaemonSettings.ts';
 import type DatagramSocket from '../../ports/DatagramSocket.ts';
+import type { ReceiveMessage } from '../../ports/DatagramSocket.ts';
 import type Log from '../../ports/Log.ts';
+import decodeDomainMessage from './decodeDomainMessage.ts';
+import encodeDomainMessage from './encodeDomainMessage.ts';
 
 // The HMAC is truncated to this size. Forging it takes 2^64 tries, which is enough, since a forged
 // datagram can only cause delay.
 const macBytes = 8;
 // Fits into one packet on common networks.
 const maxDatagramBytes = 1400;
+// Headers of UDP and IPv4.
+const headerBytes = 28;
 
 /** Options of the socket. */
 export interface UdpDatagramSocketOptions {
@@ -21,7 +27,7 @@
   readonly log: Log;
 }
 
-/** Sends and receives JSON datagrams that are authenticated with the fleet's peer key. */
+/** Sends and receives messages as JSON datagrams, authenticated with the peer key of the fleet. */
 export default class UdpDatagramSocket implements DatagramSocket {
   private readonly options: UdpDatagramSocketOptions;
 
@@ -81,14 +87,15 @@
     return { ...this.traffic };
   }
 
-  sendDatagrams(content: unknown, addresses: readonly string[]): void {
-    const text = Buffer.from(JSON.stringify(content));
+  sendMessage(message: DomainMessage, addresses: readonly string[]): number {
+    const text = Buffer.from(JSON.stringify(encodeDomainMessage(message)));
     const bytes = Buffer.concat([this.createMac(text), text]);
     if (bytes.byteLength > maxDatagramBytes) {
       this.unsent += addresses.length;
-      return;
+      return 0;
     }
     addresses.forEach((address) => this.sendBytes(bytes, address));
+    return addresses.length * (bytes.byteLength + headerBytes);
   }
 
   private sendBytes(bytes: Buffer, address: string): void {
@@ -105,13 +112,13 @@
     );
   }
 
-  onDatagram(receive: (content: unknown) => void): void {
-    this.socket.on('message', (bytes) => {
+  onMessage(receive: ReceiveMessage): void {
+    this.socket.on('message', (bytes, { address, port }) => {
       this.traffic.datagramsReceived += 1;
       this.traffic.datagramBytesReceived += bytes.byteLength;
-      const content = this.verifyContent(bytes);
-      if (content === undefined) this.refused += 1;
-      else receive(content);
+      const message = this.decodeMessage(bytes);
+      if (message) receive(message, `${address}:${port}`);
+      else this.refused += 1;
     });
   }
 
@@ -123,16 +130,22 @@
     return createHmac('sha256', this.options.peerKey).update(text).digest().subarray(0, macBytes);
   }
 
-  private verifyContent(bytes: Buffer): unknown {
+  private decodeMessage(bytes: Buffer): DomainMessage | undefined {
     const text = bytes.subarray(macBytes);
     const mac = bytes.subarray(0, macBytes);
     if (mac.byteLength < macBytes || !timingSafeEqual(mac, this.createMac(text))) {
       return undefined;
     }
+    const message = this.parseMessage(text);
+    if (!message) this.options.log.warn('detection: dropped a malformed datagram');
+    return message;
+  }
+
+  private parseMessage(text: Buffer): DomainMessage | undefined {
     try {
-      return JSON.parse(text.toString()) as unknown;
+      return decodeDomainMessage(JSON.parse(text.toString()));
     } catch {
-      // A host with the key sent invalid JSON; `onDatagram` counts the datagram as refused.
+      // A host with the key sent invalid JSON; `decodeMessage` logs it.
       return undefined;
     }
   }
--- a/src/application/fleet/DomainExchange.ts
+++ b/src/application/fleet/DomainExchange.ts
@@ -1,12 +1,14 @@
-import type { Suspicion } from '../../domain/detection/SuspicionTracker.ts';
+import type { Suspicion, SuspicionKind } from '../../domain/detection/SuspicionTracker.ts';
 import type SuspicionTracker from '../../domain/detection/SuspicionTracker.ts';
+import { emptyDomainMessage } from '../../domain/fleet/DomainMessage.ts';
+import type { DomainMessage } from '../../domain/fleet/DomainMessage.ts';
+import RateLimit from '../../domain/limits/RateLimit.ts';
 import type { RetryCounts } from '../../domain/requests/RetryWindow.ts';
 import type Clock from '../../ports/Clock.ts';
 import type DatagramSocket from '../../ports/DatagramSocket.ts';
 import type Log from '../../ports/Log.ts';
 import Notifier from '../tasks/Notifier.ts';
-import checkDomainMessage from './checkDomainMessage.ts';
-import type { HostActivity } from './checkDomainMessage.ts';
+import PeerActivities from './PeerActivities.ts';
 
 // Changes at a busy upstream are sent almost immediately, because other hosts may be about to
 // choose the same upstream. The short delay batches the start and the end of requests into one
@@ -17,12 +19,23 @@
 // An upstream with at least this many open requests is busy: half of the slots of a typical
 // upstream.
 const busyThreshold = 2;
-// While requests are open, the state is sent again at this interval, in case a datagram was lost.
+// Open requests and retries are sent again at this interval, in case a datagram was lost.
 const repeatMs = 1000;
-// The open requests of a peer without contact for this long are no longer counted.
-const peerTimeoutMs = 2500;
 // Far longer than a reported load is meaningful.
 const loadRetentionMs = 30_000;
+// Each change goes to every other host of the failure domain, so without a limit the traffic of a
+// host grows with the number of hosts times their load. Most of the 17 KB/s that a host may spend
+// for control.
+const maxBytesPerSecond = 14_000;
+const burstMs = 250;
+// The changes of one message to all peers have about this many bytes at most; the others wait for
+// the next message.
+const maxBytesPerMessage = 7500;
+// Typical size of an upstream in a message.
+const upstreamBytes = 25;
+// Suspicions that alone show a bad upstream may use the bytes of this time in advance.
+const urgentAdvanceMs = 250;
+const urgentKinds: ReadonlySet<SuspicionKind> = new Set(['broken', 'misplaced']);
 
 /** Options of the exchange. */
 export interface DomainExchangeOptions {
@@ -39,11 +52,6 @@
   readonly readRetries: () => Readonly<Record<string, RetryCounts>>;
 }
 
-interface PeerActivity extends HostActivity {
-  /** Instant at which the peer times out unless it sends another message. */
-  readonly until: number;
-}
-
 /** A load that an upstream reported. */
 export interface ReportedLoad {
   readonly load: number;
@@ -51,36 +59,34 @@
   readonly at: number;
 }
 
-const noRetries: RetryCounts = { requests: 0, retries: 0 };
-
 /**
  * Exchanges datagrams between the entry hosts of one failure domain: open requests, retries,
- * reported loads, suspicions and recoveries of upstreams. Works without a control host.
+ * reported loads, suspicions and recoveries of upstreams. Works without a control host. Sends a
+ * bounded number of bytes: with more hosts or more load, messages are fewer and hold more changes.
  */
 export default class DomainExchange {
   private readonly options: DomainExchangeOptions;
 
   private readonly ownInFlight = new Map<string, number>();
 
-  private readonly peers = new Map<string, PeerActivity>();
-
-  /**
-   * Sum of the peers' open requests by upstream, because each choice reads the sums of a hundred
-   * upstreams.
-   */
-  private readonly peersInFlight = new Map<string, number>();
+  private readonly peers = new PeerActivities();
 
-  /** Earliest instant at which a peer may time out. */
-  private nextTimeoutAt = Infinity;
+  /** Upstreams whose open requests changed since the last message. */
+  private readonly unsentChanges = new Set<string>();
 
   private readonly unsentRecoveries = new Set<string>();
 
   private readonly unsentLoads = new Map<string, number>();
 
+  private unsentSuspicions: readonly Suspicion[] = [];
+
+  /** Retries of this host in the last message that stated them, by service. */
+  private readonly sentRetries = new Map<string, number>();
+
   /** Latest load that each upstream reported to any host of the domain. */
   private readonly reportedLoads = new Map<string, ReportedLoad>();
 
-  private readonly unsentSuspicions: Suspicion[] = [];
+  private readonly sendLimit = new RateLimit({ unitsPerSecond: maxBytesPerSecond, burstMs });
 
   private readonly notifier: Notifier;
 
@@ -90,25 +96,18 @@
   constructor(options: DomainExchangeOptions) {
     this.options = options;
     this.notifier = new Notifier(options.clock);
-    options.socket.onDatagram((content) => this.acceptMessage(content));
+    options.socket.onMessage((message, from) => this.acceptMessage(message, from));
   }
 
   /** Number of open requests of this host and its peers at an upstream. */
   countInFlight(upstream: string): number {
-    this.dropExpired(this.options.clock.now());
-    return (this.ownInFlight.get(upstream) ?? 0) + (this.peersInFlight.get(upstream) ?? 0);
+    const others = this.peers.countInFlight(upstream, this.options.clock.now());
+    return (this.ownInFlight.get(upstream) ?? 0) + others;
   }
 
   /** Requests and retries of the other hosts of the domain for a service. */
   countRetries(service: string): RetryCounts {
-    this.dropExpired(this.options.clock.now());
-    return [...this.peers.values()].reduce((sum, { retries }) => {
-      const counts = retries[service] ?? noRetries;
-      return {
-        requests: sum.requests + counts.requests,
-        retries: sum.retries + counts.retries,
-      };
-    }, noRetries);
+    return this.peers.countRetries(service, this.options.clock.now());
   }
 
   recordStart(upstream: string): void {
@@ -142,121 +141,163 @@
     this.unsentRecoveries.add(upstream);
   }
 
-  /** Records a suspicion that this host observed, and sends it immediately if it is new. */
+  /**
+   * Records a suspicion that this host observed. A new one is sent immediately, or as soon as the
+   * limit of bytes allows.
+   */
   reportSuspicion(suspicion: Suspicion, requestId: string): void {
     const { clock, suspicions, log } = this.options;
-    const isNew = suspicions.addSuspicion(suspicion, clock.now());
+    const now = clock.now();
+    const isNew = suspicions.addSuspicion(suspicion, now);
     log.info('detection: an upstream looks bad', { ...suspicion, requestId, isNew });
     if (!isNew) return;
-    this.unsentSuspicions.push(suspicion);
-    this.sendMessages();
+    this.addUnsentSuspicion(suspicion);
+    const { freeAt } = this.sendLimit;
+    const isUrgent = urgentKinds.has(suspicion.kind);
+    if (now >= freeAt) this.sendChanges();
+    else if (isUrgent && now >= freeAt - urgentAdvanceMs) this.sendSuspicions();
+    else this.setDue(now);
   }
 
   /** Asks the peers which upstreams they suspect; called once this host has their addresses. */
   requestSuspicions(): void {
-    this.sendMessages(true);
+    this.sendToPeers({ ...emptyDomainMessage, asksSuspicions: true });
   }
 
-  /** Sends changes and repeated messages until the signal aborts. */
+  /** Sends changes, and repeats open requests and retries, until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock, suspicions } = this.options;
     signal.addEventListener('abort', () => this.notifier.notify(), { once: true });
     let repeatAt = clock.now() + repeatMs;
     while (!signal.aborted) {
-      await this.notifier.waitUntil(Math.min(this.dueAt, repeatAt));
+      const sendAt = Math.max(this.dueAt, this.sendLimit.freeAt);
+      await this.notifier.waitUntil(Math.min(sendAt, repeatAt));
       const now = clock.now();
-      if (now >= this.dueAt || (now >= repeatAt && this.ownInFlight.size > 0)) {
-        this.sendMessages();
+      if (now >= repeatAt) {
         repeatAt = now + repeatMs;
+        this.addRepeated();
+        suspicions.pruneIdle(now);
+        this.dropOldLoads(now);
       }
-      if (now < repeatAt) continue;
-      repeatAt = now + repeatMs;
-      suspicions.pruneIdle(now);
+      if (now >= Math.max(this.dueAt, this.sendLimit.freeAt)) this.sendChanges();
     }
   }
 
+  private addRepeated(): void {
+    if (this.ownInFlight.size === 0) return;
+    [...this.ownInFlight.keys()].forEach((upstream) => this.unsentChanges.add(upstream));
+    this.sentRetries.clear();
+    this.setDue(this.options.clock.now());
+  }
+
   private announceChange(upstream: string): void {
+    this.unsentChanges.add(upstream);
     const isBusy = this.countInFlight(upstream) >= busyThreshold;
-    const dueAt = this.options.clock.now() + (isBusy ? busyBatchMs : idleBatchMs);
+    this.setDue(this.options.clock.now() + (isBusy ? busyBatchMs : idleBatchMs));
+  }
+
+  private setDue(dueAt: number): void {
     if (dueAt >= this.dueAt) return;
     this.dueAt = dueAt;
     this.notifier.notify();
   }
 
-  private sendMessages(asksHeld = false): void {
-    const { socket, ownAddress, listPeers, findRelay, readRetries } = this.options;
-    const suspicions = this.unsentSuspicions.splice(0);
-    this.dueAt = Infinity;
-    const activity: HostActivity = {
-      inFlight: Object.fromEntries(this.ownInFlight),
-      retries: readRetries(),
-      loads: Object.fromEntries(this.unsentLoads),
-      proven: [...this.unsentRecoveries],
-    };
-    this.unsentRecoveries.clear();
-    this.unsentLoads.clear();
-    const message = { from: ownAddress, suspicions, work: activity, ...(asksHeld && { asksHeld }) };
-    socket.sendDatagrams(
+  // While messages wait for the limit of bytes, the same suspicion may occur repeatedly.
+  private addUnsentSuspicion(suspicion: Suspicion): void {
+    const { upstream, incarnation, kind } = suspicion;
+    const others = this.unsentSuspicions.filter(
+      (other) =>
+        other.upstream !== upstream || other.incarnation !== incarnation || other.kind !== kind,
+    );
+    this.unsentSuspicions = [...others, suspicion];
+  }
+
+  /** Sends what changed since the last message, as much of it as fits into the limit of bytes. */
+  private sendChanges(): void {
+    const changed = new Set([
+      ...this.unsentChanges,
+      ...this.unsentLoads.keys(),
+      ...this.unsentRecoveries,
+    ]);
+    const upstreams = [...changed].slice(0, this.computeMaxUpstreams()).map((upstream) => ({
+      upstream,
+      inFlight: this.ownInFlight.get(upstream) ?? 0,
+      reportedLoad: this.unsentLoads.get(upstream),
+      hasRecovered: this.unsentRecoveries.has(upstream),
+    }));
+    upstreams.forEach(({ upstream }) => {
+      this.unsentChanges.delete(upstream);
+      this.unsentLoads.delete(upstream);
+      this.unsentRecoveries.delete(upstream);
+    });
+    this.dueAt = upstreams.length < changed.size ? this.options.clock.now() : Infinity;
+    const retries = this.takeUnsentRetries();
+    this.sendSuspicions({ ...emptyDomainMessage, upstreams, retries });
+  }
+
+  private computeMaxUpstreams(): number {
+    const messageBytes = maxBytesPerMessage / Math.max(1, this.options.listPeers().length);
+    return Math.max(1, Math.floor(messageBytes / upstreamBytes));
+  }
+
+  /** Sends the new suspicions, with the rest of the message. */
+  private sendSuspicions(message: DomainMessage = emptyDomainMessage): void {
+    const suspicions = this.unsentSuspicions;
+    this.unsentSuspicions = [];
+    this.sendToPeers({ ...message, suspicions });
+    const relay = suspicions.length > 0 ? this.options.findRelay() : undefined;
+    if (relay !== undefined) this.sendMessage({ ...emptyDomainMessage, suspicions }, [relay]);
+  }
+
+  private takeUnsentRetries(): Readonly<Record<string, RetryCounts>> {
+    const unsent = Object.entries(this.options.readRetries()).filter(
+      ([service, { retries }]) => retries !== this.sentRetries.get(service),
+    );
+    unsent.forEach(([service, { retries }]) => this.sentRetries.set(service, retries));
+    return Object.fromEntries(unsent);
+  }
+
+  private sendToPeers(message: DomainMessage): void {
+    const { ownAddress, listPeers } = this.options;
+    this.sendMessage(
       message,
       listPeers().filter((address) => address !== ownAddress),
     );
-    const relay = suspicions.length > 0 ? findRelay() : undefined;
-    if (relay !== undefined) socket.sendDatagrams({ from: ownAddress, suspicions }, [relay]);
   }
 
-  private acceptMessage(content: unknown): void {
+  private sendMessage(message: DomainMessage, addresses: readonly string[]): void {
+    const { socket, clock } = this.options;
+    this.sendLimit.takeUnits(socket.sendMessage(message, addresses), clock.now());
+  }
+
+  private acceptMessage(message: DomainMessage, from: string): void {
     const { clock, suspicions, log } = this.options;
-    const message = checkDomainMessage(content);
-    if (!message) {
-      log.warn('detection: dropped a malformed datagram');
-      return;
-    }
     const now = clock.now();
-    const { from, work: activity } = message;
-    if (activity) this.setPeer(from, { ...activity, until: now + peerTimeoutMs });
-    Object.entries(activity?.loads ?? {}).forEach(([upstream, load]) =>
-      this.reportedLoads.set(upstream, { load, at: now }),
-    );
-    activity?.proven.forEach((upstream) => suspicions.recordRecovery(upstream, now));
+    const { upstreams, retries } = message;
+    // Messages of a relay have suspicions only, and a relay is no peer.
+    if (upstreams.length > 0 || Object.keys(retries).length > 0) {
+      this.peers.recordMessage(from, message, now);
+    }
+    upstreams.forEach(({ upstream, reportedLoad, hasRecovered }) => {
+      if (reportedLoad !== undefined) {
+        this.reportedLoads.set(upstream, { load: reportedLoad, at: now });
+      }
+      if (hasRecovered) suspicions.recordRecovery(upstream, now);
+    });
     message.suspicions.forEach((suspicion) => {
       const isNew = suspicions.addSuspicion(suspicion, now, 'other');
       if (isNew) log.info('detection: another host saw a bad upstream', { ...suspicion, from });
     });
-    if (message.asksHeld) this.answerSuspicions(from, now);
-    this.dropExpired(now);
+    if (message.asksSuspicions) this.answerSuspicions(from, now);
   }
 
   private answerSuspicions(address: string, now: number): void {
-    const { socket, ownAddress, suspicions } = this.options;
-    const listed = suspicions.listSuspicions(now);
+    const listed = this.options.suspicions.listSuspicions(now);
     if (listed.length === 0) return;
-    socket.sendDatagrams({ from: ownAddress, suspicions: listed }, [address]);
-  }
-
-  private setPeer(address: string, activity: PeerActivity | undefined): void {
-    this.addInFlight(this.peers.get(address), -1);
-    this.addInFlight(activity, 1);
-    if (activity) this.peers.set(address, activity);
-    else this.peers.delete(address);
-    this.nextTimeoutAt = Math.min(this.nextTimeoutAt, activity?.until ?? Infinity);
-  }
-
-  private addInFlight(activity: PeerActivity | undefined, factor: 1 | -1): void {
-    Object.entries(activity?.inFlight ?? {}).forEach(([upstream, count]) => {
-      const sum = (this.peersInFlight.get(upstream) ?? 0) + factor * count;
-      if (sum > 0) this.peersInFlight.set(upstream, sum);
-      else this.peersInFlight.delete(upstream);
-    });
+    this.sendMessage({ ...emptyDomainMessage, suspicions: listed }, [address]);
   }
 
-  // Called for every candidate of a choice, so it checks the peers only when one may have timed
-  // out.
-  private dropExpired(now: number): void {
-    if (now < this.nextTimeoutAt) return;
-    [...this.peers]
-      .filter(([, { until }]) => until <= now)
-      .forEach(([address]) => this.setPeer(address, undefined));
-    this.nextTimeoutAt = Math.min(...[...this.peers.values()].map(({ until }) => until));
+  private dropOldLoads(now: number): void {
     [...this.reportedLoads]
       .filter(([, { at }]) => at + loadRetentionMs <= now)
       .forEach(([upstream]) => this.reportedLoads.delete(upstream));
--- a/src/application/fleet/SuspicionRelay.ts
+++ b/src/application/fleet/SuspicionRelay.ts
@@ -1,7 +1,8 @@
+import { emptyDomainMessage } from '../../domain/fleet/DomainMessage.ts';
+import type { DomainMessage } from '../../domain/fleet/DomainMessage.ts';
 import type Clock from '../../ports/Clock.ts';
 import type DatagramSocket from '../../ports/DatagramSocket.ts';
 import type Log from '../../ports/Log.ts';
-import checkDomainMessage from './checkDomainMessage.ts';
 
 // Suspicions of an upstream are relayed at most once in this time: one suspicion is enough for the
 // other failure domains, and traffic between failure domains is expensive.
@@ -14,7 +15,6 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly socket: DatagramSocket;
-  readonly ownAddress: string;
   /** Address of one control host in each other failure domain. */
   readonly listRelays: () => readonly string[];
   /** Datagram addresses of the entry hosts of this host's failure domain. */
@@ -34,29 +34,23 @@
   /** Relays until the socket closes. */
   static startRelay(options: SuspicionRelayOptions): void {
     const relay = new SuspicionRelay(options);
-    options.socket.onDatagram((content) => relay.handleMessage(content));
+    options.socket.onMessage((message, from) => relay.handleMessage(message, from));
   }
 
-  private handleMessage(content: unknown): void {
-    const { log, socket, ownAddress, listRelays, listEntryHosts } = this.options;
-    const message = checkDomainMessage(content);
-    if (!message) {
-      log.warn('detection: dropped a malformed datagram');
-      return;
-    }
+  private handleMessage(message: DomainMessage, from: string): void {
+    const { log, socket, listRelays, listEntryHosts } = this.options;
     const suspicions = message.suspicions.filter(({ upstream }) => this.isDue(upstream));
     if (suspicions.length === 0) return;
-    const isFromDomain = listEntryHosts().includes(message.from);
+    const isFromDomain = listEntryHosts().includes(from);
     const targets = isFromDomain ? listRelays() : listEntryHosts();
     suspicions.forEach((suspicion) => {
-      const { from } = message;
       log.info('detection: relaying a suspicion', {
         ...suspicion,
         from,
         targets: targets.length,
       });
     });
-    socket.sendDatagrams({ from: ownAddress, suspicions }, targets);
+    socket.sendMessage({ ...emptyDomainMessage, suspicions }, targets);
   }
 
   private isDue(upstream: string): boolean {
--- a/src/daemon/FleetControlHost.ts
+++ b/src/daemon/FleetControlHost.ts
@@ -226,7 +226,7 @@
   }
 
   private startTasks(): void {
-    const { clock, log, settings } = this.options;
+    const { clock, log } = this.options;
     const { socket } = this.components;
     this.tasks.startTask('discovery', (signal) => this.discovery.run(signal));
     this.tasks.startTask('feed', (signal) => this.feed.run(signal));
@@ -237,7 +237,6 @@
       clock,
       log,
       socket,
-      ownAddress: formatAddress(settings.listen.peers),
       listRelays: () => this.listRelays(),
       listEntryHosts: () => this.feed.listEntryHosts().map(({ address }) => address),
     });
--- /dev/null
+++ b/src/domain/fleet/DomainMessage.ts
@@ -0,0 +1,31 @@
+import type { Suspicion } from '../detection/SuspicionTracker.ts';
+import type { RetryCounts } from '../requests/RetryWindow.ts';
+
+/** What an entry host reports about one upstream. */
+export interface UpstreamActivity {
+  readonly upstream: string;
+  /** Open requests of the host at the upstream. */
+  readonly inFlight: number;
+  /** Load that the upstream reported to the host since its last message; undefined if none. */
+  readonly reportedLoad: number | undefined;
+  /** Whether the upstream showed evidence of a recovery since the last message of the host. */
+  readonly hasRecovered: boolean;
+}
+
+/** Message from an entry host to the others of its failure domain, or from a relay. */
+export interface DomainMessage {
+  readonly suspicions: readonly Suspicion[];
+  /** Whether the sender has just started and asks which upstreams are suspected. */
+  readonly asksSuspicions: boolean;
+  readonly upstreams: readonly UpstreamActivity[];
+  /** Requests and retries of the sender in the newest window, by service. */
+  readonly retries: Readonly<Record<string, RetryCounts>>;
+}
+
+/** A message without content. */
+export const emptyDomainMessage: DomainMessage = {
+  suspicions: [],
+  asksSuspicions: false,
+  upstreams: [],
+  retries: {},
+};
--- a/tests/fleet/domainExchange.test.ts
+++ b/tests/fleet/domainExchange.test.ts
@@ -136,12 +136,21 @@
   it('should ignore malformed datagrams and accept the next valid one', () => {
     const { suspicions } = startHost('a', ['a']);
 
-    [null, 7, {}, { from: 'b', suspicions: [{ upstream: 1 }] }].forEach((content) =>
-      datagrams.deliver('a', content),
-    );
-    datagrams.deliver('a', { from: 'b', suspicions: [suspicion] });
-
-    expect(suspicions.getRisk('u1', 1, clock.now())).toBe(1);
+    const { upstream, incarnation, kind } = suspicion;
+    const malformed = [
+      null,
+      7,
+      [],
+      { s: [[1]] },
+      { s: [[upstream, incarnation, 'unknown']] },
+      { s: [[upstream, incarnation, kind]], u: [['u2', -1]] },
+      { s: [[upstream, incarnation, kind]], r: { kilns: [1] } },
+    ];
+    malformed.forEach((content) => datagrams.deliver('a', content, 'b'));
+    const riskBefore = suspicions.getRisk('u1', 1, clock.now());
+    datagrams.deliver('a', { s: [[upstream, incarnation, kind]] }, 'b');
+
+    expect([riskBefore, suspicions.getRisk('u1', 1, clock.now())]).toEqual([0, 1]);
   });
 
   it('should forward only the first of two successive suspicions of an upstream to other failure domains', () => {
@@ -155,7 +164,6 @@
         clock,
         log: new SilentLog(),
         socket: datagrams.openSocket(ownAddress as string),
-        ownAddress: ownAddress as string,
         listRelays: () => relays as string[],
         listEntryHosts: () => entryHosts as string[],
       });
