src/adapters/udp: a message that doesn't fit into one datagram is sent in several

Cause: found in the code while the exchange was traced. A message above 1,400 bytes was counted as unsent and dropped. A host of the grown fleet suspects some 60 upstreams, so one that starts got no suspicions from anybody. Change: the socket halves such a message until its parts fit; a host that starts asks three peers instead of all of its domain, whose answers would now fill its link.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -84,6 +84,7 @@
   'set',
   'show',
   'sleep',
+  'split',
   'start',
   'stop',
   'store',
--- a/src/adapters/udp/UdpDatagramSocket.ts
+++ b/src/adapters/udp/UdpDatagramSocket.ts
@@ -10,6 +10,7 @@
 import type Log from '../../ports/Log.ts';
 import decodeDomainMessage from './decodeDomainMessage.ts';
 import encodeDomainMessage from './encodeDomainMessage.ts';
+import splitDomainMessage from './splitDomainMessage.ts';
 
 // The HMAC is truncated to this size. Forging it takes 2^64 tries, which is enough, since a forged
 // datagram can only cause delay.
@@ -77,7 +78,7 @@
     return this.refused;
   }
 
-  /** Number of datagrams that were too large or that the operating system refused to send. */
+  /** Number of messages whose content was too large or that the system refused to send. */
   get unsentCount(): number {
     return this.unsent;
   }
@@ -90,14 +91,18 @@
   sendMessage(message: DomainMessage, addresses: readonly string[]): number {
     const text = Buffer.from(JSON.stringify(encodeDomainMessage(message)));
     const bytes = Buffer.concat([this.createMac(text), text]);
-    if (bytes.byteLength > maxDatagramBytes) {
-      this.unsent += addresses.length;
-      return 0;
-    }
+    if (bytes.byteLength > maxDatagramBytes) return this.sendParts(message, addresses);
     addresses.forEach((address) => this.sendBytes(bytes, address));
     return addresses.length * (bytes.byteLength + headerBytes);
   }
 
+  private sendParts(message: DomainMessage, addresses: readonly string[]): number {
+    const parts = splitDomainMessage(message);
+    if (parts) return parts.reduce((sum, part) => sum + this.sendMessage(part, addresses), 0);
+    this.unsent += addresses.length;
+    return 0;
+  }
+
   private sendBytes(bytes: Buffer, address: string): void {
     this.traffic.datagramsSent += 1;
     this.traffic.datagramBytesSent += bytes.byteLength;
--- a/src/application/fleet/DomainExchange.ts
+++ b/src/application/fleet/DomainExchange.ts
@@ -35,6 +35,9 @@
 const upstreamBytes = 25;
 // Suspicions that alone show a bad upstream may use the bytes of this time in advance.
 const urgentAdvanceMs = 250;
+// A host that starts asks this many peers for their suspicions. All peers know nearly the same, and
+// some of those asked may be starting too.
+const askedPeers = 3;
 const urgentKinds: ReadonlySet<SuspicionKind> = new Set(['broken', 'misplaced']);
 
 /** Options of the exchange. */
@@ -159,9 +162,16 @@
     else this.setDue(now);
   }
 
-  /** Asks the peers which upstreams they suspect; called once this host has their addresses. */
+  /** Asks some peers which upstreams they suspect; called once this host has their addresses. */
   requestSuspicions(): void {
-    this.sendToPeers({ ...emptyDomainMessage, asksSuspicions: true });
+    const { ownAddress } = this.options;
+    const peers = this.listOtherPeers().sort();
+    const next = Math.max(
+      0,
+      peers.findIndex((address) => address > ownAddress),
+    );
+    const asked = [...peers.slice(next), ...peers.slice(0, next)].slice(0, askedPeers);
+    this.sendMessage({ ...emptyDomainMessage, asksSuspicions: true }, asked);
   }
 
   /** Sends changes, and repeats open requests and retries, until the signal aborts. */
@@ -244,7 +254,7 @@
   private sendSuspicions(message: DomainMessage = emptyDomainMessage): void {
     const suspicions = this.unsentSuspicions;
     this.unsentSuspicions = [];
-    this.sendToPeers({ ...message, suspicions });
+    this.sendMessage({ ...message, suspicions }, this.listOtherPeers());
     const relay = suspicions.length > 0 ? this.options.findRelay() : undefined;
     if (relay !== undefined) this.sendMessage({ ...emptyDomainMessage, suspicions }, [relay]);
   }
@@ -257,12 +267,9 @@
     return Object.fromEntries(unsent);
   }
 
-  private sendToPeers(message: DomainMessage): void {
+  private listOtherPeers(): string[] {
     const { ownAddress, listPeers } = this.options;
-    this.sendMessage(
-      message,
-      listPeers().filter((address) => address !== ownAddress),
-    );
+    return listPeers().filter((address) => address !== ownAddress);
   }
 
   private sendMessage(message: DomainMessage, addresses: readonly string[]): void {
--- a/tests/fleet/domainExchange.test.ts
+++ b/tests/fleet/domainExchange.test.ts
@@ -68,6 +68,16 @@
     expect(risks).toEqual([1, 0]);
   });
 
+  // Guards against answers of a whole failure domain that fill the link of a host that starts.
+  it('should ask only three peers for their suspicions', () => {
+    const names = ['a', 'b', 'c', 'd', 'e', 'f'];
+    const hosts = names.map((name) => startHost(name, names));
+
+    hosts.at(-2)?.exchange.requestSuspicions();
+
+    expect(datagrams.sent.map(({ to }) => to)).toEqual(['f', 'a', 'b']);
+  });
+
   it('should count the open requests and retries of the other hosts', async () => {
     const first = startHost('a', ['a', 'b']);
     const second = startHost('b', ['a', 'b']);
