--- a/tests/fleet/feed.test.ts
+++ b/tests/fleet/feed.test.ts
@@ -75,6 +75,14 @@
   }
 }
 
+function createInfo(failureDomain: string, index = 0): ControlHostInfo {
+  return {
+    address: `${failureDomain}:1`,
+    operatorsAddress: `${failureDomain}:${index + 2}`,
+    failureDomain,
+  };
+}
+
 describe('FeedSubscriber', () => {
   let clock: FakeClock;
   let stopping: AbortController;
@@ -82,13 +90,7 @@
   let view: FleetView;
   let subscriber: FeedSubscriber;
   let tasks: Promise<void>[];
-  const controlHostInfos: readonly ControlHostInfo[] = ['south', 'north', 'west'].map(
-    (failureDomain) => ({
-      address: `${failureDomain}:1`,
-      operatorsAddress: `${failureDomain}:2`,
-      failureDomain,
-    }),
-  );
+  const controlHostInfos = ['south', 'north', 'west'].map(createInfo);
 
   function getControl(address: string): FakeControlHost {
     const control = controlHosts.get(address);
@@ -244,6 +246,59 @@
     expect(subscriber.source).toBe('north:1');
   });
 
+  describe('with three control hosts in its own failure domain', () => {
+    const ownAddresses = ['north:1', 'north:2', 'north:3'];
+
+    beforeEach(async () => {
+      const infos = [
+        ...controlHostInfos,
+        ...ownAddresses.slice(1).map((address) => ({ ...createInfo('north'), address })),
+      ];
+      infos.forEach(({ address }) =>
+        controlHosts.set(address, new FakeControlHost(clock, () => infos)),
+      );
+      controlHosts.forEach(({ feed }) => tasks.push(feed.run(stopping.signal)));
+      startSubscriber();
+      commitOnAllHosts(1);
+      await clock.advanceBy(3000);
+    });
+
+    // A fleet must bear the loss of two control hosts, and 3 s later presets must again be active
+    // 2 s after they were accepted. Guards against an entry host that waits for the answers of
+    // several lost control hosts in turn. The offset is that of the loss from a feed request.
+    it.each([0, 250, 500, 750, 1000, 1250, 1500, 1750])(
+      'should activate a preset within 3 s of the loss of all three (offset %i ms)',
+      async (offsetMs) => {
+        await clock.advanceBy(offsetMs);
+        ownAddresses.forEach((address) => {
+          getControl(address).isDown = true;
+        });
+        await clock.advanceBy(950);
+        ['south:1', 'west:1'].forEach((address) => getControl(address).commitPreset(2));
+        await clock.advanceBy(2050);
+
+        expect(view.state?.revision).toBe(2);
+      },
+    );
+
+    // Guards against an entry host that misses presets while it tries control hosts that stay dark.
+    it('should receive each preset within 50 ms while preferred control hosts stay lost', async () => {
+      ownAddresses.forEach((address) => {
+        getControl(address).isDown = true;
+      });
+      await clock.advanceBy(4000);
+      const late: number[] = [];
+      for (let number = 2; number < 60; number += 1) {
+        ['south:1', 'west:1'].forEach((address) => getControl(address).commitPreset(number));
+        await clock.advanceBy(50);
+        if (view.state?.revision !== number) late.push(number);
+        await clock.advanceBy(130);
+      }
+
+      expect(late).toEqual([]);
+    });
+  });
+
   // Guards against an entry host that reverts to an older preset or older upstreams.
   it('should ignore older state from a control host that lags', async () => {
     startSubscriber();
