src/domain/limits: the fleet keeps the limit that an upstream states

Cause: the header Server-Limit was not read. Change: PlatformDialect decodes the statement; UpstreamLimits decides, without a network, by the generic cell rate algorithm; the hosts of a domain count each other's requests through the exchange and have 0.6 of a limit of their own domain's upstreams, equal parts of the rest of others. UpstreamChooser leaves out upstreams without room, for first attempts and retries; what fits nowhere is refused at once (upstreams_limited, not run, Retry-After from when there is room). Requests under a limit cost more the fewer are left. An operation that must not repeat is refused rather than sent to an upstream that is likely to fail when a limit allows it at a sound one before its deadline.

--- a/src/adapters/udp/decodeDomainMessage.ts
+++ b/src/adapters/udp/decodeDomainMessage.ts
@@ -1,7 +1,7 @@
 import type { Suspicion, SuspicionKind } from '../../domain/detection/SuspicionTracker.ts';
 import type { DomainMessage, UpstreamActivity } from '../../domain/fleet/DomainMessage.ts';
 import type { RetryCounts } from '../../domain/requests/RetryWindow.ts';
-import type { EncodedDomainMessage } from './encodeDomainMessage.ts';
+import type { EncodedDomainMessage, UpstreamRow } from './encodeDomainMessage.ts';
 
 const suspicionKinds: Readonly<Record<SuspicionKind, true>> = {
   broken: true,
@@ -33,17 +33,42 @@
   );
 }
 
+function isMissing(value: unknown): boolean {
+  return value === undefined || value === null;
+}
+
+function isRate(value: unknown): boolean {
+  return typeof value === 'number' && Number.isFinite(value) && value >= 0;
+}
+
 function isUpstreamRow(value: unknown): boolean {
   if (!Array.isArray(value)) return false;
-  const [upstream, inFlight, load = null, recovery] = value as unknown[];
+  const [upstream, inFlight, load, recovery, requests, incarnation, rate] = value as unknown[];
   return (
     typeof upstream === 'string' &&
     isCount(inFlight) &&
-    (load === null || isCount(load)) &&
-    (recovery === undefined || recovery === 1)
+    (isMissing(load) || isCount(load)) &&
+    (isMissing(recovery) || recovery === 1) &&
+    (isMissing(requests) || isCount(requests)) &&
+    (isMissing(incarnation) || isCount(incarnation)) &&
+    (isMissing(rate) || (isRate(rate) && !isMissing(incarnation)))
   );
 }
 
+function decodeUpstream([upstream, ...values]: UpstreamRow): UpstreamActivity {
+  const [inFlight, load, recovery, requests, incarnation, rate] = values;
+  return {
+    upstream,
+    inFlight: inFlight ?? 0,
+    reportedLoad: load ?? undefined,
+    hasRecovered: recovery === 1,
+    limitedRequests: requests ?? 0,
+    limit: isMissing(incarnation)
+      ? undefined
+      : { incarnation: Number(incarnation), requestsPerSecond: rate ?? undefined },
+  };
+}
+
 function isRetryRow(value: unknown): boolean {
   return Array.isArray(value) && value.length === 2 && value.every(isCount);
 }
@@ -74,12 +99,7 @@
       kind: kind as SuspicionKind,
     })),
     asksSuspicions: a === 1,
-    upstreams: u.map(([upstream, inFlight, load, recovery]): UpstreamActivity => ({
-      upstream,
-      inFlight,
-      reportedLoad: load ?? undefined,
-      hasRecovered: recovery === 1,
-    })),
+    upstreams: u.map(decodeUpstream),
     retries: Object.fromEntries(
       Object.entries(r).map(([service, [requests, retries]]): [string, RetryCounts] => [
         service,
--- a/src/adapters/udp/encodeDomainMessage.ts
+++ b/src/adapters/udp/encodeDomainMessage.ts
@@ -1,11 +1,15 @@
-import type { DomainMessage } from '../../domain/fleet/DomainMessage.ts';
+import type { DomainMessage, UpstreamActivity } from '../../domain/fleet/DomainMessage.ts';
 import type { RetryCounts } from '../../domain/requests/RetryWindow.ts';
 
 /** Upstream, incarnation and kind of a suspicion. */
 export type SuspicionRow = readonly [string, number, string];
 
-/** Upstream, open requests, reported load or null, and 1 after a recovery. */
-export type UpstreamRow = readonly [string, number, (number | null)?, 1?];
+/**
+ * Upstream, open requests, reported load, 1 after a recovery, requests under a limit, incarnation
+ * and requests per second of a limit. Missing values at the end are left out, others are null; a
+ * limit that has ended has only an incarnation.
+ */
+export type UpstreamRow = readonly [string, ...(number | null)[]];
 
 /** A message as it is sent: an entry host sends many, so names are short and empty parts absent. */
 export interface EncodedDomainMessage {
@@ -17,6 +21,20 @@
   readonly r?: Readonly<Record<string, readonly [number, number]>>;
 }
 
+function encodeUpstream(activity: UpstreamActivity): UpstreamRow {
+  const { upstream, inFlight, reportedLoad, hasRecovered, limitedRequests, limit } = activity;
+  const values = [
+    inFlight,
+    reportedLoad ?? null,
+    hasRecovered ? 1 : null,
+    limitedRequests > 0 ? limitedRequests : null,
+    limit?.incarnation ?? null,
+    limit?.requestsPerSecond ?? null,
+  ];
+  const length = 1 + values.findLastIndex((value) => value !== null);
+  return [upstream, ...values.slice(0, length)];
+}
+
 function encodeRetries(retries: Readonly<Record<string, RetryCounts>>) {
   return Object.fromEntries(
     Object.entries(retries).map(([service, counts]) => [
@@ -35,12 +53,7 @@
     }),
     ...(asksSuspicions && { a: 1 }),
     ...(upstreams.length > 0 && {
-      u: upstreams.map(({ upstream, inFlight, reportedLoad, hasRecovered }): UpstreamRow => {
-        if (hasRecovered) return [upstream, inFlight, reportedLoad ?? null, 1];
-        return reportedLoad === undefined
-          ? [upstream, inFlight]
-          : [upstream, inFlight, reportedLoad];
-      }),
+      u: upstreams.map(encodeUpstream),
     }),
     ...(Object.keys(retries).length > 0 && { r: encodeRetries(retries) }),
   };
--- a/src/application/fleet/DomainExchange.ts
+++ b/src/application/fleet/DomainExchange.ts
@@ -1,8 +1,10 @@
 import type { Suspicion, SuspicionKind } from '../../domain/detection/SuspicionTracker.ts';
 import type SuspicionTracker from '../../domain/detection/SuspicionTracker.ts';
 import { emptyDomainMessage } from '../../domain/fleet/DomainMessage.ts';
-import type { DomainMessage } from '../../domain/fleet/DomainMessage.ts';
+import type { DomainMessage, UpstreamActivity } from '../../domain/fleet/DomainMessage.ts';
 import RateLimit from '../../domain/limits/RateLimit.ts';
+import type UpstreamLimits from '../../domain/limits/UpstreamLimits.ts';
+import type { StatedLimit } from '../../domain/limits/UpstreamLimits.ts';
 import type { RetryCounts } from '../../domain/requests/RetryWindow.ts';
 import type Clock from '../../ports/Clock.ts';
 import type DatagramSocket from '../../ports/DatagramSocket.ts';
@@ -51,6 +53,7 @@
   /** Address of the control host that relays suspicions to other failure domains. */
   readonly findRelay: () => string | undefined;
   readonly suspicions: SuspicionTracker;
+  readonly limits: UpstreamLimits;
   /** Requests and retries of this host in the newest window, by service. */
   readonly readRetries: () => Readonly<Record<string, RetryCounts>>;
 }
@@ -64,7 +67,7 @@
 
 /**
  * Exchanges datagrams between the entry hosts of one failure domain: open requests, retries,
- * reported loads, suspicions and recoveries of upstreams. Works without a control host. Sends a
+ * reported loads, limits, suspicions and recoveries. Works without a control host. Sends a
  * bounded number of bytes: with more hosts or more load, messages are fewer and hold more changes.
  */
 export default class DomainExchange {
@@ -81,6 +84,11 @@
 
   private readonly unsentLoads = new Map<string, number>();
 
+  /** Requests to upstreams with a limit since the last message, by upstream. */
+  private readonly unsentRequests = new Map<string, number>();
+
+  private readonly unsentLimits = new Map<string, StatedLimit>();
+
   private unsentSuspicions: readonly Suspicion[] = [];
 
   /** Retries of this host in the last message that stated them, by service. */
@@ -114,8 +122,13 @@
   }
 
   recordStart(upstream: string): void {
+    const { limits, clock } = this.options;
     this.ownInFlight.set(upstream, (this.ownInFlight.get(upstream) ?? 0) + 1);
     this.announceChange(upstream);
+    if (!limits.hasLimit(upstream)) return;
+    limits.recordRequests(upstream, 1, clock.now());
+    this.unsentRequests.set(upstream, (this.unsentRequests.get(upstream) ?? 0) + 1);
+    this.setDue(clock.now());
   }
 
   recordEnd(upstream: string): void {
@@ -136,6 +149,19 @@
     this.reportedLoads.set(upstream, { load, at: this.options.clock.now() });
   }
 
+  /**
+   * Records the limit that an upstream stated to this host in an answer to a request that was sent
+   * at `sentAt`, or that it stated none. A change is sent as soon as the limit of bytes allows.
+   */
+  reportLimit(stated: StatedLimit, sentAt: number): void {
+    const { clock, limits, log } = this.options;
+    const now = clock.now();
+    if (!limits.recordStatement(stated, sentAt, now)) return;
+    log.info('detection: an upstream changed its limit', { ...stated });
+    this.unsentLimits.set(stated.upstream, stated);
+    this.setDue(now);
+  }
+
   /**
    * Reports a recovery with the next message: the upstream sent a good answer to a request that was
    * sent after all suspicions of the upstream itself.
@@ -162,7 +188,10 @@
     else this.setDue(now);
   }
 
-  /** Asks some peers which upstreams they suspect; called once this host has their addresses. */
+  /**
+   * Asks some peers which upstreams they suspect and which have a limit; called once this host has
+   * their addresses.
+   */
   requestSuspicions(): void {
     const { ownAddress } = this.options;
     const peers = this.listOtherPeers().sort();
@@ -176,7 +205,7 @@
 
   /** Sends changes, and repeats open requests and retries, until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock, suspicions } = this.options;
+    const { clock, suspicions, limits } = this.options;
     signal.addEventListener('abort', () => this.notifier.notify(), { once: true });
     let repeatAt = clock.now() + repeatMs;
     while (!signal.aborted) {
@@ -186,6 +215,7 @@
       if (now >= repeatAt) {
         repeatAt = now + repeatMs;
         this.addRepeated();
+        limits.pruneUnknown();
         suspicions.pruneIdle(now);
         this.dropOldLoads(now);
       }
@@ -225,6 +255,8 @@
   /** Sends what changed since the last message, as much of it as fits into the limit of bytes. */
   private sendChanges(): void {
     const changed = new Set([
+      ...this.unsentLimits.keys(),
+      ...this.unsentRequests.keys(),
       ...this.unsentChanges,
       ...this.unsentLoads.keys(),
       ...this.unsentRecoveries,
@@ -234,8 +266,12 @@
       inFlight: this.ownInFlight.get(upstream) ?? 0,
       reportedLoad: this.unsentLoads.get(upstream),
       hasRecovered: this.unsentRecoveries.has(upstream),
+      limitedRequests: this.unsentRequests.get(upstream) ?? 0,
+      limit: this.unsentLimits.get(upstream),
     }));
     upstreams.forEach(({ upstream }) => {
+      this.unsentRequests.delete(upstream);
+      this.unsentLimits.delete(upstream);
       this.unsentChanges.delete(upstream);
       this.unsentLoads.delete(upstream);
       this.unsentRecoveries.delete(upstream);
@@ -285,12 +321,7 @@
     if (upstreams.length > 0 || Object.keys(retries).length > 0) {
       this.peers.recordMessage(from, message, now);
     }
-    upstreams.forEach(({ upstream, reportedLoad, hasRecovered }) => {
-      if (reportedLoad !== undefined) {
-        this.reportedLoads.set(upstream, { load: reportedLoad, at: now });
-      }
-      if (hasRecovered) suspicions.recordRecovery(upstream, now);
-    });
+    upstreams.forEach((activity) => this.acceptActivity(activity, now));
     message.suspicions.forEach((suspicion) => {
       const isNew = suspicions.addSuspicion(suspicion, now, 'other');
       if (isNew) log.info('detection: another host saw a bad upstream', { ...suspicion, from });
@@ -298,10 +329,33 @@
     if (message.asksSuspicions) this.answerSuspicions(from, now);
   }
 
+  private acceptActivity(activity: UpstreamActivity, now: number): void {
+    const { suspicions, limits, log } = this.options;
+    const { upstream, reportedLoad, hasRecovered, limitedRequests, limit } = activity;
+    if (reportedLoad !== undefined) {
+      this.reportedLoads.set(upstream, { load: reportedLoad, at: now });
+    }
+    if (hasRecovered) suspicions.recordRecovery(upstream, now);
+    // The sender has checked that the statement is newer than the limit that it knew.
+    const hasChanged = limit && limits.recordStatement({ upstream, ...limit }, now, now);
+    if (hasChanged) {
+      log.info('detection: another host reported a limit', { upstream, ...limit });
+    }
+    if (limitedRequests > 0) limits.recordRequests(upstream, limitedRequests, now);
+  }
+
   private answerSuspicions(address: string, now: number): void {
-    const listed = this.options.suspicions.listSuspicions(now);
-    if (listed.length === 0) return;
-    this.sendMessage({ ...emptyDomainMessage, suspicions: listed }, [address]);
+    const suspicions = this.options.suspicions.listSuspicions(now);
+    const upstreams = this.options.limits.listLimits().map(({ upstream, ...limit }) => ({
+      upstream,
+      inFlight: this.ownInFlight.get(upstream) ?? 0,
+      reportedLoad: undefined,
+      hasRecovered: false,
+      limitedRequests: 0,
+      limit,
+    }));
+    if (suspicions.length + upstreams.length === 0) return;
+    this.sendMessage({ ...emptyDomainMessage, suspicions, upstreams }, [address]);
   }
 
   private dropOldLoads(now: number): void {
--- a/src/application/fleet/FleetView.ts
+++ b/src/application/fleet/FleetView.ts
@@ -96,9 +96,9 @@
     return current?.state === 'serving' && current.incarnation === incarnation;
   }
 
-  /** Incarnation of an upstream; 0 for an unknown one. */
-  findIncarnation(upstream: string): number {
-    return this.upstreams.get(upstream)?.record.incarnation ?? 0;
+  /** Finds an upstream that is serving or leaving. */
+  findUpstream(upstream: string): UpstreamRecord | undefined {
+    return this.upstreams.get(upstream)?.record;
   }
 
   /**
--- a/src/application/requests/RequestDialect.ts
+++ b/src/application/requests/RequestDialect.ts
@@ -1,3 +1,4 @@
+import type LimitStatement from '../../domain/limits/LimitStatement.ts';
 import type Result from '../../domain/errors/Result.ts';
 import type { UpstreamAnswer } from '../../ports/UpstreamClient.ts';
 import type { CallerAnswer } from './CallerRequest.ts';
@@ -15,6 +16,8 @@
   readonly isMisdirected: boolean;
   /** Number of requests that run or wait at the upstream; undefined when it reported none. */
   readonly reportedLoad: number | undefined;
+  /** What the upstream says about a limit; undefined if the dialect has no such statement. */
+  readonly limitStatement: LimitStatement | undefined;
 }
 
 /** Metadata of a request that is about to be sent to an upstream. */
--- a/src/application/requests/RequestHandler.ts
+++ b/src/application/requests/RequestHandler.ts
@@ -153,6 +153,7 @@
       presetNumber: this.options.activePreset.state?.revision,
       tookMs: Math.round(this.options.clock.now() - request.receivedAt),
       leftMs: Math.round(request.deadline - this.options.clock.now()),
+      returnMs: this.computeReturnMs(answer),
     });
     this.options.observer.recordRequest({
       service: request.route.service,
@@ -311,7 +312,7 @@
 
   /** Creates and logs the answer to a request that is refused before it is handled. */
   refuseRequest(failure: Failure, head: { readonly headers: readonly Header[] }): CallerAnswer {
-    const { clock, random, log, activePreset } = this.options;
+    const { random, log, activePreset } = this.options;
     const answer = this.createRefusal(failure);
     log.info('requests: refused', {
       requestId: this.dialect.findRequestId(head.headers) ?? random.createId(),
@@ -320,7 +321,7 @@
       error: failure.kind,
       detail: failure.message,
       presetNumber: activePreset.state?.revision,
-      returnMs: answer.retryAt === undefined ? undefined : Math.round(answer.retryAt - clock.now()),
+      returnMs: this.computeReturnMs(answer),
     });
     return answer;
   }
@@ -331,7 +332,11 @@
     const { clock, random } = this.options;
     const answer = createFailureAnswer(failure);
     if (answer.status !== 503 || answer.outcome !== 'not-run') return answer;
-    return { ...answer, retryAt: drawRetryTime(failure.kind, clock.now(), random) };
+    return { ...answer, retryAt: drawRetryTime(failure, clock.now(), random) };
+  }
+
+  private computeReturnMs({ retryAt }: CallerAnswer): number | undefined {
+    return retryAt === undefined ? undefined : Math.round(retryAt - this.options.clock.now());
   }
 
   private addToBudget({ route }: CallerRequest, service: ServiceSettings): RetryAllowance {
--- a/src/application/requests/UpstreamDispatcher.ts
+++ b/src/application/requests/UpstreamDispatcher.ts
@@ -1,19 +1,19 @@
 import type Failure from '../../domain/errors/Failure.ts';
+import type LimitStatement from '../../domain/limits/LimitStatement.ts';
+import type UpstreamRecord from '../../domain/membership/UpstreamRecord.ts';
 import type { ServiceSettings } from '../../domain/presets/Preset.ts';
-import type Balancer from '../../domain/requests/Balancer.ts';
 import type RetryPolicy from '../../domain/requests/RetryPolicy.ts';
 import SheddingTracker from '../../domain/requests/SheddingTracker.ts';
 import type { AttemptResult } from '../../domain/requests/AttemptResult.ts';
 import type UsableUpstream from '../../domain/requests/UsableUpstream.ts';
-import type Clock from '../../ports/Clock.ts';
 import type Log from '../../ports/Log.ts';
-import type RandomSource from '../../ports/RandomSource.ts';
 import type UpstreamClient from '../../ports/UpstreamClient.ts';
 import type { UpstreamAnswer, UpstreamResult } from '../../ports/UpstreamClient.ts';
 import type AttemptObserver from './AttemptObserver.ts';
 import type CallerRequest from './CallerRequest.ts';
 import type LoadSource from './LoadSource.ts';
-import type UpstreamPool from './UpstreamPool.ts';
+import UpstreamChooser from './UpstreamChooser.ts';
+import type { UpstreamChooserOptions } from './UpstreamChooser.ts';
 import classifyAttempt from './classifyAttempt.ts';
 import checkSendable from './checkSendable.ts';
 import describeUpstreamFailure from './describeUpstreamFailure.ts';
@@ -22,26 +22,16 @@
 import type RequestDialect from './RequestDialect.ts';
 
 /** Options of the dispatcher. */
-export interface UpstreamDispatcherOptions {
-  readonly clock: Clock;
-  readonly random: RandomSource;
+export interface UpstreamDispatcherOptions extends UpstreamChooserOptions {
   readonly upstreamClient: UpstreamClient;
-  readonly balancer: Balancer;
-  readonly pool: UpstreamPool;
   readonly observer: AttemptObserver;
   readonly loadTracker: LoadSource;
-  readonly failureDomain: string;
   /** `DefaultDialect` unless set. */
   readonly dialect?: RequestDialect;
   /** Whether this host is stopping; false unless set. */
   readonly isStopping?: () => boolean;
   /** Receives one line for each choice and one for each finished attempt. */
   readonly log?: Log;
-  /**
-   * Estimated probability that a request to the upstream fails, from 0 to 1; used only in the log
-   * line of the choice.
-   */
-  readonly readRisk?: (upstream: UsableUpstream) => number;
 }
 
 /** Result of dispatching a request. */
@@ -62,6 +52,12 @@
   readonly outcome: DispatchResult['outcome'];
 }
 
+/** Creates the log fields for a limit that an upstream stated. */
+function describeLimit(statement: LimitStatement) {
+  if (statement.kind === 'limited') return { limitPerSecond: statement.requestsPerSecond };
+  return statement.kind === 'invalid' ? { invalidLimit: statement.text } : {};
+}
+
 // A later attempt that did not run must not mask an earlier attempt that may have run.
 function chooseReported(earlier: Attempt | undefined, later: Attempt): Attempt {
   return earlier?.mayHaveRun && !later.mayHaveRun ? earlier : later;
@@ -75,8 +71,11 @@
 
   private readonly dialect: RequestDialect;
 
+  private readonly chooser: UpstreamChooser;
+
   constructor(options: UpstreamDispatcherOptions) {
     this.options = options;
+    this.chooser = new UpstreamChooser(options);
     this.dialect = options.dialect ?? new DefaultDialect();
   }
 
@@ -94,9 +93,9 @@
     const refusal = checkSendable(request, this.options.clock.now());
     if (refusal) return { ...this.createFailedAttempt(refusal), attempts: 0 };
     let runs = 0;
-    let candidates = this.listUntried(request, tried);
+    let candidates = this.chooser.listUntried(request, tried);
     const readScarcity = (): number => (runs + 1 >= maxRuns ? 1 : policy.readScarcity());
-    let chosen = this.chooseUpstream(request, candidates, readScarcity());
+    let chosen = this.chooser.chooseUpstream(request, candidates, readScarcity());
     let reported: Attempt | undefined;
     while (chosen) {
       tried.add(chosen.record.upstream);
@@ -113,14 +112,13 @@
       if (attempt.mayHaveRun) runs += 1;
       // Nearly every request finishes here, so the upstreams are listed again only for a retry.
       if (!policy.isRetryable(attempt.end) || runs >= maxRuns || !this.canRetry(request)) break;
-      candidates = this.listUntried(request, tried);
-      chosen = this.chooseUpstream(request, candidates, readScarcity());
+      candidates = this.chooser.listUntried(request, tried);
+      chosen = this.chooser.chooseUpstream(request, candidates, readScarcity());
       // `mayRetry` takes a retry from the budget, so it is called last.
       if (chosen && !attempt.hasTakenRetry && !policy.mayRetry(attempt.end)) chosen = undefined;
     }
     if (reported) return { ...reported, attempts: tried.size };
-    const message = `${request.method} ${request.target}: service "${request.route.service}" has no usable upstream`;
-    return { ...this.createFailedAttempt({ kind: 'no_upstream', message }), attempts: 0 };
+    return { ...this.createFailedAttempt(this.chooser.describeRefusal(request)), attempts: 0 };
   }
 
   private createFailedAttempt(failure: Failure): Attempt {
@@ -132,31 +130,6 @@
     };
   }
 
-  private listUntried(
-    request: CallerRequest,
-    tried: ReadonlySet<string>,
-  ): readonly UsableUpstream[] {
-    return this.options.pool
-      .listUsable(request.route.service)
-      .filter(({ record }) => !tried.has(record.upstream));
-  }
-
-  private chooseUpstream(
-    request: CallerRequest,
-    candidates: readonly UsableUpstream[],
-    retryScarcity: number,
-  ): UsableUpstream | undefined {
-    const { balancer, clock, random, failureDomain, loadTracker } = this.options;
-    return balancer.chooseUpstream({
-      candidates,
-      retryScarcity,
-      readLoad: (upstream) => loadTracker.readLoad(request.route.service, upstream),
-      now: clock.now(),
-      random: () => random.next(),
-      failureDomain,
-    });
-  }
-
   /**
    * Takes a retry from the budget for an attempt that is about to give up. Returns false if the
    * attempt should wait for its answer, because there is no retry or because this host is stopping:
@@ -168,7 +141,9 @@
     policy: RetryPolicy,
   ): boolean {
     const mayTry = !this.options.isStopping?.() && this.canRetry(request);
-    return mayTry && this.listUntried(request, tried).length > 0 && policy.mayRetry('unknown');
+    return (
+      mayTry && this.chooser.listUntried(request, tried).length > 0 && policy.mayRetry('unknown')
+    );
   }
 
   private canRetry(request: CallerRequest): boolean {
@@ -221,7 +196,7 @@
     });
     const endedAt = clock.now();
     const refusal = checkSendable(request, clock.now());
-    const { end, answerClass, reportedLoad } = classifyAttempt(result, {
+    const { end, answerClass, reportedLoad, limitStatement } = classifyAttempt(result, {
       isOver: refusal !== undefined,
       dialect: this.dialect,
     });
@@ -232,9 +207,11 @@
       end,
       answerClass,
       status: result.kind === 'answered' ? result.answer.status : undefined,
+      ...(limitStatement && describeLimit(limitStatement)),
       tookMs: Math.round(endedAt - startedAt),
     });
     loadTracker.recordEnd({ ...names, reportedLoad, now: endedAt });
+    this.reportLimit(record, limitStatement, startedAt);
     observer.recordEnd(attemptId, {
       ...names,
       answerClass,
@@ -255,6 +232,18 @@
     return { end, hasTakenRetry, mayHaveRun, outcome: { kind: 'failed', failure } };
   }
 
+  private reportLimit(
+    { upstream, incarnation }: UpstreamRecord,
+    statement: LimitStatement | undefined,
+    sentAt: number,
+  ): void {
+    // After an answer that states nothing readable, the limit stays as it was.
+    if (!statement || statement.kind === 'invalid') return;
+    const requestsPerSecond =
+      statement.kind === 'limited' ? statement.requestsPerSecond : undefined;
+    this.options.limiter?.reportLimit({ upstream, incarnation, requestsPerSecond }, sentAt);
+  }
+
   private recordChoice(
     { requestId, route, deadline }: CallerRequest,
     attempt: {
--- a/src/application/requests/classifyAttempt.ts
+++ b/src/application/requests/classifyAttempt.ts
@@ -1,3 +1,4 @@
+import type LimitStatement from '../../domain/limits/LimitStatement.ts';
 import type { AnswerClass } from '../../domain/requests/AttemptObservation.ts';
 import type { AttemptResult } from '../../domain/requests/AttemptResult.ts';
 import type { NotSentReason, SentFailure, UpstreamResult } from '../../ports/UpstreamClient.ts';
@@ -21,6 +22,8 @@
   readonly end: AttemptResult;
   readonly answerClass: AnswerClass;
   readonly reportedLoad: number | undefined;
+  /** What the upstream states about a limit; undefined if no answer of it says anything. */
+  readonly limitStatement: LimitStatement | undefined;
 }
 
 /**
@@ -33,15 +36,17 @@
 ): AttemptClassification {
   if (result.kind === 'answered') {
     const signals = dialect.readAnswerSignals(result.answer);
-    const { hasNotRun, isShed, reportedLoad } = signals;
+    const { hasNotRun, isShed, isMisdirected, reportedLoad, limitStatement } = signals;
     const isFaulty = result.answer.status >= 500;
     const answerResult = isFaulty ? 'faulty_answer' : 'good_answer';
     const completeClass = isFaulty ? 'failed' : 'good';
-    const refusedClass = signals.isMisdirected ? 'misplaced' : 'shed';
+    const refusedClass = isMisdirected ? 'misplaced' : 'shed';
     return {
       end: hasNotRun ? 'not_run' : answerResult,
-      answerClass: isShed || signals.isMisdirected ? refusedClass : completeClass,
+      answerClass: isShed || isMisdirected ? refusedClass : completeClass,
       reportedLoad,
+      // Another upstream answered a misdirected request.
+      limitStatement: isMisdirected ? undefined : limitStatement,
     };
   }
   // A retry would not help: another upstream would get the same malformed request or send the same
@@ -52,5 +57,6 @@
     end: isFinal ? 'given_up' : failureResult,
     answerClass: answerClasses[result.reason],
     reportedLoad: undefined,
+    limitStatement: undefined,
   };
 }
--- a/src/application/requests/drawRetryTime.ts
+++ b/src/application/requests/drawRetryTime.ts
@@ -1,4 +1,4 @@
-import type ErrorKind from '../../domain/errors/ErrorKind.ts';
+import type Failure from '../../domain/errors/Failure.ts';
 import type RandomSource from '../../ports/RandomSource.ts';
 
 interface RetryTimes {
@@ -12,11 +12,16 @@
 // their start. A second refusal would cost a caller more time than a longer wait.
 const whenStarting: RetryTimes = { minMs: 1200, spreadMs: 600 };
 
+// Callers that were refused until a known instant come back over this time.
+const spreadAfterMs = 800;
+
 /**
  * Returns the instant at which a refused caller should retry, with jitter, so that not all callers
  * retry at the same time.
  */
-export default function drawRetryTime(kind: ErrorKind, now: number, random: RandomSource): number {
-  const { minMs, spreadMs } = kind === 'host_not_ready' ? whenStarting : whenFull;
+export default function drawRetryTime(failure: Failure, now: number, random: RandomSource): number {
+  const retryAt = 'retryAt' in failure ? failure.retryAt : undefined;
+  if (retryAt !== undefined) return Math.max(now, retryAt) + spreadAfterMs * random.next();
+  const { minMs, spreadMs } = failure.kind === 'host_not_ready' ? whenStarting : whenFull;
   return now + minMs + spreadMs * random.next();
 }
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -7,6 +7,7 @@
 import UdpDatagramSocket from '../adapters/udp/UdpDatagramSocket.ts';
 import DisabledClaimGate from '../application/claims/DisabledClaimGate.ts';
 import DomainExchange from '../application/fleet/DomainExchange.ts';
+import DomainLimiter from '../application/fleet/DomainLimiter.ts';
 import DomainLoad from '../application/fleet/DomainLoad.ts';
 import DomainRetryBudgets from '../application/fleet/DomainRetryBudgets.ts';
 import FeedSubscriber from '../application/fleet/FeedSubscriber.ts';
@@ -19,6 +20,7 @@
 import UpstreamDispatcher from '../application/requests/UpstreamDispatcher.ts';
 import SuspicionTracker from '../domain/detection/SuspicionTracker.ts';
 import type { HostStateName } from '../domain/membership/HostRecord.ts';
+import UpstreamLimits from '../domain/limits/UpstreamLimits.ts';
 import type Preset from '../domain/presets/Preset.ts';
 import computeCosts, { defaultAnswerBytes } from '../domain/requests/computeCosts.ts';
 import LowestCostBalancer from '../domain/requests/LowestCostBalancer.ts';
@@ -76,6 +78,8 @@
 
   private readonly suspicions: SuspicionTracker;
 
+  readonly limits: UpstreamLimits;
+
   private readonly retryBudgets: DomainRetryBudgets;
 
   private readonly exchange: DomainExchange;
@@ -116,6 +120,11 @@
     });
     this.subscriber = this.createSubscriber();
     this.suspicions = new SuspicionTracker({ decayMs: settings.suspicionMs });
+    this.limits = new UpstreamLimits({
+      failureDomain: settings.failureDomain,
+      failureDomains: settings.failureDomains.length,
+      findFailureDomain: (upstream) => this.view.findUpstream(upstream)?.failureDomain,
+    });
     this.retryBudgets = new DomainRetryBudgets({
       clock,
       ...settings.retries,
@@ -127,7 +136,7 @@
       clock,
       suspicions: this.suspicions,
       exchange: this.exchange,
-      findIncarnation: (upstream) => this.view.findIncarnation(upstream),
+      findIncarnation: (upstream) => this.view.findUpstream(upstream)?.incarnation ?? 0,
     });
     this.upstreamClient = new UndiciUpstreamClient({
       clock,
@@ -231,6 +240,7 @@
       listPeers: () => this.view.entryHosts.map(({ address }) => address),
       findRelay: () => this.findRelay(),
       suspicions: this.suspicions,
+      limits: this.limits,
       readRetries: () => this.retryBudgets.readOwnCounts(),
     });
   }
@@ -246,7 +256,7 @@
 
   private createHandler(metrics: PrometheusMetrics): RequestHandler {
     const { settings, clock, random, log, dialect } = this.options;
-    const { view, upstreamClient, exchange, observer, suspicions } = this;
+    const { view, upstreamClient, exchange, observer, suspicions, limits } = this;
     const readRisk = ({ record }: UsableUpstream): number =>
       suspicions.getRisk(record.upstream, record.incarnation, clock.now());
     const dispatcher = new UpstreamDispatcher({
@@ -256,6 +266,7 @@
       balancer: new LowestCostBalancer({
         readCosts: (service, retryScarcity) => this.readCosts(service, retryScarcity),
         readRisk,
+        readLimitUse: ({ record }) => limits.computeUse(record, clock.now()),
         loadHalfLifeMs,
       }),
       pool: view,
@@ -263,6 +274,7 @@
       loadTracker: new DomainLoad({ exchange }),
       failureDomain: settings.failureDomain,
       dialect,
+      limiter: new DomainLimiter({ clock, limits, exchange }),
       isStopping: () => this.isStopping,
       log,
       readRisk,
--- a/src/daemon/listEntryGauges.ts
+++ b/src/daemon/listEntryGauges.ts
@@ -3,6 +3,7 @@
 import type FeedSubscriber from '../application/fleet/FeedSubscriber.ts';
 import type FleetView from '../application/fleet/FleetView.ts';
 import type LoadMonitor from '../application/metrics/LoadMonitor.ts';
+import type UpstreamLimits from '../domain/limits/UpstreamLimits.ts';
 import listLoadGauges from './listLoadGauges.ts';
 
 /** State of an entry host that the gauges report. */
@@ -10,12 +11,13 @@
   readonly view: Pick<FleetView, 'state' | 'entryHosts'>;
   readonly subscriber: Pick<FeedSubscriber, 'source' | 'feedAgeMs'>;
   readonly socket: Pick<UdpDatagramSocket, 'refusedCount' | 'unsentCount'>;
+  readonly limits: Pick<UpstreamLimits, 'size'>;
   readonly loadMonitor: Pick<LoadMonitor, 'maxDelayMs'>;
 }
 
 /** Lists the gauges of an entry host in a fleet whose hosts discover each other through seeds. */
 export default function listEntryGauges(host: GaugedEntryHost): readonly GaugeSource[] {
-  const { view, subscriber, socket, loadMonitor } = host;
+  const { view, subscriber, socket, limits, loadMonitor } = host;
   return [
     {
       name: 'preset_number',
@@ -37,6 +39,11 @@
       help: 'Time since the last answer of a control host that was current, in milliseconds.',
       readValue: () => subscriber.feedAgeMs,
     },
+    {
+      name: 'limited_upstreams',
+      help: 'Upstreams that state a limit.',
+      readValue: () => limits.size,
+    },
     {
       name: 'datagrams_refused',
       help: 'Received datagrams that were damaged or not authenticated with the peer key.',
--- a/src/domain/errors/ErrorKind.ts
+++ b/src/domain/errors/ErrorKind.ts
@@ -24,6 +24,7 @@
   | 'claims_full'
   // Upstreams.
   | 'no_upstream'
+  | 'upstreams_limited'
   | 'upstream_unreachable'
   | 'upstream_refused'
   | 'upstream_timeout'
--- a/src/domain/errors/Failure.ts
+++ b/src/domain/errors/Failure.ts
@@ -23,6 +23,8 @@
 interface PlainFailure {
   readonly kind: Exclude<ErrorKind, 'revision_conflict' | 'not_leader'>;
   readonly message: string;
+  /** Instant from which another request can succeed; undefined if it is not known. */
+  readonly retryAt?: number;
 }
 
 /**
--- a/src/domain/errors/errorAnswers.ts
+++ b/src/domain/errors/errorAnswers.ts
@@ -38,6 +38,7 @@
   claims_full: refuse(503),
 
   no_upstream: refuse(503),
+  upstreams_limited: refuse(503),
   upstream_unreachable: refuse(503),
   upstream_refused: refuse(503),
   upstream_timeout: failUnknown(504),
--- a/src/domain/fleet/DomainMessage.ts
+++ b/src/domain/fleet/DomainMessage.ts
@@ -1,4 +1,5 @@
 import type { Suspicion } from '../detection/SuspicionTracker.ts';
+import type { StatedLimit } from '../limits/UpstreamLimits.ts';
 import type { RetryCounts } from '../requests/RetryWindow.ts';
 
 /** What an entry host reports about one upstream. */
@@ -10,12 +11,16 @@
   readonly reportedLoad: number | undefined;
   /** Whether the upstream showed evidence of a recovery since the last message of the host. */
   readonly hasRecovered: boolean;
+  /** Requests that the host has sent to an upstream with a limit since its last message. */
+  readonly limitedRequests: number;
+  /** Limit that the upstream has stated since the last message; undefined if it has not changed. */
+  readonly limit: Omit<StatedLimit, 'upstream'> | undefined;
 }
 
 /** Message from an entry host to the others of its failure domain, or from a relay. */
 export interface DomainMessage {
   readonly suspicions: readonly Suspicion[];
-  /** Whether the sender has just started and asks which upstreams are suspected. */
+  /** Whether the sender has just started and asks which upstreams are suspected or limited. */
   readonly asksSuspicions: boolean;
   readonly upstreams: readonly UpstreamActivity[];
   /** Requests and retries of the sender in the newest window, by service. */
--- a/src/domain/requests/LowestCostBalancer.ts
+++ b/src/domain/requests/LowestCostBalancer.ts
@@ -23,6 +23,11 @@
   readonly otherDomain: number;
   /** Cost of a request that fails. */
   readonly failure: number;
+  /**
+   * Cost of the last request that the limit of an upstream allows for now; proportionally less
+   * while more are left. Requests under a limit are kept for when other upstreams fail.
+   */
+  readonly limited: number;
   /** Cost of an upstream of weight 0; proportionally less for higher weights. */
   readonly cold: number;
   /** Maximum random cost, so that hosts with the same data don't all choose the same upstream. */
@@ -35,6 +40,8 @@
   readonly readCosts: (service: string, retryScarcity: number) => BalancerCosts;
   /** Risk that a request to the upstream fails, 0 to 1. */
   readonly readRisk: (upstream: UsableUpstream) => number;
+  /** How much of its limit an upstream has used, 0 to 1; 0 without a limit. */
+  readonly readLimitUse?: (upstream: UsableUpstream) => number;
   /** Half-life of a reported load, in milliseconds. */
   readonly loadHalfLifeMs: number;
 }
@@ -95,6 +102,7 @@
       this.computeWait(candidate, choice, costs) +
       (isSameDomain ? 0 : costs.otherDomain) +
       costs.failure * this.options.readRisk(candidate) +
+      costs.limited * (this.options.readLimitUse?.(candidate) ?? 0) +
       costs.cold * (1 - candidate.weight)
     );
   }
--- a/src/domain/requests/computeCosts.ts
+++ b/src/domain/requests/computeCosts.ts
@@ -33,6 +33,7 @@
     wait: 0.6,
     longWait: 1.2,
     cold: 0.5,
+    limited: 0.5,
     noise: 0.1,
     otherDomain: (otherDomainPrice * (headerBytes + answerBytes)) / bytesPerKib,
     failure: retryCost + (lostRequestCost - retryCost) * retryScarcity ** scarcityPower,
--- a/tests/platform/dialect.test.ts
+++ b/tests/platform/dialect.test.ts
@@ -81,4 +81,32 @@
 
     expect(signals.reportedLoad).toBe(load);
   });
+
+  it.each([
+    ['7.7', { kind: 'limited', requestsPerSecond: 7.7 }],
+    ['0', { kind: 'limited', requestsPerSecond: 0 }],
+    [undefined, { kind: 'unlimited' }],
+    ['-3', { kind: 'invalid', text: '-3' }],
+    ['1e9', { kind: 'invalid', text: '1e9' }],
+    ['9'.repeat(400), { kind: 'invalid', text: '9'.repeat(80) }],
+    ['many', { kind: 'invalid', text: 'many' }],
+    ['', { kind: 'invalid', text: '' }],
+  ])('should read the limit "%s" of an upstream', (text, expected) => {
+    const headers = text === undefined ? [] : [['server-limit', text] as const];
+    const signals = dialect.readAnswerSignals({ status: 200, headers, body: new Uint8Array() });
+
+    expect(signals.limitStatement).toEqual(expected);
+  });
+
+  it('should accept a repeated limit only if its values are equal', () => {
+    const readLimit = (...values: readonly string[]) =>
+      dialect.readAnswerSignals({
+        status: 200,
+        headers: values.map((value) => ['server-limit', value] as const),
+        body: new Uint8Array(),
+      }).limitStatement;
+
+    expect(readLimit('3', '3')).toEqual({ kind: 'limited', requestsPerSecond: 3 });
+    expect(readLimit('3', '5')).toEqual({ kind: 'invalid', text: '3, 5' });
+  });
 });
