--- a/tests/platform/decode.test.ts
+++ b/tests/platform/decode.test.ts
@@ -213,4 +213,11 @@
 
     expect(decoded.ok ? '' : decoded.failure.kind).toBe('preset_invalid');
   });
+
+  // Guards against upstreams that fill the memory of a host with bodies that never end.
+  it('should limit the size of answers', () => {
+    const decoded = codec.decodePreset(JSON.stringify(document));
+
+    expect(decoded.ok && decoded.value.preset.routes[0]?.maxAnswerBytes).toBe(8_388_608);
+  });
 });
