platform: a refusal that does not repeat the request id is not believed

Cause: a report of other operators: an upstream wrote an earlier refusal again on a kept connection, and callers were told 'not run' for requests that had run. Here a failure without a request id was taken as the answer to the request, and its X-Not-Executed as true. A 503, 429 or 408 of an upstream without X-Not-Executed was passed on, which callers take as the same promise. Change: PlatformDialect.isAnswerTo asks for the request id in every refusal, and for X-Not-Executed in every answer that callers read as not run, except 421. Other such answers end as mismatched: 502, outcome unknown.

--- a/tests/platform/dialect.test.ts
+++ b/tests/platform/dialect.test.ts
@@ -46,7 +46,22 @@
     ['a successful answer without a signature', 200, [signedHeaders[0]], false],
     ['a successful answer without the request id', 200, [signedHeaders[1]], false],
     ['a body with a content coding', 200, [...signedHeaders, ['content-encoding', 'gzip']], false],
-    ['a refusal without the request id', 503, [['x-not-executed', '1']], true],
+    ['a failure without the request id', 500, [], true],
+    ['a refusal', 503, [['x-not-executed', '1'], signedHeaders[0]], true],
+    ['a refusal without the request id', 503, [['x-not-executed', '1']], false],
+    [
+      'a refusal of another request',
+      429,
+      [
+        ['x-not-executed', '1'],
+        ['x-attempt-id', 'r0'],
+      ],
+      false,
+    ],
+    ['a 503 that does not say not run', 503, [signedHeaders[0]], false],
+    ['a 408 that does not say not run', 408, [signedHeaders[0]], false],
+    ['a misdirected request', 421, [signedHeaders[0]], true],
+    ['a misdirected request without the request id', 421, [], false],
     ['a failure for another request', 500, [['x-attempt-id', 'r0']], false],
   ] as const)(
     'should check whether %s answers the request',
