src/application/fleet: what an entry host has not reported yet has a class of its own

Change: UnsentChanges collects and hands out changes; gauges get the parts that they read. No change of behaviour. Measured: tests/fleet and tests/platform/fleetProcesses.test.ts.

--- a/src/application/fleet/DomainExchange.ts
+++ b/src/application/fleet/DomainExchange.ts
@@ -11,6 +11,7 @@
 import type Log from '../../ports/Log.ts';
 import Notifier from '../tasks/Notifier.ts';
 import PeerActivities from './PeerActivities.ts';
+import UnsentChanges from './UnsentChanges.ts';
 
 // Changes at a busy upstream are sent almost immediately, because other hosts may be about to
 // choose the same upstream. The short delay batches the start and the end of requests into one
@@ -77,19 +78,7 @@
 
   private readonly peers = new PeerActivities();
 
-  /** Upstreams whose open requests changed since the last message. */
-  private readonly unsentChanges = new Set<string>();
-
-  private readonly unsentRecoveries = new Set<string>();
-
-  private readonly unsentLoads = new Map<string, number>();
-
-  /** Requests to upstreams with a limit since the last message, by upstream. */
-  private readonly unsentRequests = new Map<string, number>();
-
-  private readonly unsentLimits = new Map<string, StatedLimit>();
-
-  private unsentSuspicions: readonly Suspicion[] = [];
+  private readonly unsent = new UnsentChanges();
 
   /** Retries of this host in the last message that stated them, by service. */
   private readonly sentRetries = new Map<string, number>();
@@ -127,7 +116,7 @@
     this.announceChange(upstream);
     if (!limits.hasLimit(upstream)) return;
     limits.recordRequests(upstream, 1, clock.now());
-    this.unsentRequests.set(upstream, (this.unsentRequests.get(upstream) ?? 0) + 1);
+    this.unsent.addLimitedRequest(upstream);
     this.setDue(clock.now());
   }
 
@@ -145,7 +134,7 @@
 
   /** Records a load that an upstream reported to this host and sends it with the next message. */
   reportLoad(upstream: string, load: number): void {
-    this.unsentLoads.set(upstream, load);
+    this.unsent.addLoad(upstream, load);
     this.reportedLoads.set(upstream, { load, at: this.options.clock.now() });
   }
 
@@ -158,7 +147,7 @@
     const now = clock.now();
     if (!limits.recordStatement(stated, sentAt, now)) return;
     log.info('detection: an upstream changed its limit', { ...stated });
-    this.unsentLimits.set(stated.upstream, stated);
+    this.unsent.addLimit(stated);
     this.setDue(now);
   }
 
@@ -167,7 +156,7 @@
    * sent after all suspicions of the upstream itself.
    */
   reportRecovery(upstream: string): void {
-    this.unsentRecoveries.add(upstream);
+    this.unsent.addRecovery(upstream);
   }
 
   /**
@@ -180,7 +169,7 @@
     const isNew = suspicions.addSuspicion(suspicion, now);
     log.info('detection: an upstream looks bad', { ...suspicion, requestId, isNew });
     if (!isNew) return;
-    this.addUnsentSuspicion(suspicion);
+    this.unsent.addSuspicion(suspicion);
     const { freeAt } = this.sendLimit;
     const isUrgent = urgentKinds.has(suspicion.kind);
     if (now >= freeAt) this.sendChanges();
@@ -225,13 +214,13 @@
 
   private addRepeated(): void {
     if (this.ownInFlight.size === 0) return;
-    [...this.ownInFlight.keys()].forEach((upstream) => this.unsentChanges.add(upstream));
+    [...this.ownInFlight.keys()].forEach((upstream) => this.unsent.addInFlight(upstream));
     this.sentRetries.clear();
     this.setDue(this.options.clock.now());
   }
 
   private announceChange(upstream: string): void {
-    this.unsentChanges.add(upstream);
+    this.unsent.addInFlight(upstream);
     const isBusy = this.countInFlight(upstream) >= busyThreshold;
     this.setDue(this.options.clock.now() + (isBusy ? busyBatchMs : idleBatchMs));
   }
@@ -242,41 +231,13 @@
     this.notifier.notify();
   }
 
-  // While messages wait for the limit of bytes, the same suspicion may occur repeatedly.
-  private addUnsentSuspicion(suspicion: Suspicion): void {
-    const { upstream, incarnation, kind } = suspicion;
-    const others = this.unsentSuspicions.filter(
-      (other) =>
-        other.upstream !== upstream || other.incarnation !== incarnation || other.kind !== kind,
-    );
-    this.unsentSuspicions = [...others, suspicion];
-  }
-
   /** Sends what changed since the last message, as much of it as fits into the limit of bytes. */
   private sendChanges(): void {
-    const changed = new Set([
-      ...this.unsentLimits.keys(),
-      ...this.unsentRequests.keys(),
-      ...this.unsentChanges,
-      ...this.unsentLoads.keys(),
-      ...this.unsentRecoveries,
-    ]);
-    const upstreams = [...changed].slice(0, this.computeMaxUpstreams()).map((upstream) => ({
-      upstream,
-      inFlight: this.ownInFlight.get(upstream) ?? 0,
-      reportedLoad: this.unsentLoads.get(upstream),
-      hasRecovered: this.unsentRecoveries.has(upstream),
-      limitedRequests: this.unsentRequests.get(upstream) ?? 0,
-      limit: this.unsentLimits.get(upstream),
-    }));
-    upstreams.forEach(({ upstream }) => {
-      this.unsentRequests.delete(upstream);
-      this.unsentLimits.delete(upstream);
-      this.unsentChanges.delete(upstream);
-      this.unsentLoads.delete(upstream);
-      this.unsentRecoveries.delete(upstream);
-    });
-    this.dueAt = upstreams.length < changed.size ? this.options.clock.now() : Infinity;
+    const upstreams = this.unsent.takeUpstreams(
+      this.computeMaxUpstreams(),
+      (upstream) => this.ownInFlight.get(upstream) ?? 0,
+    );
+    this.dueAt = this.unsent.hasUpstreams ? this.options.clock.now() : Infinity;
     const retries = this.takeUnsentRetries();
     this.sendSuspicions({ ...emptyDomainMessage, upstreams, retries });
   }
@@ -288,8 +249,7 @@
 
   /** Sends the new suspicions, with the rest of the message. */
   private sendSuspicions(message: DomainMessage = emptyDomainMessage): void {
-    const suspicions = this.unsentSuspicions;
-    this.unsentSuspicions = [];
+    const suspicions = this.unsent.takeSuspicions();
     this.sendMessage({ ...message, suspicions }, this.listOtherPeers());
     const relay = suspicions.length > 0 ? this.options.findRelay() : undefined;
     if (relay !== undefined) this.sendMessage({ ...emptyDomainMessage, suspicions }, [relay]);
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -19,8 +19,8 @@
 import RequestHandler from '../application/requests/RequestHandler.ts';
 import UpstreamDispatcher from '../application/requests/UpstreamDispatcher.ts';
 import SuspicionTracker from '../domain/detection/SuspicionTracker.ts';
-import type { HostStateName } from '../domain/membership/HostRecord.ts';
 import UpstreamLimits from '../domain/limits/UpstreamLimits.ts';
+import type { HostStateName } from '../domain/membership/HostRecord.ts';
 import type Preset from '../domain/presets/Preset.ts';
 import computeCosts, { defaultAnswerBytes } from '../domain/requests/computeCosts.ts';
 import LowestCostBalancer from '../domain/requests/LowestCostBalancer.ts';
@@ -66,19 +66,19 @@
 
   private readonly tasks: TaskGroup;
 
-  readonly view: FleetView;
+  private readonly view: FleetView;
 
   private readonly dialer: TrpcPeerDialer;
 
-  readonly socket: UdpDatagramSocket;
+  private readonly socket: UdpDatagramSocket;
 
-  readonly subscriber: FeedSubscriber;
+  private readonly subscriber: FeedSubscriber;
 
-  readonly loadMonitor: LoadMonitor;
+  private readonly loadMonitor: LoadMonitor;
 
   private readonly suspicions: SuspicionTracker;
 
-  readonly limits: UpstreamLimits;
+  private readonly limits: UpstreamLimits;
 
   private readonly retryBudgets: DomainRetryBudgets;
 
@@ -302,7 +302,9 @@
   }
 
   private createMetrics(): PrometheusMetrics {
-    return new PrometheusMetrics(listEntryGauges(this), { hasProcessMetrics: false });
+    const { view, subscriber, socket, limits, loadMonitor } = this;
+    const gauges = listEntryGauges({ view, subscriber, socket, limits, loadMonitor });
+    return new PrometheusMetrics(gauges, { hasProcessMetrics: false });
   }
 
   private createShutdown(): Shutdown {
