src/application/fleet: searches keep nothing of earlier ones; limits of peers always end

Cause: found while the change was read again. The promise of all requests held the results of all searches before, so a host beside a control host that stays dark grew slowly. The end of a limit that arrived in the millisecond in which the limit was last stated was ignored. Change: the promise has no value; the end of a limit that another host reports is always accepted, since that host has compared the times. Measured: tests/fleet.

--- a/src/application/fleet/DomainExchange.ts
+++ b/src/application/fleet/DomainExchange.ts
@@ -296,8 +296,8 @@
       this.reportedLoads.set(upstream, { load: reportedLoad, at: now });
     }
     if (hasRecovered) suspicions.recordRecovery(upstream, now);
-    // The sender has checked that the statement is newer than the limit that it knew.
-    const hasChanged = limit && limits.recordStatement({ upstream, ...limit }, now, now);
+    // The sender has checked that the answer is newer than the limit.
+    const hasChanged = limit && limits.recordStatement({ upstream, ...limit }, Infinity, now);
     if (hasChanged) {
       log.info('detection: another host reported a limit', { upstream, ...limit });
     }
--- a/src/application/fleet/FeedSourceFinder.ts
+++ b/src/application/fleet/FeedSourceFinder.ts
@@ -29,7 +29,7 @@
   private readonly retryAt = new Map<string, number>();
 
   /** Resolves when all requests have ended. */
-  private pendingRequests: Promise<unknown> = Promise.resolve();
+  private pendingRequests: Promise<void> = Promise.resolve();
 
   constructor(options: FeedSourceFinderOptions) {
     this.options = options;
@@ -66,8 +66,8 @@
   }
 
   /** Resolves when all requests have ended. */
-  async waitIdle(): Promise<void> {
-    await this.pendingRequests;
+  waitIdle(): Promise<void> {
+    return this.pendingRequests;
   }
 
   private mayTry(address: string): boolean {
@@ -118,7 +118,7 @@
     });
     const allRequests = Promise.all(requests).then(endSearch);
     // Requests that are still open when the search ends finish by their deadline.
-    this.pendingRequests = Promise.all([this.pendingRequests, allRequests]);
+    this.pendingRequests = Promise.all([this.pendingRequests, allRequests]).then(() => undefined);
     await clock.sleepUntil(Infinity, ended.signal);
     signal.removeEventListener('abort', endSearch);
     return found;
