platform, src/application/fleet: limits with many digits are read, and a host that starts asks eight peers

Of three peers that a starting host asks, all may be starting too after half of the fleet was killed. Measured: tests/platform/dialect.test.ts, tests/fleet/domainExchange.test.ts.

--- a/src/application/fleet/DomainExchange.ts
+++ b/src/application/fleet/DomainExchange.ts
@@ -38,9 +38,9 @@
 const upstreamBytes = 25;
 // Suspicions that alone show a bad upstream may use the bytes of this time in advance.
 const urgentAdvanceMs = 250;
-// A host that starts asks this many peers for their suspicions. All peers know nearly the same, and
-// some of those asked may be starting too.
-const askedPeers = 3;
+// A host that starts asks this many peers for their suspicions. All peers know nearly the same, but
+// many of them may be starting too.
+const askedPeers = 8;
 const urgentKinds: ReadonlySet<SuspicionKind> = new Set(['broken', 'misplaced']);
 
 /** Options of the exchange. */
--- a/tests/fleet/domainExchange.test.ts
+++ b/tests/fleet/domainExchange.test.ts
@@ -71,13 +71,13 @@
   });
 
   // Guards against answers of a whole failure domain that fill the link of a host that starts.
-  it('should ask only three peers for their suspicions', () => {
-    const names = ['a', 'b', 'c', 'd', 'e', 'f'];
+  it('should ask only eight peers for their suspicions', () => {
+    const names = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h', 'i', 'j', 'k'];
     const hosts = names.map((name) => startHost(name, names));
 
     hosts.at(-2)?.exchange.requestSuspicions();
 
-    expect(datagrams.sent.map(({ to }) => to)).toEqual(['f', 'a', 'b']);
+    expect(datagrams.sent.map(({ to }) => to).join('')).toBe('kabcdefg');
   });
 
   it('should count the open requests and retries of the other hosts', async () => {
--- a/tests/platform/dialect.test.ts
+++ b/tests/platform/dialect.test.ts
@@ -100,6 +100,9 @@
   it.each([
     ['7.7', { kind: 'limited', requestsPerSecond: 7.7 }],
     ['0', { kind: 'limited', requestsPerSecond: 0 }],
+    ['4.900000000000000355', { kind: 'limited', requestsPerSecond: 4.9 }],
+    ['.5', { kind: 'limited', requestsPerSecond: 0.5 }],
+    ['7.7 requests', { kind: 'invalid', text: '7.7 requests' }],
     [undefined, { kind: 'unlimited' }],
     ['-3', { kind: 'invalid', text: '-3' }],
     ['1e9', { kind: 'invalid', text: '1e9' }],
