--- a/src/adapters/udp/decodeDomainMessage.ts
+++ b/src/adapters/udp/decodeDomainMessage.ts
@@ -43,7 +43,8 @@
 
 function isUpstreamRow(value: unknown): boolean {
   if (!Array.isArray(value)) return false;
-  const [upstream, inFlight, load, recovery, requests, incarnation, rate] = value as unknown[];
+  const [upstream, inFlight, load, recovery, requests, incarnation, rate, leaving] =
+    value as unknown[];
   return (
     typeof upstream === 'string' &&
     isCount(inFlight) &&
@@ -51,12 +52,13 @@
     (isMissing(recovery) || recovery === 1) &&
     (isMissing(requests) || isCount(requests)) &&
     (isMissing(incarnation) || isCount(incarnation)) &&
-    (isMissing(rate) || (isRate(rate) && !isMissing(incarnation)))
+    (isMissing(rate) || (isRate(rate) && !isMissing(incarnation))) &&
+    (isMissing(leaving) || isCount(leaving))
   );
 }
 
 function decodeUpstream([upstream, ...values]: UpstreamRow): UpstreamActivity {
-  const [inFlight, load, recovery, requests, incarnation, rate] = values;
+  const [inFlight, load, recovery, requests, incarnation, rate, leaving] = values;
   return {
     upstream,
     inFlight: inFlight ?? 0,
@@ -66,6 +68,7 @@
     limit: isMissing(incarnation)
       ? undefined
       : { incarnation: Number(incarnation), requestsPerSecond: rate ?? undefined },
+    leavingIncarnation: leaving ?? undefined,
   };
 }
 
--- a/src/adapters/udp/encodeDomainMessage.ts
+++ b/src/adapters/udp/encodeDomainMessage.ts
@@ -6,8 +6,8 @@
 
 /**
  * Upstream, open requests, reported load, 1 after a recovery, requests under a limit, incarnation
- * and requests per second of a limit. Missing values at the end are left out, others are null; a
- * limit that has ended has only an incarnation.
+ * and requests per second of a limit, incarnation that is leaving. Missing values at the end are
+ * left out, others are null; a limit that has ended has only an incarnation.
  */
 export type UpstreamRow = readonly [string, ...(number | null)[]];
 
@@ -22,7 +22,15 @@
 }
 
 function encodeUpstream(activity: UpstreamActivity): UpstreamRow {
-  const { upstream, inFlight, reportedLoad, hasRecovered, limitedRequests, limit } = activity;
+  const {
+    upstream,
+    inFlight,
+    reportedLoad,
+    hasRecovered,
+    limitedRequests,
+    limit,
+    leavingIncarnation,
+  } = activity;
   const values = [
     inFlight,
     reportedLoad ?? null,
@@ -30,6 +38,7 @@
     limitedRequests > 0 ? limitedRequests : null,
     limit?.incarnation ?? null,
     limit?.requestsPerSecond ?? null,
+    leavingIncarnation ?? null,
   ];
   const length = 1 + values.findLastIndex((value) => value !== null);
   return [upstream, ...values.slice(0, length)];
--- a/src/application/fleet/DomainExchange.ts
+++ b/src/application/fleet/DomainExchange.ts
@@ -2,10 +2,11 @@
 import type SuspicionTracker from '../../domain/detection/SuspicionTracker.ts';
 import { emptyDomainMessage } from '../../domain/fleet/DomainMessage.ts';
 import type { DomainMessage, UpstreamActivity } from '../../domain/fleet/DomainMessage.ts';
-import RateLimit from '../../domain/limits/RateLimit.ts';
-import type UpstreamLimits from '../../domain/limits/UpstreamLimits.ts';
-import type { StatedLimit } from '../../domain/limits/UpstreamLimits.ts';
 import type { RetryCounts } from '../../domain/requests/RetryWindow.ts';
+import RateLimit from '../../domain/statements/RateLimit.ts';
+import type UpstreamIncarnation from '../../domain/statements/UpstreamIncarnation.ts';
+import type { StatedLimit } from '../../domain/statements/UpstreamLimits.ts';
+import type UpstreamStatements from '../../domain/statements/UpstreamStatements.ts';
 import type Clock from '../../ports/Clock.ts';
 import type DatagramSocket from '../../ports/DatagramSocket.ts';
 import type Log from '../../ports/Log.ts';
@@ -36,7 +37,7 @@
 const maxBytesPerMessage = 7500;
 // Typical size of an upstream in a message.
 const upstreamBytes = 25;
-// Suspicions that alone show a bad upstream, and requests under a limit, may use the bytes of this
+// Suspicions that alone show a bad upstream, and what upstreams state, may use the bytes of this
 // time in advance.
 const urgentAdvanceMs = 500;
 // A host that starts asks this many peers for their suspicions. All peers know nearly the same, but
@@ -55,7 +56,7 @@
   /** Address of the control host that relays suspicions to other failure domains. */
   readonly findRelay: () => string | undefined;
   readonly suspicions: SuspicionTracker;
-  readonly limits: UpstreamLimits;
+  readonly statements: UpstreamStatements;
   /** Requests and retries of this host in the newest window, by service. */
   readonly readRetries: () => Readonly<Record<string, RetryCounts>>;
 }
@@ -69,8 +70,9 @@
 
 /**
  * Exchanges datagrams between the entry hosts of one failure domain: open requests, retries,
- * reported loads, limits, suspicions and recoveries. Works without a control host. Sends a
- * bounded number of bytes: with more hosts or more load, messages are fewer and hold more changes.
+ * reported loads, statements of upstreams, suspicions and recoveries. Works without a control host.
+ * Sends a bounded number of bytes: with more hosts or more load, messages are fewer and hold more
+ * changes.
  */
 export default class DomainExchange {
   private readonly options: DomainExchangeOptions;
@@ -112,11 +114,11 @@
   }
 
   recordStart(upstream: string): void {
-    const { limits, clock } = this.options;
+    const { statements, clock } = this.options;
     this.ownInFlight.set(upstream, (this.ownInFlight.get(upstream) ?? 0) + 1);
     this.announceChange(upstream);
-    if (!limits.hasLimit(upstream)) return;
-    limits.recordRequests(upstream, 1, clock.now());
+    if (!statements.hasLimit(upstream)) return;
+    statements.recordRequests(upstream, 1, clock.now());
     this.unsent.addLimitedRequest(upstream);
     this.sendEarly(true);
   }
@@ -144,14 +146,26 @@
    * at `sentAt`, or that it stated none. A change is sent as soon as the limit of bytes allows.
    */
   reportLimit(stated: StatedLimit, sentAt: number): void {
-    const { clock, limits, log } = this.options;
+    const { clock, statements, log } = this.options;
     const now = clock.now();
-    if (!limits.recordStatement(stated, sentAt, now)) return;
+    if (!statements.recordLimit(stated, sentAt, now)) return;
     log.info('detection: an upstream changed its limit', { ...stated });
     this.unsent.addLimit(stated);
     this.sendEarly(true);
   }
 
+  /**
+   * Records that an upstream stated to this host that it is leaving, and sends it as soon as the
+   * limit of bytes allows.
+   */
+  reportLeaving(upstream: UpstreamIncarnation): void {
+    const { statements, log } = this.options;
+    if (!statements.recordLeaving(upstream)) return;
+    log.info('detection: an upstream is leaving', { ...upstream });
+    this.unsent.addLeaving(upstream);
+    this.sendEarly(true);
+  }
+
   /**
    * Reports a recovery with the next message: the upstream sent a good answer to a request that was
    * sent after all suspicions of the upstream itself.
@@ -175,8 +189,8 @@
   }
 
   /**
-   * Asks some peers which upstreams they suspect and which have a limit; called once this host has
-   * their addresses.
+   * Asks some peers which upstreams they suspect, which have a limit and which are leaving; called
+   * once this host has their addresses.
    */
   requestSuspicions(): void {
     const { ownAddress } = this.options;
@@ -191,7 +205,7 @@
 
   /** Sends changes, and repeats open requests and retries, until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock, suspicions, limits } = this.options;
+    const { clock, suspicions, statements } = this.options;
     signal.addEventListener('abort', () => this.notifier.notify(), { once: true });
     let repeatAt = clock.now() + repeatMs;
     while (!signal.aborted) {
@@ -201,7 +215,7 @@
       if (now >= repeatAt) {
         repeatAt = now + repeatMs;
         this.addRepeated();
-        limits.pruneUnknown();
+        statements.prune(now);
         suspicions.pruneIdle(now);
         this.dropOldLoads(now);
       }
@@ -250,9 +264,9 @@
     this.sendWithSuspicions({ ...emptyDomainMessage, upstreams, retries });
   }
 
-  /** Sends only suspicions and what other hosts need to keep the limits of upstreams. */
+  /** Sends only suspicions and what other hosts need to keep to what upstreams state. */
   private sendUrgent(): void {
-    const upstreams = this.unsent.takeLimited((upstream) => this.readInFlight(upstream));
+    const upstreams = this.unsent.takeUrgent((upstream) => this.readInFlight(upstream));
     this.sendWithSuspicions({ ...emptyDomainMessage, upstreams });
   }
 
@@ -308,29 +322,41 @@
   }
 
   private acceptActivity(activity: UpstreamActivity, now: number): void {
-    const { suspicions, limits, log } = this.options;
+    const { suspicions, statements, log } = this.options;
     const { upstream, reportedLoad, hasRecovered, limitedRequests, limit } = activity;
+    const { leavingIncarnation: incarnation } = activity;
     if (reportedLoad !== undefined) {
       this.reportedLoads.set(upstream, { load: reportedLoad, at: now });
     }
     if (hasRecovered) suspicions.recordRecovery(upstream, now);
     // The sender has checked that the answer is newer than the limit.
-    const hasChanged = limit && limits.recordStatement({ upstream, ...limit }, Infinity, now);
+    const hasChanged = limit && statements.recordLimit({ upstream, ...limit }, Infinity, now);
     if (hasChanged) {
       log.info('detection: another host reported a limit', { upstream, ...limit });
     }
-    if (limitedRequests > 0) limits.recordRequests(upstream, limitedRequests, now);
+    if (limitedRequests > 0) statements.recordRequests(upstream, limitedRequests, now);
+    if (incarnation !== undefined && statements.recordLeaving({ upstream, incarnation })) {
+      log.info('detection: another host reported a leaving upstream', { upstream, incarnation });
+    }
   }
 
   private answerSuspicions(address: string, now: number): void {
+    const { statements } = this.options;
     const suspicions = this.options.suspicions.listSuspicions(now);
-    const upstreams = this.options.limits.listLimits().map(({ upstream, ...limit }) => ({
+    const limits = new Map(
+      statements.listLimits().map(({ upstream, ...limit }) => [upstream, limit]),
+    );
+    const leaving = new Map(
+      statements.listLeaving().map(({ upstream, incarnation }) => [upstream, incarnation]),
+    );
+    const upstreams = [...new Set([...limits.keys(), ...leaving.keys()])].map((upstream) => ({
       upstream,
-      inFlight: this.ownInFlight.get(upstream) ?? 0,
+      inFlight: this.readInFlight(upstream),
       reportedLoad: undefined,
       hasRecovered: false,
       limitedRequests: 0,
-      limit,
+      limit: limits.get(upstream),
+      leavingIncarnation: leaving.get(upstream),
     }));
     if (suspicions.length + upstreams.length === 0) return;
     this.sendMessage({ ...emptyDomainMessage, suspicions, upstreams }, [address]);
--- a/src/application/fleet/UnsentChanges.ts
+++ b/src/application/fleet/UnsentChanges.ts
@@ -1,6 +1,7 @@
 import type { Suspicion } from '../../domain/detection/SuspicionTracker.ts';
 import type { UpstreamActivity } from '../../domain/fleet/DomainMessage.ts';
-import type { StatedLimit } from '../../domain/limits/UpstreamLimits.ts';
+import type UpstreamIncarnation from '../../domain/statements/UpstreamIncarnation.ts';
+import type { StatedLimit } from '../../domain/statements/UpstreamLimits.ts';
 
 /** What an entry host has not reported to the other hosts of its failure domain yet. */
 export default class UnsentChanges {
@@ -16,6 +17,9 @@
 
   private readonly limits = new Map<string, StatedLimit>();
 
+  /** Incarnations that are leaving, by upstream. */
+  private readonly leaving = new Map<string, number>();
+
   private suspicions: readonly Suspicion[] = [];
 
   /** Adds an upstream whose open requests changed. */
@@ -40,6 +44,10 @@
     this.limits.set(limit.upstream, limit);
   }
 
+  addLeaving({ upstream, incarnation }: UpstreamIncarnation): void {
+    this.leaving.set(upstream, incarnation);
+  }
+
   /** Adds a suspicion, unless the same one is waiting already. */
   addSuspicion(suspicion: Suspicion): void {
     const { upstream, incarnation, kind } = suspicion;
@@ -55,7 +63,7 @@
     return this.listUpstreams().size > 0;
   }
 
-  /** Removes and returns the changes of up to `count` upstreams, those of limits first. */
+  /** Removes and returns the changes of up to `count` upstreams, urgent ones first. */
   takeUpstreams(
     count: number,
     readInFlight: (upstream: string) => number,
@@ -65,10 +73,14 @@
       .map((upstream) => this.takeUpstream(upstream, readInFlight(upstream)));
   }
 
-  /** Removes and returns the changes of the upstreams with changes of a limit or under a limit. */
-  takeLimited(readInFlight: (upstream: string) => number): readonly UpstreamActivity[] {
-    const upstreams = new Set([...this.limits.keys(), ...this.limitedRequests.keys()]);
-    return [...upstreams].map((upstream) => this.takeUpstream(upstream, readInFlight(upstream)));
+  /**
+   * Removes and returns the changes of the upstreams that are leaving, that changed a limit or that
+   * have requests under a limit.
+   */
+  takeUrgent(readInFlight: (upstream: string) => number): readonly UpstreamActivity[] {
+    return [...new Set(this.listUrgent())].map((upstream) =>
+      this.takeUpstream(upstream, readInFlight(upstream)),
+    );
   }
 
   /** Removes and returns the suspicions. */
@@ -86,20 +98,25 @@
       hasRecovered: this.recoveries.has(upstream),
       limitedRequests: this.limitedRequests.get(upstream) ?? 0,
       limit: this.limits.get(upstream),
+      leavingIncarnation: this.leaving.get(upstream),
     };
-    [this.inFlight, this.loads, this.recoveries, this.limitedRequests, this.limits].forEach(
-      (changes) => changes.delete(upstream),
+    const { inFlight: changed, loads, recoveries, limitedRequests, limits, leaving } = this;
+    [changed, loads, recoveries, limitedRequests, limits, leaving].forEach((changes) =>
+      changes.delete(upstream),
     );
     return activity;
   }
 
   private listUpstreams(): ReadonlySet<string> {
     return new Set([
-      ...this.limits.keys(),
-      ...this.limitedRequests.keys(),
+      ...this.listUrgent(),
       ...this.inFlight,
       ...this.loads.keys(),
       ...this.recoveries,
     ]);
   }
+
+  private listUrgent(): readonly string[] {
+    return [...this.leaving.keys(), ...this.limits.keys(), ...this.limitedRequests.keys()];
+  }
 }
--- a/src/application/requests/DefaultDialect.ts
+++ b/src/application/requests/DefaultDialect.ts
@@ -60,8 +60,8 @@
     const isShed = hasNotRun || (status === 503 && listValues(headers, 'retry-after').length > 0);
     const load = listValues(headers, loadName)[0];
     const reportedLoad = load !== undefined && /^\d{1,6}$/.test(load) ? Number(load) : undefined;
-    const limitStatement = undefined;
-    return { hasNotRun, isShed, isMisdirected: false, reportedLoad, limitStatement };
+    const statements = undefined;
+    return { hasNotRun, isShed, isMisdirected: false, reportedLoad, statements };
   }
 
   createCallerHeaders({ outcome, errorKind, retryAt }: CallerAnswer, now: number): Header[] {
--- a/src/application/requests/RequestDialect.ts
+++ b/src/application/requests/RequestDialect.ts
@@ -1,5 +1,5 @@
-import type LimitStatement from '../../domain/limits/LimitStatement.ts';
 import type Result from '../../domain/errors/Result.ts';
+import type AnswerStatements from '../../domain/statements/AnswerStatements.ts';
 import type { UpstreamAnswer } from '../../ports/UpstreamClient.ts';
 import type { CallerAnswer } from './CallerRequest.ts';
 
@@ -16,8 +16,8 @@
   readonly isMisdirected: boolean;
   /** Number of requests that run or wait at the upstream; undefined when it reported none. */
   readonly reportedLoad: number | undefined;
-  /** What the upstream says about a limit; undefined if the dialect has no such statement. */
-  readonly limitStatement: LimitStatement | undefined;
+  /** What the upstream states about itself; undefined if the dialect has no such statements. */
+  readonly statements: AnswerStatements | undefined;
 }
 
 /** Metadata of a request that is about to be sent to an upstream. */
@@ -46,7 +46,8 @@
     requestId: string,
     answer: { readonly status: number; readonly headers: readonly Header[] },
   ): boolean;
-  readAnswerSignals(answer: UpstreamAnswer): AnswerSignals;
+  /** Reads the signals of an answer that this host received at `now`. */
+  readAnswerSignals(answer: UpstreamAnswer, now: number): AnswerSignals;
   /** Headers for the caller besides the forwarded ones. */
   createCallerHeaders(answer: CallerAnswer, now: number): readonly Header[];
 }
--- a/src/application/requests/UpstreamChooser.ts
+++ b/src/application/requests/UpstreamChooser.ts
@@ -1,15 +1,16 @@
 import type Failure from '../../domain/errors/Failure.ts';
 import type Balancer from '../../domain/requests/Balancer.ts';
 import type UsableUpstream from '../../domain/requests/UsableUpstream.ts';
+import type { UpstreamAccess } from '../../domain/statements/UpstreamStatements.ts';
 import type Clock from '../../ports/Clock.ts';
 import type RandomSource from '../../ports/RandomSource.ts';
 import type CallerRequest from './CallerRequest.ts';
 import type LoadSource from './LoadSource.ts';
-import type UpstreamLimiter from './UpstreamLimiter.ts';
+import type UpstreamGate from './UpstreamGate.ts';
 import type UpstreamPool from './UpstreamPool.ts';
 
 // At or above this risk, an operation that must not repeat is kept from an upstream if a sound one
-// has room under its limit soon.
+// takes requests again soon.
 const likelyFailureRisk = 0.8;
 
 /** Options of the chooser. */
@@ -20,13 +21,13 @@
   readonly pool: UpstreamPool;
   readonly loadTracker: Pick<LoadSource, 'readLoad'>;
   readonly failureDomain: string;
-  /** Limits that upstreams state; none unless set. */
-  readonly limiter?: UpstreamLimiter;
+  /** Keeps requests from upstreams that state that they take none; unless set, all are open. */
+  readonly gate?: UpstreamGate;
   /** Estimated probability that a request to the upstream fails, from 0 to 1; 0 unless set. */
   readonly readRisk?: (upstream: UsableUpstream) => number;
 }
 
-/** Chooses upstreams for the attempts of a request, within the limits of the upstreams. */
+/** Chooses upstreams for the attempts of a request among those that take requests now. */
 export default class UpstreamChooser {
   private readonly options: UpstreamChooserOptions;
 
@@ -36,10 +37,9 @@
 
   /** Lists the upstreams that may receive the request now, without those that it has tried. */
   listUntried(request: CallerRequest, tried: ReadonlySet<string>): readonly UsableUpstream[] {
-    const { pool, limiter } = this.options;
-    return pool
+    return this.options.pool
       .listUsable(request.route.service)
-      .filter(({ record }) => !tried.has(record.upstream) && (limiter?.mayUse(record) ?? true));
+      .filter((upstream) => !tried.has(upstream.record.upstream) && this.isOpen(upstream));
   }
 
   /**
@@ -63,8 +63,8 @@
     const { repeat } = request.route;
     if (!chosen || repeat === 'allowed' || !this.isLikelyToFail(chosen)) return chosen;
     // An operation that fails once it was sent can't be tried again, so its caller had better come
-    // back when a limit allows a request to a sound upstream.
-    const mayComeBack = this.listLimited(request.route.service).some(
+    // back when a sound upstream takes requests again.
+    const mayComeBack = this.listClosed(request.route.service).some(
       (upstream) => !this.isLikelyToFail(upstream) && this.getFreeAt(upstream) < request.deadline,
     );
     return mayComeBack ? undefined : chosen;
@@ -73,26 +73,38 @@
   /** Describes why no upstream was chosen for a request that was not sent. */
   describeRefusal({ method, target, route }: CallerRequest): Failure {
     const usable = this.options.pool.listUsable(route.service);
-    const limited = this.listLimited(route.service);
+    // An upstream that is leaving takes no requests later either.
+    const closed = this.listClosed(route.service).filter(
+      (upstream) => this.getFreeAt(upstream) < Infinity,
+    );
     const call = `${method} ${target}: service "${route.service}"`;
-    if (limited.length === 0) {
+    if (closed.length === 0) {
       return { kind: 'no_upstream', message: `${call} has no usable upstream` };
     }
-    const sound = limited.filter((upstream) => !this.isLikelyToFail(upstream));
-    const freeAt = (sound.length > 0 ? sound : limited).map((upstream) => this.getFreeAt(upstream));
-    const message = `${call}: ${limited.length} of ${usable.length} usable upstreams have the requests that their limits allow, the others are likely to fail`;
-    return { kind: 'upstreams_limited', message, retryAt: Math.min(...freeAt) };
+    const sound = closed.filter((upstream) => !this.isLikelyToFail(upstream));
+    const freeAt = (sound.length > 0 ? sound : closed).map((upstream) => this.getFreeAt(upstream));
+    const limited = closed.filter((upstream) => this.decideAccess(upstream) === 'limited');
+    const counts = `${limited.length} limited and ${closed.length - limited.length} paused`;
+    const message = `${call}: ${counts} of ${usable.length} usable upstreams, the others are leaving or likely to fail`;
+    const kind = limited.length > 0 ? 'upstreams_limited' : 'upstreams_paused';
+    return { kind, message, retryAt: Math.min(...freeAt) };
+  }
+
+  /** Usable upstreams that take no request now, by what they stated. */
+  private listClosed(service: string): readonly UsableUpstream[] {
+    return this.options.pool.listUsable(service).filter((upstream) => !this.isOpen(upstream));
+  }
+
+  private isOpen(upstream: UsableUpstream): boolean {
+    return this.decideAccess(upstream) === 'open';
   }
 
-  /** Usable upstreams that may get no request now because of their limits. */
-  private listLimited(service: string): readonly UsableUpstream[] {
-    const { pool, limiter } = this.options;
-    if (!limiter) return [];
-    return pool.listUsable(service).filter(({ record }) => !limiter.mayUse(record));
+  private decideAccess({ record }: UsableUpstream): UpstreamAccess {
+    return this.options.gate?.decideAccess(record) ?? 'open';
   }
 
   private getFreeAt({ record }: UsableUpstream): number {
-    return this.options.limiter?.getFreeAt(record) ?? -Infinity;
+    return this.options.gate?.getFreeAt(record) ?? -Infinity;
   }
 
   private isLikelyToFail(upstream: UsableUpstream): boolean {
--- a/src/application/requests/UpstreamDispatcher.ts
+++ b/src/application/requests/UpstreamDispatcher.ts
@@ -1,11 +1,10 @@
 import type Failure from '../../domain/errors/Failure.ts';
-import type LimitStatement from '../../domain/limits/LimitStatement.ts';
-import type UpstreamRecord from '../../domain/membership/UpstreamRecord.ts';
 import type { ServiceSettings } from '../../domain/presets/Preset.ts';
 import type RetryPolicy from '../../domain/requests/RetryPolicy.ts';
 import SheddingTracker from '../../domain/requests/SheddingTracker.ts';
 import type { AttemptResult } from '../../domain/requests/AttemptResult.ts';
 import type UsableUpstream from '../../domain/requests/UsableUpstream.ts';
+import type AnswerStatements from '../../domain/statements/AnswerStatements.ts';
 import type Log from '../../ports/Log.ts';
 import type UpstreamClient from '../../ports/UpstreamClient.ts';
 import type { UpstreamAnswer, UpstreamResult } from '../../ports/UpstreamClient.ts';
@@ -52,10 +51,16 @@
   readonly outcome: DispatchResult['outcome'];
 }
 
-/** Creates the log fields for a limit that an upstream stated. */
-function describeLimit(statement: LimitStatement) {
-  if (statement.kind === 'limited') return { limitPerSecond: statement.requestsPerSecond };
-  return statement.kind === 'invalid' ? { invalidLimit: statement.text } : {};
+/** Creates the log fields for what an upstream stated; fields without a value are not logged. */
+function describeStatements({ limit, pausedUntil, leaving }: AnswerStatements, now: number) {
+  return {
+    limitPerSecond: limit.kind === 'stated' ? limit.value : undefined,
+    invalidLimit: limit.kind === 'invalid' ? limit.text : undefined,
+    pausedMs: pausedUntil.kind === 'stated' ? Math.round(pausedUntil.value - now) : undefined,
+    invalidPause: pausedUntil.kind === 'invalid' ? pausedUntil.text : undefined,
+    isLeaving: leaving.kind === 'stated' ? true : undefined,
+    invalidLeaving: leaving.kind === 'invalid' ? leaving.text : undefined,
+  };
 }
 
 // A later attempt that did not run must not mask an earlier attempt that may have run.
@@ -163,7 +168,7 @@
       readonly takeRetry: () => boolean;
     },
   ): Promise<Attempt> {
-    const { clock, random, upstreamClient, pool, observer, loadTracker } = this.options;
+    const { clock, random, upstreamClient, pool, gate, observer, loadTracker } = this.options;
     const { chosen, giveUpAt } = plan;
     const { record } = chosen;
     let hasTakenRetry = false;
@@ -191,14 +196,18 @@
       maxAnswerBytes: request.route.maxAnswerBytes,
       echoRequestId: service.echoRequestId,
       signal: request.signal,
-      // An upstream can leave or be ejected while the request waits for a connection.
-      mayDispatch: () => !checkSendable(request, clock.now()) && pool.isUsable(record),
+      // An upstream can leave, pause or be ejected while the request waits for a connection.
+      mayDispatch: () =>
+        !checkSendable(request, clock.now()) &&
+        pool.isUsable(record) &&
+        (gate?.maySend(record) ?? true),
     });
     const endedAt = clock.now();
     const refusal = checkSendable(request, clock.now());
-    const { end, answerClass, reportedLoad, limitStatement } = classifyAttempt(result, {
+    const { end, answerClass, reportedLoad, statements } = classifyAttempt(result, {
       isOver: refusal !== undefined,
       dialect: this.dialect,
+      now: endedAt,
     });
     this.options.log?.info('requests: an attempt ended', {
       requestId: request.requestId,
@@ -207,11 +216,11 @@
       end,
       answerClass,
       status: result.kind === 'answered' ? result.answer.status : undefined,
-      ...(limitStatement && describeLimit(limitStatement)),
+      ...(statements && describeStatements(statements, endedAt)),
       tookMs: Math.round(endedAt - startedAt),
     });
     loadTracker.recordEnd({ ...names, reportedLoad, now: endedAt });
-    this.reportLimit(record, limitStatement, startedAt);
+    if (statements) gate?.reportStatements(record, statements, startedAt);
     observer.recordEnd(attemptId, {
       ...names,
       answerClass,
@@ -232,18 +241,6 @@
     return { end, hasTakenRetry, mayHaveRun, outcome: { kind: 'failed', failure } };
   }
 
-  private reportLimit(
-    { upstream, incarnation }: UpstreamRecord,
-    statement: LimitStatement | undefined,
-    sentAt: number,
-  ): void {
-    // After an answer that states nothing readable, the limit stays as it was.
-    if (!statement || statement.kind === 'invalid') return;
-    const requestsPerSecond =
-      statement.kind === 'limited' ? statement.requestsPerSecond : undefined;
-    this.options.limiter?.reportLimit({ upstream, incarnation, requestsPerSecond }, sentAt);
-  }
-
   private recordChoice(
     { requestId, route, deadline }: CallerRequest,
     attempt: {
--- a/src/application/requests/classifyAttempt.ts
+++ b/src/application/requests/classifyAttempt.ts
@@ -1,6 +1,6 @@
-import type LimitStatement from '../../domain/limits/LimitStatement.ts';
 import type { AnswerClass } from '../../domain/requests/AttemptObservation.ts';
 import type { AttemptResult } from '../../domain/requests/AttemptResult.ts';
+import type AnswerStatements from '../../domain/statements/AnswerStatements.ts';
 import type { NotSentReason, SentFailure, UpstreamResult } from '../../ports/UpstreamClient.ts';
 import type RequestDialect from './RequestDialect.ts';
 
@@ -22,21 +22,25 @@
   readonly end: AttemptResult;
   readonly answerClass: AnswerClass;
   readonly reportedLoad: number | undefined;
-  /** What the upstream states about a limit; undefined if no answer of it says anything. */
-  readonly limitStatement: LimitStatement | undefined;
+  /** What the upstream states about itself; undefined without an answer of that upstream. */
+  readonly statements: AnswerStatements | undefined;
 }
 
 /**
  * Classifies the result of an attempt. `isOver` is true once the caller has disconnected or its
- * deadline has passed.
+ * deadline has passed; the attempt ended at `now`.
  */
 export default function classifyAttempt(
   result: UpstreamResult,
-  { isOver, dialect }: { readonly isOver: boolean; readonly dialect: RequestDialect },
+  {
+    isOver,
+    dialect,
+    now,
+  }: { readonly isOver: boolean; readonly dialect: RequestDialect; readonly now: number },
 ): AttemptClassification {
   if (result.kind === 'answered') {
-    const signals = dialect.readAnswerSignals(result.answer);
-    const { hasNotRun, isShed, isMisdirected, reportedLoad, limitStatement } = signals;
+    const signals = dialect.readAnswerSignals(result.answer, now);
+    const { hasNotRun, isShed, isMisdirected, reportedLoad, statements } = signals;
     const isFaulty = result.answer.status >= 500;
     const answerResult = isFaulty ? 'faulty_answer' : 'good_answer';
     const completeClass = isFaulty ? 'failed' : 'good';
@@ -46,7 +50,7 @@
       answerClass: isShed || isMisdirected ? refusedClass : completeClass,
       reportedLoad,
       // Another upstream answered a misdirected request.
-      limitStatement: isMisdirected ? undefined : limitStatement,
+      statements: isMisdirected ? undefined : statements,
     };
   }
   // A retry would not help: another upstream would get the same malformed request or send the same
@@ -57,6 +61,6 @@
     end: isFinal ? 'given_up' : failureResult,
     answerClass: answerClasses[result.reason],
     reportedLoad: undefined,
-    limitStatement: undefined,
+    statements: undefined,
   };
 }
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -7,7 +7,7 @@
 import UdpDatagramSocket from '../adapters/udp/UdpDatagramSocket.ts';
 import DisabledClaimGate from '../application/claims/DisabledClaimGate.ts';
 import DomainExchange from '../application/fleet/DomainExchange.ts';
-import DomainLimiter from '../application/fleet/DomainLimiter.ts';
+import DomainGate from '../application/fleet/DomainGate.ts';
 import DomainLoad from '../application/fleet/DomainLoad.ts';
 import DomainRetryBudgets from '../application/fleet/DomainRetryBudgets.ts';
 import FeedSubscriber from '../application/fleet/FeedSubscriber.ts';
@@ -19,7 +19,6 @@
 import RequestHandler from '../application/requests/RequestHandler.ts';
 import UpstreamDispatcher from '../application/requests/UpstreamDispatcher.ts';
 import SuspicionTracker from '../domain/detection/SuspicionTracker.ts';
-import UpstreamLimits from '../domain/limits/UpstreamLimits.ts';
 import type { HostStateName } from '../domain/membership/HostRecord.ts';
 import type Preset from '../domain/presets/Preset.ts';
 import computeCosts, { defaultAnswerBytes } from '../domain/requests/computeCosts.ts';
@@ -27,6 +26,7 @@
 import type { BalancerCosts } from '../domain/requests/LowestCostBalancer.ts';
 import type UsableUpstream from '../domain/requests/UsableUpstream.ts';
 import type { FleetEntrySettings } from '../domain/settings/FleetSettings.ts';
+import UpstreamStatements from '../domain/statements/UpstreamStatements.ts';
 import type Clock from '../ports/Clock.ts';
 import type Log from '../ports/Log.ts';
 import type PresetCodec from '../ports/PresetCodec.ts';
@@ -78,7 +78,7 @@
 
   private readonly suspicions: SuspicionTracker;
 
-  private readonly limits: UpstreamLimits;
+  private readonly statements: UpstreamStatements;
 
   private readonly retryBudgets: DomainRetryBudgets;
 
@@ -120,7 +120,7 @@
     });
     this.subscriber = this.createSubscriber();
     this.suspicions = new SuspicionTracker({ decayMs: settings.suspicionMs });
-    this.limits = new UpstreamLimits({
+    this.statements = new UpstreamStatements({
       failureDomain: settings.failureDomain,
       failureDomains: settings.failureDomains.length,
       findFailureDomain: (upstream) => this.view.findUpstream(upstream)?.failureDomain,
@@ -240,7 +240,7 @@
       listPeers: () => this.view.entryHosts.map(({ address }) => address),
       findRelay: () => this.findRelay(),
       suspicions: this.suspicions,
-      limits: this.limits,
+      statements: this.statements,
       readRetries: () => this.retryBudgets.readOwnCounts(),
     });
   }
@@ -256,7 +256,7 @@
 
   private createHandler(metrics: PrometheusMetrics): RequestHandler {
     const { settings, clock, random, log, dialect } = this.options;
-    const { view, upstreamClient, exchange, observer, suspicions, limits } = this;
+    const { view, upstreamClient, exchange, observer, suspicions, statements } = this;
     const readRisk = ({ record }: UsableUpstream): number =>
       suspicions.getRisk(record.upstream, record.incarnation, clock.now());
     const dispatcher = new UpstreamDispatcher({
@@ -266,7 +266,7 @@
       balancer: new LowestCostBalancer({
         readCosts: (service, retryScarcity) => this.readCosts(service, retryScarcity),
         readRisk,
-        readLimitUse: ({ record }) => limits.computeUse(record, clock.now()),
+        readLimitUse: ({ record }) => statements.computeLimitUse(record, clock.now()),
         loadHalfLifeMs,
       }),
       pool: view,
@@ -274,7 +274,7 @@
       loadTracker: new DomainLoad({ exchange }),
       failureDomain: settings.failureDomain,
       dialect,
-      limiter: new DomainLimiter({ clock, limits, exchange }),
+      gate: new DomainGate({ clock, log, statements, exchange }),
       isStopping: () => this.isStopping,
       log,
       readRisk,
@@ -302,8 +302,9 @@
   }
 
   private createMetrics(): PrometheusMetrics {
-    const { view, subscriber, socket, limits, loadMonitor } = this;
-    const gauges = listEntryGauges({ view, subscriber, socket, limits, loadMonitor });
+    const { view, subscriber, socket, statements, loadMonitor } = this;
+    const { clock } = this.options;
+    const gauges = listEntryGauges({ clock, view, subscriber, socket, statements, loadMonitor });
     return new PrometheusMetrics(gauges, { hasProcessMetrics: false });
   }
 
--- a/src/daemon/listEntryGauges.ts
+++ b/src/daemon/listEntryGauges.ts
@@ -3,21 +3,23 @@
 import type FeedSubscriber from '../application/fleet/FeedSubscriber.ts';
 import type FleetView from '../application/fleet/FleetView.ts';
 import type LoadMonitor from '../application/metrics/LoadMonitor.ts';
-import type UpstreamLimits from '../domain/limits/UpstreamLimits.ts';
+import type UpstreamStatements from '../domain/statements/UpstreamStatements.ts';
+import type Clock from '../ports/Clock.ts';
 import listLoadGauges from './listLoadGauges.ts';
 
 /** State of an entry host that the gauges report. */
 export interface GaugedEntryHost {
+  readonly clock: Clock;
   readonly view: Pick<FleetView, 'state' | 'entryHosts'>;
   readonly subscriber: Pick<FeedSubscriber, 'source' | 'feedAgeMs'>;
   readonly socket: Pick<UdpDatagramSocket, 'refusedCount' | 'unsentCount'>;
-  readonly limits: Pick<UpstreamLimits, 'size'>;
+  readonly statements: Pick<UpstreamStatements, 'limitedCount' | 'leavingCount' | 'countPaused'>;
   readonly loadMonitor: Pick<LoadMonitor, 'maxDelayMs'>;
 }
 
 /** Lists the gauges of an entry host in a fleet whose hosts discover each other through seeds. */
 export default function listEntryGauges(host: GaugedEntryHost): readonly GaugeSource[] {
-  const { view, subscriber, socket, limits, loadMonitor } = host;
+  const { clock, view, subscriber, socket, statements, loadMonitor } = host;
   return [
     {
       name: 'preset_number',
@@ -42,7 +44,17 @@
     {
       name: 'limited_upstreams',
       help: 'Upstreams that state a limit.',
-      readValue: () => limits.size,
+      readValue: () => statements.limitedCount,
+    },
+    {
+      name: 'paused_upstreams',
+      help: 'Upstreams that take no request from this host for now.',
+      readValue: () => statements.countPaused(clock.now()),
+    },
+    {
+      name: 'leaving_upstreams',
+      help: 'Upstreams that state in their answers that they are leaving.',
+      readValue: () => statements.leavingCount,
     },
     {
       name: 'datagrams_refused',
--- a/src/domain/errors/ErrorKind.ts
+++ b/src/domain/errors/ErrorKind.ts
@@ -25,6 +25,7 @@
   // Upstreams.
   | 'no_upstream'
   | 'upstreams_limited'
+  | 'upstreams_paused'
   | 'upstream_unreachable'
   | 'upstream_refused'
   | 'upstream_timeout'
--- a/src/domain/errors/errorAnswers.ts
+++ b/src/domain/errors/errorAnswers.ts
@@ -39,6 +39,7 @@
 
   no_upstream: refuse(503),
   upstreams_limited: refuse(503),
+  upstreams_paused: refuse(503),
   upstream_unreachable: refuse(503),
   upstream_refused: refuse(503),
   upstream_timeout: failUnknown(504),
--- a/src/domain/fleet/DomainMessage.ts
+++ b/src/domain/fleet/DomainMessage.ts
@@ -1,6 +1,6 @@
 import type { Suspicion } from '../detection/SuspicionTracker.ts';
-import type { StatedLimit } from '../limits/UpstreamLimits.ts';
 import type { RetryCounts } from '../requests/RetryWindow.ts';
+import type { StatedLimit } from '../statements/UpstreamLimits.ts';
 
 /** What an entry host reports about one upstream. */
 export interface UpstreamActivity {
@@ -15,6 +15,10 @@
   readonly limitedRequests: number;
   /** Limit that the upstream has stated since the last message; undefined if it has not changed. */
   readonly limit: Omit<StatedLimit, 'upstream'> | undefined;
+  /**
+   * Incarnation that has stated since the last message that it is leaving; undefined if none has.
+   */
+  readonly leavingIncarnation: number | undefined;
 }
 
 /** Message from an entry host to the others of its failure domain, or from a relay. */
--- a/src/domain/limits/UpstreamLimits.ts
+++ b/src/domain/statements/UpstreamLimits.ts
@@ -1,4 +1,5 @@
 import RateLimit from './RateLimit.ts';
+import type UpstreamIncarnation from './UpstreamIncarnation.ts';
 
 // Share of a limit for the entry hosts of the upstream's failure domain; the other failure domains
 // have equal parts of the rest. Hosts use upstreams of their own failure domain first.
@@ -9,14 +10,8 @@
 // from time to time.
 const minRequestsPerSecond = 0.05;
 
-/** An incarnation of an upstream. */
-export interface LimitedUpstream {
-  readonly upstream: string;
-  readonly incarnation: number;
-}
-
 /** The limit that an incarnation of an upstream states; undefined once it states none any more. */
-export interface StatedLimit extends LimitedUpstream {
+export interface StatedLimit extends UpstreamIncarnation {
   readonly requestsPerSecond: number | undefined;
 }
 
@@ -95,12 +90,12 @@
   }
 
   /** Whether a host of this failure domain may send a request to the upstream. */
-  mayUse(upstream: LimitedUpstream, now: number): boolean {
+  mayUse(upstream: UpstreamIncarnation, now: number): boolean {
     return this.getFreeAt(upstream) <= now;
   }
 
   /** Instant from which a request may be sent to the upstream. */
-  getFreeAt({ upstream, incarnation }: LimitedUpstream): number {
+  getFreeAt({ upstream, incarnation }: UpstreamIncarnation): number {
     const limit = this.limits.get(upstream);
     return limit?.incarnation === incarnation ? limit.rate.freeAt : -Infinity;
   }
@@ -109,7 +104,7 @@
    * How much of the requests that may be sent at once has been used: from 0, when all of them may
    * be sent or there is no limit, to 1.
    */
-  computeUse(upstream: LimitedUpstream, now: number): number {
+  computeUse(upstream: UpstreamIncarnation, now: number): number {
     const unusedMs = now - this.getFreeAt(upstream);
     return 1 - Math.min(1, Math.max(0, unusedMs / burstMs));
   }
@@ -123,10 +118,10 @@
     }));
   }
 
-  /** Removes the limits of upstreams that have left. */
-  pruneUnknown(): void {
+  /** Removes the limits of upstreams for which `isKnown` returns false. */
+  pruneUnknown(isKnown: (upstream: string) => boolean): void {
     [...this.limits.keys()]
-      .filter((upstream) => this.options.findFailureDomain(upstream) === undefined)
+      .filter((upstream) => !isKnown(upstream))
       .forEach((upstream) => this.limits.delete(upstream));
   }
 
--- a/tests/fleet/domainExchange.test.ts
+++ b/tests/fleet/domainExchange.test.ts
@@ -3,7 +3,7 @@
 import DomainExchange from '../../src/application/fleet/DomainExchange.ts';
 import SuspicionRelay from '../../src/application/fleet/SuspicionRelay.ts';
 import SuspicionTracker from '../../src/domain/detection/SuspicionTracker.ts';
-import createUpstreamLimits from '../fixtures/createUpstreamLimits.ts';
+import createUpstreamStatements from '../fixtures/createUpstreamStatements.ts';
 import FakeClock from '../fixtures/FakeClock.ts';
 import FakeDatagrams from '../fixtures/FakeDatagrams.ts';
 import SilentLog from '../fixtures/SilentLog.ts';
@@ -38,7 +38,7 @@
       listPeers: () => peers,
       findRelay: () => relay,
       suspicions,
-      limits: createUpstreamLimits(),
+      statements: createUpstreamStatements(),
       readRetries: () => ({ kilns: { requests: 5, retries: 1 } }),
     });
     tasks.push(exchange.run(stopping.signal));
--- a/tests/fleet/exchangeCost.test.ts
+++ b/tests/fleet/exchangeCost.test.ts
@@ -3,7 +3,7 @@
 import DomainExchange from '../../src/application/fleet/DomainExchange.ts';
 import type { SuspicionKind } from '../../src/domain/detection/SuspicionTracker.ts';
 import SuspicionTracker from '../../src/domain/detection/SuspicionTracker.ts';
-import createUpstreamLimits from '../fixtures/createUpstreamLimits.ts';
+import createUpstreamStatements from '../fixtures/createUpstreamStatements.ts';
 import FakeClock from '../fixtures/FakeClock.ts';
 import FakeDatagrams from '../fixtures/FakeDatagrams.ts';
 import SeededRandom from '../fixtures/SeededRandom.ts';
@@ -57,7 +57,7 @@
           listPeers: () => addresses,
           findRelay: () => undefined,
           suspicions: new SuspicionTracker({ decayMs: 9000 }),
-          limits: createUpstreamLimits(),
+          statements: createUpstreamStatements(),
           readRetries: () => ({
             history: { requests: 50, retries: Math.floor(this.random.next() * 4) },
             kilns: { requests: 23, retries: Math.floor(this.random.next() * 4) },
--- a/tests/fleet/suspicionObserver.test.ts
+++ b/tests/fleet/suspicionObserver.test.ts
@@ -4,7 +4,7 @@
 import SuspicionObserver from '../../src/application/fleet/SuspicionObserver.ts';
 import SuspicionTracker from '../../src/domain/detection/SuspicionTracker.ts';
 import type { AnswerClass } from '../../src/domain/requests/AttemptObservation.ts';
-import createUpstreamLimits from '../fixtures/createUpstreamLimits.ts';
+import createUpstreamStatements from '../fixtures/createUpstreamStatements.ts';
 import FakeClock from '../fixtures/FakeClock.ts';
 import FakeDatagrams from '../fixtures/FakeDatagrams.ts';
 import SilentLog from '../fixtures/SilentLog.ts';
@@ -20,7 +20,7 @@
       listPeers: () => [],
       findRelay: () => undefined,
       suspicions,
-      limits: createUpstreamLimits(),
+      statements: createUpstreamStatements(),
       readRetries: () => ({}),
     });
     const observer = new SuspicionObserver({
--- a/tests/fleet/upstreamLimits.test.ts
+++ b/tests/fleet/upstreamLimits.test.ts
@@ -3,9 +3,11 @@
 import DomainExchange from '../../src/application/fleet/DomainExchange.ts';
 import SuspicionTracker from '../../src/domain/detection/SuspicionTracker.ts';
 import LowestCostBalancer from '../../src/domain/requests/LowestCostBalancer.ts';
-import type UpstreamLimits from '../../src/domain/limits/UpstreamLimits.ts';
+import type UpstreamLimits from '../../src/domain/statements/UpstreamLimits.ts';
+import type UpstreamStatements from '../../src/domain/statements/UpstreamStatements.ts';
 import { createUsable } from '../fixtures/createEntryPath.ts';
 import createUpstreamLimits from '../fixtures/createUpstreamLimits.ts';
+import createUpstreamStatements from '../fixtures/createUpstreamStatements.ts';
 import FakeClock from '../fixtures/FakeClock.ts';
 import FakeDatagrams from '../fixtures/FakeDatagrams.ts';
 import SeededRandom from '../fixtures/SeededRandom.ts';
@@ -167,7 +169,7 @@
 
   /** By failure domain, then by host. */
   readonly domains: readonly (readonly {
-    readonly limits: UpstreamLimits;
+    readonly statements: UpstreamStatements;
     readonly exchange: DomainExchange;
   }[])[];
 
@@ -226,7 +228,7 @@
       (_, host) => `10.${index}.0.${host}:7540`,
     );
     return addresses.map((ownAddress) => {
-      const limits = createUpstreamLimits({
+      const statements = createUpstreamStatements({
         failureDomain: `domain-${index}`,
         failureDomains,
         findFailureDomain: () => 'domain-0',
@@ -239,13 +241,13 @@
         listPeers: () => addresses,
         findRelay: () => undefined,
         suspicions: new SuspicionTracker({ decayMs: 9000 }),
-        limits,
+        statements,
         readRetries: () => ({}),
       });
       const controller = new AbortController();
       this.controllers.push(controller);
       exchange.run(controller.signal).catch(() => undefined);
-      return { limits, exchange };
+      return { statements, exchange };
     });
   }
 
@@ -271,14 +273,14 @@
   }
 
   private useUpstream({
-    limits,
+    statements,
     exchange,
   }: {
-    readonly limits: UpstreamLimits;
+    readonly statements: UpstreamStatements;
     readonly exchange: DomainExchange;
   }): void {
     const sentAt = this.clock.now();
-    if (!limits.mayUse(upstream, sentAt)) return;
+    if (statements.decideAccess(upstream, sentAt) !== 'open') return;
     this.arrivals.push(sentAt);
     exchange.recordStart('u1');
     this.addAction(400, () => {
@@ -363,12 +365,12 @@
         exchange.reportLimit({ ...upstream, requestsPerSecond: 2 }, clock.now()),
       );
     await clock.advanceBy(500);
-    const hasLimitBefore = starting.limits.hasLimit('u1');
+    const hasLimitBefore = starting.statements.hasLimit('u1');
     datagrams[0].isLost = () => false;
 
     starting.exchange.requestSuspicions();
 
-    expect([hasLimitBefore, starting.limits.hasLimit('u1')]).toEqual([false, true]);
+    expect([hasLimitBefore, starting.statements.hasLimit('u1')]).toEqual([false, true]);
   });
 
   it('should end for all hosts of the domain when the upstream states none any more', async () => {
@@ -378,11 +380,11 @@
     const startedAt = clock.now();
     first?.exchange.reportLimit({ ...upstream, requestsPerSecond: 2 }, startedAt);
     await clock.advanceBy(100);
-    const limitedHosts = domain.filter(({ limits }) => limits.hasLimit('u1')).length;
+    const limitedHosts = domain.filter(({ statements }) => statements.hasLimit('u1')).length;
     first?.exchange.reportLimit({ ...upstream, requestsPerSecond: undefined }, startedAt + 50);
     await clock.advanceBy(100);
 
     expect(limitedHosts).toBe(noLoad.hostsPerDomain);
-    expect(domain.filter(({ limits }) => limits.hasLimit('u1'))).toEqual([]);
+    expect(domain.filter(({ statements }) => statements.hasLimit('u1'))).toEqual([]);
   });
 });
--- a/tests/platform/dialect.test.ts
+++ b/tests/platform/dialect.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
 
+import type { Header } from '../../src/application/requests/RequestDialect.ts';
 import PlatformDialect from '../../platform/PlatformDialect.ts';
 
 const dialect = new PlatformDialect();
@@ -8,6 +9,12 @@
   ['x-response-signature', 'signed'],
 ] as const;
 
+const receivedAt = 1_800_000_000_000;
+
+function readSignals(status: number, headers: readonly Header[]) {
+  return dialect.readAnswerSignals({ status, headers, body: new Uint8Array() }, receivedAt);
+}
+
 describe('headers of the platform dialect', () => {
   it.each([
     ['3000', 4000],
@@ -80,7 +87,7 @@
   ] as const)(
     'should read from %s whether the request ran and was misdirected',
     (_title, status, headers, hasNotRun, isMisdirected) => {
-      const signals = dialect.readAnswerSignals({ status, headers, body: new Uint8Array() });
+      const signals = readSignals(status, headers);
 
       expect([signals.hasNotRun, signals.isMisdirected]).toEqual([hasNotRun, isMisdirected]);
     },
@@ -92,18 +99,18 @@
     ['3', undefined],
   ])('should read the load %s as %s', (text, load) => {
     const headers = [['x-server-load', text]] as const;
-    const signals = dialect.readAnswerSignals({ status: 200, headers, body: new Uint8Array() });
+    const signals = readSignals(200, headers);
 
     expect(signals.reportedLoad).toBe(load);
   });
 
   it.each([
-    ['7.7', { kind: 'limited', requestsPerSecond: 7.7 }],
-    ['0', { kind: 'limited', requestsPerSecond: 0 }],
-    ['4.900000000000000355', { kind: 'limited', requestsPerSecond: 4.9 }],
-    ['.5', { kind: 'limited', requestsPerSecond: 0.5 }],
+    ['7.7', { kind: 'stated', value: 7.7 }],
+    ['0', { kind: 'stated', value: 0 }],
+    ['4.900000000000000355', { kind: 'stated', value: 4.9 }],
+    ['.5', { kind: 'stated', value: 0.5 }],
     ['7.7 requests', { kind: 'invalid', text: '7.7 requests' }],
-    [undefined, { kind: 'unlimited' }],
+    [undefined, { kind: 'absent' }],
     ['-3', { kind: 'invalid', text: '-3' }],
     ['1e9', { kind: 'invalid', text: '1e9' }],
     ['9'.repeat(400), { kind: 'invalid', text: '9'.repeat(80) }],
@@ -111,20 +118,70 @@
     ['', { kind: 'invalid', text: '' }],
   ])('should read the limit "%s" of an upstream', (text, expected) => {
     const headers = text === undefined ? [] : [['server-limit', text] as const];
-    const signals = dialect.readAnswerSignals({ status: 200, headers, body: new Uint8Array() });
+    const signals = readSignals(200, headers);
 
-    expect(signals.limitStatement).toEqual(expected);
+    expect(signals.statements?.limit).toEqual(expected);
   });
 
   it('should accept a repeated limit only if its values are equal', () => {
     const readLimit = (...values: readonly string[]) =>
-      dialect.readAnswerSignals({
-        status: 200,
-        headers: values.map((value) => ['server-limit', value] as const),
-        body: new Uint8Array(),
-      }).limitStatement;
+      readSignals(
+        200,
+        values.map((value) => ['server-limit', value] as const),
+      ).statements?.limit;
 
-    expect(readLimit('3', '3')).toEqual({ kind: 'limited', requestsPerSecond: 3 });
+    expect(readLimit('3', '3')).toEqual({ kind: 'stated', value: 3 });
     expect(readLimit('3', '5')).toEqual({ kind: 'invalid', text: '3, 5' });
   });
+
+  it.each([
+    ['1.5', { kind: 'stated', value: receivedAt + 1500 }],
+    ['0', { kind: 'stated', value: receivedAt }],
+    ['Fri, 15 Jan 2027 08:00:03 GMT', { kind: 'stated', value: receivedAt + 3000 }],
+    ['Fri, 15 Jan 2027 07:59:57 GMT', { kind: 'invalid', text: 'Fri, 15 Jan 2027 07:59:57 GMT' }],
+    ['-1', { kind: 'invalid', text: '-1' }],
+    ['soon', { kind: 'invalid', text: 'soon' }],
+    ['1e9', { kind: 'invalid', text: '1e9' }],
+    ['86400', { kind: 'invalid', text: '86400' }],
+    ['9'.repeat(400), { kind: 'invalid', text: '9'.repeat(80) }],
+    [undefined, { kind: 'absent' }],
+  ])('should read the pause "%s" of an upstream', (text, expected) => {
+    const refusal = [['x-not-executed', '1'] as const];
+    const headers = text === undefined ? refusal : [...refusal, ['retry-after', text] as const];
+
+    expect(readSignals(503, headers).statements?.pausedUntil).toEqual(expected);
+  });
+
+  // Clocks of upstreams may be wrong by seconds or years.
+  it('should read a pause that ends at a date relative to the date of the answer', () => {
+    const { statements } = readSignals(503, [
+      ['x-not-executed', '1'],
+      ['date', 'Sat, 01 Jan 2000 00:00:00 GMT'],
+      ['retry-after', 'Sat, 01 Jan 2000 00:00:02 GMT'],
+    ]);
+
+    expect(statements?.pausedUntil).toEqual({ kind: 'stated', value: receivedAt + 2000 });
+  });
+
+  it.each([
+    ['another status', 429, [['x-not-executed', '1']]],
+    ['an answer to a request that may have run', 503, []],
+  ] as const)('should read no pause from %s', (_title, status, headers) => {
+    const { statements } = readSignals(status, [...headers, ['retry-after', '5']]);
+
+    expect(statements?.pausedUntil).toEqual({ kind: 'absent' });
+  });
+
+  it.each([
+    [['1'], { kind: 'stated', value: true }],
+    [['1', '1'], { kind: 'stated', value: true }],
+    [[], { kind: 'absent' }],
+    [['0'], { kind: 'invalid', text: '0' }],
+    [['1', '0'], { kind: 'invalid', text: '1, 0' }],
+    [['yes'], { kind: 'invalid', text: 'yes' }],
+  ])('should read from the values %j whether an upstream is leaving', (values, expected) => {
+    const headers = values.map((value) => ['server-leaving', value] as const);
+
+    expect(readSignals(200, headers).statements?.leaving).toEqual(expected);
+  });
 });
--- a/tests/requests/upstreamLimits.test.ts
+++ b/tests/requests/upstreamLimits.test.ts
@@ -1,17 +1,18 @@
 import { describe, expect, it } from 'vitest';
 
-import type UpstreamLimiter from '../../src/application/requests/UpstreamLimiter.ts';
+import type UpstreamGate from '../../src/application/requests/UpstreamGate.ts';
 import createHandlerPath from '../fixtures/createHandlerPath.ts';
 import type { AttemptScript } from '../fixtures/createHandlerPath.ts';
 
 const reset: AttemptScript = { end: 'reset', waitMs: 0, callerDisconnects: 'no' };
 
 /** Lets requests through to all upstreams except the limited ones. */
-function createLimiter(limited: readonly string[], freeAt = Infinity): UpstreamLimiter {
+function createGate(limited: readonly string[], freeAt = 1_900_000_000_000): UpstreamGate {
   return {
-    mayUse: ({ upstream }) => !limited.includes(upstream),
+    decideAccess: ({ upstream }) => (limited.includes(upstream) ? 'limited' : 'open'),
+    maySend: () => true,
     getFreeAt: ({ upstream }) => (limited.includes(upstream) ? freeAt : -Infinity),
-    reportLimit: () => undefined,
+    reportStatements: () => undefined,
   };
 }
 
@@ -21,7 +22,7 @@
       attempts: [],
       repeat: 'never',
       upstreams: 3,
-      limiter: createLimiter(['u0', 'u1']),
+      gate: createGate(['u0', 'u1']),
     });
 
     const { answer, triedUpstreams } = await path.runRequest();
@@ -35,7 +36,7 @@
       attempts: [reset, reset],
       repeat: 'allowed',
       upstreams: 3,
-      limiter: createLimiter(['u1', 'u2']),
+      gate: createGate(['u1', 'u2']),
     });
 
     const { triedUpstreams } = await path.runRequest();
@@ -50,7 +51,7 @@
       attempts: [],
       repeat: 'never',
       upstreams: 2,
-      limiter: createLimiter(['u0', 'u1'], freeAt),
+      gate: createGate(['u0', 'u1'], freeAt),
     });
 
     const { answer, possibleRuns } = await path.runRequest(0);
@@ -76,7 +77,7 @@
         repeat,
         upstreams: 2,
         risks: { u0: 0.9 },
-        limiter: createLimiter(['u1'], freeAt),
+        gate: createGate(['u1'], freeAt),
       });
 
       const { answer, triedUpstreams } = await path.runRequest(0);
