src/application/lifecycle: a host that stops refuses what it can't answer before the platform kills it

Cause: reported by other operators: requests that came late in the grace of a planned stop were forwarded and cut without an answer. It could happen here: nothing in the settings named the time at which the platform kills the process, and the host forwarded whatever came on open connections or had waited for its body, with deadlines of up to 15 s beyond the kill at 6 or 10 s. Ruled out: closing idle connections earlier (the balancer needs 2 s to see that the host is not ready), shorter deadlines for upstreams (they would stop work that its caller still waits for). Change: `stop_timeout` in the settings, from the platform's grace. `StopSchedule` compares what is left with the time that few answers of the service exceed, before each attempt and right before a request is written; else `host_stopping`, not run, to be sent again at once. Requests that hang are answered 0.5 s before the kill.

--- a/src/adapters/http/ExchangeDeadlines.ts
+++ b/src/adapters/http/ExchangeDeadlines.ts
@@ -16,6 +16,9 @@
 
   private wakeAt = Infinity;
 
+  /** Deadline of all exchanges that have a later one. */
+  private latest = Infinity;
+
   private isClosed = false;
 
   private task: Promise<void> | undefined;
@@ -35,6 +38,12 @@
     this.deadlines.delete(exchange);
   }
 
+  /** Ends the exchanges that are still open at the deadline. */
+  setLatest(deadline: number): void {
+    this.latest = deadline;
+    if (deadline < this.wakeAt) this.notifier.notify();
+  }
+
   /** Resolves when the task has finished. Must not be called while an exchange is open. */
   async close(): Promise<void> {
     this.isClosed = true;
@@ -57,12 +66,17 @@
   private findEarliestDeadline(): number {
     return [...this.deadlines.values()].reduce(
       (earliest, deadline) => Math.min(earliest, deadline),
-      Infinity,
+      this.latest,
     );
   }
 
   private checkOverdue(): void {
     const now = this.clock.now();
+    if (now >= this.latest) {
+      [...this.deadlines.keys()].forEach((exchange) => exchange.cancelExchange('timed_out'));
+      this.deadlines.clear();
+      return;
+    }
     [...this.deadlines]
       .filter(([, deadline]) => deadline <= now)
       .forEach(([exchange]) => {
--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -33,6 +33,8 @@
 const lingerMs = 100;
 // Time that callers of a stopping host have to read their answers after the last deadline.
 const flushMs = 5000;
+// The same when the platform is about to kill the process.
+const lastFlushMs = 250;
 
 /** Options of the front end. */
 export interface HttpFrontEndOptions {
@@ -145,9 +147,9 @@
 
   /**
    * Stops accepting connections and resolves when every open request has been answered, at the
-   * latest a few seconds after the last deadline.
+   * latest a few seconds after the last deadline of a request, or shortly after the given one.
    */
-  async closeListener(): Promise<void> {
+  async closeListener(deadline = Infinity): Promise<void> {
     this.startClose();
     const closed = new AbortController();
     // The close method of http.Server destroys connections whose last answer is still being sent.
@@ -156,7 +158,8 @@
     // A request may still arrive on a connection that looks idle or was just accepted.
     await clock.sleepUntil(clock.now() + lingerMs, closed.signal);
     this.connections.closeIdle();
-    await clock.sleepUntil(Math.max(clock.now(), this.latestDeadline) + flushMs, closed.signal);
+    const flushedAt = Math.max(clock.now(), this.latestDeadline) + flushMs;
+    await clock.sleepUntil(Math.min(flushedAt, deadline + lastFlushMs), closed.signal);
     // Stops the interval that checks for overdue headers.
     this.server.close();
     if (closed.signal.aborted) return;
--- a/src/adapters/http/UndiciUpstreamClient.ts
+++ b/src/adapters/http/UndiciUpstreamClient.ts
@@ -87,6 +87,10 @@
     return result;
   }
 
+  setLatestDeadline(deadline: number): void {
+    this.deadlines.setLatest(deadline);
+  }
+
   async close(): Promise<void> {
     await Promise.all([this.keepAliveAgent.close(), this.singleUseAgent.close()]);
     await this.deadlines.close();
--- a/src/adapters/yaml/parseFleetSettings.ts
+++ b/src/adapters/yaml/parseFleetSettings.ts
@@ -35,6 +35,7 @@
     window: durationSchema,
   }),
   stop_grace: durationSchema.default(2200),
+  stop_timeout: durationSchema.default(30_000),
   other_domain_price: z.number(expectedPrice).min(0, expectedPrice).max(100, expectedPrice),
   suspicion: durationSchema.default(9000),
 });
@@ -95,6 +96,7 @@
           windowMs: settings.retries.window,
         },
         stopGraceMs: settings.stop_grace,
+        stopTimeoutMs: settings.stop_timeout,
         otherDomainPrice: settings.other_domain_price,
         suspicionMs: settings.suspicion,
       },
--- a/src/application/fleet/SuspicionObserver.ts
+++ b/src/application/fleet/SuspicionObserver.ts
@@ -104,14 +104,19 @@
     }
   }
 
+  /** Time that few good answers of a service exceed, in milliseconds. */
+  estimateLongestMs(service: string): number {
+    const averageMs = this.averageLatencies.get(service);
+    // There is no average before the first good answer of the service.
+    if (averageMs === undefined) return defaultOverdueMs;
+    return Math.max(minOverdueMs, overdueFactor * averageMs);
+  }
+
   private isOverdue(
     { service, startedAt }: Pick<StartedAttempt, 'service' | 'startedAt'>,
     now: number,
   ): boolean {
-    const averageMs = this.averageLatencies.get(service);
-    // There is no average before the first good answer of the service.
-    if (averageMs === undefined) return now - startedAt > defaultOverdueMs;
-    return now - startedAt > Math.max(minOverdueMs, overdueFactor * averageMs);
+    return now - startedAt > this.estimateLongestMs(service);
   }
 
   private reportSuspicion(upstream: string, kind: SuspicionKind, requestId: string): void {
--- a/src/application/lifecycle/Shutdown.ts
+++ b/src/application/lifecycle/Shutdown.ts
@@ -47,9 +47,9 @@
 
   private async runSteps(): Promise<void> {
     const { clock, log, readiness, listeners, claims, hostRecord, stopGraceMs } = this.options;
-    const graceDeadline = clock.now() + stopGraceMs;
-    log.info('lifecycle: stopping, /ready answers 503', { graceDeadline });
-    readiness.markStopping();
+    const answerDeadline = readiness.markStopping();
+    const graceDeadline = Math.min(clock.now() + stopGraceMs, answerDeadline);
+    log.info('lifecycle: stopping, /ready answers 503', { graceDeadline, answerDeadline });
     // Busy connections are closed with their next answer. Idle connections are not closed yet,
     // because a request may already be in transit on them.
     listeners.forEach((listener) => listener.startClose());
@@ -58,7 +58,7 @@
     log.info('lifecycle: accepting no new connections');
     await Promise.all(
       listeners.map((listener) =>
-        this.runStep('closing a listener', () => listener.closeListener()),
+        this.runStep('closing a listener', () => listener.closeListener(answerDeadline)),
       ),
     );
     log.info('lifecycle: every request was answered');
--- a/src/application/lifecycle/ShutdownParts.ts
+++ b/src/application/lifecycle/ShutdownParts.ts
@@ -2,16 +2,20 @@
 export interface ReadinessSwitch {
   /**
    * Marks the host as not ready, so that the platform's load balancer takes it out of rotation.
+   * Returns the deadline by which every request has to be answered; `Infinity` if there is none.
    */
-  markStopping(): void;
+  markStopping(): number;
 }
 
 /** A listener that can close without interrupting a request. */
 export interface StoppableListener {
   /** Makes all further answers ask the caller to close its connection. */
   startClose(): void;
-  /** Accepts no new connections and resolves when every open request is answered. */
-  closeListener(): Promise<void>;
+  /**
+   * Accepts no new connections and resolves when every open request is answered, or shortly after
+   * the deadline.
+   */
+  closeListener(deadline: number): Promise<void>;
 }
 
 /** The part of the claim gate that a stop needs. */
--- a/src/application/requests/UpstreamDispatcher.ts
+++ b/src/application/requests/UpstreamDispatcher.ts
@@ -11,6 +11,7 @@
 import type AttemptObserver from './AttemptObserver.ts';
 import type CallerRequest from './CallerRequest.ts';
 import type LoadSource from './LoadSource.ts';
+import type StopLimiter from './StopLimiter.ts';
 import UpstreamChooser from './UpstreamChooser.ts';
 import type { UpstreamChooserOptions } from './UpstreamChooser.ts';
 import classifyAttempt from './classifyAttempt.ts';
@@ -27,8 +28,8 @@
   readonly loadTracker: LoadSource;
   /** `DefaultDialect` unless set. */
   readonly dialect?: RequestDialect;
-  /** Whether this host is stopping; false unless set. */
-  readonly isStopping?: () => boolean;
+  /** Limits attempts while this host stops; unless set, there is no limit. */
+  readonly stopLimiter?: StopLimiter;
   /** Receives one line for each choice and one for each finished attempt. */
   readonly log?: Log;
 }
@@ -95,7 +96,7 @@
   ): Promise<DispatchResult> {
     const tried = new Set<string>();
     const { maxAttempts: maxRuns = Infinity } = request.route;
-    const refusal = checkSendable(request, this.options.clock.now());
+    const refusal = this.findRefusal(request);
     if (refusal) return { ...this.createFailedAttempt(refusal), attempts: 0 };
     let runs = 0;
     let candidates = this.chooser.listUntried(request, tried);
@@ -145,14 +146,23 @@
     tried: ReadonlySet<string>,
     policy: RetryPolicy,
   ): boolean {
-    const mayTry = !this.options.isStopping?.() && this.canRetry(request);
+    const mayTry = !this.options.stopLimiter?.isStopping && this.canRetry(request);
     return (
       mayTry && this.chooser.listUntried(request, tried).length > 0 && policy.mayRetry('unknown')
     );
   }
 
+  /** Why the request must not be sent now, or undefined while it may be sent. */
+  private findRefusal(request: CallerRequest): Failure | undefined {
+    const refusal = checkSendable(request, this.options.clock.now());
+    const { method, target, route } = request;
+    if (refusal || (this.options.stopLimiter?.mayStart(route.service) ?? true)) return refusal;
+    const message = `${method} ${target}: this host is stopping and would most likely end before the answer`;
+    return { kind: 'host_stopping', message };
+  }
+
   private canRetry(request: CallerRequest): boolean {
-    if (checkSendable(request, this.options.clock.now())) return false;
+    if (this.findRefusal(request)) return false;
     const { service } = request.route;
     const upstreams = this.options.pool.listUsable(service).map(({ record }) => record.upstream);
     const now = this.options.clock.now();
@@ -198,12 +208,10 @@
       signal: request.signal,
       // An upstream can leave, pause or be ejected while the request waits for a connection.
       mayDispatch: () =>
-        !checkSendable(request, clock.now()) &&
-        pool.isUsable(record) &&
-        (gate?.maySend(record) ?? true),
+        !this.findRefusal(request) && pool.isUsable(record) && (gate?.maySend(record) ?? true),
     });
     const endedAt = clock.now();
-    const refusal = checkSendable(request, clock.now());
+    const refusal = this.findRefusal(request);
     const { end, answerClass, reportedLoad, statements } = classifyAttempt(result, {
       isOver: refusal !== undefined,
       dialect: this.dialect,
--- a/src/application/requests/drawRetryTime.ts
+++ b/src/application/requests/drawRetryTime.ts
@@ -1,3 +1,4 @@
+import type ErrorKind from '../../domain/errors/ErrorKind.ts';
 import type Failure from '../../domain/errors/Failure.ts';
 import type RandomSource from '../../ports/RandomSource.ts';
 
@@ -11,6 +12,14 @@
 // After all processes were killed and restarted, hosts had the preset again 1.0 s to 1.3 s after
 // their start. A second refusal would cost a caller more time than a longer wait.
 const whenStarting: RetryTimes = { minMs: 1200, spreadMs: 600 };
+// Another host can serve the request at once.
+const whenStopping: RetryTimes = { minMs: 0, spreadMs: 100 };
+
+/** Times of the refusals that don't come from a lack of room. */
+const timesOfKinds: Partial<Record<ErrorKind, RetryTimes>> = {
+  host_not_ready: whenStarting,
+  host_stopping: whenStopping,
+};
 
 // Callers that were refused until a known instant come back over this time.
 const spreadAfterMs = 800;
@@ -22,6 +31,6 @@
 export default function drawRetryTime(failure: Failure, now: number, random: RandomSource): number {
   const retryAt = 'retryAt' in failure ? failure.retryAt : undefined;
   if (retryAt !== undefined) return Math.max(now, retryAt) + spreadAfterMs * random.next();
-  const { minMs, spreadMs } = failure.kind === 'host_not_ready' ? whenStarting : whenFull;
+  const { minMs, spreadMs } = timesOfKinds[failure.kind] ?? whenFull;
   return now + minMs + spreadMs * random.next();
 }
--- a/src/daemon/EntryHost.ts
+++ b/src/daemon/EntryHost.ts
@@ -242,6 +242,8 @@
       readiness: {
         markStopping: () => {
           this.isStopping = true;
+          // The settings name no time after which the process is killed.
+          return Infinity;
         },
       },
       listeners: [this.callers],
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -14,6 +14,7 @@
 import FleetView from '../application/fleet/FleetView.ts';
 import SuspicionObserver from '../application/fleet/SuspicionObserver.ts';
 import Shutdown from '../application/lifecycle/Shutdown.ts';
+import StopSchedule from '../application/lifecycle/StopSchedule.ts';
 import LoadMonitor from '../application/metrics/LoadMonitor.ts';
 import type RequestDialect from '../application/requests/RequestDialect.ts';
 import RequestHandler from '../application/requests/RequestHandler.ts';
@@ -94,9 +95,9 @@
 
   private readonly metricsFrontEnd: PlatformFrontEnd;
 
-  private readonly shutdown: Shutdown;
+  private readonly stopSchedule: StopSchedule;
 
-  private isStopping = false;
+  private readonly shutdown: Shutdown;
 
   private hasRequestedSuspicions = false;
 
@@ -138,6 +139,11 @@
       exchange: this.exchange,
       findIncarnation: (upstream) => this.view.findUpstream(upstream)?.incarnation ?? 0,
     });
+    this.stopSchedule = new StopSchedule({
+      clock,
+      killMs: settings.stopTimeoutMs,
+      estimateAttemptMs: (service) => this.observer.estimateLongestMs(service),
+    });
     this.upstreamClient = new UndiciUpstreamClient({
       clock,
       connectionsPerUpstream,
@@ -212,7 +218,7 @@
   }
 
   private getState(): HostStateName {
-    if (this.isStopping) return 'stopping';
+    if (this.stopSchedule.isStopping) return 'stopping';
     return this.view.isReady ? 'ready' : 'starting';
   }
 
@@ -275,7 +281,7 @@
       failureDomain: settings.failureDomain,
       dialect,
       gate: new DomainGate({ clock, log, statements, exchange }),
-      isStopping: () => this.isStopping,
+      stopLimiter: this.stopSchedule,
       log,
       readRisk,
     });
@@ -308,16 +314,18 @@
     return new PrometheusMetrics(gauges, { hasProcessMetrics: false });
   }
 
+  private startStop(): number {
+    const answerDeadline = this.stopSchedule.startStop();
+    this.upstreamClient.setLatestDeadline(answerDeadline);
+    return answerDeadline;
+  }
+
   private createShutdown(): Shutdown {
     const { settings, clock, log } = this.options;
     return new Shutdown({
       clock,
       log,
-      readiness: {
-        markStopping: () => {
-          this.isStopping = true;
-        },
-      },
+      readiness: { markStopping: () => this.startStop() },
       listeners: [this.callers],
       claims: new DisabledClaimGate(),
       // Nothing to withdraw: control hosts remove an entry host that stops requesting the feed.
--- a/src/domain/settings/FleetSettings.ts
+++ b/src/domain/settings/FleetSettings.ts
@@ -34,6 +34,8 @@
    * How long the callers' listener stays open after `/ready` begins to answer 503, in milliseconds.
    */
   readonly stopGraceMs: number;
+  /** Time from the stop signal until the platform kills the process, in milliseconds. */
+  readonly stopTimeoutMs: number;
   /** Cost of one KiB from another failure domain, relative to a lost request, which costs 4. */
   readonly otherDomainPrice: number;
   /** How long a suspicion of an upstream stays in effect, in milliseconds. */
--- a/src/ports/UpstreamClient.ts
+++ b/src/ports/UpstreamClient.ts
@@ -62,6 +62,8 @@
 export default interface UpstreamClient {
   /** Never rejects; every outcome is a result. */
   sendRequest(request: UpstreamRequest): Promise<UpstreamResult>;
+  /** Sets the deadline of all requests that have a later one. */
+  setLatestDeadline(deadline: number): void;
   /** Closes idle connections and waits until open requests have finished. */
   close(): Promise<void>;
 }
--- a/tests/platform/fleetProcesses.test.ts
+++ b/tests/platform/fleetProcesses.test.ts
@@ -37,13 +37,17 @@
     'listen:',
     ...addresses,
     ...(isEntry
-      ? ['retries: { share: 0.2, extra: 10, window: 10s }', 'other_domain_price: 0.25']
+      ? [
+          'retries: { share: 0.2, extra: 10, window: 10s }',
+          'other_domain_price: 0.25',
+          'stop_timeout: 4s',
+        ]
       : [`data_folder: data-${ip}`, 'forms_group: true']),
   ].join('\n');
 }
 
 function createDocument(version: number): string {
-  const route = { host: 'a.example', timeout: '2s', maxAttempts: 2, service: 'kilns' };
+  const route = { host: 'a.example', timeout: '20s', maxAttempts: 2, service: 'kilns' };
   return JSON.stringify({
     version,
     routes: [
@@ -65,6 +69,7 @@
   const runs: string[] = [];
   const upstream = createServer((incoming, response) => {
     runs.push(`${incoming.method} ${incoming.url}`);
+    if (incoming.url?.endsWith('/hang')) return;
     response.setHeader('x-attempt-id', incoming.headers['x-attempt-id'] ?? '');
     response.setHeader('x-response-signature', 'signed');
     response.end('answer');
@@ -103,7 +108,7 @@
   async function sendRequest(ip: string, method: 'GET' | 'POST', path: string, requestId: string) {
     const answer = await request(`http://${ip}:${ports.callers}${path}`, {
       method,
-      headers: { host: 'a.example', 'x-attempt-id': requestId, 'x-time-budget-ms': '5000' },
+      headers: { host: 'a.example', 'x-attempt-id': requestId, 'x-time-budget-ms': '20000' },
     });
     const { statusCode: status, headers, body } = answer;
     return { status, headers, text: await body.text() };
@@ -175,19 +180,25 @@
   );
 
   it(
-    'should report not ready while it stops, still answer requests, and exit with code 0',
+    'should report not ready while it stops, answer all requests in time, and exit with code 0',
     async () => {
       const ip = entryIps[1] ?? '';
       const ready = () => fetch(`http://${ip}:${ports.platform}/ready`);
       await waitStatus(ready, 200);
 
+      const hanging = sendRequest(ip, 'POST', '/book/hang', 'hang');
+      await sleep(pollMs);
+      const stoppedAt = Date.now();
       const exitCode = processes.get(ip)?.stop();
       await waitStatus(ready, 503);
       const answer = await sendRequest(ip, 'GET', '/look/last', 'last');
 
       expect(answer.status).toBe(200);
       expect(answer.headers.connection).toBe('close');
+      // The platform would kill the process 4 s after the signal; the request has 20 s.
+      expect((await hanging).status).toBe(504);
       expect(await exitCode).toBe(0);
+      expect(Date.now() - stoppedAt).toBeLessThan(15_000);
     },
     maxStartMs,
   );
--- a/tests/requests/hostShutdown.test.ts
+++ b/tests/requests/hostShutdown.test.ts
@@ -1,10 +1,17 @@
 import { describe, expect, it } from 'vitest';
 
 import Shutdown from '../../src/application/lifecycle/Shutdown.ts';
+import StopSchedule from '../../src/application/lifecycle/StopSchedule.ts';
 import FakeClock from '../fixtures/FakeClock.ts';
 import SilentLog from '../fixtures/SilentLog.ts';
 
-function createShutdown(options: { readonly failingStep?: string } = {}) {
+interface ShutdownCase {
+  readonly failingStep?: string;
+  /** Time after the start by which every request has to be answered. */
+  readonly answerMs?: number;
+}
+
+function createShutdown(options: ShutdownCase = {}) {
   const clock = new FakeClock();
   const start = clock.now();
   const steps: string[] = [];
@@ -15,13 +22,18 @@
   const shutdown = new Shutdown({
     clock,
     log: new SilentLog(),
-    readiness: { markStopping: () => steps.push(`${clock.now() - start} not ready`) },
+    readiness: {
+      markStopping: () => {
+        steps.push(`${clock.now() - start} not ready`);
+        return start + (options.answerMs ?? Infinity);
+      },
+    },
     listeners: [
       {
         startClose: () => steps.push(`${clock.now() - start} connection: close`),
-        closeListener: async () => {
+        closeListener: async (deadline) => {
           await runStep('listener closed');
-          await clock.sleepUntil(start + 5000);
+          await clock.sleepUntil(Math.min(start + 5000, deadline));
           await runStep('requests answered');
         },
       },
@@ -72,4 +84,58 @@
 
     expect(steps).toEqual(expectedSteps);
   });
+
+  // Guards against a host that is killed while it waits for the deadlines of its requests.
+  it.each([
+    [3000, ['1000 listener closed', '3000 requests answered']],
+    [400, ['400 listener closed', '400 requests answered']],
+  ])('should answer every request within %s ms', async (answerMs, expected) => {
+    const { clock, steps, shutdown } = createShutdown({ answerMs });
+
+    const stopped = shutdown.stopHost();
+    await clock.advanceBy(6000);
+    await stopped;
+
+    expect(steps.slice(3, 5)).toEqual(expected);
+  });
+});
+
+describe('StopSchedule', () => {
+  function createSchedule() {
+    const clock = new FakeClock();
+    const schedule = new StopSchedule({
+      clock,
+      killMs: 6000,
+      estimateAttemptMs: (service) => (service === 'slow' ? 3000 : 500),
+    });
+    return { clock, schedule };
+  }
+
+  it('should allow every attempt before the stop', async () => {
+    const { clock, schedule } = createSchedule();
+    await clock.advanceBy(60_000);
+
+    expect([schedule.isStopping, schedule.mayStart('slow')]).toEqual([false, true]);
+  });
+
+  // Reported by other operators: requests that came late in the grace of a planned stop were
+  // forwarded, and cut without an answer when the process was killed.
+  it('should allow only attempts that will most likely end before the process is killed', async () => {
+    const { clock, schedule } = createSchedule();
+    const answerDeadline = schedule.startStop() - clock.now();
+    const allowed = [];
+    for (const ms of [0, 2500, 2501, 5000, 5001]) {
+      await clock.advanceTo(schedule.startStop() - answerDeadline + ms);
+      allowed.push([ms, schedule.mayStart('slow'), schedule.mayStart('quick')]);
+    }
+
+    expect(answerDeadline).toBe(5500);
+    expect(allowed).toEqual([
+      [0, true, true],
+      [2500, true, true],
+      [2501, false, true],
+      [5000, false, true],
+      [5001, false, false],
+    ]);
+  });
 });
--- a/tests/requests/requestOutcomes.test.ts
+++ b/tests/requests/requestOutcomes.test.ts
@@ -168,7 +168,7 @@
         attempts: [slow],
         repeat: 'allowed',
         upstreams: 2,
-        isStopping: () => isStopping,
+        stopLimiter: { isStopping, mayStart: () => true },
       }).runRequest();
 
     expect(await runWhile(false)).toMatchObject({ attempts: 2, timeouts: [500] });
--- a/tests/settings/parseFleetSettings.test.ts
+++ b/tests/settings/parseFleetSettings.test.ts
@@ -29,6 +29,7 @@
       failureDomains: ['north', 'south'],
       retries: { share: 0.2, extra: 62, windowMs: 10_000 },
       stopGraceMs: 2200,
+      stopTimeoutMs: 30_000,
       suspicionMs: 9000,
     });
   });
@@ -64,6 +65,7 @@
       'bounds.retryBudgetRatio': '0.2',
       'bounds.retryBudgetExtra': '62',
       'bounds.retryWindow': '10s',
+      'bounds.grace': '6s',
       ...roleFields,
     };
     const template = await readFile(new URL(`../../deploy/${role}.yaml`, import.meta.url), 'utf8');
