src/domain/requests: of many upstreams, two with good answers and one other are compared

Each choice compared four upstreams of each group by such loads, so all hosts chose the same few; and the four were drawn from all sound upstreams, so each fault of any upstream cost a request. Change: two upstreams that recently gave good answers and one other are compared.

--- a/bench/faults/patterns.ts
+++ b/bench/faults/patterns.ts
@@ -47,6 +47,18 @@
   exchangeDelayMs: 150,
 };
 
+/** A fleet of hundreds of hosts: 55 in each of five failure domains. */
+export const largeFleet: FaultPattern = {
+  ...bookings,
+  name: 'large fleet, bookings',
+  upstreams: [29, 36, 31, 30, 32],
+  workMs: 390,
+  requestsPerSecond: 509,
+  objectiveMs: 1500,
+  hostsPerDomain: 55,
+  exchangeDelayMs: 400,
+};
+
 /** The patterns of load and faults under which the policies are compared. */
 const patterns: readonly FaultPattern[] = [
   { ...bookings, name: 'bookings, calm' },
--- a/src/domain/requests/LowestCostBalancer.ts
+++ b/src/domain/requests/LowestCostBalancer.ts
@@ -7,8 +7,12 @@
 // same many upstreams, they choose the same few, so from more than this many only a sample is
 // compared.
 const maxComparedUpstreams = 12;
-const sampleSize = 4;
-// Upstreams with a lower risk of a failure are preferred for the sample.
+// A larger sample of upstreams that recently gave good answers loads the same few of them again.
+const provenSampleSize = 2;
+const otherSampleSize = 1;
+// Up to this risk, an upstream recently gave good answers.
+const maxProvenRisk = 0.1;
+// Above this risk, an upstream is compared only if too few others are.
 const maxSampledRisk = 0.5;
 
 /** Cost parameters of the choice; all have the same unit. */
@@ -48,7 +52,7 @@
 
 /**
  * Chooses the upstream with the lowest cost; of many upstreams, compares only a sample of the own
- * failure domain and one of all others. Waiting for a slot, traffic to another failure domain
+ * failure domain and one of all others, most of which recently gave good answers. Waiting for a slot, traffic to another failure domain
  * and the risk of a failure all count as costs, so that they are traded off against each other when
  * capacity is scarce.
  */
@@ -87,9 +91,17 @@
     random: () => number,
   ): readonly UsableUpstream[] {
     if (candidates.length <= maxComparedUpstreams) return candidates;
-    const { readRisk } = this.options;
-    const sound = candidates.filter((candidate) => readRisk(candidate) <= maxSampledRisk);
-    return sound.length < sampleSize ? candidates : drawSample(sound, sampleSize, random);
+    const risks = new Map(candidates.map((each) => [each, this.options.readRisk(each)]));
+    const listWithin = (minRisk: number, maxRisk: number): readonly UsableUpstream[] =>
+      candidates.filter((each) => {
+        const risk = risks.get(each) ?? 0;
+        return risk > minRisk && risk <= maxRisk;
+      });
+    const sample = [
+      ...drawSample(listWithin(-Infinity, maxProvenRisk), provenSampleSize, random),
+      ...drawSample(listWithin(maxProvenRisk, maxSampledRisk), otherSampleSize, random),
+    ];
+    return sample.length < provenSampleSize ? candidates : sample;
   }
 
   private computeCost(
