src/application/fleet: an overdue request shows that its upstream hangs, where such requests usually get no answer

Cause: Sinagbantay's upstreams in a spell let 75% of their requests hang. A request was overdue after 3.5 times the average of its service (0.65 s; look-ups of 60 ms and of 150 ms share the service), looked for every 0.2 s, and then raised the risk at other hosts by 0.2 only; a timeout at the deadline raised it by 0.35. Ruled out: nothing else tried. Change: `LatencyEstimate` knows how long requests of one operation take; the observer wakes when the first one is overdue. While other upstreams answer this host and at least half of its overdue requests lately ended without an answer in time, the suspicion `hanging` raises the risk by 0.7 at all hosts of the domain at once. Conclusion: look-ups still wait for half of their time at an upstream that hangs; next.

--- a/src/adapters/udp/decodeDomainMessage.ts
+++ b/src/adapters/udp/decodeDomainMessage.ts
@@ -8,6 +8,7 @@
   unreachable: true,
   silent: true,
   overdue: true,
+  hanging: true,
   faulty: true,
   misplaced: true,
 };
--- a/src/application/fleet/DomainExchange.ts
+++ b/src/application/fleet/DomainExchange.ts
@@ -43,7 +43,7 @@
 // A host that starts asks this many peers for their suspicions. All peers know nearly the same, but
 // many of them may be starting too.
 const askedPeers = 8;
-const urgentKinds: ReadonlySet<SuspicionKind> = new Set(['broken', 'misplaced']);
+const urgentKinds: ReadonlySet<SuspicionKind> = new Set(['broken', 'hanging', 'misplaced']);
 
 /** Options of the exchange. */
 export interface DomainExchangeOptions {
--- a/src/application/fleet/SuspicionObserver.ts
+++ b/src/application/fleet/SuspicionObserver.ts
@@ -1,3 +1,4 @@
+import LatencyEstimate from '../../domain/detection/LatencyEstimate.ts';
 import type { SuspicionKind } from '../../domain/detection/SuspicionTracker.ts';
 import type SuspicionTracker from '../../domain/detection/SuspicionTracker.ts';
 import type AttemptObservation from '../../domain/requests/AttemptObservation.ts';
@@ -5,18 +6,25 @@
 import type Clock from '../../ports/Clock.ts';
 import type AttemptObserver from '../requests/AttemptObserver.ts';
 import type { StartedAttempt } from '../requests/AttemptObserver.ts';
+import Notifier from '../tasks/Notifier.ts';
 import type DomainExchange from './DomainExchange.ts';
 
-const watchIntervalMs = 200;
-// A request that is open for longer than this multiple of its service's average latency is overdue.
-// One in a hundred answers of healthy upstreams takes three to five times the average.
-const overdueFactor = 3.5;
-const minOverdueMs = 500;
-// Before the first good answer of a service, a request is overdue after this time, which healthy
+// Before the first good answer to an operation, a request is overdue after this time, which healthy
 // upstreams seldom need.
-const defaultOverdueMs = 2000;
-// Weight of the newest answer in the moving averages of a service.
-const smoothingFactor = 0.1;
+const defaultLongMs = 2000;
+// A request that is answered after more than this multiple of the time after which it is overdue
+// counts as one without an answer.
+const lateFactor = 2;
+// A host whose timers are later than this lacks processor time or was suspended, so that open
+// requests show nothing about their upstreams.
+const maxTimerDelayMs = 150;
+// Share of overdue requests that got no answer in time: before any is known, the weight of the
+// newest one, and from which on an overdue request shows that its upstream hangs.
+const assumedUnansweredShare = 0.5;
+const unansweredWeight = 0.2;
+const hangingShare = 0.5;
+// Weight of the newest answer in the moving average of sizes.
+const sizeWeight = 0.1;
 
 const suspicionKinds: Readonly<Record<AnswerClass, SuspicionKind | undefined>> = {
   good: undefined,
@@ -40,48 +48,62 @@
 }
 
 interface WatchedAttempt extends StartedAttempt {
+  readonly overdueAt: number;
   isOverdue: boolean;
 }
 
-function updateAverage(averages: Map<string, number>, service: string, value: number): void {
-  const previous = averages.get(service) ?? value;
-  averages.set(service, previous + smoothingFactor * (value - previous));
-}
-
 /** Derives suspicions of upstreams from the results of attempts and from overdue requests. */
 export default class SuspicionObserver implements AttemptObserver {
   private readonly options: SuspicionObserverOptions;
 
+  private readonly notifier: Notifier;
+
   private readonly openAttempts = new Map<string, WatchedAttempt>();
 
-  /** Moving average of the latency of good answers by service, in milliseconds. */
-  private readonly averageLatencies = new Map<string, number>();
+  /** By operation. */
+  private readonly latencies = new Map<string, LatencyEstimate>();
 
+  /** Moving average of the size of good answers by service, in bytes. */
   private readonly averageSizes = new Map<string, number>();
 
+  /** Share of overdue requests that got no answer in time, by service. */
+  private readonly unansweredShares = new Map<string, number>();
+
+  /** Instant of the last good answer of any upstream. */
+  private answeredAt = -Infinity;
+
+  /** Instant until which `run` waits. */
+  private wakeAt = Infinity;
+
   constructor(options: SuspicionObserverOptions) {
     this.options = options;
+    this.notifier = new Notifier(options.clock);
   }
 
   recordStart(attempt: StartedAttempt): void {
-    this.openAttempts.set(attempt.requestId, { ...attempt, isOverdue: false });
+    const overdueAt = attempt.startedAt + this.estimateLongMs(attempt.operation);
+    this.openAttempts.set(attempt.requestId, { ...attempt, overdueAt, isOverdue: false });
+    if (overdueAt < this.wakeAt) this.notifier.notify();
   }
 
   recordEnd(requestId: string, observation: AttemptObservation): void {
-    const { suspicions } = this.options;
     const { upstream, service, answerClass, startedAt, endedAt } = observation;
+    const attempt = this.openAttempts.get(requestId);
+    const operation = attempt?.operation ?? service;
+    const tookMs = endedAt - startedAt;
+    const isLong = tookMs > this.estimateLongMs(operation);
     this.openAttempts.delete(requestId);
+    if (attempt?.isOverdue) this.recordOverdueEnd(attempt, observation);
     // A timeout that a caller's short deadline caused is not evidence against the upstream.
-    const isCallerTimeout =
-      answerClass === 'timed_out' && !this.isOverdue({ service, startedAt }, endedAt);
-    const kind = isCallerTimeout ? undefined : suspicionKinds[answerClass];
+    const kind = answerClass === 'timed_out' && !isLong ? undefined : suspicionKinds[answerClass];
     if (kind) this.reportSuspicion(upstream, kind, requestId);
     if (answerClass !== 'good') return;
+    this.answeredAt = endedAt;
+    const { suspicions, exchange } = this.options;
     const isRecovery = suspicions.recordSuccess(upstream, startedAt, endedAt);
-    if (isRecovery) this.options.exchange.reportRecovery(upstream);
-    updateAverage(this.averageSizes, service, observation.answerBytes);
-    const tookMs = endedAt - startedAt;
-    updateAverage(this.averageLatencies, service, tookMs);
+    if (isRecovery) exchange.reportRecovery(upstream);
+    this.recordSize(service, observation.answerBytes);
+    this.getLatency(operation).recordLatency(tookMs);
   }
 
   /** Moving average of the size of good answers, in bytes; undefined before the first one. */
@@ -89,34 +111,68 @@
     return this.averageSizes.get(service);
   }
 
+  /** Time that few good answers to an operation exceed, in milliseconds. */
+  estimateLongMs(operation: string): number {
+    return this.latencies.get(operation)?.longMs ?? defaultLongMs;
+  }
+
   /** Reports overdue requests until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock } = this.options;
+    signal.addEventListener('abort', () => this.notifier.notify(), { once: true });
     while (!signal.aborted) {
-      await clock.sleepUntil(clock.now() + watchIntervalMs, signal);
-      const now = clock.now();
-      [...this.openAttempts.values()]
-        .filter((attempt) => !attempt.isOverdue && this.isOverdue(attempt, now))
-        .forEach((attempt) => {
-          attempt.isOverdue = true;
-          this.reportSuspicion(attempt.upstream, 'overdue', attempt.requestId);
-        });
+      this.wakeAt = this.listWatched().reduce(
+        (earliest, { overdueAt }) => Math.min(earliest, overdueAt),
+        Infinity,
+      );
+      await this.notifier.waitUntil(this.wakeAt);
+      this.reportOverdue(clock.now());
     }
   }
 
-  /** Time that few good answers of a service exceed, in milliseconds. */
-  estimateLongestMs(service: string): number {
-    const averageMs = this.averageLatencies.get(service);
-    // There is no average before the first good answer of the service.
-    if (averageMs === undefined) return defaultOverdueMs;
-    return Math.max(minOverdueMs, overdueFactor * averageMs);
+  private listWatched(): readonly WatchedAttempt[] {
+    return [...this.openAttempts.values()].filter(({ isOverdue }) => !isOverdue);
+  }
+
+  private reportOverdue(now: number): void {
+    this.listWatched()
+      .filter(({ overdueAt }) => overdueAt <= now)
+      .forEach((attempt) => {
+        attempt.isOverdue = true;
+        if (now > attempt.overdueAt + maxTimerDelayMs) return;
+        this.reportSuspicion(attempt.upstream, this.classifyOverdue(attempt), attempt.requestId);
+      });
+  }
+
+  // Without answers of other upstreams, the link of this host may be the cause.
+  private classifyOverdue({ service, startedAt }: WatchedAttempt): SuspicionKind {
+    const isAnswered = this.answeredAt > startedAt;
+    const share = this.unansweredShares.get(service) ?? assumedUnansweredShare;
+    return isAnswered && share >= hangingShare ? 'hanging' : 'overdue';
+  }
+
+  private recordOverdueEnd(
+    { service, startedAt, overdueAt }: WatchedAttempt,
+    { answerClass, endedAt }: AttemptObservation,
+  ): void {
+    const isLate = endedAt - startedAt > lateFactor * (overdueAt - startedAt);
+    const isUnanswered = answerClass !== 'good' || isLate;
+    const share = this.unansweredShares.get(service) ?? assumedUnansweredShare;
+    const change = (isUnanswered ? 1 : 0) - share;
+    this.unansweredShares.set(service, share + unansweredWeight * change);
+  }
+
+  private recordSize(service: string, bytes: number): void {
+    const average = this.averageSizes.get(service) ?? bytes;
+    this.averageSizes.set(service, average + sizeWeight * (bytes - average));
   }
 
-  private isOverdue(
-    { service, startedAt }: Pick<StartedAttempt, 'service' | 'startedAt'>,
-    now: number,
-  ): boolean {
-    return now - startedAt > this.estimateLongestMs(service);
+  private getLatency(operation: string): LatencyEstimate {
+    const known = this.latencies.get(operation);
+    if (known) return known;
+    const latency = new LatencyEstimate();
+    this.latencies.set(operation, latency);
+    return latency;
   }
 
   private reportSuspicion(upstream: string, kind: SuspicionKind, requestId: string): void {
--- a/src/application/lifecycle/StopSchedule.ts
+++ b/src/application/lifecycle/StopSchedule.ts
@@ -9,8 +9,8 @@
   readonly clock: Clock;
   /** Time after the stop signal at which the platform kills the process, in milliseconds. */
   readonly killMs: number;
-  /** Time that few attempts at the service exceed, in milliseconds. */
-  readonly estimateAttemptMs: (service: string) => number;
+  /** Time that few attempts of the operation exceed, in milliseconds. */
+  readonly estimateAttemptMs: (operation: string) => number;
 }
 
 /** The deadline by which a host that stops has answered all requests. */
@@ -34,9 +34,9 @@
     return this.answerDeadline !== undefined;
   }
 
-  mayStart(service: string): boolean {
+  mayStart(operation: string): boolean {
     if (this.answerDeadline === undefined) return true;
     const { clock, estimateAttemptMs } = this.options;
-    return clock.now() + estimateAttemptMs(service) <= this.answerDeadline;
+    return clock.now() + estimateAttemptMs(operation) <= this.answerDeadline;
   }
 }
--- a/src/application/requests/AttemptObserver.ts
+++ b/src/application/requests/AttemptObserver.ts
@@ -4,6 +4,8 @@
 export interface StartedAttempt {
   readonly requestId: string;
   readonly service: string;
+  /** Kind of the request; requests of one kind take about the same time. */
+  readonly operation: string;
   readonly upstream: string;
   readonly startedAt: number;
 }
--- a/src/application/requests/UpstreamDispatcher.ts
+++ b/src/application/requests/UpstreamDispatcher.ts
@@ -17,6 +17,7 @@
 import classifyAttempt from './classifyAttempt.ts';
 import checkSendable from './checkSendable.ts';
 import describeUpstreamFailure from './describeUpstreamFailure.ts';
+import getOperation from './getOperation.ts';
 import listEndToEndHeaders from './listEndToEndHeaders.ts';
 import DefaultDialect from './DefaultDialect.ts';
 import type RequestDialect from './RequestDialect.ts';
@@ -156,7 +157,8 @@
   private findRefusal(request: CallerRequest): Failure | undefined {
     const refusal = checkSendable(request, this.options.clock.now());
     const { method, target, route } = request;
-    if (refusal || (this.options.stopLimiter?.mayStart(route.service) ?? true)) return refusal;
+    if (refusal || (this.options.stopLimiter?.mayStart(getOperation(route)) ?? true))
+      return refusal;
     const message = `${method} ${target}: this host is stopping and would most likely end before the answer`;
     return { kind: 'host_stopping', message };
   }
@@ -186,7 +188,8 @@
     const startedAt = clock.now();
     const names = { service: record.service, upstream: record.upstream };
     this.recordChoice(request, { attemptId, chosen, giveUpAt });
-    observer.recordStart({ ...names, requestId: attemptId, startedAt });
+    const operation = getOperation(request.route);
+    observer.recordStart({ ...names, operation, requestId: attemptId, startedAt });
     loadTracker.recordStart(record.service, record.upstream);
     const result = await upstreamClient.sendRequest({
       address: record.address,
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -142,7 +142,7 @@
     this.stopSchedule = new StopSchedule({
       clock,
       killMs: settings.stopTimeoutMs,
-      estimateAttemptMs: (service) => this.observer.estimateLongestMs(service),
+      estimateAttemptMs: (operation) => this.observer.estimateLongMs(operation),
     });
     this.upstreamClient = new UndiciUpstreamClient({
       clock,
--- a/src/domain/detection/SuspicionTracker.ts
+++ b/src/domain/detection/SuspicionTracker.ts
@@ -10,6 +10,11 @@
   | 'silent'
   /** A request has been open for far longer than usual. */
   | 'overdue'
+  /**
+   * The same, while other upstreams answer the host, and lately such requests got no answer in
+   * time.
+   */
+  | 'hanging'
   /** A complete answer that reports a fault. */
   | 'faulty'
   /** The address belongs to another upstream now. */
@@ -59,6 +64,10 @@
     },
     silent: { own: { riskKind: 'link', risk: 1 }, other: { riskKind: 'upstream', risk: 0.35 } },
     overdue: { own: { riskKind: 'link', risk: 0.35 }, other: { riskKind: 'weak', risk: 0.2 } },
+    hanging: {
+      own: { riskKind: 'upstream', risk: 0.7 },
+      other: { riskKind: 'upstream', risk: 0.7 },
+    },
     faulty: { own: { riskKind: 'weak', risk: 0.12 }, other: { riskKind: 'weak', risk: 0.12 } },
   };
 // Under high load all upstreams cause weak suspicions, which must not mask the stronger ones.
--- a/src/domain/requests/LowestCostBalancer.ts
+++ b/src/domain/requests/LowestCostBalancer.ts
@@ -52,9 +52,9 @@
 
 /**
  * Chooses the upstream with the lowest cost; of many upstreams, compares only a sample of the own
- * failure domain and one of all others, most of which recently gave good answers. Waiting for a slot, traffic to another failure domain
- * and the risk of a failure all count as costs, so that they are traded off against each other when
- * capacity is scarce.
+ * failure domain and one of all others, most of which recently gave good answers. Waiting for a
+ * slot, traffic to another failure domain and the risk of a failure all count as costs, so that
+ * they are traded off against each other when capacity is scarce.
  */
 export default class LowestCostBalancer implements Balancer {
   private readonly options: LowestCostBalancerOptions;
--- a/tests/fleet/suspicionObserver.test.ts
+++ b/tests/fleet/suspicionObserver.test.ts
@@ -1,4 +1,4 @@
-import { describe, expect, it } from 'vitest';
+import { afterEach, describe, expect, it } from 'vitest';
 
 import DomainExchange from '../../src/application/fleet/DomainExchange.ts';
 import SuspicionObserver from '../../src/application/fleet/SuspicionObserver.ts';
@@ -10,6 +10,13 @@
 import SilentLog from '../fixtures/SilentLog.ts';
 
 describe('SuspicionObserver', () => {
+  let stopping = new AbortController();
+
+  afterEach(() => {
+    stopping.abort();
+    stopping = new AbortController();
+  });
+
   function createObserver(clock: FakeClock) {
     const suspicions = new SuspicionTracker({ decayMs: 9000 });
     const exchange = new DomainExchange({
@@ -36,7 +43,8 @@
         ...{ startedAt: endedAt - tookMs, endedAt, answerBytes: 100 },
       });
     };
-    return { endRequest, readRisk: () => suspicions.getRisk('u1', 1, clock.now()) };
+    const readRisk = (upstream = 'u1'): number => suspicions.getRisk(upstream, 1, clock.now());
+    return { endRequest, observer, readRisk };
   }
 
   // Callers set deadlines of 400 ms although answers take about as long. Guards against suspecting
@@ -66,4 +74,95 @@
 
     expect(readRisk()).toBe(1);
   });
+
+  describe('of overdue requests', () => {
+    const usualMs = 200;
+
+    /** Starts an observer that knows how long requests usually take. */
+    async function startObserver() {
+      const clock = new FakeClock();
+      const created = createObserver(clock);
+      const { observer } = created;
+      observer.run(stopping.signal).catch(() => undefined);
+      const start = (requestId: string, upstream: string): void =>
+        observer.recordStart({
+          ...{ requestId, service: 'history', operation: 'look up' },
+          ...{ upstream, startedAt: clock.now() },
+        });
+      const end = (
+        requestId: string,
+        upstream: string,
+        [answerClass, startedAt]: readonly [AnswerClass, number],
+      ): void =>
+        observer.recordEnd(requestId, {
+          ...{ service: 'history', upstream, answerClass, reportedLoad: undefined },
+          ...{ startedAt, endedAt: clock.now(), answerBytes: 100 },
+        });
+      const runRequest = async (
+        upstream: string,
+        tookMs: number,
+        answerClass: AnswerClass = 'good',
+      ): Promise<void> => {
+        const startedAt = clock.now();
+        start('request', upstream);
+        await clock.advanceBy(tookMs);
+        end('request', upstream, [answerClass, startedAt]);
+      };
+      for (let index = 0; index < 20; index += 1) {
+        await runRequest('u2', usualMs + 2 * index);
+        await runRequest('u1', usualMs + 2 * index);
+      }
+      return { ...created, clock, start, end, runRequest };
+    }
+
+    // On Sinagbantay, one upstream in three hangs for seconds. Guards against sending it a request
+    // of each host until the first of them has timed out.
+    it('should suspect the upstream long before the deadline while others answer', async () => {
+      const { clock, start, runRequest, readRisk } = await startObserver();
+      start('hangs', 'u1');
+      await clock.advanceBy(50);
+      await runRequest('u2', usualMs);
+      await clock.advanceBy(2.5 * usualMs - usualMs - 50);
+
+      expect(readRisk()).toBeGreaterThan(0.65);
+      expect(readRisk('u2')).toBeLessThan(0.05);
+    });
+
+    // Guards against a host with a bad link that suspects all upstreams.
+    it('should not suspect the upstream itself while none answers', async () => {
+      const { clock, start, readRisk } = await startObserver();
+      start('first', 'u1');
+      start('second', 'u2');
+      await clock.advanceBy(3 * usualMs);
+
+      expect(readRisk()).toBeLessThan(0.4);
+    });
+
+    // Guards against a host that was suspended or lacked processor time and then suspects all
+    // upstreams.
+    it('should not suspect an upstream when the host itself was late', async () => {
+      const { clock, start, end, readRisk } = await startObserver();
+      const startedAt = clock.now();
+      start('open', 'u1');
+      start('other', 'u2');
+      clock.jumpTo(startedAt + 2000);
+      end('other', 'u2', ['good', startedAt]);
+      await clock.advanceBy(10);
+
+      // Without a suspicion, the risk grows while an upstream is not used.
+      expect(readRisk()).toBeLessThan(0.1);
+    });
+
+    // Where answers of sound upstreams are often long, a long one proves little.
+    it('should count less where overdue requests are usually answered after all', async () => {
+      const { clock, start, runRequest, readRisk } = await startObserver();
+      for (let index = 0; index < 6; index += 1) await runRequest('u3', 3.2 * usualMs);
+      for (let index = 0; index < 10; index += 1) await runRequest('u2', usualMs);
+      start('open', 'u1');
+      await runRequest('u2', usualMs);
+      await clock.advanceBy(5 * usualMs);
+
+      expect(readRisk()).toBeLessThan(0.4);
+    });
+  });
 });
