src/application/requests: an overdue look-up is joined by one at a second upstream

Cause: an attempt that took too long was given up and sent again.

Change: the request stays where it is, and a second attempt starts beside it, if another upstream has room and the retry budget allows it. The first good answer counts, and the other attempt is cancelled. AttemptSender sends single attempts, RequestDispatch decides on them. The overdue time follows the queue that was known when the request was sent. An upstream is suspected of hanging only if it gave the failure domain no good answer since the request was sent. The fuzz found that a second attempt that did not run masked a first that may have run; chooseReported covers both.

--- a/src/adapters/http/ExchangeDeadlines.ts
+++ b/src/adapters/http/ExchangeDeadlines.ts
@@ -28,7 +28,8 @@
     this.notifier = new Notifier(clock);
   }
 
-  addExchange(exchange: UpstreamExchange, deadline: number): void {
+  addExchange(exchange: UpstreamExchange): void {
+    const deadline = exchange.firstCheckAt;
     this.deadlines.set(exchange, deadline);
     if (!this.task) this.task = this.run();
     else if (deadline < this.wakeAt) this.notifier.notify();
--- a/src/adapters/http/UndiciUpstreamClient.ts
+++ b/src/adapters/http/UndiciUpstreamClient.ts
@@ -69,7 +69,7 @@
     const exchange = new UpstreamExchange({ request, clock: this.clock, dialect: this.dialect });
     const onCancel = (): void => exchange.cancelExchange('cancelled');
     request.signal.addEventListener('abort', onCancel, { once: true });
-    this.deadlines.addExchange(exchange, request.giveUpAt ?? request.deadline);
+    this.deadlines.addExchange(exchange);
     const agent = request.mayRepeat ? this.keepAliveAgent : this.singleUseAgent;
     agent.dispatch(
       {
--- a/src/adapters/http/UpstreamExchange.ts
+++ b/src/adapters/http/UpstreamExchange.ts
@@ -68,13 +68,22 @@
     else this.refuseDispatch(reason === 'cancelled' ? 'cancelled' : 'deadline_passed');
   }
 
+  /** Instant of the first check of the deadlines. */
+  get firstCheckAt(): number {
+    const { deadline, overdueAt = Infinity } = this.request;
+    return Math.min(deadline, overdueAt);
+  }
+
   /**
-   * Ends the exchange at its deadline, or earlier if the request gives up. Returns the instant of
-   * the next check.
+   * Ends the exchange at its deadline; before that, reports that it is overdue. Returns the instant
+   * of the next check.
    */
   checkDeadline(): number {
-    const { deadline, mayGiveUp } = this.request;
-    if (this.clock.now() < deadline && !mayGiveUp?.()) return deadline;
+    const { deadline, onOverdue } = this.request;
+    if (this.clock.now() < deadline) {
+      onOverdue?.();
+      return deadline;
+    }
     this.cancelExchange('timed_out');
     return Infinity;
   }
--- a/src/application/fleet/SuspicionObserver.ts
+++ b/src/application/fleet/SuspicionObserver.ts
@@ -81,7 +81,8 @@
   }
 
   recordStart(attempt: StartedAttempt): void {
-    const overdueAt = attempt.startedAt + this.estimateLongMs(attempt.operation);
+    const longMs = this.estimateLongMs(attempt.operation) * attempt.serviceTimes;
+    const overdueAt = attempt.startedAt + longMs;
     this.openAttempts.set(attempt.requestId, { ...attempt, overdueAt, isOverdue: false });
     if (overdueAt < this.wakeAt) this.notifier.notify();
   }
@@ -144,11 +145,13 @@
       });
   }
 
-  // Without answers of other upstreams, the link of this host may be the cause.
-  private classifyOverdue({ service, startedAt }: WatchedAttempt): SuspicionKind {
+  // Without answers of other upstreams, the link of this host may be the cause. An upstream that
+  // goes on answering may have a long queue.
+  private classifyOverdue({ upstream, service, startedAt }: WatchedAttempt): SuspicionKind {
     const isAnswered = this.answeredAt > startedAt;
+    const isSilent = !this.options.suspicions.hasSucceededSince(upstream, startedAt);
     const share = this.unansweredShares.get(service) ?? assumedUnansweredShare;
-    return isAnswered && share >= hangingShare ? 'hanging' : 'overdue';
+    return isAnswered && isSilent && share >= hangingShare ? 'hanging' : 'overdue';
   }
 
   private recordOverdueEnd(
--- a/src/application/requests/AttemptObserver.ts
+++ b/src/application/requests/AttemptObserver.ts
@@ -8,6 +8,8 @@
   readonly operation: string;
   readonly upstream: string;
   readonly startedAt: number;
+  /** Estimated time until the answer, in service times of the upstream; 1 without a queue. */
+  readonly serviceTimes: number;
 }
 
 /** Observes attempts at upstreams as evidence of the upstreams' health and load. */
--- /dev/null
+++ b/src/application/requests/RequestDispatch.ts
@@ -0,0 +1,152 @@
+import type Failure from '../../domain/errors/Failure.ts';
+import type { ServiceSettings } from '../../domain/presets/Preset.ts';
+import type RetryPolicy from '../../domain/requests/RetryPolicy.ts';
+import type UsableUpstream from '../../domain/requests/UsableUpstream.ts';
+import type { EndedAttempt, OpenAttempt } from './AttemptSender.ts';
+import type AttemptSender from './AttemptSender.ts';
+import type CallerRequest from './CallerRequest.ts';
+import type UpstreamChooser from './UpstreamChooser.ts';
+
+/** Options of the dispatch of one request. */
+export interface RequestDispatchOptions {
+  readonly request: CallerRequest;
+  readonly service: ServiceSettings;
+  readonly policy: RetryPolicy;
+  readonly chooser: UpstreamChooser;
+  readonly sender: AttemptSender;
+  /** Why the request must not be sent now, or undefined while it may be sent. */
+  readonly findRefusal: () => Failure | undefined;
+  /** Whether a further attempt makes sense now. */
+  readonly mayTryAgain: () => boolean;
+  /** Whether the request may be sent to a second upstream while the first one works on it. */
+  readonly mayHedge: () => boolean;
+  /** Time that few answers to the request take from an upstream without a queue, in ms. */
+  readonly estimateLongMs: () => number;
+  readonly readNow: () => number;
+  /** Called with each upstream that answered, and whether it refused because of its load. */
+  readonly onEnd: (upstream: string, attempt: EndedAttempt) => void;
+}
+
+/** Result of dispatching a request. */
+export interface DispatchResult {
+  readonly attempts: number;
+  /** False only if it is certain that no upstream ran any part of the operation. */
+  readonly mayHaveRun: boolean;
+  readonly outcome: EndedAttempt['outcome'];
+}
+
+// A later attempt that did not run must not mask an earlier attempt that may have run.
+function chooseReported(earlier: EndedAttempt | undefined, later: EndedAttempt): EndedAttempt {
+  return earlier?.mayHaveRun && !later.mayHaveRun ? earlier : later;
+}
+
+/** Sends one request to one upstream after another, as long as the retry policy allows. */
+export default class RequestDispatch {
+  private readonly options: RequestDispatchOptions;
+
+  private readonly tried = new Set<string>();
+
+  /** Number of attempts that may have run the request, including the open ones. */
+  private runs = 0;
+
+  constructor(options: RequestDispatchOptions) {
+    this.options = options;
+  }
+
+  /**
+   * Runs until an attempt succeeds or no further attempt is allowed. An attempt that is overdue is
+   * joined by one at a second upstream, and the first good answer counts.
+   */
+  async run(): Promise<DispatchResult> {
+    const { request, policy, chooser, findRefusal, mayTryAgain } = this.options;
+    const refusal = findRefusal();
+    if (refusal) return this.createFailure(refusal);
+    let chosen = this.chooseNext();
+    let reported: EndedAttempt | undefined;
+    while (chosen) {
+      const attempt = await this.runHedged(chosen);
+      reported = chooseReported(reported, attempt);
+      // Nearly every request finishes here, so the upstreams are listed again only for a retry.
+      if (!policy.isRetryable(attempt.end) || this.runsLeft <= 0 || !mayTryAgain()) break;
+      chosen = this.chooseNext();
+      // `mayRetry` takes a retry from the budget, so it is called last.
+      if (chosen && !policy.mayRetry(attempt.end)) chosen = undefined;
+    }
+    if (!reported) return this.createFailure(chooser.describeRefusal(request));
+    return { ...reported, attempts: this.tried.size };
+  }
+
+  /** Number of further attempts that may run the request. */
+  private get runsLeft(): number {
+    return (this.options.request.route.maxAttempts ?? Infinity) - this.runs;
+  }
+
+  private createFailure(failure: Failure): DispatchResult {
+    return { attempts: 0, mayHaveRun: false, outcome: { kind: 'failed', failure } };
+  }
+
+  private chooseNext(): UsableUpstream | undefined {
+    const { request, policy, chooser } = this.options;
+    const scarcity = this.runsLeft > 1 ? policy.readScarcity() : 1;
+    return chooser.chooseUpstream(request, chooser.listUntried(request, this.tried), scarcity);
+  }
+
+  /** Runs an attempt, and one at a second upstream when it is overdue. */
+  private async runHedged(chosen: UsableUpstream): Promise<EndedAttempt> {
+    const first = this.startAttempt(chosen, this.computeHedgeTime(chosen));
+    const early = await Promise.race([first.ended, first.overdue]);
+    const second = early ? undefined : this.startSecond();
+    if (!second) return early ?? first.ended;
+    return this.waitEither(first, second);
+  }
+
+  private computeHedgeTime(chosen: UsableUpstream): number {
+    const { policy, request, chooser, readNow, estimateLongMs } = this.options;
+    if (this.runsLeft <= 1) return Infinity;
+    const now = readNow();
+    const overdueAt = now + estimateLongMs() * chooser.estimateServiceTimes(chosen);
+    return policy.computeHedgeTime({ now, deadline: request.deadline, overdueAt });
+  }
+
+  private startSecond(): OpenAttempt | undefined {
+    const { policy, chooser, mayTryAgain, mayHedge } = this.options;
+    if (!mayHedge() || !mayTryAgain()) return undefined;
+    const chosen = this.chooseNext();
+    // A second attempt that has to wait would only delay other requests.
+    if (!chosen || chooser.estimateServiceTimes(chosen) > 1) return undefined;
+    // `mayRetry` takes a retry from the budget, so it is called last.
+    if (!policy.mayRetry('unknown')) return undefined;
+    return this.startAttempt(chosen, Infinity);
+  }
+
+  private startAttempt(chosen: UsableUpstream, hedgeAt: number): OpenAttempt {
+    const { request, service, chooser, sender, findRefusal, onEnd } = this.options;
+    const { upstream } = chosen.record;
+    this.tried.add(upstream);
+    this.runs += 1;
+    const serviceTimes = chooser.estimateServiceTimes(chosen);
+    const plan = { chosen, serviceTimes, hedgeAt, findRefusal };
+    const attempt = sender.startAttempt(request, service, plan);
+    const recordEnd = (ended: EndedAttempt): EndedAttempt => {
+      if (!ended.mayHaveRun) this.runs -= 1;
+      onEnd(upstream, ended);
+      return ended;
+    };
+    return { ...attempt, ended: attempt.ended.then(recordEnd) };
+  }
+
+  /** Waits for the first answer that needs no retry, or for both attempts. */
+  private async waitEither(first: OpenAttempt, second: OpenAttempt): Promise<EndedAttempt> {
+    const { policy } = this.options;
+    const [winner, other] = await Promise.race([
+      first.ended.then((ended) => [ended, second] as const),
+      second.ended.then((ended) => [ended, first] as const),
+    ]);
+    const isFinal = ({ outcome, end }: EndedAttempt): boolean =>
+      outcome.kind === 'answered' && !policy.isRetryable(end);
+    if (isFinal(winner)) other.cancel();
+    const last = await other.ended;
+    if (isFinal(winner)) return winner;
+    return isFinal(last) ? last : chooseReported(winner, last);
+  }
+}
--- a/src/application/requests/RequestHandler.ts
+++ b/src/application/requests/RequestHandler.ts
@@ -25,7 +25,7 @@
 import type RetryBudgetSource from './RetryBudgetSource.ts';
 import ServiceRetryBudgets from './ServiceRetryBudgets.ts';
 import type UpstreamDispatcher from './UpstreamDispatcher.ts';
-import type { DispatchResult } from './UpstreamDispatcher.ts';
+import type { DispatchResult } from './RequestDispatch.ts';
 import computeDeadline from './computeDeadline.ts';
 import createFailureAnswer from './createFailureAnswer.ts';
 import drawRetryTime from './drawRetryTime.ts';
--- a/src/application/requests/UpstreamChooser.ts
+++ b/src/application/requests/UpstreamChooser.ts
@@ -1,5 +1,6 @@
 import type Failure from '../../domain/errors/Failure.ts';
 import type Balancer from '../../domain/requests/Balancer.ts';
+import estimateLoad from '../../domain/requests/estimateLoad.ts';
 import type UsableUpstream from '../../domain/requests/UsableUpstream.ts';
 import type { UpstreamAccess } from '../../domain/statements/UpstreamStatements.ts';
 import type Clock from '../../ports/Clock.ts';
@@ -23,6 +24,8 @@
   readonly failureDomain: string;
   /** Keeps requests from upstreams that state that they take none; unless set, all are open. */
   readonly gate?: UpstreamGate;
+  /** Half-life of a reported load, in milliseconds; 0 unless set. */
+  readonly loadHalfLifeMs?: number;
   /** Estimated probability that a request to the upstream fails, from 0 to 1; 0 unless set. */
   readonly readRisk?: (upstream: UsableUpstream) => number;
 }
@@ -70,6 +73,17 @@
     return mayComeBack ? undefined : chosen;
   }
 
+  /**
+   * Estimates when a request that is sent now will be answered, in service times: 1 while a slot is
+   * free, and more the longer the queue.
+   */
+  estimateServiceTimes({ record }: UsableUpstream): number {
+    const { loadTracker, clock, loadHalfLifeMs = 0 } = this.options;
+    const known = loadTracker.readLoad(record.service, record.upstream);
+    const load = estimateLoad(known, clock.now(), loadHalfLifeMs);
+    return Math.max(1, (load + 1) / record.slots);
+  }
+
   /** Describes why no upstream was chosen for a request that was not sent. */
   describeRefusal({ method, target, route }: CallerRequest): Failure {
     const usable = this.options.pool.listUsable(route.service);
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -278,10 +278,12 @@
       pool: view,
       observer,
       loadTracker: new DomainLoad({ exchange }),
+      loadHalfLifeMs,
       failureDomain: settings.failureDomain,
       dialect,
       gate: new DomainGate({ clock, log, statements, exchange }),
       stopLimiter: this.stopSchedule,
+      estimateLongMs: (operation) => observer.estimateLongMs(operation),
       log,
       readRisk,
     });
--- a/src/domain/detection/SuspicionTracker.ts
+++ b/src/domain/detection/SuspicionTracker.ts
@@ -148,6 +148,11 @@
     return isAfterSuspicions;
   }
 
+  /** Whether the upstream gave a good answer to a host of the domain after an instant. */
+  hasSucceededSince(upstream: string, instant: number): boolean {
+    return (this.succeededAt.get(upstream) ?? -Infinity) > instant;
+  }
+
   /** Records evidence of a recovery, from this host or another one. */
   recordRecovery(upstream: string, now: number): void {
     this.succeededAt.set(upstream, now);
--- a/src/domain/requests/AtMostOnceRetryPolicy.ts
+++ b/src/domain/requests/AtMostOnceRetryPolicy.ts
@@ -1,6 +1,5 @@
 import type RetryAllowance from './RetryAllowance.ts';
 import type RetryPolicy from './RetryPolicy.ts';
-import type { AttemptTimes } from './RetryPolicy.ts';
 import type { AttemptResult } from './AttemptResult.ts';
 
 /**
@@ -29,11 +28,8 @@
     return result === 'not_sent' || this.budget.takeRetry();
   }
 
-  /**
-   * Returns the deadline of the request: the operation may have run by the time an attempt times
-   * out, so no retry would be allowed.
-   */
-  computeGiveUpTime({ deadline }: AttemptTimes): number {
-    return deadline;
+  /** Returns `Infinity`: a second upstream could run the operation again. */
+  computeHedgeTime(): number {
+    return Infinity;
   }
 }
--- a/src/domain/requests/IdempotentRetryPolicy.ts
+++ b/src/domain/requests/IdempotentRetryPolicy.ts
@@ -27,10 +27,10 @@
   }
 
   /**
-   * Returns half of the remaining time, so that the next upstream has as much time as this one;
-   * otherwise an upstream that never answers would use up the whole deadline.
+   * Returns the instant at which the attempt is overdue, but at the latest half of the remaining
+   * time, so that the second upstream has as much time as the first one had.
    */
-  computeGiveUpTime({ now, deadline, hasAlternative }: AttemptTimes): number {
-    return hasAlternative ? now + (deadline - now) / 2 : deadline;
+  computeHedgeTime({ now, deadline, overdueAt }: AttemptTimes): number {
+    return Math.min(overdueAt, now + (deadline - now) / 2);
   }
 }
--- a/src/domain/requests/LowestCostBalancer.ts
+++ b/src/domain/requests/LowestCostBalancer.ts
@@ -2,6 +2,7 @@
 import type { BalancerChoice } from './Balancer.ts';
 import type UsableUpstream from './UsableUpstream.ts';
 import drawSample from './drawSample.ts';
+import estimateLoad from './estimateLoad.ts';
 
 // Knowledge of load is old by the time it reaches the other hosts. When all of them compare the
 // same many upstreams, they choose the same few, so from more than this many only a sample is
@@ -124,10 +125,7 @@
     { readLoad, now }: BalancerChoice,
     costs: BalancerCosts,
   ): number {
-    const { inFlight, reportedLoad, reportedAt } = readLoad(record.upstream);
-    const ageMs = Math.max(0, now - reportedAt);
-    const decayedLoad = reportedLoad * 0.5 ** (ageMs / this.options.loadHalfLifeMs);
-    const load = Math.max(inFlight, decayedLoad);
+    const load = estimateLoad(readLoad(record.upstream), now, this.options.loadHalfLifeMs);
     const { slots } = record;
     if (load < slots) return (costs.busySlots * load) / slots;
     const serviceTimes = (load - slots + 1) / slots;
--- a/src/domain/requests/RetryPolicy.ts
+++ b/src/domain/requests/RetryPolicy.ts
@@ -1,15 +1,15 @@
 import type { AttemptResult } from './AttemptResult.ts';
 
-/** Inputs of the instant at which an attempt may give up. */
+/** Inputs of the hedge time of an attempt. */
 export interface AttemptTimes {
   readonly now: number;
   /** Deadline of the whole request. */
   readonly deadline: number;
-  /** Whether another upstream may be tried after this attempt. */
-  readonly hasAlternative: boolean;
+  /** Instant after which few answers are still to come. */
+  readonly overdueAt: number;
 }
 
-/** Decides whether a failed attempt may be retried, and when an attempt may give up. */
+/** Decides whether an attempt that failed or is overdue may be followed by another one. */
 export default interface RetryPolicy {
   /** Whether a result permits a retry at all; takes nothing from the budget. */
   isRetryable(result: AttemptResult): boolean;
@@ -24,8 +24,8 @@
    */
   mayRetry(result: AttemptResult): boolean;
   /**
-   * Instant at which an attempt without an answer gives up if a retry is available then; the
-   * deadline if it must wait.
+   * Instant from which the request may be sent to a second upstream too if the attempt has no
+   * answer by then; `Infinity` for never.
    */
-  computeGiveUpTime(times: AttemptTimes): number;
+  computeHedgeTime(times: AttemptTimes): number;
 }
--- a/src/ports/UpstreamClient.ts
+++ b/src/ports/UpstreamClient.ts
@@ -16,14 +16,14 @@
   /** Name of the intended upstream; undefined when any upstream at the address may answer. */
   readonly upstream?: string;
   readonly deadline: number;
-  /** Instant at which `mayGiveUp` is called if no answer has arrived; the deadline unless set. */
-  readonly giveUpAt?: number;
-  /** Whether the attempt may end now, before its deadline, as timed out. */
-  readonly mayGiveUp?: () => boolean;
+  /** Instant at which `onOverdue` is called if no answer has arrived; never unless set. */
+  readonly overdueAt?: number;
+  /** Called once at `overdueAt`; the request goes on. */
+  readonly onOverdue?: () => void;
   readonly maxAnswerBytes: number;
   /** Whether the answer must repeat the request id. */
   readonly echoRequestId: boolean;
-  /** Aborts when the caller no longer waits for the answer. */
+  /** Aborts when the answer is no longer needed. */
   readonly signal: AbortSignal;
   /**
    * Called in the last synchronous step before the first byte may be sent; when it returns false,
