src/application/fleet: a control host sums up the reports of a large failure domain

Cause: each change went to each other host of the domain within 14 KB/s, so with 60 hosts 230 bytes a second were left for each peer. At 55 hosts a host handled about 250 datagrams a second, and half of what it knew was older than 357 ms at 5 requests a second, 800 ms at 8.

Change: with more than 16 hosts, entry hosts report open requests, loads, recoveries and retries to the control host that relays their suspicions (DomainHub), which sends digests at most every 100 ms. Suspicions, limits and leaving still go to all hosts at once. While no digest comes for 1.5 s, a host reports to all others as before; above 30 hosts only what changes their choices (SparseReports). Ruled out: a subset of peers for each host (no host knows what an upstream really has in flight), a tree among entry hosts (each level adds a delay, and they have a quarter core).

--- a/src/adapters/udp/decodeDomainMessage.ts
+++ b/src/adapters/udp/decodeDomainMessage.ts
@@ -80,8 +80,9 @@
 // Uses no schema library, because one took ten times as long.
 function isEncodedMessage(value: unknown): value is EncodedDomainMessage {
   if (!isFields(value)) return false;
-  const { s = [], a, u = [], r = {} } = value;
+  const { s = [], a, d, u = [], r = {} } = value;
   return (
+    (d === undefined || d === 1) &&
     Array.isArray(s) &&
     s.every(isSuspicionRow) &&
     (a === undefined || a === 1) &&
@@ -95,8 +96,9 @@
 /** Decodes the JSON value of a datagram; returns undefined if it is malformed. */
 export default function decodeDomainMessage(value: unknown): DomainMessage | undefined {
   if (!isEncodedMessage(value)) return undefined;
-  const { s = [], a, u = [], r = {} } = value;
+  const { s = [], a, d, u = [], r = {} } = value;
   return {
+    isDigest: d === 1,
     suspicions: s.map(([upstream, incarnation, kind]): Suspicion => ({
       upstream,
       incarnation,
--- a/src/adapters/udp/encodeDomainMessage.ts
+++ b/src/adapters/udp/encodeDomainMessage.ts
@@ -14,6 +14,8 @@
 /** A message as it is sent: an entry host sends many, so names are short and empty parts absent. */
 export interface EncodedDomainMessage {
   readonly s?: readonly SuspicionRow[];
+  /** Present in a digest. */
+  readonly d?: 1;
   /** Present if the sender asks for suspicions. */
   readonly a?: 1;
   readonly u?: readonly UpstreamRow[];
@@ -55,11 +57,12 @@
 
 /** Encodes a message as the JSON value that is sent in a datagram. */
 export default function encodeDomainMessage(message: DomainMessage): EncodedDomainMessage {
-  const { suspicions, asksSuspicions, upstreams, retries } = message;
+  const { isDigest, suspicions, asksSuspicions, upstreams, retries } = message;
   return {
     ...(suspicions.length > 0 && {
       s: suspicions.map(({ upstream, incarnation, kind }) => [upstream, incarnation, kind]),
     }),
+    ...(isDigest && { d: 1 }),
     ...(asksSuspicions && { a: 1 }),
     ...(upstreams.length > 0 && {
       u: upstreams.map(encodeUpstream),
--- a/src/adapters/udp/splitDomainMessage.ts
+++ b/src/adapters/udp/splitDomainMessage.ts
@@ -24,6 +24,7 @@
       retries: Object.fromEntries(firstRetries),
     },
     {
+      isDigest: message.isDigest,
       suspicions: lastSuspicions,
       asksSuspicions: false,
       upstreams: lastUpstreams,
--- a/src/application/fleet/DomainExchange.ts
+++ b/src/application/fleet/DomainExchange.ts
@@ -11,22 +11,17 @@
 import type DatagramSocket from '../../ports/DatagramSocket.ts';
 import type Log from '../../ports/Log.ts';
 import Notifier from '../tasks/Notifier.ts';
+import DomainReports from './DomainReports.ts';
+import type { ReportedLoad } from './DomainReports.ts';
 import PeerActivities from './PeerActivities.ts';
+import ReportRouting from './ReportRouting.ts';
 import UnsentChanges from './UnsentChanges.ts';
 
-// Changes at a busy upstream are sent almost immediately, because other hosts may be about to
-// choose the same upstream. The short delay batches the start and the end of requests into one
-// message.
-const busyBatchMs = 20;
-// Changes at other upstreams may wait longer: a host sends only about one request in half a second.
-const idleBatchMs = 400;
 // An upstream with at least this many open requests is busy: half of the slots of a typical
 // upstream.
 const busyThreshold = 2;
 // Open requests and retries are sent again at this interval, in case a datagram was lost.
 const repeatMs = 1000;
-// Far longer than a reported load is meaningful.
-const loadRetentionMs = 30_000;
 // Each change goes to every other host of the failure domain, so without a limit the traffic of a
 // host grows with the number of hosts times their load. Most of the 17 KB/s that a host may spend
 // for control.
@@ -43,6 +38,8 @@
 // A host that starts asks this many peers for their suspicions. All peers know nearly the same, but
 // many of them may be starting too.
 const askedPeers = 8;
+// A recovery in a digest that was reported within this time may be the one that this host reported.
+const ownReportMs = 500;
 const urgentKinds: ReadonlySet<SuspicionKind> = new Set(['broken', 'hanging', 'misplaced']);
 
 /** Options of the exchange. */
@@ -53,7 +50,10 @@
   readonly ownAddress: string;
   /** Addresses of the other entry hosts of the failure domain. */
   readonly listPeers: () => readonly string[];
-  /** Address of the control host that relays suspicions to other failure domains. */
+  /**
+   * Address of the control host that relays suspicions to other failure domains and sums up the
+   * reports of a large one.
+   */
   readonly findRelay: () => string | undefined;
   readonly suspicions: SuspicionTracker;
   readonly statements: UpstreamStatements;
@@ -61,16 +61,10 @@
   readonly readRetries: () => Readonly<Record<string, RetryCounts>>;
 }
 
-/** A load that an upstream reported. */
-export interface ReportedLoad {
-  readonly load: number;
-  /** Instant at which this host received the report. */
-  readonly at: number;
-}
-
 /**
  * Exchanges datagrams between the entry hosts of one failure domain: open requests, retries,
- * reported loads, statements of upstreams, suspicions and recoveries. Works without a control host.
+ * reported loads, statements of upstreams, suspicions and recoveries. In a large failure domain, a
+ * control host sums up all but what must not wait; without one, each host tells all others.
  * Sends a bounded number of bytes: with more hosts or more load, messages are fewer and hold more
  * changes.
  */
@@ -83,11 +77,12 @@
 
   private readonly unsent = new UnsentChanges();
 
-  /** Retries of this host in the last message that stated them, by service. */
-  private readonly sentRetries = new Map<string, number>();
+  /** Requests and retries of this host in the last message that stated them, by service. */
+  private readonly sentRetries = new Map<string, RetryCounts>();
+
+  private readonly reports = new DomainReports();
 
-  /** Latest load that each upstream reported to any host of the domain. */
-  private readonly reportedLoads = new Map<string, ReportedLoad>();
+  private readonly routing: ReportRouting;
 
   private readonly sendLimit = new RateLimit({ unitsPerSecond: maxBytesPerSecond, burstMs });
 
@@ -98,7 +93,9 @@
 
   constructor(options: DomainExchangeOptions) {
     this.options = options;
-    this.notifier = new Notifier(options.clock);
+    const { clock, findRelay, listPeers } = options;
+    this.notifier = new Notifier(clock);
+    this.routing = new ReportRouting({ clock, findRelay, countHosts: () => listPeers().length });
     options.socket.onMessage((message, from) => this.acceptMessage(message, from));
   }
 
@@ -124,21 +121,27 @@
   }
 
   recordEnd(upstream: string): void {
-    this.announceChange(upstream);
     const remaining = (this.ownInFlight.get(upstream) ?? 1) - 1;
     if (remaining > 0) this.ownInFlight.set(upstream, remaining);
     else this.ownInFlight.delete(upstream);
+    this.announceChange(upstream);
   }
 
   /** Latest load that an upstream reported to this or another host of the domain. */
   readLoad(upstream: string): ReportedLoad | undefined {
-    return this.reportedLoads.get(upstream);
+    return this.reports.readLoad(upstream);
   }
 
   /** Records a load that an upstream reported to this host and sends it with the next message. */
   reportLoad(upstream: string, load: number): void {
-    this.unsent.addLoad(upstream, load);
-    this.reportedLoads.set(upstream, { load, at: this.options.clock.now() });
+    const { reports } = this;
+    const { filter } = this.routing;
+    const now = this.options.clock.now();
+    if (filter.mayReportLoad(load, reports.estimateLoad(upstream, now))) {
+      this.unsent.addLoad(upstream, load);
+      this.setDue(now + filter.idleBatchMs);
+    }
+    reports.setLoad(upstream, load, now);
   }
 
   /**
@@ -171,7 +174,14 @@
    * sent after all suspicions of the upstream itself.
    */
   reportRecovery(upstream: string): void {
+    const now = this.options.clock.now();
+    const isSuspected = this.options.suspicions.isSuspected(upstream, now);
+    const { filter } = this.routing;
+    const reportedAt = this.reports.getRecoveredAt(upstream);
+    if (!filter.mayReportRecovery({ isSuspected, reportedAt, now })) return;
+    this.reports.setRecovered(upstream, now);
     this.unsent.addRecovery(upstream);
+    this.setDue(now + filter.idleBatchMs);
   }
 
   /**
@@ -217,7 +227,7 @@
         this.addRepeated();
         statements.prune(now);
         suspicions.pruneIdle(now);
-        this.dropOldLoads(now);
+        this.reports.pruneOld(now);
       }
       if (now >= Math.max(this.dueAt, this.sendLimit.freeAt)) this.sendChanges();
     }
@@ -236,15 +246,32 @@
   }
 
   private addRepeated(): void {
-    if (this.ownInFlight.size === 0) return;
-    [...this.ownInFlight.keys()].forEach((upstream) => this.unsent.addInFlight(upstream));
+    const { routing, reports } = this;
+    const unusedHub = routing.findUnusedHub();
+    // A hub sends digests to the hosts that report to it.
+    if (unusedHub !== undefined) this.sendRetries([unusedHub]);
+    const repeated = [...this.ownInFlight.keys()].filter(
+      (upstream) => !routing.isSparse || reports.readOwnOpen(upstream) > 0,
+    );
+    if (repeated.length === 0 && routing.findHub() === undefined) return;
+    repeated.forEach((upstream) => this.unsent.addInFlight(upstream));
     this.sentRetries.clear();
     this.setDue(this.options.clock.now());
   }
 
+  private sendRetries(addresses: readonly string[]): void {
+    this.sendMessage({ ...emptyDomainMessage, retries: this.options.readRetries() }, addresses);
+  }
+
   private announceChange(upstream: string): void {
+    const inDomain = this.countInFlight(upstream);
+    const own = this.readInFlight(upstream);
+    const reported = this.reports.readOwnOpen(upstream);
+    const { filter } = this.routing;
+    if (!filter.mayReportOpen({ own, reported, inDomain })) return;
     this.unsent.addInFlight(upstream);
-    const isBusy = this.countInFlight(upstream) >= busyThreshold;
+    const isBusy = inDomain >= busyThreshold;
+    const { busyBatchMs, idleBatchMs } = filter;
     this.setDue(this.options.clock.now() + (isBusy ? busyBatchMs : idleBatchMs));
   }
 
@@ -256,32 +283,45 @@
 
   /** Sends what changed since the last message, as much of it as fits into the limit of bytes. */
   private sendChanges(): void {
-    const upstreams = this.unsent.takeUpstreams(this.computeMaxUpstreams(), (upstream) =>
-      this.readInFlight(upstream),
+    const hub = this.routing.findHub();
+    if (hub !== undefined) this.sendUrgent();
+    const upstreams = this.unsent.takeUpstreams(this.computeMaxUpstreams(hub), (upstream) =>
+      this.takeInFlight(upstream),
     );
     this.dueAt = this.unsent.hasUpstreams ? this.options.clock.now() : Infinity;
-    const retries = this.takeUnsentRetries();
-    this.sendWithSuspicions({ ...emptyDomainMessage, upstreams, retries });
+    const message = { ...emptyDomainMessage, upstreams, retries: this.takeUnsentRetries() };
+    if (hub === undefined) this.sendWithSuspicions(message);
+    else this.sendMessage(message, [hub]);
   }
 
   /** Sends only suspicions and what other hosts need to keep to what upstreams state. */
   private sendUrgent(): void {
-    const upstreams = this.unsent.takeUrgent((upstream) => this.readInFlight(upstream));
+    const upstreams = this.unsent.takeUrgent((upstream) => this.takeInFlight(upstream));
     this.sendWithSuspicions({ ...emptyDomainMessage, upstreams });
   }
 
+  /** Open requests of this host at an upstream, which are about to be reported. */
+  private takeInFlight(upstream: string): number {
+    const count = this.readInFlight(upstream);
+    this.reports.setOwnOpen(upstream, count);
+    return count;
+  }
+
   private readInFlight(upstream: string): number {
     return this.ownInFlight.get(upstream) ?? 0;
   }
 
-  private computeMaxUpstreams(): number {
-    const messageBytes = maxBytesPerMessage / Math.max(1, this.options.listPeers().length);
+  private computeMaxUpstreams(hub: string | undefined): number {
+    const receivers = hub === undefined ? this.options.listPeers().length : 1;
+    const messageBytes = maxBytesPerMessage / Math.max(1, receivers);
     return Math.max(1, Math.floor(messageBytes / upstreamBytes));
   }
 
-  /** Sends the new suspicions, with the rest of the message. */
+  /** Sends the new suspicions, with the rest of the message, to all other hosts. */
   private sendWithSuspicions(message: DomainMessage): void {
     const suspicions = this.unsent.takeSuspicions();
+    const { upstreams, retries } = message;
+    if (suspicions.length + upstreams.length + Object.keys(retries).length === 0) return;
     this.sendMessage({ ...message, suspicions }, this.listOtherPeers());
     const relay = suspicions.length > 0 ? this.options.findRelay() : undefined;
     if (relay !== undefined) this.sendMessage({ ...emptyDomainMessage, suspicions }, [relay]);
@@ -289,9 +329,9 @@
 
   private takeUnsentRetries(): Readonly<Record<string, RetryCounts>> {
     const unsent = Object.entries(this.options.readRetries()).filter(
-      ([service, { retries }]) => retries !== this.sentRetries.get(service),
+      ([service, { retries }]) => retries !== this.sentRetries.get(service)?.retries,
     );
-    unsent.forEach(([service, { retries }]) => this.sentRetries.set(service, retries));
+    unsent.forEach(([service, counts]) => this.sentRetries.set(service, counts));
     return Object.fromEntries(unsent);
   }
 
@@ -309,11 +349,12 @@
     const { clock, suspicions, log } = this.options;
     const now = clock.now();
     const { upstreams, retries } = message;
+    if (message.isDigest) this.acceptDigest(message, from, now);
     // Messages of a relay have suspicions only, and a relay is no peer.
-    if (upstreams.length > 0 || Object.keys(retries).length > 0) {
+    else if (upstreams.length > 0 || Object.keys(retries).length > 0) {
       this.peers.recordMessage(from, message, now);
     }
-    upstreams.forEach((activity) => this.acceptActivity(activity, now));
+    upstreams.forEach((activity) => this.acceptActivity(activity, message.isDigest, now));
     message.suspicions.forEach((suspicion) => {
       const isNew = suspicions.addSuspicion(suspicion, now, 'other');
       if (isNew) log.info('detection: another host saw a bad upstream', { ...suspicion, from });
@@ -321,14 +362,37 @@
     if (message.asksSuspicions) this.answerSuspicions(from, now);
   }
 
-  private acceptActivity(activity: UpstreamActivity, now: number): void {
+  /** Records the reports of the other hosts: those of the digest without those of this host. */
+  private acceptDigest({ upstreams, retries }: DomainMessage, from: string, now: number): void {
+    if (!this.routing.recordDigest(from)) return;
+    const othersRetries = Object.entries(retries).map(([service, counts]) => {
+      const own = this.sentRetries.get(service);
+      const others = {
+        requests: Math.max(0, counts.requests - (own?.requests ?? 0)),
+        retries: Math.max(0, counts.retries - (own?.retries ?? 0)),
+      };
+      return [service, others] as const;
+    });
+    const others = {
+      ...emptyDomainMessage,
+      upstreams: upstreams.map((activity) => {
+        const own = this.reports.readOwnOpen(activity.upstream);
+        return { ...activity, inFlight: Math.max(0, activity.inFlight - own) };
+      }),
+      retries: Object.fromEntries(othersRetries),
+    };
+    this.peers.recordMessage(from, others, now);
+  }
+
+  private acceptActivity(activity: UpstreamActivity, isDigest: boolean, now: number): void {
     const { suspicions, statements, log } = this.options;
     const { upstream, reportedLoad, hasRecovered, limitedRequests, limit } = activity;
     const { leavingIncarnation: incarnation } = activity;
-    if (reportedLoad !== undefined) {
-      this.reportedLoads.set(upstream, { load: reportedLoad, at: now });
+    if (reportedLoad !== undefined) this.reports.setLoad(upstream, reportedLoad, now);
+    if (hasRecovered && !(isDigest && this.reports.getRecoveredAt(upstream) > now - ownReportMs)) {
+      suspicions.recordRecovery(upstream, now);
+      this.reports.setRecovered(upstream, now);
     }
-    if (hasRecovered) suspicions.recordRecovery(upstream, now);
     // The sender has checked that the answer is newer than the limit.
     const hasChanged = limit && statements.recordLimit({ upstream, ...limit }, Infinity, now);
     if (hasChanged) {
@@ -361,10 +425,4 @@
     if (suspicions.length + upstreams.length === 0) return;
     this.sendMessage({ ...emptyDomainMessage, suspicions, upstreams }, [address]);
   }
-
-  private dropOldLoads(now: number): void {
-    [...this.reportedLoads]
-      .filter(([, { at }]) => at + loadRetentionMs <= now)
-      .forEach(([upstream]) => this.reportedLoads.delete(upstream));
-  }
 }
--- /dev/null
+++ b/src/application/fleet/DomainReports.ts
@@ -0,0 +1,68 @@
+// Far longer than a report is meaningful.
+const retentionMs = 30_000;
+// What the others assume of a load that was reported a while ago halves in this time.
+const halfLifeMs = 800;
+
+/** A load that an upstream reported. */
+export interface ReportedLoad {
+  readonly load: number;
+  /** Instant at which this host received the report. */
+  readonly at: number;
+}
+
+/** What the hosts of a failure domain last told each other about each upstream. */
+export default class DomainReports {
+  /** Latest load that each upstream reported to any host of the domain. */
+  private readonly loads = new Map<string, ReportedLoad>();
+
+  /** Instant of the last report of a recovery, by upstream. */
+  private readonly recoveredAt = new Map<string, number>();
+
+  /** Open requests of this host that the others count, by upstream. */
+  private readonly ownOpen = new Map<string, number>();
+
+  /** Latest load that an upstream reported to this or another host. */
+  readLoad(upstream: string): ReportedLoad | undefined {
+    return this.loads.get(upstream);
+  }
+
+  setLoad(upstream: string, load: number, now: number): void {
+    this.loads.set(upstream, { load, at: now });
+  }
+
+  /** Estimates the load of an upstream from the last report. */
+  estimateLoad(upstream: string, now: number): number {
+    const known = this.loads.get(upstream);
+    return known ? known.load * 0.5 ** ((now - known.at) / halfLifeMs) : 0;
+  }
+
+  /** Instant of the last report of a recovery; -Infinity without one. */
+  getRecoveredAt(upstream: string): number {
+    return this.recoveredAt.get(upstream) ?? -Infinity;
+  }
+
+  setRecovered(upstream: string, now: number): void {
+    this.recoveredAt.set(upstream, now);
+  }
+
+  /** Open requests of this host at an upstream that the others count. */
+  readOwnOpen(upstream: string): number {
+    return this.ownOpen.get(upstream) ?? 0;
+  }
+
+  /** Records the open requests of this host at an upstream that are about to be reported. */
+  setOwnOpen(upstream: string, count: number): void {
+    if (count > 0) this.ownOpen.set(upstream, count);
+    else this.ownOpen.delete(upstream);
+  }
+
+  /** Removes old reports. */
+  pruneOld(now: number): void {
+    [...this.loads]
+      .filter(([, { at }]) => at + retentionMs <= now)
+      .forEach(([upstream]) => this.loads.delete(upstream));
+    [...this.recoveredAt]
+      .filter(([, at]) => at + retentionMs <= now)
+      .forEach(([upstream]) => this.recoveredAt.delete(upstream));
+  }
+}
--- a/src/application/fleet/PeerActivities.ts
+++ b/src/application/fleet/PeerActivities.ts
@@ -51,6 +51,20 @@
     };
   }
 
+  /** Requests and retries of all peers, by service. */
+  computeRetries(now: number): Readonly<Record<string, RetryCounts>> {
+    const services = [...this.peers.values()].flatMap(({ retries }) => [...retries.keys()]);
+    return Object.fromEntries(
+      [...new Set(services)].map((service) => [service, this.countRetries(service, now)]),
+    );
+  }
+
+  /** Upstreams with open requests of any peer. */
+  listBusy(now: number): readonly string[] {
+    this.dropExpired(now);
+    return [...this.inFlightSums.keys()];
+  }
+
   /** Records what the message of a peer reports. */
   recordMessage(from: string, { upstreams, retries }: DomainMessage, now: number): void {
     const peer = this.peers.get(from) ?? { inFlight: new Map(), retries: new Map() };
--- a/src/daemon/FleetControlHost.ts
+++ b/src/daemon/FleetControlHost.ts
@@ -12,6 +12,7 @@
 import UdpDatagramSocket from '../adapters/udp/UdpDatagramSocket.ts';
 import CommandForwarder from '../application/fleet/CommandForwarder.ts';
 import FeedService from '../application/fleet/FeedService.ts';
+import DomainHub from '../application/fleet/DomainHub.ts';
 import ControlHostDiscovery from '../application/fleet/ControlHostDiscovery.ts';
 import NumberedPresetService from '../application/fleet/NumberedPresetService.ts';
 import RegistrationService from '../application/fleet/RegistrationService.ts';
@@ -232,6 +233,7 @@
     this.tasks.startTask('feed', (signal) => this.feed.run(signal));
     this.tasks.startTask('registrations', (signal) => this.registrations.run(signal));
     this.tasks.startTask('load', (signal) => this.loadMonitor.run(signal));
+    this.tasks.startTask('hub', (signal) => new DomainHub({ clock, socket }).run(signal));
     // The relay only reacts to datagrams and needs no task of its own.
     SuspicionRelay.startRelay({
       clock,
--- a/src/domain/detection/SuspicionTracker.ts
+++ b/src/domain/detection/SuspicionTracker.ts
@@ -175,6 +175,12 @@
     return Math.max(riskFromDisuse, current ? computeRisk(current, now) : 0);
   }
 
+  /** Whether suspicions of the upstream are in effect. */
+  isSuspected(upstream: string, now: number): boolean {
+    const suspicions = this.suspicions.get(upstream);
+    return suspicions !== undefined && computeRisk(suspicions, now) > 0;
+  }
+
   /**
    * Suspicions for a host that has just started: one for each upstream that is more likely bad than
    * not.
--- a/src/domain/fleet/DomainMessage.ts
+++ b/src/domain/fleet/DomainMessage.ts
@@ -21,8 +21,13 @@
   readonly leavingIncarnation: number | undefined;
 }
 
-/** Message from an entry host to the others of its failure domain, or from a relay. */
+/** Message from an entry host to the others of its failure domain, or from a control host. */
 export interface DomainMessage {
+  /**
+   * Whether a control host sums up what all entry hosts of the domain reported to it, including the
+   * receiver.
+   */
+  readonly isDigest: boolean;
   readonly suspicions: readonly Suspicion[];
   /** Whether the sender has just started and asks which upstreams are suspected or limited. */
   readonly asksSuspicions: boolean;
@@ -33,6 +38,7 @@
 
 /** A message without content. */
 export const emptyDomainMessage: DomainMessage = {
+  isDigest: false,
   suspicions: [],
   asksSuspicions: false,
   upstreams: [],
