src/application/fleet: lists of hosts and upstreams are made once, not for each receiver

Cause: each waiting feed request sorted and hashed all hosts of its domain at each notice, and each host that appeared woke all others with the whole list: with 60 hosts that start, work with the third power. FleetView rebuilt the lists of all services for one changed record, copying a list once for each member, and made a list for each choice.

Change: EntryHostDirectory publishes one list of hosts a domain, at most every 250 ms; ServicePool keeps the list of a service until one of its upstreams changes or is warm.

--- a/src/application/fleet/FeedService.ts
+++ b/src/application/fleet/FeedService.ts
@@ -1,16 +1,13 @@
-import { createHash } from 'node:crypto';
-
 import type ControlStateMachine from '../../domain/control/ControlStateMachine.ts';
 import type { ControlHostInfo, EntryHostInfo } from '../../domain/fleet/FleetHosts.ts';
 import type Clock from '../../ports/Clock.ts';
 import type { FeedAnswer, FeedHosts, FeedRequest } from '../../ports/FleetLink.ts';
 import Notifier from '../tasks/Notifier.ts';
+import EntryHostDirectory from './EntryHostDirectory.ts';
 
-// Entry hosts send a request every few seconds. An entry host that sends none for this long is
-// removed from the list.
-const entryHostTimeoutMs = 8000;
-// Interval at which `run` checks whether this host has lost its leader.
-const leaderCheckMs = 250;
+// Interval at which `run` checks whether this host has lost its leader and whether hosts have
+// appeared or gone.
+const checkIntervalMs = 250;
 
 /** The part of the replica that the feed uses. */
 export interface FeedLog {
@@ -35,40 +32,36 @@
 export default class FeedService {
   private readonly options: FeedServiceOptions;
 
-  private readonly recentEntryHosts = new Map<string, { info: EntryHostInfo; until: number }>();
+  private readonly directory: EntryHostDirectory;
 
   private readonly notifier: Notifier;
 
   constructor(options: FeedServiceOptions) {
     this.options = options;
-    this.notifier = new Notifier(options.clock);
+    const { clock, listControlHosts } = options;
+    this.notifier = new Notifier(clock);
+    this.directory = new EntryHostDirectory({ clock, listControlHosts });
   }
 
   /**
-   * Wakes waiting requests after each commit, and when this host loses or finds its leader, until
-   * the signal aborts.
+   * Wakes waiting requests after each commit, when this host loses or finds its leader, and when
+   * the list of hosts has changed, until the signal aborts.
    */
   async run(signal: AbortSignal): Promise<void> {
     const { clock, log } = this.options;
     let { appliedIndex, isCurrent } = log;
     while (!signal.aborted) {
-      await log.waitApplied(appliedIndex, clock.now() + leaderCheckMs);
-      if (log.appliedIndex !== appliedIndex || log.isCurrent !== isCurrent) this.notifier.notify();
+      await log.waitApplied(appliedIndex, clock.now() + checkIntervalMs);
+      const haveHostsChanged = this.directory.updateChanged();
+      const hasLogChanged = log.appliedIndex !== appliedIndex || log.isCurrent !== isCurrent;
+      if (haveHostsChanged || hasLogChanged) this.notifier.notify();
       ({ appliedIndex, isCurrent } = log);
     }
   }
 
-  /** Wakes waiting requests after a control host was discovered. */
-  announceHosts(): void {
-    this.notifier.notify();
-  }
-
   /** Entry hosts that sent a request recently. */
   listEntryHosts(): readonly EntryHostInfo[] {
-    const now = this.options.clock.now();
-    return [...this.recentEntryHosts.values()].flatMap(({ info, until }) =>
-      until > now ? [info] : [],
-    );
+    return this.directory.listHosts();
   }
 
   /**
@@ -77,7 +70,7 @@
    */
   async handleFeed(request: FeedRequest): Promise<FeedAnswer> {
     const { clock } = this.options;
-    this.recordPresence(request.entryHost);
+    this.directory.recordPresence(request.entryHost);
     const deadline = clock.now() + request.waitMs;
     while (!this.shouldAnswer(request) && clock.now() < deadline) {
       await this.notifier.waitUntil(deadline);
@@ -102,7 +95,7 @@
     return (
       isOtherGroup ||
       log.appliedIndex > position ||
-      hostsVersion !== this.createHostsVersion(entryHost.failureDomain)
+      hostsVersion !== this.directory.getHosts(entryHost.failureDomain).version
     );
   }
 
@@ -135,31 +128,7 @@
   }
 
   private createHosts({ entryHost, hostsVersion }: FeedRequest): FeedHosts | undefined {
-    const version = this.createHostsVersion(entryHost.failureDomain);
-    if (version === hostsVersion) return undefined;
-    return {
-      version,
-      controlHosts: this.options.listControlHosts(),
-      entryHosts: this.listDomain(entryHost.failureDomain),
-    };
-  }
-
-  private recordPresence(info: EntryHostInfo): void {
-    const { clock } = this.options;
-    const until = clock.now() + entryHostTimeoutMs;
-    const isKnown = this.listEntryHosts().some(({ address }) => address === info.address);
-    this.recentEntryHosts.set(info.address, { info, until });
-    if (!isKnown) this.notifier.notify();
-  }
-
-  private listDomain(failureDomain: string): readonly EntryHostInfo[] {
-    return this.listEntryHosts().filter((info) => info.failureDomain === failureDomain);
-  }
-
-  private createHostsVersion(failureDomain: string): string {
-    const control = this.options.listControlHosts().map(({ address }) => address);
-    const entry = this.listDomain(failureDomain).map(({ address }) => address);
-    const addresses = [...control.sort(), '/', ...entry.sort()].join(' ');
-    return createHash('sha256').update(addresses).digest('base64url').slice(0, 12);
+    const hosts = this.directory.getHosts(entryHost.failureDomain);
+    return hosts.version === hostsVersion ? undefined : hosts;
   }
 }
--- a/src/application/fleet/FleetView.ts
+++ b/src/application/fleet/FleetView.ts
@@ -13,9 +13,8 @@
 import PrefixRouteTable from '../requests/PrefixRouteTable.ts';
 import type UpstreamPool from '../requests/UpstreamPool.ts';
 import Notifier from '../tasks/Notifier.ts';
+import ServicePool from './ServicePool.ts';
 
-// A cold upstream works at about half of its full speed.
-const coldWeight = 0.5;
 // A peer that is missing from the newest list is kept this long, because after a restart of a
 // control host, it takes a few seconds until all entry hosts have sent it a request again.
 const unlistedPeerMs = 10_000;
@@ -29,12 +28,6 @@
   readonly onPreset: (preset: Preset) => void;
 }
 
-interface KnownUpstream {
-  readonly record: UpstreamRecord;
-  /** Instant after which the upstream is no longer cold. */
-  readonly warmAt: number;
-}
-
 /** An entry host's view of the fleet: the active preset, upstreams and hosts. */
 export default class FleetView implements ActivePreset, UpstreamPool {
   state: PresetState | undefined;
@@ -52,12 +45,13 @@
 
   private readonly options: FleetViewOptions;
 
-  private readonly upstreams = new Map<string, KnownUpstream>();
+  /** Upstreams that are serving or leaving, by name. */
+  private readonly upstreams = new Map<string, UpstreamRecord>();
 
   /** Entry hosts of this host's failure domain, including this one, and when each expires. */
   private readonly peers = new Map<string, { info: EntryHostInfo; until: number }>();
 
-  private readonly services = new Map<string, readonly KnownUpstream[]>();
+  private readonly pools = new Map<string, ServicePool>();
 
   private readonly notifier: Notifier;
 
@@ -84,21 +78,17 @@
   }
 
   listUsable(service: string): readonly UsableUpstream[] {
-    const now = this.options.clock.now();
-    return (this.services.get(service) ?? []).map(({ record, warmAt }) => ({
-      record,
-      weight: now < warmAt ? coldWeight : 1,
-    }));
+    return this.pools.get(service)?.listUsable(this.options.clock.now()) ?? [];
   }
 
   isUsable({ upstream, incarnation }: UpstreamRecord): boolean {
-    const current = this.upstreams.get(upstream)?.record;
+    const current = this.upstreams.get(upstream);
     return current?.state === 'serving' && current.incarnation === incarnation;
   }
 
   /** Finds an upstream that is serving or leaving. */
   findUpstream(upstream: string): UpstreamRecord | undefined {
-    return this.upstreams.get(upstream)?.record;
+    return this.upstreams.get(upstream);
   }
 
   /**
@@ -149,24 +139,18 @@
   }
 
   private applyUpstreams({ isWhole, records }: FeedAnswer['upstreams']): void {
-    if (isWhole) this.upstreams.clear();
+    if (isWhole) [this.upstreams, this.pools].forEach((known) => known.clear());
     records.forEach((record) => this.applyUpstream(record));
-    this.services.clear();
-    this.upstreams.forEach((known) => {
-      const { service, state } = known.record;
-      if (state !== 'serving') return;
-      this.services.set(service, [...(this.services.get(service) ?? []), known]);
-    });
   }
 
   private applyUpstream(registered: RegisteredUpstream): void {
     const { log, clock } = this.options;
     const { upstream, state, bornAt, service, address, failureDomain } = registered;
     log.info('membership: an upstream changed', { upstream, service, address, state, bornAt });
-    if (state === 'gone' || state === 'silent') {
-      this.upstreams.delete(upstream);
-      return;
-    }
+    const known = this.upstreams.get(upstream);
+    if (known) this.pools.get(known.service)?.removeUpstream(upstream);
+    this.upstreams.delete(upstream);
+    if (state === 'gone' || state === 'silent') return;
     const record: UpstreamRecord = {
       service,
       upstream,
@@ -181,7 +165,10 @@
       // silent.
       leaseDeadline: Infinity,
     };
-    const warmAt = clock.now() + registered.warmMs;
-    this.upstreams.set(upstream, { record, warmAt });
+    this.upstreams.set(upstream, record);
+    if (state !== 'serving') return;
+    const pool = this.pools.get(service) ?? new ServicePool();
+    pool.setUpstream({ record, warmAt: clock.now() + registered.warmMs });
+    this.pools.set(service, pool);
   }
 }
--- a/src/daemon/FleetControlHost.ts
+++ b/src/daemon/FleetControlHost.ts
@@ -265,7 +265,6 @@
     const { dialer, replica } = this.components;
     const { connection } = dialer.takeConnection({ host: address, address });
     replica.addLink(new TrpcReplicationLink({ host: address, connection }));
-    this.feed.announceHosts();
   }
 
   private openLink(address: string): FleetLink {
