deploy, src/adapters: the bundle leaves out what no process uses

The index of undici also loads fetch, caches and WebSockets, and the namespace object `z` of zod keeps all its parts in the bundle. Change: deploy/undiciAgent.mjs stands in for undici in the bundle, and zod is imported as `* as z`.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -7,7 +7,8 @@
 [ node_modules -nt package-lock.json ] || npm ci --silent
 bundle() {
   npx esbuild "$1" --bundle --platform=node --format="$2" --target=node20 \
-    --minify-whitespace --minify-syntax --log-level=warning --outfile="$folder/$3"
+    --minify-whitespace --minify-syntax --log-level=warning \
+    --alias:undici=./deploy/undiciAgent.mjs --outfile="$folder/$3"
 }
 bundle platform/startCached.ts esm start.mjs
 bundle platform/main.ts cjs pistachiohoist.cjs
--- a/src/adapters/http/parseAnnouncement.ts
+++ b/src/adapters/http/parseAnnouncement.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 import type { Announcement } from '../../application/membership/AnnouncementService.ts';
 import type Result from '../../domain/errors/Result.ts';
--- a/src/adapters/trpc/TrpcFleetLink.ts
+++ b/src/adapters/trpc/TrpcFleetLink.ts
@@ -1,6 +1,6 @@
 import { setMaxListeners } from 'node:events';
 
-import type { z } from 'zod';
+import type * as z from 'zod';
 
 import type ControlCommand from '../../domain/control/ControlCommand.ts';
 import type { ControlReply } from '../../domain/control/ControlCommand.ts';
--- a/src/adapters/trpc/TrpcOperatorClient.ts
+++ b/src/adapters/trpc/TrpcOperatorClient.ts
@@ -1,6 +1,6 @@
 import { createTRPCUntypedClient, httpLink, TRPCClientError } from '@trpc/client';
 import type { AnyTRPCRouter } from '@trpc/server';
-import type { z } from 'zod';
+import type * as z from 'zod';
 
 import type ErrorKind from '../../domain/errors/ErrorKind.ts';
 import type Failure from '../../domain/errors/Failure.ts';
--- a/src/adapters/trpc/TrpcPeerConnection.ts
+++ b/src/adapters/trpc/TrpcPeerConnection.ts
@@ -2,7 +2,7 @@
 import type { TRPCUntypedClient, TRPCWebSocketClient } from '@trpc/client';
 import type { AnyTRPCRouter } from '@trpc/server';
 import { WebSocket } from 'ws';
-import type { z } from 'zod';
+import type * as z from 'zod';
 
 import type Result from '../../domain/errors/Result.ts';
 import type Clock from '../../ports/Clock.ts';
--- a/src/adapters/trpc/claimMessages.ts
+++ b/src/adapters/trpc/claimMessages.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 import type { ClaimBatch } from '../../ports/ClaimLink.ts';
 import type { ClaimChange, ClaimDecision, StoredAnswer } from '../../domain/claims/Claim.ts';
--- a/src/adapters/trpc/controlMessages.ts
+++ b/src/adapters/trpc/controlMessages.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 import IdempotencyKey from '../../domain/claims/IdempotencyKey.ts';
 import type { ClaimRecord } from '../../domain/claims/ClaimRegistrySnapshot.ts';
--- a/src/adapters/trpc/createFleetRouter.ts
+++ b/src/adapters/trpc/createFleetRouter.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 import type FeedService from '../../application/fleet/FeedService.ts';
 import type ControlHostDiscovery from '../../application/fleet/ControlHostDiscovery.ts';
--- a/src/adapters/trpc/createReplicationRouter.ts
+++ b/src/adapters/trpc/createReplicationRouter.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 import type Result from '../../domain/errors/Result.ts';
 import type ReplicationHandler from '../../application/replication/ReplicationHandler.ts';
--- a/src/adapters/trpc/detectionMessages.ts
+++ b/src/adapters/trpc/detectionMessages.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { latencyBucketCount } from '../../domain/detection/latencyBuckets.ts';
 import type { UpstreamEvidence } from '../../domain/detection/Evidence.ts';
--- a/src/adapters/trpc/failureSchema.ts
+++ b/src/adapters/trpc/failureSchema.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 import errorAnswers from '../../domain/errors/errorAnswers.ts';
 import type ErrorKind from '../../domain/errors/ErrorKind.ts';
--- a/src/adapters/trpc/fleetMessages.ts
+++ b/src/adapters/trpc/fleetMessages.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 import type { ControlReply } from '../../domain/control/ControlCommand.ts';
 import type { ControlHostInfo, EntryHostInfo } from '../../domain/fleet/FleetHosts.ts';
--- a/src/adapters/trpc/gossipMessages.ts
+++ b/src/adapters/trpc/gossipMessages.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 import type HostRecord from '../../domain/membership/HostRecord.ts';
 import type UpstreamRecord from '../../domain/membership/UpstreamRecord.ts';
--- a/src/adapters/trpc/metricsMessages.ts
+++ b/src/adapters/trpc/metricsMessages.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const countsSchema = z.object({ good: z.number().min(0), bad: z.number().min(0) });
 
--- a/src/adapters/trpc/operatorMessages.ts
+++ b/src/adapters/trpc/operatorMessages.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 import type { PresetStatus } from '../../application/operators/PresetStatusReader.ts';
 import type { ServiceStatus } from '../../application/operators/ServiceListing.ts';
--- a/src/adapters/trpc/parseInput.ts
+++ b/src/adapters/trpc/parseInput.ts
@@ -1,4 +1,4 @@
-import type { z } from 'zod';
+import type * as z from 'zod';
 
 import type Result from '../../domain/errors/Result.ts';
 
--- a/src/adapters/trpc/presetMessages.ts
+++ b/src/adapters/trpc/presetMessages.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 import type PresetState from '../../domain/presets/PresetState.ts';
 import type { ConfirmationAsker } from '../../ports/PresetLink.ts';
--- a/src/adapters/trpc/presetSchema.ts
+++ b/src/adapters/trpc/presetSchema.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 import type Preset from '../../domain/presets/Preset.ts';
 import { maxRoutes, routeMethods } from '../../domain/presets/presetLimits.ts';
--- a/src/adapters/trpc/registryMessages.ts
+++ b/src/adapters/trpc/registryMessages.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 import type RegisteredUpstream from '../../domain/membership/RegisteredUpstream.ts';
 import type { Registration } from '../../domain/membership/RegisteredUpstream.ts';
--- a/src/adapters/yaml/commonSchemas.ts
+++ b/src/adapters/yaml/commonSchemas.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const expectedKey = 'expected a string of at least 16 characters';
 
--- a/src/adapters/yaml/durationSchema.ts
+++ b/src/adapters/yaml/durationSchema.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const expected = 'expected a duration such as 1500ms or 2.5s';
 const pattern = /^(\d+(?:\.\d+)?)(ms|s)$/;
--- a/src/adapters/yaml/listenAddressSchema.ts
+++ b/src/adapters/yaml/listenAddressSchema.ts
@@ -1,5 +1,5 @@
 import { isIP } from 'node:net';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import type { ListenAddress } from '../../domain/settings/DaemonSettings.ts';
 
--- a/src/adapters/yaml/nameSchema.ts
+++ b/src/adapters/yaml/nameSchema.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { nameExpected, namePattern } from '../../domain/presets/presetLimits.ts';
 
--- a/src/adapters/yaml/parsePreset.ts
+++ b/src/adapters/yaml/parsePreset.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 import type Result from '../../domain/errors/Result.ts';
 import type Preset from '../../domain/presets/Preset.ts';
--- a/src/adapters/yaml/parseYaml.ts
+++ b/src/adapters/yaml/parseYaml.ts
@@ -1,5 +1,5 @@
 import { parseDocument } from 'yaml';
-import type { z } from 'zod';
+import type * as z from 'zod';
 
 import type Result from '../../domain/errors/Result.ts';
 
