src/adapters/trpc: the operators' tool asks again while the control group elects a leader

Change: while the control hosts that answer name no leader, or name one that does not answer, all are asked again every 250 ms for up to 10 s, with the same change id. Where all servers that were given answer and name another leader, or none answers, the command still fails at once.

--- a/src/adapters/trpc/TrpcOperatorClient.ts
+++ b/src/adapters/trpc/TrpcOperatorClient.ts
@@ -8,6 +8,9 @@
 import type Clock from '../../ports/Clock.ts';
 
 const callTimeoutMs = 5000;
+// A group that has lost its leader elects another one within a few seconds.
+const electionTimeoutMs = 10_000;
+const roundIntervalMs = 250;
 
 // After these errors, another control host may still answer.
 const retriedKinds: ReadonlySet<ErrorKind> = new Set([
@@ -44,6 +47,28 @@
   return { status, text: reason?.message || message };
 }
 
+function isFinal(answer: Result<unknown>): boolean {
+  return answer.ok || !retriedKinds.has(answer.failure.kind);
+}
+
+/** Whether some control host answered, and none but the missing ones can be the leader. */
+function isElecting(answers: readonly Result<unknown>[]): boolean {
+  const failures = answers.flatMap((answer) => (answer.ok ? [] : [answer.failure]));
+  const namesLeader = (failure: Failure): boolean =>
+    failure.kind === 'not_leader' && failure.leader !== undefined;
+  return (
+    !answers.some(isFinal) &&
+    failures.some(({ kind }) => kind !== 'peer_unreachable') &&
+    !failures.every(namesLeader)
+  );
+}
+
+function findReported<Output>(answers: readonly Result<Output>[]): Result<Output> | undefined {
+  const isSpecific = (answer: Result<Output>): boolean =>
+    !answer.ok && answer.failure.kind !== 'peer_unreachable';
+  return answers.find(isFinal) ?? answers.find(isSpecific) ?? answers[0];
+}
+
 /** Calls the operators listeners of the control hosts, one after another until one answers. */
 export default class TrpcOperatorClient {
   private readonly options: TrpcOperatorClientOptions;
@@ -53,18 +78,31 @@
   }
 
   /**
-   * Returns the first success, or the first failure that is not retried on another control host;
-   * when all are retried, the most specific failure. A change may be sent to several control hosts.
+   * Returns the first success, or the first failure that is not retried on another control host.
+   * While the group has no leader, all are asked again for up to 10 s; then returns the most
+   * specific failure. A change may be sent several times, always with the same change id.
    */
   async requestOperator<Output>(call: OperatorCall<Output>): Promise<Result<Output>> {
-    let mostSpecific: Failure | undefined;
+    const { clock } = this.options;
+    const deadline = clock.now() + electionTimeoutMs;
+    let answers = await this.requestServers(call);
+    while (isElecting(answers) && clock.now() < deadline) {
+      await clock.sleepUntil(Math.min(deadline, clock.now() + roundIntervalMs));
+      answers = await this.requestServers(call);
+    }
+    const message = `${call.path}: the list of servers is empty: expected at least one address`;
+    return findReported(answers) ?? { ok: false, failure: { kind: 'peer_unreachable', message } };
+  }
+
+  /** Asks one server after another; the last answer is final, unless all are retried. */
+  private async requestServers<Output>(call: OperatorCall<Output>): Promise<Result<Output>[]> {
+    const answers: Result<Output>[] = [];
     for (const server of this.options.servers) {
       const answer = await this.requestServer(server, call);
-      if (answer.ok || !retriedKinds.has(answer.failure.kind)) return answer;
-      if (!mostSpecific || mostSpecific.kind === 'peer_unreachable') mostSpecific = answer.failure;
+      answers.push(answer);
+      if (isFinal(answer)) break;
     }
-    const message = `${call.path}: the list of servers is empty: expected at least one address`;
-    return { ok: false, failure: mostSpecific ?? { kind: 'peer_unreachable', message } };
+    return answers;
   }
 
   private async requestServer<Output>(
--- a/tests/cli/commandLine.test.ts
+++ b/tests/cli/commandLine.test.ts
@@ -145,6 +145,25 @@
     expect(both.code).toBe(0);
   });
 
+  // Guards against changes that fail because the leader stops at that moment.
+  it.each([
+    ['is unknown', '', []],
+    ['is down', 'control-1', ['control-1']],
+  ])('should ask again with the same change id while the leader %s', async (_, leader, down) => {
+    group.leader = leader;
+    const serversDown = servers.filter((_server, index) => down.includes(hostNames[index] ?? ''));
+    await Promise.all(serversDown.map((server) => server.closeListener()));
+    const list = addresses.flatMap((address) => ['--server', address]);
+    const put = run(['preset', 'put', 'ordinary', 'good.yaml', '--based-on', '0', ...list]);
+    await new SystemClock().sleepUntil(Date.now() + 400);
+    group.leader = 'control-2';
+
+    const { code, errors } = await put;
+    expect(code).toBe(0);
+    expect(errors.match(/change id:/g)).toHaveLength(1);
+    expect(group.commits).toBe(1);
+  });
+
   it('should exit with 3 when no server is reachable', async () => {
     await Promise.all(servers.map((server) => server.closeListener()));
 
