src/application/requests: a look-up that found all others busy asks a second upstream later

Cause: when an answer was overdue and every other upstream had a queue, the request stayed with the first until its deadline.

Change: after half of the time left, a second upstream is asked if its answer is likely to come in time, though it has to wait there.

--- a/src/application/requests/RequestDispatch.ts
+++ b/src/application/requests/RequestDispatch.ts
@@ -2,6 +2,7 @@
 import type { ServiceSettings } from '../../domain/presets/Preset.ts';
 import type RetryPolicy from '../../domain/requests/RetryPolicy.ts';
 import type UsableUpstream from '../../domain/requests/UsableUpstream.ts';
+import type Clock from '../../ports/Clock.ts';
 import type { EndedAttempt, OpenAttempt } from './AttemptSender.ts';
 import type AttemptSender from './AttemptSender.ts';
 import type CallerRequest from './CallerRequest.ts';
@@ -22,7 +23,7 @@
   readonly mayHedge: () => boolean;
   /** Time that few answers to the request take from an upstream without a queue, in ms. */
   readonly estimateLongMs: () => number;
-  readonly readNow: () => number;
+  readonly clock: Clock;
   /** Called with each upstream that answered, and whether it refused because of its load. */
   readonly onEnd: (upstream: string, attempt: EndedAttempt) => void;
 }
@@ -95,25 +96,43 @@
   private async runHedged(chosen: UsableUpstream): Promise<EndedAttempt> {
     const first = this.startAttempt(chosen, this.computeHedgeTime(chosen));
     const early = await Promise.race([first.ended, first.overdue]);
-    const second = early ? undefined : this.startSecond();
-    if (!second) return early ?? first.ended;
-    return this.waitEither(first, second);
+    if (early) return early;
+    // A second attempt that has to wait would only delay other requests.
+    const second = this.startSecond((serviceTimes) => serviceTimes <= 1);
+    return second ? this.waitEither(first, second) : this.runHedgedLate(first);
+  }
+
+  /** Waits for an attempt that is overdue; asks a second upstream after half of the time left. */
+  private async runHedgedLate(first: OpenAttempt): Promise<EndedAttempt> {
+    const { clock, request } = this.options;
+    const ended = new AbortController();
+    const lateAt = (clock.now() + request.deadline) / 2;
+    const late = clock.sleepUntil(lateAt, ended.signal).then(() => undefined);
+    const early = await Promise.race([first.ended, late]);
+    ended.abort();
+    if (early) return early;
+    const second = this.startSecond((serviceTimes) => this.mayEndInTime(serviceTimes));
+    return second ? this.waitEither(first, second) : first.ended;
+  }
+
+  private mayEndInTime(serviceTimes: number): boolean {
+    const { clock, request, estimateLongMs } = this.options;
+    return clock.now() + estimateLongMs() * serviceTimes <= request.deadline;
   }
 
   private computeHedgeTime(chosen: UsableUpstream): number {
-    const { policy, request, chooser, readNow, estimateLongMs } = this.options;
+    const { policy, request, chooser, clock, estimateLongMs } = this.options;
     if (this.runsLeft <= 1) return Infinity;
-    const now = readNow();
+    const now = clock.now();
     const overdueAt = now + estimateLongMs() * chooser.estimateServiceTimes(chosen);
     return policy.computeHedgeTime({ now, deadline: request.deadline, overdueAt });
   }
 
-  private startSecond(): OpenAttempt | undefined {
+  private startSecond(mayWait: (serviceTimes: number) => boolean): OpenAttempt | undefined {
     const { policy, chooser, mayTryAgain, mayHedge } = this.options;
     if (!mayHedge() || !mayTryAgain()) return undefined;
     const chosen = this.chooseNext();
-    // A second attempt that has to wait would only delay other requests.
-    if (!chosen || chooser.estimateServiceTimes(chosen) > 1) return undefined;
+    if (!chosen || !mayWait(chooser.estimateServiceTimes(chosen))) return undefined;
     // `mayRetry` takes a retry from the budget, so it is called last.
     if (!policy.mayRetry('unknown')) return undefined;
     return this.startAttempt(chosen, Infinity);
--- a/src/application/requests/UpstreamDispatcher.ts
+++ b/src/application/requests/UpstreamDispatcher.ts
@@ -62,7 +62,7 @@
       // A host that stops interrupts no request.
       mayHedge: () => !stopLimiter?.isStopping,
       estimateLongMs: () => estimateLongMs?.(operation) ?? Infinity,
-      readNow: () => clock.now(),
+      clock,
       onEnd: (upstream, { outcome, isShed }) => {
         if (outcome.kind === 'failed' && !isShed) return;
         shedding.recordAnswer(upstream, isShed, clock.now());
--- a/tests/requests/requestOutcomes.test.ts
+++ b/tests/requests/requestOutcomes.test.ts
@@ -187,6 +187,23 @@
     expect([answer.status, attempts, timeouts]).toEqual([200, 2, [200]]);
   });
 
+  // Seen on Sinagbantay: look-ups at an upstream that had died waited for it until their deadline,
+  // because all others were busy at the moment at which the answer was overdue.
+  it.each([
+    ['asks it after half of the time left', 5, 2, [600]],
+    ['does without it when it would answer too late', 8, 1, [1000]],
+  ])(
+    'should not add to the queue of a busy second upstream, and %s',
+    async (_title, open, attempts, timeouts) => {
+      const path = createHandlerPath({
+        attempts: [{ end: 'silent', waitMs: 0, callerDisconnects: 'no' }],
+        ...{ repeat: 'allowed', upstreams: 2, longMs: 200, openRequests: { u1: open } },
+      });
+
+      expect(await path.runRequest()).toMatchObject({ attempts, timeouts });
+    },
+  );
+
   it('should never ask a second upstream while the operation may run at the first', async () => {
     const path = createHandlerPath({
       attempts: [{ end: 'silent', waitMs: 0, callerDisconnects: 'no' }],
