src/application/replication: a control host that returns is current once it has caught up

Report of other operators: after a restart of a process, a server that had left was in use again. It could happen here. An entry host that started then took upstreams that had left, and an older preset.

Change: from its first contact after a gap, a replica is current only after it has applied what the leader had committed. A replica that stays in touch is not affected.

--- a/src/application/replication/MessageHandler.ts
+++ b/src/application/replication/MessageHandler.ts
@@ -94,6 +94,7 @@
       this.recordLeaderContact();
       const matchIndex = previousIndex + entries.length;
       this.context.commitThrough(Math.min(request.commitIndex, matchIndex));
+      this.context.hasCaughtUp ||= this.context.commitIndex >= request.commitIndex;
       return this.createAppendAnswer(true, matchIndex);
     });
   }
@@ -136,6 +137,7 @@
    */
   private recordLeaderContact(): void {
     const { context } = this;
+    if (!context.hasLeader) context.hasCaughtUp = false;
     context.leaderContactAt = context.now;
     context.electionTimerStartedAt = context.now;
   }
--- a/src/application/replication/Replica.ts
+++ b/src/application/replication/Replica.ts
@@ -172,11 +172,11 @@
 
   /**
    * Whether this replica had contact with a leader, or leads and had contact with a majority,
-   * within an election timeout.
+   * within an election timeout, and has applied what it had missed before.
    */
   get isCurrent(): boolean {
     const { context } = this;
-    return context.hasLeader && !context.isStopped;
+    return context.hasLeader && context.hasCaughtUp && !context.isStopped;
   }
 
   /** Whether this replica can't form a group, only join one, and has applied no command yet. */
--- a/src/application/replication/ReplicaContext.ts
+++ b/src/application/replication/ReplicaContext.ts
@@ -86,6 +86,12 @@
   /** When the last message of a leader was handled. */
   leaderContactAt = -Infinity;
 
+  /**
+   * Whether this replica has applied everything that was committed when it last found a leader, or
+   * became one.
+   */
+  hasCaughtUp = false;
+
   isStopped = false;
 
   /** The error that stopped the replica, if any. */
@@ -215,6 +221,7 @@
     const index = leadership.computeMajorityIndex(this.configuration, log.syncedIndex);
     if (index > this.commitIndex && log.readTerm(index) === leadership.term) {
       this.commitThrough(index);
+      this.hasCaughtUp = true;
     }
   }
 
