src/domain/requests: traffic splits follow their weights over any span of requests

A draw close to 1 could also miss all parts whose fractions add up to a little less than their sum.

Change: TrafficSplitter draws the first part of each split at random, and the next ones in even steps. Each host follows the weights by itself, so nothing is sent for it.

--- a/src/application/requests/RequestHandler.ts
+++ b/src/application/requests/RequestHandler.ts
@@ -6,7 +6,7 @@
 import type Result from '../../domain/errors/Result.ts';
 import type { RouteSettings, ServiceSettings } from '../../domain/presets/Preset.ts';
 import IdempotentRetryPolicy from '../../domain/requests/IdempotentRetryPolicy.ts';
-import chooseSplit from '../../domain/requests/chooseSplit.ts';
+import TrafficSplitter from '../../domain/requests/TrafficSplitter.ts';
 import AtMostOnceRetryPolicy from '../../domain/requests/AtMostOnceRetryPolicy.ts';
 import type RetryAllowance from '../../domain/requests/RetryAllowance.ts';
 import type Clock from '../../ports/Clock.ts';
@@ -86,8 +86,11 @@
 
   private readonly budgets: RetryBudgetSource;
 
+  private readonly splitter: TrafficSplitter;
+
   constructor(options: RequestHandlerOptions) {
     this.options = options;
+    this.splitter = new TrafficSplitter(options.random);
     this.dialect = options.dialect ?? new DefaultDialect();
     this.budgets = options.budgets ?? new ServiceRetryBudgets();
   }
@@ -188,7 +191,7 @@
   }
 
   private chooseService(route: RouteSettings): RouteSettings {
-    const service = route.split && chooseSplit(route.split, this.options.random.next());
+    const service = route.split && this.splitter.chooseService(route.split);
     return service === undefined ? route : { ...route, service };
   }
 
--- a/src/domain/requests/chooseSplit.ts
+++ b/src/domain/requests/chooseSplit.ts
@@ -5,10 +5,13 @@
  * weight above 0. `draw` is a random number from 0 up to, but not including, 1.
  */
 export default function chooseSplit(parts: readonly SplitPart[], draw: number): string | undefined {
-  const total = parts.reduce((sum, { weight }) => sum + weight, 0);
+  const drawn = parts.filter(({ weight }) => weight > 0);
+  const total = drawn.reduce((sum, { weight }) => sum + weight, 0);
   let remaining = draw * total;
-  return parts.find(({ weight }) => {
+  const chosen = drawn.find(({ weight }) => {
     remaining -= weight;
     return remaining < 0;
-  })?.service;
+  });
+  // Fractions may add up to a little less than the draw.
+  return (chosen ?? drawn.at(-1))?.service;
 }
