--- a/src/application/fleet/DomainExchange.ts
+++ b/src/application/fleet/DomainExchange.ts
@@ -1,7 +1,7 @@
 import type { Suspicion, SuspicionKind } from '../../domain/detection/SuspicionTracker.ts';
 import type SuspicionTracker from '../../domain/detection/SuspicionTracker.ts';
 import { emptyDomainMessage } from '../../domain/fleet/DomainMessage.ts';
-import type { DomainMessage, UpstreamActivity } from '../../domain/fleet/DomainMessage.ts';
+import type { DomainMessage } from '../../domain/fleet/DomainMessage.ts';
 import type { RetryCounts } from '../../domain/requests/RetryWindow.ts';
 import RateLimit from '../../domain/statements/RateLimit.ts';
 import type UpstreamIncarnation from '../../domain/statements/UpstreamIncarnation.ts';
@@ -11,6 +11,7 @@
 import type DatagramSocket from '../../ports/DatagramSocket.ts';
 import type Log from '../../ports/Log.ts';
 import Notifier from '../tasks/Notifier.ts';
+import DomainReceiver from './DomainReceiver.ts';
 import DomainReports from './DomainReports.ts';
 import type { ReportedLoad } from './DomainReports.ts';
 import PeerActivities from './PeerActivities.ts';
@@ -38,8 +39,6 @@
 // A host that starts asks this many peers for their suspicions. All peers know nearly the same, but
 // many of them may be starting too.
 const askedPeers = 8;
-// A recovery in a digest that was reported within this time may be the one that this host reported.
-const ownReportMs = 500;
 const urgentKinds: ReadonlySet<SuspicionKind> = new Set(['broken', 'hanging', 'misplaced']);
 
 /** Options of the exchange. */
@@ -77,13 +76,12 @@
 
   private readonly unsent = new UnsentChanges();
 
-  /** Requests and retries of this host in the last message that stated them, by service. */
-  private readonly sentRetries = new Map<string, RetryCounts>();
-
   private readonly reports = new DomainReports();
 
   private readonly routing: ReportRouting;
 
+  private readonly receiver: DomainReceiver;
+
   private readonly sendLimit = new RateLimit({ unitsPerSecond: maxBytesPerSecond, burstMs });
 
   private readonly notifier: Notifier;
@@ -96,7 +94,13 @@
     const { clock, findRelay, listPeers } = options;
     this.notifier = new Notifier(clock);
     this.routing = new ReportRouting({ clock, findRelay, countHosts: () => listPeers().length });
-    options.socket.onMessage((message, from) => this.acceptMessage(message, from));
+    const { reports, peers, routing } = this;
+    this.receiver = new DomainReceiver({
+      ...{ ...options, reports, peers, routing },
+      readInFlight: (upstream) => this.readInFlight(upstream),
+      answer: (message, address) => this.sendMessage(message, [address]),
+    });
+    options.socket.onMessage((message, from) => this.receiver.acceptMessage(message, from));
   }
 
   /** Number of open requests of this host and its peers at an upstream. */
@@ -255,7 +259,7 @@
     );
     if (repeated.length === 0 && routing.findHub() === undefined) return;
     repeated.forEach((upstream) => this.unsent.addInFlight(upstream));
-    this.sentRetries.clear();
+    reports.resetOwnRetries();
     this.setDue(this.options.clock.now());
   }
 
@@ -329,9 +333,9 @@
 
   private takeUnsentRetries(): Readonly<Record<string, RetryCounts>> {
     const unsent = Object.entries(this.options.readRetries()).filter(
-      ([service, { retries }]) => retries !== this.sentRetries.get(service)?.retries,
+      ([service, { retries }]) => retries !== this.reports.readOwnRetries(service)?.retries,
     );
-    unsent.forEach(([service, counts]) => this.sentRetries.set(service, counts));
+    unsent.forEach(([service, counts]) => this.reports.setOwnRetries(service, counts));
     return Object.fromEntries(unsent);
   }
 
@@ -344,85 +348,4 @@
     const { socket, clock } = this.options;
     this.sendLimit.takeUnits(socket.sendMessage(message, addresses), clock.now());
   }
-
-  private acceptMessage(message: DomainMessage, from: string): void {
-    const { clock, suspicions, log } = this.options;
-    const now = clock.now();
-    const { upstreams, retries } = message;
-    if (message.isDigest) this.acceptDigest(message, from, now);
-    // Messages of a relay have suspicions only, and a relay is no peer.
-    else if (upstreams.length > 0 || Object.keys(retries).length > 0) {
-      this.peers.recordMessage(from, message, now);
-    }
-    upstreams.forEach((activity) => this.acceptActivity(activity, message.isDigest, now));
-    message.suspicions.forEach((suspicion) => {
-      const isNew = suspicions.addSuspicion(suspicion, now, 'other');
-      if (isNew) log.info('detection: another host saw a bad upstream', { ...suspicion, from });
-    });
-    if (message.asksSuspicions) this.answerSuspicions(from, now);
-  }
-
-  /** Records the reports of the other hosts: those of the digest without those of this host. */
-  private acceptDigest({ upstreams, retries }: DomainMessage, from: string, now: number): void {
-    if (!this.routing.recordDigest(from)) return;
-    const othersRetries = Object.entries(retries).map(([service, counts]) => {
-      const own = this.sentRetries.get(service);
-      const others = {
-        requests: Math.max(0, counts.requests - (own?.requests ?? 0)),
-        retries: Math.max(0, counts.retries - (own?.retries ?? 0)),
-      };
-      return [service, others] as const;
-    });
-    const others = {
-      ...emptyDomainMessage,
-      upstreams: upstreams.map((activity) => {
-        const own = this.reports.readOwnOpen(activity.upstream);
-        return { ...activity, inFlight: Math.max(0, activity.inFlight - own) };
-      }),
-      retries: Object.fromEntries(othersRetries),
-    };
-    this.peers.recordMessage(from, others, now);
-  }
-
-  private acceptActivity(activity: UpstreamActivity, isDigest: boolean, now: number): void {
-    const { suspicions, statements, log } = this.options;
-    const { upstream, reportedLoad, hasRecovered, limitedRequests, limit } = activity;
-    const { leavingIncarnation: incarnation } = activity;
-    if (reportedLoad !== undefined) this.reports.setLoad(upstream, reportedLoad, now);
-    if (hasRecovered && !(isDigest && this.reports.getRecoveredAt(upstream) > now - ownReportMs)) {
-      suspicions.recordRecovery(upstream, now);
-      this.reports.setRecovered(upstream, now);
-    }
-    // The sender has checked that the answer is newer than the limit.
-    const hasChanged = limit && statements.recordLimit({ upstream, ...limit }, Infinity, now);
-    if (hasChanged) {
-      log.info('detection: another host reported a limit', { upstream, ...limit });
-    }
-    if (limitedRequests > 0) statements.recordRequests(upstream, limitedRequests, now);
-    if (incarnation !== undefined && statements.recordLeaving({ upstream, incarnation })) {
-      log.info('detection: another host reported a leaving upstream', { upstream, incarnation });
-    }
-  }
-
-  private answerSuspicions(address: string, now: number): void {
-    const { statements } = this.options;
-    const suspicions = this.options.suspicions.listSuspicions(now);
-    const limits = new Map(
-      statements.listLimits().map(({ upstream, ...limit }) => [upstream, limit]),
-    );
-    const leaving = new Map(
-      statements.listLeaving().map(({ upstream, incarnation }) => [upstream, incarnation]),
-    );
-    const upstreams = [...new Set([...limits.keys(), ...leaving.keys()])].map((upstream) => ({
-      upstream,
-      inFlight: this.readInFlight(upstream),
-      reportedLoad: undefined,
-      hasRecovered: false,
-      limitedRequests: 0,
-      limit: limits.get(upstream),
-      leavingIncarnation: leaving.get(upstream),
-    }));
-    if (suspicions.length + upstreams.length === 0) return;
-    this.sendMessage({ ...emptyDomainMessage, suspicions, upstreams }, [address]);
-  }
 }
--- a/src/application/fleet/DomainReports.ts
+++ b/src/application/fleet/DomainReports.ts
@@ -1,3 +1,5 @@
+import type { RetryCounts } from '../../domain/requests/RetryWindow.ts';
+
 // Far longer than a report is meaningful.
 const retentionMs = 30_000;
 // What the others assume of a load that was reported a while ago halves in this time.
@@ -21,6 +23,9 @@
   /** Open requests of this host that the others count, by upstream. */
   private readonly ownOpen = new Map<string, number>();
 
+  /** Requests and retries of this host that the others count, by service. */
+  private readonly ownRetries = new Map<string, RetryCounts>();
+
   /** Latest load that an upstream reported to this or another host. */
   readLoad(upstream: string): ReportedLoad | undefined {
     return this.loads.get(upstream);
@@ -56,6 +61,21 @@
     else this.ownOpen.delete(upstream);
   }
 
+  /** Requests and retries of this host that the others count; undefined if none are stated yet. */
+  readOwnRetries(service: string): RetryCounts | undefined {
+    return this.ownRetries.get(service);
+  }
+
+  /** Records requests and retries of this host that are about to be reported. */
+  setOwnRetries(service: string, counts: RetryCounts): void {
+    this.ownRetries.set(service, counts);
+  }
+
+  /** Forgets the requests and retries of this host, which are reported again. */
+  resetOwnRetries(): void {
+    this.ownRetries.clear();
+  }
+
   /** Removes old reports. */
   pruneOld(now: number): void {
     [...this.loads]
