--- a/src/application/fleet/FullReports.ts
+++ b/src/application/fleet/FullReports.ts
@@ -1,13 +1,15 @@
 import type ReportFilter from './ReportFilter.ts';
 
-/** Reports every change, for failure domains of few hosts. */
+/** Reports every change. */
 export default class FullReports implements ReportFilter {
-  // Other hosts may be about to choose the same upstream. The short delay puts the start and the
-  // end of requests into one message.
-  readonly busyBatchMs = 20;
+  readonly busyBatchMs: number;
 
-  // A host sends only about one request in half a second.
-  readonly idleBatchMs = 400;
+  readonly idleBatchMs: number;
+
+  constructor(batches: { readonly busyBatchMs: number; readonly idleBatchMs: number }) {
+    this.busyBatchMs = batches.busyBatchMs;
+    this.idleBatchMs = batches.idleBatchMs;
+  }
 
   mayReportOpen(): boolean {
     return true;
--- a/src/application/fleet/ReportRouting.ts
+++ b/src/application/fleet/ReportRouting.ts
@@ -1,6 +1,5 @@
 import type Clock from '../../ports/Clock.ts';
 import FullReports from './FullReports.ts';
-import HubReports from './HubReports.ts';
 import type ReportFilter from './ReportFilter.ts';
 import SparseReports from './SparseReports.ts';
 
@@ -27,11 +26,14 @@
 export default class ReportRouting {
   private readonly options: ReportRoutingOptions;
 
-  private readonly fullReports = new FullReports();
+  // Other hosts may be about to choose the same upstream. The short delay puts the start and the
+  // end of requests into one message. A host sends only about one request in half a second.
+  private readonly fullReports = new FullReports({ busyBatchMs: 20, idleBatchMs: 400 });
 
   private readonly sparseReports = new SparseReports();
 
-  private readonly hubReports = new HubReports();
+  // A digest is sent every 100 ms.
+  private readonly hubReports = new FullReports({ busyBatchMs: 50, idleBatchMs: 100 });
 
   /** Control host that sent the last digest, and instant until which it is used as the hub. */
   private hub: { readonly address: string; readonly until: number } | undefined;
--- a/tests/fleet/domainExchange.test.ts
+++ b/tests/fleet/domainExchange.test.ts
@@ -1,9 +1,8 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 
-import DomainExchange from '../../src/application/fleet/DomainExchange.ts';
 import SuspicionRelay from '../../src/application/fleet/SuspicionRelay.ts';
 import SuspicionTracker from '../../src/domain/detection/SuspicionTracker.ts';
-import createUpstreamStatements from '../fixtures/createUpstreamStatements.ts';
+import createExchange from '../fixtures/createExchange.ts';
 import FakeClock from '../fixtures/FakeClock.ts';
 import FakeDatagrams from '../fixtures/FakeDatagrams.ts';
 import SilentLog from '../fixtures/SilentLog.ts';
@@ -30,15 +29,8 @@
 
   function startHost(ownAddress: string, peers: readonly string[], relay?: string) {
     const suspicions = new SuspicionTracker({ decayMs: 9000 });
-    const exchange = new DomainExchange({
-      clock,
-      log: new SilentLog(),
-      socket: datagrams.openSocket(ownAddress),
-      ownAddress,
-      listPeers: () => peers,
-      findRelay: () => relay,
-      suspicions,
-      statements: createUpstreamStatements(),
+    const exchange = createExchange(datagrams, {
+      ...{ clock, ownAddress, suspicions, listPeers: () => peers, findRelay: () => relay },
       readRetries: () => ({ kilns: { requests: 5, retries: 1 } }),
     });
     tasks.push(exchange.run(stopping.signal));
--- a/tests/fleet/domainHub.test.ts
+++ b/tests/fleet/domainHub.test.ts
@@ -1,14 +1,13 @@
 import { afterEach, describe, expect, it } from 'vitest';
 
-import DomainExchange from '../../src/application/fleet/DomainExchange.ts';
+import type DomainExchange from '../../src/application/fleet/DomainExchange.ts';
 import DomainHub from '../../src/application/fleet/DomainHub.ts';
 import SuspicionTracker from '../../src/domain/detection/SuspicionTracker.ts';
 import type { RetryCounts } from '../../src/domain/requests/RetryWindow.ts';
-import createUpstreamStatements from '../fixtures/createUpstreamStatements.ts';
+import createExchange from '../fixtures/createExchange.ts';
 import FakeClock from '../fixtures/FakeClock.ts';
 import FakeDatagrams from '../fixtures/FakeDatagrams.ts';
 import SeededRandom from '../fixtures/SeededRandom.ts';
-import SilentLog from '../fixtures/SilentLog.ts';
 
 const hubAddress = '10.1.0.1:7540';
 const suspicion = { upstream: 'u1', incarnation: 1, kind: 'broken' } as const;
@@ -32,15 +31,9 @@
     const addresses = Array.from({ length: hostCount }, (_, index) => `10.1.1.${index}:7540`);
     this.hosts = addresses.map((ownAddress) => {
       const suspicions = new SuspicionTracker({ decayMs: 9000 });
-      const exchange = new DomainExchange({
-        clock: this.clock,
-        log: new SilentLog(),
-        socket: this.datagrams.openSocket(ownAddress),
-        ownAddress,
-        listPeers: () => addresses,
+      const exchange = createExchange(this.datagrams, {
+        ...{ clock: this.clock, ownAddress, suspicions, listPeers: () => addresses },
         findRelay: () => hubAddress,
-        suspicions,
-        statements: createUpstreamStatements(),
         readRetries: () => this.retries,
       });
       this.tasks.push(exchange.run(this.stopping.signal));
--- a/tests/fleet/exchangeCost.test.ts
+++ b/tests/fleet/exchangeCost.test.ts
@@ -1,13 +1,11 @@
 import { describe, expect, it } from 'vitest';
 
-import DomainExchange from '../../src/application/fleet/DomainExchange.ts';
+import type DomainExchange from '../../src/application/fleet/DomainExchange.ts';
 import type { SuspicionKind } from '../../src/domain/detection/SuspicionTracker.ts';
-import SuspicionTracker from '../../src/domain/detection/SuspicionTracker.ts';
-import createUpstreamStatements from '../fixtures/createUpstreamStatements.ts';
+import createExchange from '../fixtures/createExchange.ts';
 import FakeClock from '../fixtures/FakeClock.ts';
 import FakeDatagrams from '../fixtures/FakeDatagrams.ts';
 import SeededRandom from '../fixtures/SeededRandom.ts';
-import SilentLog from '../fixtures/SilentLog.ts';
 
 // A daemon may spend this much for control.
 const maxBytesPerSecond = 17_000;
@@ -47,22 +45,14 @@
   constructor(load: Load) {
     this.load = load;
     const addresses = Array.from({ length: load.hosts }, (_, index) => `10.1.0.${index + 10}:7540`);
-    this.exchanges = addresses.map(
-      (ownAddress) =>
-        new DomainExchange({
-          clock: this.clock,
-          log: new SilentLog(),
-          socket: this.datagrams.openSocket(ownAddress),
-          ownAddress,
-          listPeers: () => addresses,
-          findRelay: () => undefined,
-          suspicions: new SuspicionTracker({ decayMs: 9000 }),
-          statements: createUpstreamStatements(),
-          readRetries: () => ({
-            history: { requests: 50, retries: Math.floor(this.random.next() * 4) },
-            kilns: { requests: 23, retries: Math.floor(this.random.next() * 4) },
-          }),
+    this.exchanges = addresses.map((ownAddress) =>
+      createExchange(this.datagrams, {
+        ...{ clock: this.clock, ownAddress, listPeers: () => addresses },
+        readRetries: () => ({
+          history: { requests: 50, retries: Math.floor(this.random.next() * 4) },
+          kilns: { requests: 23, retries: Math.floor(this.random.next() * 4) },
         }),
+      }),
     );
     this.stopping = addresses.map(() => new AbortController());
     this.tasks = this.stopping.flatMap(
--- a/tests/fleet/suspicionObserver.test.ts
+++ b/tests/fleet/suspicionObserver.test.ts
@@ -1,13 +1,11 @@
 import { afterEach, describe, expect, it } from 'vitest';
 
-import DomainExchange from '../../src/application/fleet/DomainExchange.ts';
 import SuspicionObserver from '../../src/application/fleet/SuspicionObserver.ts';
 import SuspicionTracker from '../../src/domain/detection/SuspicionTracker.ts';
 import type { AnswerClass } from '../../src/domain/requests/AttemptObservation.ts';
-import createUpstreamStatements from '../fixtures/createUpstreamStatements.ts';
+import createExchange from '../fixtures/createExchange.ts';
 import FakeClock from '../fixtures/FakeClock.ts';
 import FakeDatagrams from '../fixtures/FakeDatagrams.ts';
-import SilentLog from '../fixtures/SilentLog.ts';
 
 describe('SuspicionObserver', () => {
   let stopping = new AbortController();
@@ -19,16 +17,8 @@
 
   function createObserver(clock: FakeClock) {
     const suspicions = new SuspicionTracker({ decayMs: 9000 });
-    const exchange = new DomainExchange({
-      clock,
-      log: new SilentLog(),
-      socket: new FakeDatagrams().openSocket('a'),
-      ownAddress: 'a',
-      listPeers: () => [],
-      findRelay: () => undefined,
-      suspicions,
-      statements: createUpstreamStatements(),
-      readRetries: () => ({}),
+    const exchange = createExchange(new FakeDatagrams(), {
+      ...{ clock, ownAddress: 'a', suspicions, listPeers: () => [] },
     });
     const observer = new SuspicionObserver({
       clock,
--- a/tests/fleet/upstreamLimits.test.ts
+++ b/tests/fleet/upstreamLimits.test.ts
@@ -1,17 +1,16 @@
 import { afterEach, describe, expect, it } from 'vitest';
 
-import DomainExchange from '../../src/application/fleet/DomainExchange.ts';
-import SuspicionTracker from '../../src/domain/detection/SuspicionTracker.ts';
+import type DomainExchange from '../../src/application/fleet/DomainExchange.ts';
 import LowestCostBalancer from '../../src/domain/requests/LowestCostBalancer.ts';
 import type UpstreamLimits from '../../src/domain/statements/UpstreamLimits.ts';
 import type UpstreamStatements from '../../src/domain/statements/UpstreamStatements.ts';
 import { createUsable } from '../fixtures/createEntryPath.ts';
+import createExchange from '../fixtures/createExchange.ts';
 import createUpstreamLimits from '../fixtures/createUpstreamLimits.ts';
 import createUpstreamStatements from '../fixtures/createUpstreamStatements.ts';
 import FakeClock from '../fixtures/FakeClock.ts';
 import FakeDatagrams from '../fixtures/FakeDatagrams.ts';
 import SeededRandom from '../fixtures/SeededRandom.ts';
-import SilentLog from '../fixtures/SilentLog.ts';
 
 const upstream = { upstream: 'u1', incarnation: 1 };
 
@@ -233,16 +232,8 @@
         failureDomains,
         findFailureDomain: () => 'domain-0',
       });
-      const exchange = new DomainExchange({
-        clock: this.clock,
-        log: new SilentLog(),
-        socket: (this.datagrams[index] as FakeDatagrams).openSocket(ownAddress),
-        ownAddress,
-        listPeers: () => addresses,
-        findRelay: () => undefined,
-        suspicions: new SuspicionTracker({ decayMs: 9000 }),
-        statements,
-        readRetries: () => ({}),
+      const exchange = createExchange(this.datagrams[index] as FakeDatagrams, {
+        ...{ clock: this.clock, ownAddress, statements, listPeers: () => addresses },
       });
       const controller = new AbortController();
       this.controllers.push(controller);
--- a/tests/fleet/upstreamStatements.test.ts
+++ b/tests/fleet/upstreamStatements.test.ts
@@ -1,10 +1,10 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 
-import DomainExchange from '../../src/application/fleet/DomainExchange.ts';
+import type DomainExchange from '../../src/application/fleet/DomainExchange.ts';
 import DomainGate from '../../src/application/fleet/DomainGate.ts';
-import SuspicionTracker from '../../src/domain/detection/SuspicionTracker.ts';
 import type AnswerStatements from '../../src/domain/statements/AnswerStatements.ts';
 import type UpstreamStatements from '../../src/domain/statements/UpstreamStatements.ts';
+import createExchange from '../fixtures/createExchange.ts';
 import createUpstreamStatements from '../fixtures/createUpstreamStatements.ts';
 import FakeClock from '../fixtures/FakeClock.ts';
 import FakeDatagrams from '../fixtures/FakeDatagrams.ts';
@@ -47,16 +47,8 @@
   function startHost(ownAddress: string, findFailureDomain?: () => string | undefined): Host {
     const log = new SilentLog();
     const statements = createUpstreamStatements(findFailureDomain && { findFailureDomain });
-    const exchange = new DomainExchange({
-      clock,
-      log,
-      socket: datagrams.openSocket(ownAddress),
-      ownAddress,
-      listPeers: () => ['a', 'b'],
-      findRelay: () => undefined,
-      suspicions: new SuspicionTracker({ decayMs: 9000 }),
-      statements,
-      readRetries: () => ({}),
+    const exchange = createExchange(datagrams, {
+      ...{ clock, ownAddress, statements, listPeers: () => ['a', 'b'] },
     });
     tasks.push(exchange.run(stopping.signal));
     const gate = new DomainGate({ clock, log, statements, exchange });
