--- a/src/application/fleet/DomainHub.ts
+++ b/src/application/fleet/DomainHub.ts
@@ -1,3 +1,4 @@
+import pruneMap from '../../domain/collections/pruneMap.ts';
 import { emptyDomainMessage } from '../../domain/fleet/DomainMessage.ts';
 import type { DomainMessage, UpstreamActivity } from '../../domain/fleet/DomainMessage.ts';
 import type Clock from '../../ports/Clock.ts';
@@ -104,8 +105,6 @@
   }
 
   private dropMembers(now: number): void {
-    [...this.members]
-      .filter(([, until]) => until <= now)
-      .forEach(([address]) => this.members.delete(address));
+    pruneMap(this.members, (until) => until <= now);
   }
 }
--- a/src/application/fleet/DomainReports.ts
+++ b/src/application/fleet/DomainReports.ts
@@ -1,3 +1,4 @@
+import pruneMap from '../../domain/collections/pruneMap.ts';
 import type { RetryCounts } from '../../domain/requests/RetryWindow.ts';
 
 // Far longer than a report is meaningful.
@@ -78,11 +79,7 @@
 
   /** Removes old reports. */
   pruneOld(now: number): void {
-    [...this.loads]
-      .filter(([, { at }]) => at + retentionMs <= now)
-      .forEach(([upstream]) => this.loads.delete(upstream));
-    [...this.recoveredAt]
-      .filter(([, at]) => at + retentionMs <= now)
-      .forEach(([upstream]) => this.recoveredAt.delete(upstream));
+    pruneMap(this.loads, ({ at }) => at + retentionMs <= now);
+    pruneMap(this.recoveredAt, (at) => at + retentionMs <= now);
   }
 }
--- a/src/application/fleet/EntryHostDirectory.ts
+++ b/src/application/fleet/EntryHostDirectory.ts
@@ -1,5 +1,6 @@
 import { createHash } from 'node:crypto';
 
+import pruneMap from '../../domain/collections/pruneMap.ts';
 import type { ControlHostInfo, EntryHostInfo } from '../../domain/fleet/FleetHosts.ts';
 import type Clock from '../../ports/Clock.ts';
 import type { FeedHosts } from '../../ports/FleetLink.ts';
@@ -68,7 +69,7 @@
   /** Publishes the lists that have changed; returns whether there are any. */
   updateChanged(): boolean {
     const now = this.options.clock.now();
-    this.dropExpired(now);
+    pruneMap(this.present, ({ until }) => until <= now);
     const changed = [...this.published]
       .filter(([, { renewAt }]) => renewAt <= now)
       .filter(([domain, { hosts }]) => this.updateHosts(domain).version !== hosts.version);
@@ -83,10 +84,4 @@
     this.published.set(failureDomain, { hosts, renewAt });
     return hosts;
   }
-
-  private dropExpired(now: number): void {
-    [...this.present]
-      .filter(([, { until }]) => until <= now)
-      .forEach(([address]) => this.present.delete(address));
-  }
 }
--- a/src/application/fleet/PeerActivities.ts
+++ b/src/application/fleet/PeerActivities.ts
@@ -1,3 +1,4 @@
+import pruneMap from '../../domain/collections/pruneMap.ts';
 import type { DomainMessage } from '../../domain/fleet/DomainMessage.ts';
 import type { RetryCounts } from '../../domain/requests/RetryWindow.ts';
 
@@ -94,9 +95,7 @@
       [...peer.inFlight]
         .filter(([, { until }]) => until <= now)
         .forEach(([upstream]) => this.setInFlight(peer, upstream, { count: 0, until: now }));
-      [...peer.retries]
-        .filter(([, { until }]) => until <= now)
-        .forEach(([service]) => peer.retries.delete(service));
+      pruneMap(peer.retries, ({ until }) => until <= now);
       if (peer.inFlight.size === 0 && peer.retries.size === 0) this.peers.delete(address);
     });
   }
--- a/src/domain/detection/SuspicionTracker.ts
+++ b/src/domain/detection/SuspicionTracker.ts
@@ -1,3 +1,4 @@
+import pruneMap from '../collections/pruneMap.ts';
 import DecayingRisk from './DecayingRisk.ts';
 
 /** The kind of observation that makes an upstream suspicious. */
@@ -194,12 +195,8 @@
   /** Removes upstreams without observations for ten times the decay time. */
   pruneIdle(now: number): void {
     const oldest = now - 10 * this.decayMs;
-    [...this.suspicions]
-      .filter(([, { seenAt }]) => seenAt < oldest)
-      .forEach(([upstream]) => this.suspicions.delete(upstream));
-    [...this.succeededAt]
-      .filter(([, succeededAt]) => succeededAt < oldest)
-      .forEach(([upstream]) => this.succeededAt.delete(upstream));
+    pruneMap(this.suspicions, ({ seenAt }) => seenAt < oldest);
+    pruneMap(this.succeededAt, (succeededAt) => succeededAt < oldest);
   }
 
   private createSuspicions(incarnation: number): UpstreamSuspicions {
--- a/src/domain/requests/SheddingTracker.ts
+++ b/src/domain/requests/SheddingTracker.ts
@@ -1,3 +1,5 @@
+import pruneMap from '../collections/pruneMap.ts';
+
 // Long enough to cover answers of several upstreams, short enough to allow retries soon after a
 // peak of load.
 const recentMs = 1000;
@@ -19,8 +21,6 @@
   }
 
   private pruneRecords(now: number): void {
-    [...this.shedAt]
-      .filter(([, shedAt]) => now - shedAt > recentMs)
-      .forEach(([upstream]) => this.shedAt.delete(upstream));
+    pruneMap(this.shedAt, (shedAt) => now - shedAt > recentMs);
   }
 }
--- a/src/domain/statements/LeavingUpstreams.ts
+++ b/src/domain/statements/LeavingUpstreams.ts
@@ -1,3 +1,4 @@
+import pruneMap from '../collections/pruneMap.ts';
 import type UpstreamIncarnation from './UpstreamIncarnation.ts';
 
 /** Upstreams whose answers state that they are leaving. */
@@ -28,8 +29,6 @@
 
   /** Removes the upstreams for which `isKnown` returns false. */
   pruneUnknown(isKnown: (upstream: string) => boolean): void {
-    [...this.incarnations.keys()]
-      .filter((upstream) => !isKnown(upstream))
-      .forEach((upstream) => this.incarnations.delete(upstream));
+    pruneMap(this.incarnations, (_, upstream) => !isKnown(upstream));
   }
 }
--- a/src/domain/statements/UpstreamLimits.ts
+++ b/src/domain/statements/UpstreamLimits.ts
@@ -1,3 +1,4 @@
+import pruneMap from '../collections/pruneMap.ts';
 import RateLimit from './RateLimit.ts';
 import type UpstreamIncarnation from './UpstreamIncarnation.ts';
 
@@ -120,9 +121,7 @@
 
   /** Removes the limits of upstreams for which `isKnown` returns false. */
   pruneUnknown(isKnown: (upstream: string) => boolean): void {
-    [...this.limits.keys()]
-      .filter((upstream) => !isKnown(upstream))
-      .forEach((upstream) => this.limits.delete(upstream));
+    pruneMap(this.limits, (_, upstream) => !isKnown(upstream));
   }
 
   private computeRate(upstream: string, requestsPerSecond: number): number {
--- a/src/domain/statements/UpstreamPauses.ts
+++ b/src/domain/statements/UpstreamPauses.ts
@@ -1,3 +1,4 @@
+import pruneMap from '../collections/pruneMap.ts';
 import type UpstreamIncarnation from './UpstreamIncarnation.ts';
 
 interface Pause {
@@ -34,8 +35,6 @@
 
   /** Removes the pauses that have ended. */
   pruneEnded(now: number): void {
-    [...this.pauses]
-      .filter(([, { until }]) => until <= now)
-      .forEach(([upstream]) => this.pauses.delete(upstream));
+    pruneMap(this.pauses, ({ until }) => until <= now);
   }
 }
