src/domain/fleet: hasReports and emptyUpstreamActivity instead of three copies of each

The hub, the receiver and the exchange tested for the same content, and the hub and the receiver spelled out the same empty report. With a hub, a message without content was sent to it after each suspicion; the hub ignores such a message, so it is not sent any more.

--- a/src/application/fleet/DomainExchange.ts
+++ b/src/application/fleet/DomainExchange.ts
@@ -1,6 +1,6 @@
 import type { Suspicion, SuspicionKind } from '../../domain/detection/SuspicionTracker.ts';
 import type SuspicionTracker from '../../domain/detection/SuspicionTracker.ts';
-import { emptyDomainMessage } from '../../domain/fleet/DomainMessage.ts';
+import { emptyDomainMessage, hasReports } from '../../domain/fleet/DomainMessage.ts';
 import type { DomainMessage } from '../../domain/fleet/DomainMessage.ts';
 import type { RetryCounts } from '../../domain/requests/RetryWindow.ts';
 import RateLimit from '../../domain/statements/RateLimit.ts';
@@ -253,7 +253,10 @@
     const { routing, reports } = this;
     const unusedHub = routing.findUnusedHub();
     // A hub sends digests to the hosts that report to it.
-    if (unusedHub !== undefined) this.sendRetries([unusedHub]);
+    if (unusedHub !== undefined) {
+      const retries = this.options.readRetries();
+      this.sendMessage({ ...emptyDomainMessage, retries }, [unusedHub]);
+    }
     const repeated = [...this.ownInFlight.keys()].filter(
       (upstream) => !routing.isSparse || reports.readOwnOpen(upstream) > 0,
     );
@@ -263,10 +266,6 @@
     this.setDue(this.options.clock.now());
   }
 
-  private sendRetries(addresses: readonly string[]): void {
-    this.sendMessage({ ...emptyDomainMessage, retries: this.options.readRetries() }, addresses);
-  }
-
   private announceChange(upstream: string): void {
     const inDomain = this.countInFlight(upstream);
     const own = this.readInFlight(upstream);
@@ -295,7 +294,7 @@
     this.dueAt = this.unsent.hasUpstreams ? this.options.clock.now() : Infinity;
     const message = { ...emptyDomainMessage, upstreams, retries: this.takeUnsentRetries() };
     if (hub === undefined) this.sendWithSuspicions(message);
-    else this.sendMessage(message, [hub]);
+    else if (hasReports(message)) this.sendMessage(message, [hub]);
   }
 
   /** Sends only suspicions and what other hosts need to keep to what upstreams state. */
@@ -324,8 +323,7 @@
   /** Sends the new suspicions, with the rest of the message, to all other hosts. */
   private sendWithSuspicions(message: DomainMessage): void {
     const suspicions = this.unsent.takeSuspicions();
-    const { upstreams, retries } = message;
-    if (suspicions.length + upstreams.length + Object.keys(retries).length === 0) return;
+    if (suspicions.length === 0 && !hasReports(message)) return;
     this.sendMessage({ ...message, suspicions }, this.listOtherPeers());
     const relay = suspicions.length > 0 ? this.options.findRelay() : undefined;
     if (relay !== undefined) this.sendMessage({ ...emptyDomainMessage, suspicions }, [relay]);
--- a/src/application/fleet/DomainHub.ts
+++ b/src/application/fleet/DomainHub.ts
@@ -1,5 +1,9 @@
 import pruneMap from '../../domain/collections/pruneMap.ts';
-import { emptyDomainMessage } from '../../domain/fleet/DomainMessage.ts';
+import {
+  emptyDomainMessage,
+  emptyUpstreamActivity,
+  hasReports,
+} from '../../domain/fleet/DomainMessage.ts';
 import type { DomainMessage, UpstreamActivity } from '../../domain/fleet/DomainMessage.ts';
 import type Clock from '../../ports/Clock.ts';
 import type DatagramSocket from '../../ports/DatagramSocket.ts';
@@ -60,13 +64,12 @@
   }
 
   private acceptMessage(message: DomainMessage, from: string): void {
-    const { upstreams, retries } = message;
     // Suspicions alone are for the relay.
-    if (upstreams.length === 0 && Object.keys(retries).length === 0) return;
+    if (!hasReports(message)) return;
     const now = this.options.clock.now();
     this.members.set(from, now + memberTimeoutMs);
     this.activities.recordMessage(from, message, now);
-    upstreams.forEach(({ upstream, reportedLoad, hasRecovered }) => {
+    message.upstreams.forEach(({ upstream, reportedLoad, hasRecovered }) => {
       this.changed.add(upstream);
       if (reportedLoad !== undefined) this.loads.set(upstream, reportedLoad);
       if (hasRecovered) this.recoveries.add(upstream);
@@ -94,13 +97,11 @@
 
   private createActivity(upstream: string, now: number): UpstreamActivity {
     return {
+      ...emptyUpstreamActivity,
       upstream,
       inFlight: this.activities.countInFlight(upstream, now),
       reportedLoad: this.loads.get(upstream),
       hasRecovered: this.recoveries.has(upstream),
-      limitedRequests: 0,
-      limit: undefined,
-      leavingIncarnation: undefined,
     };
   }
 
--- a/src/application/fleet/DomainReceiver.ts
+++ b/src/application/fleet/DomainReceiver.ts
@@ -1,5 +1,9 @@
 import type SuspicionTracker from '../../domain/detection/SuspicionTracker.ts';
-import { emptyDomainMessage } from '../../domain/fleet/DomainMessage.ts';
+import {
+  emptyDomainMessage,
+  emptyUpstreamActivity,
+  hasReports,
+} from '../../domain/fleet/DomainMessage.ts';
 import type { DomainMessage, UpstreamActivity } from '../../domain/fleet/DomainMessage.ts';
 import type UpstreamStatements from '../../domain/statements/UpstreamStatements.ts';
 import type Clock from '../../ports/Clock.ts';
@@ -38,13 +42,10 @@
   acceptMessage(message: DomainMessage, from: string): void {
     const { clock, suspicions, log } = this.options;
     const now = clock.now();
-    const { upstreams, retries } = message;
     if (message.isDigest) this.acceptDigest(message, from, now);
-    // Messages of a relay have suspicions only, and a relay is no peer.
-    else if (upstreams.length > 0 || Object.keys(retries).length > 0) {
-      this.options.peers.recordMessage(from, message, now);
-    }
-    upstreams.forEach((activity) => this.acceptActivity(activity, message.isDigest, now));
+    // A relay is no peer.
+    else if (hasReports(message)) this.options.peers.recordMessage(from, message, now);
+    message.upstreams.forEach((activity) => this.acceptActivity(activity, message.isDigest, now));
     message.suspicions.forEach((suspicion) => {
       const isNew = suspicions.addSuspicion(suspicion, now, 'other');
       if (isNew) log.info('detection: another host saw a bad upstream', { ...suspicion, from });
@@ -107,11 +108,9 @@
       statements.listLeaving().map(({ upstream, incarnation }) => [upstream, incarnation]),
     );
     const upstreams = [...new Set([...limits.keys(), ...leaving.keys()])].map((upstream) => ({
+      ...emptyUpstreamActivity,
       upstream,
       inFlight: this.options.readInFlight(upstream),
-      reportedLoad: undefined,
-      hasRecovered: false,
-      limitedRequests: 0,
       limit: limits.get(upstream),
       leavingIncarnation: leaving.get(upstream),
     }));
--- a/src/domain/fleet/DomainMessage.ts
+++ b/src/domain/fleet/DomainMessage.ts
@@ -36,6 +36,16 @@
   readonly retries: Readonly<Record<string, RetryCounts>>;
 }
 
+/** A report about an upstream that says nothing new; its name is to be added. */
+export const emptyUpstreamActivity: Omit<UpstreamActivity, 'upstream'> = {
+  inFlight: 0,
+  reportedLoad: undefined,
+  hasRecovered: false,
+  limitedRequests: 0,
+  limit: undefined,
+  leavingIncarnation: undefined,
+};
+
 /** A message without content. */
 export const emptyDomainMessage: DomainMessage = {
   isDigest: false,
@@ -44,3 +54,8 @@
   upstreams: [],
   retries: {},
 };
+
+/** Whether a message reports what hosts send; a message of a relay has suspicions only. */
+export function hasReports({ upstreams, retries }: DomainMessage): boolean {
+  return upstreams.length > 0 || Object.keys(retries).length > 0;
+}
