src/application/fleet: the report filter decides what is repeated

DomainExchange asked ReportRouting for the kind of its filter, though what varies with the filter is behind ReportFilter. Behaviour is unchanged.

--- a/src/application/fleet/DomainExchange.ts
+++ b/src/application/fleet/DomainExchange.ts
@@ -257,8 +257,9 @@
       const retries = this.options.readRetries();
       this.sendMessage({ ...emptyDomainMessage, retries }, [unusedHub]);
     }
-    const repeated = [...this.ownInFlight.keys()].filter(
-      (upstream) => !routing.isSparse || reports.readOwnOpen(upstream) > 0,
+    const { filter } = routing;
+    const repeated = [...this.ownInFlight.keys()].filter((upstream) =>
+      filter.mayRepeatOpen(reports.readOwnOpen(upstream)),
     );
     if (repeated.length === 0 && routing.findHub() === undefined) return;
     repeated.forEach((upstream) => this.unsent.addInFlight(upstream));
--- a/src/application/fleet/FullReports.ts
+++ b/src/application/fleet/FullReports.ts
@@ -15,6 +15,10 @@
     return true;
   }
 
+  mayRepeatOpen(): boolean {
+    return true;
+  }
+
   mayReportLoad(): boolean {
     return true;
   }
--- a/src/application/fleet/ReportFilter.ts
+++ b/src/application/fleet/ReportFilter.ts
@@ -13,6 +13,8 @@
     readonly reported: number;
     readonly inDomain: number;
   }): boolean;
+  /** Whether to repeat the open requests of this host, of which the others count `reported`. */
+  mayRepeatOpen(reported: number): boolean;
   /** Whether to report a load; `known` is what the others assume. */
   mayReportLoad(load: number, known: number): boolean;
   /**
--- a/src/application/fleet/ReportRouting.ts
+++ b/src/application/fleet/ReportRouting.ts
@@ -48,11 +48,6 @@
     return this.options.countHosts() > maxFullyInformed ? this.sparseReports : this.fullReports;
   }
 
-  /** Whether a host reports only some changes. */
-  get isSparse(): boolean {
-    return this.filter === this.sparseReports;
-  }
-
   /** The hub to report to; undefined while all other hosts have to be told. */
   findHub(): string | undefined {
     const { hub } = this;
--- a/src/application/fleet/SparseReports.ts
+++ b/src/application/fleet/SparseReports.ts
@@ -24,6 +24,10 @@
     return count.inDomain >= busyCount ? count.own !== count.reported : count.reported > 0;
   }
 
+  mayRepeatOpen(reported: number): boolean {
+    return reported > 0;
+  }
+
   mayReportLoad(load: number, known: number): boolean {
     return Math.abs(load - known) >= minLoadChange;
   }
