--- a/src/application/fleet/DomainReports.ts
+++ b/src/application/fleet/DomainReports.ts
@@ -1,5 +1,6 @@
 import pruneMap from '../../domain/collections/pruneMap.ts';
 import type { RetryCounts } from '../../domain/requests/RetryWindow.ts';
+import estimateLoad from '../../domain/requests/estimateLoad.ts';
 
 // Far longer than a report is meaningful.
 const retentionMs = 30_000;
@@ -39,7 +40,12 @@
   /** Estimates the load of an upstream from the last report. */
   estimateLoad(upstream: string, now: number): number {
     const known = this.loads.get(upstream);
-    return known ? known.load * 0.5 ** ((now - known.at) / halfLifeMs) : 0;
+    if (!known) return 0;
+    return estimateLoad(
+      { inFlight: 0, reportedLoad: known.load, reportedAt: known.at },
+      now,
+      halfLifeMs,
+    );
   }
 
   /** Instant of the last report of a recovery; -Infinity without one. */
--- a/src/application/fleet/SuspicionObserver.ts
+++ b/src/application/fleet/SuspicionObserver.ts
@@ -52,6 +52,15 @@
   isOverdue: boolean;
 }
 
+function updateAverage(
+  averages: Map<string, number>,
+  key: string,
+  change: { readonly value: number; readonly weight: number; readonly assumed: number },
+): void {
+  const previous = averages.get(key) ?? change.assumed;
+  averages.set(key, previous + change.weight * (change.value - previous));
+}
+
 /** Derives suspicions of upstreams from the results of attempts and from overdue requests. */
 export default class SuspicionObserver implements AttemptObserver {
   private readonly options: SuspicionObserverOptions;
@@ -103,7 +112,12 @@
     const { suspicions, exchange } = this.options;
     const isRecovery = suspicions.recordSuccess(upstream, startedAt, endedAt);
     if (isRecovery) exchange.reportRecovery(upstream);
-    this.recordSize(service, observation.answerBytes);
+    const { answerBytes } = observation;
+    updateAverage(this.averageSizes, service, {
+      value: answerBytes,
+      weight: sizeWeight,
+      assumed: answerBytes,
+    });
     this.getLatency(operation).recordLatency(tookMs);
   }
 
@@ -159,15 +173,11 @@
     { answerClass, endedAt }: AttemptObservation,
   ): void {
     const isLate = endedAt - startedAt > lateFactor * (overdueAt - startedAt);
-    const isUnanswered = answerClass !== 'good' || isLate;
-    const share = this.unansweredShares.get(service) ?? assumedUnansweredShare;
-    const change = (isUnanswered ? 1 : 0) - share;
-    this.unansweredShares.set(service, share + unansweredWeight * change);
-  }
-
-  private recordSize(service: string, bytes: number): void {
-    const average = this.averageSizes.get(service) ?? bytes;
-    this.averageSizes.set(service, average + sizeWeight * (bytes - average));
+    updateAverage(this.unansweredShares, service, {
+      value: answerClass !== 'good' || isLate ? 1 : 0,
+      weight: unansweredWeight,
+      assumed: assumedUnansweredShare,
+    });
   }
 
   private getLatency(operation: string): LatencyEstimate {
