src/application/fleet: each decision about a retry is logged with what it was based on

Cause: a report says that retries exceeded the budget of a service, and no log line tells whether a host had the reports of the others, how many they were, or what it had counted itself. Silence of the others, a restart and reports that come late look the same.

Change: `requests: a retry was decided` with the request, both counts, the number of hosts that reported, and how many retries were allowed.

--- a/src/application/fleet/DomainExchange.ts
+++ b/src/application/fleet/DomainExchange.ts
@@ -15,6 +15,7 @@
 import DomainReports from './DomainReports.ts';
 import type { ReportedLoad } from './DomainReports.ts';
 import PeerActivities from './PeerActivities.ts';
+import type { PeerRetryCounts } from './PeerActivities.ts';
 import ReportRouting from './ReportRouting.ts';
 import UnsentChanges from './UnsentChanges.ts';
 
@@ -110,7 +111,7 @@
   }
 
   /** Requests and retries of the other hosts of the domain for a service. */
-  countRetries(service: string): RetryCounts {
+  countRetries(service: string): PeerRetryCounts {
     return this.peers.countRetries(service, this.options.clock.now());
   }
 
--- a/src/application/fleet/DomainRetryBudgets.ts
+++ b/src/application/fleet/DomainRetryBudgets.ts
@@ -2,7 +2,9 @@
 import RetryWindow from '../../domain/requests/RetryWindow.ts';
 import type { RetryCounts } from '../../domain/requests/RetryWindow.ts';
 import type Clock from '../../ports/Clock.ts';
+import type Log from '../../ports/Log.ts';
 import type RetryBudgetSource from '../requests/RetryBudgetSource.ts';
+import type { PeerRetryCounts } from './PeerActivities.ts';
 
 // The hosts of a failure domain receive each other's retry counts with a delay, so part of the
 // budget is kept in reserve.
@@ -11,6 +13,7 @@
 /** Options of the budgets. */
 export interface DomainRetryBudgetsOptions {
   readonly clock: Clock;
+  readonly log: Log;
   /** Allowed retries per request in any window, summed over all entry hosts. */
   readonly share: number;
   /** Allowed retries beyond the share in any window, summed over all entry hosts. */
@@ -18,7 +21,16 @@
   readonly windowMs: number;
   readonly failureDomains: number;
   /** Requests and retries of the other entry hosts of the failure domain in the newest window. */
-  readonly readOtherCounts: (service: string) => RetryCounts;
+  readonly readOtherCounts: (service: string) => PeerRetryCounts;
+}
+
+interface CountedRetries {
+  readonly own: RetryCounts;
+  readonly others: PeerRetryCounts;
+  /** Retries taken by the failure domain, as far as this host knows. */
+  readonly taken: number;
+  /** Retries allowed for the failure domain. */
+  readonly allowed: number;
 }
 
 /**
@@ -34,18 +46,14 @@
     this.options = options;
   }
 
-  getBudget(service: string): RetryAllowance {
+  getBudget(service: string, requestId: string): RetryAllowance {
     const window = this.getWindow(service);
     const { clock } = this.options;
     return {
       addRequest: () => window.addRequest(clock.now()),
       hasRetry: () => this.hasRetry(service),
       readScarcity: () => this.readScarcity(service),
-      takeRetry: () => {
-        if (!this.hasRetry(service)) return false;
-        window.addRetry(clock.now());
-        return true;
-      },
+      takeRetry: () => this.takeRetry(service, requestId),
     };
   }
 
@@ -58,6 +66,22 @@
     return Object.fromEntries(counts.filter(([, { requests }]) => requests > 0));
   }
 
+  private takeRetry(service: string, requestId: string): boolean {
+    const { clock, log } = this.options;
+    const { own, others, taken, allowed } = this.countRetries(service);
+    const isTaken = taken + 1 <= allowed;
+    if (isTaken) this.getWindow(service).addRetry(clock.now());
+    log.info('requests: a retry was decided', {
+      ...{ requestId, service, isTaken, allowed: Math.round(10 * allowed) / 10 },
+      ownRequests: own.requests,
+      ownRetries: own.retries,
+      otherRequests: others.requests,
+      otherRetries: others.retries,
+      otherHosts: others.hosts,
+    });
+    return isTaken;
+  }
+
   private hasRetry(service: string): boolean {
     const { taken, allowed } = this.countRetries(service);
     return taken + 1 <= allowed;
@@ -69,12 +93,13 @@
   }
 
   /** Numbers of retries in the newest window: taken by the failure domain, and allowed for it. */
-  private countRetries(service: string): { readonly taken: number; readonly allowed: number } {
+  private countRetries(service: string): CountedRetries {
     const { clock, share, extra, failureDomains, readOtherCounts } = this.options;
     const own = this.getWindow(service).readCounts(clock.now());
     const others = readOtherCounts(service);
     const allowed = share * (own.requests + others.requests) + extra / failureDomains;
-    return { taken: own.retries + others.retries, allowed: usableShare * allowed };
+    const taken = own.retries + others.retries;
+    return { own, others, taken, allowed: usableShare * allowed };
   }
 
   private getWindow(service: string): RetryWindow {
--- a/src/application/fleet/PeerActivities.ts
+++ b/src/application/fleet/PeerActivities.ts
@@ -24,6 +24,12 @@
   readonly retries: Map<string, RetryReport>;
 }
 
+/** Requests and retries of several hosts for a service. */
+export interface PeerRetryCounts extends RetryCounts {
+  /** Number of hosts that reported them; a hub counts as one. */
+  readonly hosts: number;
+}
+
 /** Open requests and retries of the other entry hosts of a failure domain. */
 export default class PeerActivities {
   private readonly peers = new Map<string, PeerActivity>();
@@ -43,12 +49,13 @@
   }
 
   /** Requests and retries of all peers for a service. */
-  countRetries(service: string, now: number): RetryCounts {
+  countRetries(service: string, now: number): PeerRetryCounts {
     this.dropExpired(now);
     const reports = [...this.peers.values()].flatMap(({ retries }) => retries.get(service) ?? []);
     return {
       requests: reports.reduce((sum, { counts }) => sum + counts.requests, 0),
       retries: reports.reduce((sum, { counts }) => sum + counts.retries, 0),
+      hosts: reports.length,
     };
   }
 
--- a/src/application/requests/RequestHandler.ts
+++ b/src/application/requests/RequestHandler.ts
@@ -342,8 +342,11 @@
     return retryAt === undefined ? undefined : Math.round(retryAt - this.options.clock.now());
   }
 
-  private addToBudget({ route }: CallerRequest, service: ServiceSettings): RetryAllowance {
-    const budget = this.budgets.getBudget(route.service);
+  private addToBudget(
+    { route, requestId }: CallerRequest,
+    service: ServiceSettings,
+  ): RetryAllowance {
+    const budget = this.budgets.getBudget(route.service, requestId);
     budget.addRequest(service.retryShare);
     return budget;
   }
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -127,7 +127,7 @@
       findFailureDomain: (upstream) => this.view.findUpstream(upstream)?.failureDomain,
     });
     this.retryBudgets = new DomainRetryBudgets({
-      clock,
+      ...{ clock, log },
       ...settings.retries,
       failureDomains: settings.failureDomains.length,
       readOtherCounts: (service) => this.exchange.countRetries(service),
--- a/tests/fleet/domainExchange.test.ts
+++ b/tests/fleet/domainExchange.test.ts
@@ -85,7 +85,7 @@
     await clock.advanceBy(500);
 
     expect([openRequests, second.exchange.countInFlight('u1')]).toEqual([2, 0]);
-    expect(second.exchange.countRetries('kilns')).toEqual({ requests: 5, retries: 1 });
+    expect(second.exchange.countRetries('kilns')).toEqual({ requests: 5, retries: 1, hosts: 1 });
   });
 
   // Hosts report their open requests repeatedly. Guards against sums that drift with each report.
--- a/tests/fleet/domainHub.test.ts
+++ b/tests/fleet/domainHub.test.ts
@@ -151,7 +151,7 @@
     const { clock, first } = await startDomain(20);
     await clock.advanceBy(5000);
 
-    expect(first.countRetries('history')).toEqual({ requests: 190, retries: 19 });
+    expect(first.countRetries('history')).toEqual({ requests: 190, retries: 19, hosts: 1 });
   });
 
   it('should tell the load that an upstream reported to another host', async () => {
