--- a/bench/SlotSimulation.ts
+++ b/bench/SlotSimulation.ts
@@ -4,7 +4,6 @@
 
 import LoadTracker from '../src/application/requests/LoadTracker.ts';
 import type Balancer from '../src/domain/requests/Balancer.ts';
-import IdempotentRetryPolicy from '../src/domain/requests/IdempotentRetryPolicy.ts';
 import RetryBudget from '../src/domain/requests/RetryBudget.ts';
 import SheddingTracker from '../src/domain/requests/SheddingTracker.ts';
 import type UsableUpstream from '../src/domain/requests/UsableUpstream.ts';
@@ -221,7 +220,7 @@
     if (!this.options.hasBudget) return true;
     const names = this.upstreams.map(({ usable }) => usable.record.upstream);
     if (host.shedding.isServiceShedding(names, this.events.now)) return false;
-    return new IdempotentRetryPolicy(host.budget).mayRetry('not_run');
+    return host.budget.takeToken();
   }
 
   private acceptJob(upstream: Upstream, job: Job): void {
--- a/bench/faults/FaultSimulation.ts
+++ b/bench/faults/FaultSimulation.ts
@@ -3,10 +3,10 @@
 
 import type SuspicionTracker from '../../src/domain/detection/SuspicionTracker.ts';
 import type Balancer from '../../src/domain/requests/Balancer.ts';
-import RetryWindow from '../../src/domain/requests/RetryWindow.ts';
 import type UsableUpstream from '../../src/domain/requests/UsableUpstream.ts';
 import EventQueue from '../EventQueue.ts';
 import DomainLoads from './DomainLoads.ts';
+import RetryWindow from './RetryWindow.ts';
 
 /** The upstreams, the load and the injected faults of one simulated service. */
 export interface FaultPattern {
--- a/src/domain/requests/RetryWindow.ts
+++ b/bench/faults/RetryWindow.ts
@@ -1,4 +1,4 @@
-import SlidingCounts from '../metrics/SlidingCounts.ts';
+import SlidingCounts from '../../src/domain/metrics/SlidingCounts.ts';
 
 const slotMs = 500;
 
--- a/src/adapters/udp/decodeDomainMessage.ts
+++ b/src/adapters/udp/decodeDomainMessage.ts
@@ -1,6 +1,6 @@
 import type { Suspicion, SuspicionKind } from '../../domain/detection/SuspicionTracker.ts';
 import type { DomainMessage, UpstreamActivity } from '../../domain/fleet/DomainMessage.ts';
-import type { RetryCounts } from '../../domain/requests/RetryWindow.ts';
+import type { RetryBalance } from '../../domain/requests/RetryAccount.ts';
 import type { EncodedDomainMessage, UpstreamRow } from './encodeDomainMessage.ts';
 
 const suspicionKinds: Readonly<Record<SuspicionKind, true>> = {
@@ -73,6 +73,18 @@
   };
 }
 
+function isLoanRequest(value: unknown): boolean {
+  if (!Array.isArray(value) || value.length !== 3) return false;
+  const [id, service, retries] = value as unknown[];
+  return isCount(id) && typeof service === 'string' && isRate(retries);
+}
+
+function isLoan(value: unknown): boolean {
+  if (!Array.isArray(value) || value.length !== 3) return false;
+  const [id, retries, leftMs] = value as unknown[];
+  return isCount(id) && isRate(retries) && isCount(leftMs);
+}
+
 function isRetryRow(value: unknown): boolean {
   return Array.isArray(value) && value.length === 2 && value.every(isCount);
 }
@@ -80,7 +92,7 @@
 // Uses no schema library, because one took ten times as long.
 function isEncodedMessage(value: unknown): value is EncodedDomainMessage {
   if (!isFields(value)) return false;
-  const { s = [], a, d, u = [], r = {} } = value;
+  const { s = [], a, d, u = [], r = {}, q, l, n } = value;
   return (
     (d === undefined || d === 1) &&
     Array.isArray(s) &&
@@ -89,14 +101,17 @@
     Array.isArray(u) &&
     u.every(isUpstreamRow) &&
     isFields(r) &&
-    Object.values(r).every(isRetryRow)
+    Object.values(r).every(isRetryRow) &&
+    (q === undefined || isLoanRequest(q)) &&
+    (l === undefined || isLoan(l)) &&
+    (n === undefined || isCount(n))
   );
 }
 
 /** Decodes the JSON value of a datagram; returns undefined if it is malformed. */
 export default function decodeDomainMessage(value: unknown): DomainMessage | undefined {
   if (!isEncodedMessage(value)) return undefined;
-  const { s = [], a, d, u = [], r = {} } = value;
+  const { s = [], a, d, u = [], r = {}, q, l, n } = value;
   return {
     isDigest: d === 1,
     suspicions: s.map(([upstream, incarnation, kind]): Suspicion => ({
@@ -107,10 +122,13 @@
     asksSuspicions: a === 1,
     upstreams: u.map(decodeUpstream),
     retries: Object.fromEntries(
-      Object.entries(r).map(([service, [requests, retries]]): [string, RetryCounts] => [
+      Object.entries(r).map(([service, [used, left]]): [string, RetryBalance] => [
         service,
-        { requests, retries },
+        { used: used / 10, left: left / 10 },
       ]),
     ),
+    loanRequest: q && { id: q[0], service: q[1], retries: q[2] },
+    loan: l && { id: l[0], retries: l[1], leftMs: l[2] },
+    domainSize: n,
   };
 }
--- a/src/adapters/udp/encodeDomainMessage.ts
+++ b/src/adapters/udp/encodeDomainMessage.ts
@@ -1,5 +1,5 @@
 import type { DomainMessage, UpstreamActivity } from '../../domain/fleet/DomainMessage.ts';
-import type { RetryCounts } from '../../domain/requests/RetryWindow.ts';
+import type { RetryBalance } from '../../domain/requests/RetryAccount.ts';
 
 /** Upstream, incarnation and kind of a suspicion. */
 export type SuspicionRow = readonly [string, number, string];
@@ -19,8 +19,14 @@
   /** Present if the sender asks for suspicions. */
   readonly a?: 1;
   readonly u?: readonly UpstreamRow[];
-  /** Requests and retries by service. */
+  /** Used and left retries by service, in tenths. */
   readonly r?: Readonly<Record<string, readonly [number, number]>>;
+  /** Number of a request for retries, service and missing retries. */
+  readonly q?: readonly [number, string, number];
+  /** Number of the request, retries that are lent, and milliseconds for which they may be used. */
+  readonly l?: readonly [number, number, number];
+  /** Most entry hosts that the sender has known in its failure domain. */
+  readonly n?: number;
 }
 
 function encodeUpstream(activity: UpstreamActivity): UpstreamRow {
@@ -46,11 +52,11 @@
   return [upstream, ...values.slice(0, length)];
 }
 
-function encodeRetries(retries: Readonly<Record<string, RetryCounts>>) {
+function encodeRetries(retries: Readonly<Record<string, RetryBalance>>) {
   return Object.fromEntries(
-    Object.entries(retries).map(([service, counts]) => [
+    Object.entries(retries).map(([service, { used, left }]) => [
       service,
-      [counts.requests, counts.retries] as const,
+      [Math.round(10 * used), Math.floor(10 * left)] as const,
     ]),
   );
 }
@@ -58,6 +64,7 @@
 /** Encodes a message as the JSON value that is sent in a datagram. */
 export default function encodeDomainMessage(message: DomainMessage): EncodedDomainMessage {
   const { isDigest, suspicions, asksSuspicions, upstreams, retries } = message;
+  const { loanRequest, loan, domainSize } = message;
   return {
     ...(suspicions.length > 0 && {
       s: suspicions.map(({ upstream, incarnation, kind }) => [upstream, incarnation, kind]),
@@ -68,5 +75,8 @@
       u: upstreams.map(encodeUpstream),
     }),
     ...(Object.keys(retries).length > 0 && { r: encodeRetries(retries) }),
+    ...(loanRequest && { q: [loanRequest.id, loanRequest.service, loanRequest.retries] }),
+    ...(loan && { l: [loan.id, loan.retries, loan.leftMs] }),
+    ...(domainSize !== undefined && { n: domainSize }),
   };
 }
--- a/src/adapters/udp/splitDomainMessage.ts
+++ b/src/adapters/udp/splitDomainMessage.ts
@@ -1,3 +1,4 @@
+import { emptyDomainMessage } from '../../domain/fleet/DomainMessage.ts';
 import type { DomainMessage } from '../../domain/fleet/DomainMessage.ts';
 
 function splitList<Item>(items: readonly Item[]): readonly [readonly Item[], readonly Item[]] {
@@ -24,9 +25,9 @@
       retries: Object.fromEntries(firstRetries),
     },
     {
+      ...emptyDomainMessage,
       isDigest: message.isDigest,
       suspicions: lastSuspicions,
-      asksSuspicions: false,
       upstreams: lastUpstreams,
       retries: Object.fromEntries(lastRetries),
     },
--- a/src/application/fleet/DomainExchange.ts
+++ b/src/application/fleet/DomainExchange.ts
@@ -2,7 +2,7 @@
 import type SuspicionTracker from '../../domain/detection/SuspicionTracker.ts';
 import { emptyDomainMessage, hasReports } from '../../domain/fleet/DomainMessage.ts';
 import type { DomainMessage } from '../../domain/fleet/DomainMessage.ts';
-import type { RetryCounts } from '../../domain/requests/RetryWindow.ts';
+import type { RetryBalance } from '../../domain/requests/RetryAccount.ts';
 import RateLimit from '../../domain/statements/RateLimit.ts';
 import type UpstreamIncarnation from '../../domain/statements/UpstreamIncarnation.ts';
 import type { StatedLimit } from '../../domain/statements/UpstreamLimits.ts';
@@ -15,8 +15,11 @@
 import DomainReports from './DomainReports.ts';
 import type { ReportedLoad } from './DomainReports.ts';
 import PeerActivities from './PeerActivities.ts';
-import type { PeerRetryCounts } from './PeerActivities.ts';
+import type { PeerRetryBalance } from './PeerActivities.ts';
 import ReportRouting from './ReportRouting.ts';
+import type RetryLedger from './RetryLedger.ts';
+import RetryLoans from './RetryLoans.ts';
+import type { RetryLender } from './RetryLoans.ts';
 import UnsentChanges from './UnsentChanges.ts';
 
 // An upstream with at least this many open requests is busy: half of the slots of a typical
@@ -40,6 +43,8 @@
 // A host that starts asks this many peers for their suspicions. All peers know nearly the same, but
 // many of them may be starting too.
 const askedPeers = 8;
+// A host that reported no retries is asked for this many, since its requests earn more.
+const assumedRetriesLeft = 0.25;
 const urgentKinds: ReadonlySet<SuspicionKind> = new Set(['broken', 'hanging', 'misplaced']);
 
 /** Options of the exchange. */
@@ -57,8 +62,11 @@
   readonly findRelay: () => string | undefined;
   readonly suspicions: SuspicionTracker;
   readonly statements: UpstreamStatements;
-  /** Requests and retries of this host in the newest window, by service. */
-  readonly readRetries: () => Readonly<Record<string, RetryCounts>>;
+  readonly ledger: RetryLedger;
+  /** Most entry hosts that the failure domain has had. */
+  readonly countHosts: () => number;
+  /** Called with the most entry hosts that another host has known in the failure domain. */
+  readonly onDomainSize: (hosts: number) => void;
 }
 
 /**
@@ -83,6 +91,11 @@
 
   private readonly receiver: DomainReceiver;
 
+  private readonly loans: RetryLoans;
+
+  /** Number of times that this host looked for lenders; each time another one comes first. */
+  private searches = 0;
+
   private readonly sendLimit = new RateLimit({ unitsPerSecond: maxBytesPerSecond, burstMs });
 
   private readonly notifier: Notifier;
@@ -92,12 +105,18 @@
 
   constructor(options: DomainExchangeOptions) {
     this.options = options;
-    const { clock, findRelay, listPeers } = options;
+    const { clock, findRelay, listPeers, ledger } = options;
     this.notifier = new Notifier(clock);
     this.routing = new ReportRouting({ clock, findRelay, countHosts: () => listPeers().length });
-    const { reports, peers, routing } = this;
+    this.loans = new RetryLoans({
+      ...{ clock, ledger },
+      listLenders: (service) => this.listLenders(service),
+      onEmpty: (lender, service) => this.peers.markEmpty(lender, service),
+      sendMessage: (message, address) => this.sendMessage(message, [address]),
+    });
+    const { reports, peers, routing, loans } = this;
     this.receiver = new DomainReceiver({
-      ...{ ...options, reports, peers, routing },
+      ...{ ...options, reports, peers, routing, loans },
       readInFlight: (upstream) => this.readInFlight(upstream),
       answer: (message, address) => this.sendMessage(message, [address]),
     });
@@ -110,9 +129,14 @@
     return (this.ownInFlight.get(upstream) ?? 0) + others;
   }
 
-  /** Requests and retries of the other hosts of the domain for a service. */
-  countRetries(service: string): PeerRetryCounts {
-    return this.peers.countRetries(service, this.options.clock.now());
+  /** Retries of the other hosts of the domain for a service. */
+  readRetries(service: string): PeerRetryBalance {
+    return this.peers.readRetries(service, this.options.clock.now());
+  }
+
+  /** Asks other hosts of the domain for what this host lacks for one retry of a service. */
+  borrowRetry(service: string): Promise<void> {
+    return this.loans.borrowRetry(service);
   }
 
   recordStart(upstream: string): void {
@@ -204,17 +228,11 @@
   }
 
   /**
-   * Asks some peers which upstreams they suspect, which have a limit and which are leaving; called
-   * once this host has their addresses.
+   * Asks some peers which upstreams they suspect, which have a limit and which are leaving, and how
+   * many retries they have left; called once this host has their addresses.
    */
   requestSuspicions(): void {
-    const { ownAddress } = this.options;
-    const peers = this.listOtherPeers().sort();
-    const next = Math.max(
-      0,
-      peers.findIndex((address) => address > ownAddress),
-    );
-    const asked = [...peers.slice(next), ...peers.slice(0, next)].slice(0, askedPeers);
+    const asked = this.listPeersFrom(0).slice(0, askedPeers);
     this.sendMessage({ ...emptyDomainMessage, asksSuspicions: true }, asked);
   }
 
@@ -255,7 +273,7 @@
     const unusedHub = routing.findUnusedHub();
     // A hub sends digests to the hosts that report to it.
     if (unusedHub !== undefined) {
-      const retries = this.options.readRetries();
+      const retries = this.options.ledger.readBalances();
       this.sendMessage({ ...emptyDomainMessage, retries }, [unusedHub]);
     }
     const { filter } = routing;
@@ -331,14 +349,32 @@
     if (relay !== undefined) this.sendMessage({ ...emptyDomainMessage, suspicions }, [relay]);
   }
 
-  private takeUnsentRetries(): Readonly<Record<string, RetryCounts>> {
-    const unsent = Object.entries(this.options.readRetries()).filter(
-      ([service, { retries }]) => retries !== this.reports.readOwnRetries(service)?.retries,
+  private takeUnsentRetries(): Readonly<Record<string, RetryBalance>> {
+    const unsent = Object.entries(this.options.ledger.readBalances()).filter(
+      ([service, { used }]) => used !== this.reports.readOwnRetries(service)?.used,
     );
-    unsent.forEach(([service, counts]) => this.reports.setOwnRetries(service, counts));
+    unsent.forEach(([service, balance]) => this.reports.setOwnRetries(service, balance));
     return Object.fromEntries(unsent);
   }
 
+  /** Lists the hosts to ask for retries: those that reported to have some, then the others. */
+  private listLenders(service: string): readonly RetryLender[] {
+    const known = this.peers.listLenders(service, this.options.clock.now());
+    const left = new Map(known.map((lender) => [lender.address, lender.left]));
+    this.searches += 1;
+    return this.listPeersFrom(this.searches)
+      .map((address) => ({ address, left: left.get(address) ?? assumedRetriesLeft }))
+      .sort((first, second) => second.left - first.left);
+  }
+
+  /** Lists the other hosts in the order that all hosts have, from `offset` after this one. */
+  private listPeersFrom(offset: number): readonly string[] {
+    const peers = this.listOtherPeers().sort();
+    const next = peers.findIndex((address) => address > this.options.ownAddress);
+    const start = (Math.max(0, next) + offset) % Math.max(1, peers.length);
+    return [...peers.slice(start), ...peers.slice(0, start)];
+  }
+
   private listOtherPeers(): string[] {
     const { ownAddress, listPeers } = this.options;
     return listPeers().filter((address) => address !== ownAddress);
--- a/src/application/fleet/DomainReceiver.ts
+++ b/src/application/fleet/DomainReceiver.ts
@@ -11,6 +11,8 @@
 import type DomainReports from './DomainReports.ts';
 import type PeerActivities from './PeerActivities.ts';
 import type ReportRouting from './ReportRouting.ts';
+import type RetryLedger from './RetryLedger.ts';
+import type RetryLoans from './RetryLoans.ts';
 
 // A recovery in a digest that was reported within this time may be the one that this host reported.
 const ownReportMs = 500;
@@ -26,6 +28,12 @@
   readonly routing: ReportRouting;
   /** Open requests of this host at an upstream. */
   readonly readInFlight: (upstream: string) => number;
+  readonly ledger: RetryLedger;
+  readonly loans: RetryLoans;
+  /** Most entry hosts that the failure domain has had. */
+  readonly countHosts: () => number;
+  /** Called with the most entry hosts that another host has known in the failure domain. */
+  readonly onDomainSize: (hosts: number) => void;
   /** Sends a message to the host that asked. */
   readonly answer: (message: DomainMessage, address: string) => void;
 }
@@ -51,16 +59,20 @@
       if (isNew) log.info('detection: another host saw a bad upstream', { ...suspicion, from });
     });
     if (message.asksSuspicions) this.answerSuspicions(from, now);
+    const { loanRequest, loan, domainSize } = message;
+    if (loanRequest) this.options.loans.acceptRequest(loanRequest, from);
+    if (loan) this.options.loans.acceptLoan(loan, from);
+    if (domainSize !== undefined) this.options.onDomainSize(domainSize);
   }
 
   /** Records the reports of the other hosts: those of the digest without those of this host. */
   private acceptDigest({ upstreams, retries }: DomainMessage, from: string, now: number): void {
     if (!this.options.routing.recordDigest(from)) return;
-    const othersRetries = Object.entries(retries).map(([service, counts]) => {
+    const othersRetries = Object.entries(retries).map(([service, { used, left }]) => {
       const own = this.options.reports.readOwnRetries(service);
       const others = {
-        requests: Math.max(0, counts.requests - (own?.requests ?? 0)),
-        retries: Math.max(0, counts.retries - (own?.retries ?? 0)),
+        used: Math.max(0, used - (own?.used ?? 0)),
+        left: Math.max(0, left - (own?.left ?? 0)),
       };
       return [service, others] as const;
     });
@@ -72,6 +84,7 @@
       }),
       retries: Object.fromEntries(othersRetries),
     };
+    this.options.peers.resetRetries();
     this.options.peers.recordMessage(from, others, now);
   }
 
@@ -99,7 +112,7 @@
   }
 
   private answerSuspicions(address: string, now: number): void {
-    const { statements } = this.options;
+    const { statements, ledger, countHosts } = this.options;
     const suspicions = this.options.suspicions.listSuspicions(now);
     const limits = new Map(
       statements.listLimits().map(({ upstream, ...limit }) => [upstream, limit]),
@@ -114,7 +127,8 @@
       limit: limits.get(upstream),
       leavingIncarnation: leaving.get(upstream),
     }));
-    if (suspicions.length + upstreams.length === 0) return;
-    this.options.answer({ ...emptyDomainMessage, suspicions, upstreams }, address);
+    const retries = ledger.readBalances();
+    const answer = { ...emptyDomainMessage, suspicions, upstreams, retries };
+    this.options.answer({ ...answer, domainSize: countHosts() }, address);
   }
 }
--- a/src/application/fleet/DomainReports.ts
+++ b/src/application/fleet/DomainReports.ts
@@ -1,5 +1,5 @@
 import pruneMap from '../../domain/collections/pruneMap.ts';
-import type { RetryCounts } from '../../domain/requests/RetryWindow.ts';
+import type { RetryBalance } from '../../domain/requests/RetryAccount.ts';
 import estimateLoad from '../../domain/requests/estimateLoad.ts';
 
 // Far longer than a report is meaningful.
@@ -25,8 +25,8 @@
   /** Open requests of this host that the others count, by upstream. */
   private readonly ownOpen = new Map<string, number>();
 
-  /** Requests and retries of this host that the others count, by service. */
-  private readonly ownRetries = new Map<string, RetryCounts>();
+  /** Retries of this host that the others count, by service. */
+  private readonly ownRetries = new Map<string, RetryBalance>();
 
   /** Latest load that an upstream reported to this or another host. */
   readLoad(upstream: string): ReportedLoad | undefined {
@@ -68,17 +68,17 @@
     else this.ownOpen.delete(upstream);
   }
 
-  /** Requests and retries of this host that the others count; undefined if none are stated yet. */
-  readOwnRetries(service: string): RetryCounts | undefined {
+  /** Retries of this host that the others count; undefined if none are stated yet. */
+  readOwnRetries(service: string): RetryBalance | undefined {
     return this.ownRetries.get(service);
   }
 
-  /** Records requests and retries of this host that are about to be reported. */
-  setOwnRetries(service: string, counts: RetryCounts): void {
-    this.ownRetries.set(service, counts);
+  /** Records the retries of this host that are about to be reported. */
+  setOwnRetries(service: string, balance: RetryBalance): void {
+    this.ownRetries.set(service, balance);
   }
 
-  /** Forgets the requests and retries of this host, which are reported again. */
+  /** Forgets the retries of this host, which are reported again. */
   resetOwnRetries(): void {
     this.ownRetries.clear();
   }
--- a/src/application/fleet/DomainRetryBudgets.ts
+++ b/src/application/fleet/DomainRetryBudgets.ts
@@ -1,14 +1,12 @@
+import pruneMap from '../../domain/collections/pruneMap.ts';
 import type RetryAllowance from '../../domain/requests/RetryAllowance.ts';
-import RetryWindow from '../../domain/requests/RetryWindow.ts';
-import type { RetryCounts } from '../../domain/requests/RetryWindow.ts';
+import RetryAccount, { settleMs } from '../../domain/requests/RetryAccount.ts';
+import type { RetryAmount, RetryBalance } from '../../domain/requests/RetryAccount.ts';
 import type Clock from '../../ports/Clock.ts';
 import type Log from '../../ports/Log.ts';
 import type RetryBudgetSource from '../requests/RetryBudgetSource.ts';
-import type { PeerRetryCounts } from './PeerActivities.ts';
-
-// The hosts of a failure domain receive each other's retry counts with a delay, so part of the
-// budget is kept in reserve.
-const usableShare = 0.8;
+import type { PeerRetryBalance } from './PeerActivities.ts';
+import type RetryLedger from './RetryLedger.ts';
 
 /** Options of the budgets. */
 export interface DomainRetryBudgetsOptions {
@@ -20,93 +18,101 @@
   readonly extra: number;
   readonly windowMs: number;
   readonly failureDomains: number;
-  /** Requests and retries of the other entry hosts of the failure domain in the newest window. */
-  readonly readOtherCounts: (service: string) => PeerRetryCounts;
-}
-
-interface CountedRetries {
-  readonly own: RetryCounts;
-  readonly others: PeerRetryCounts;
-  /** Retries taken by the failure domain, as far as this host knows. */
-  readonly taken: number;
-  /** Retries allowed for the failure domain. */
-  readonly allowed: number;
+  /** Most entry hosts that the failure domain of this host has had. */
+  readonly countHosts: () => number;
+  /** What the other entry hosts of the failure domain last reported. */
+  readonly readOthers: (service: string) => PeerRetryBalance;
+  /** Asks other hosts of the failure domain for what is missing for one retry. */
+  readonly borrowRetry: (service: string) => Promise<void>;
 }
 
 /**
- * Limits the retries of all entry hosts for each service. Each failure domain has its part of the
- * budget, which its hosts share.
+ * Limits the retries of all entry hosts for each service. Each host has its part, whether it hears
+ * the others or not, and the hosts of a failure domain lend each other what they don't need.
  */
-export default class DomainRetryBudgets implements RetryBudgetSource {
+export default class DomainRetryBudgets implements RetryBudgetSource, RetryLedger {
   private readonly options: DomainRetryBudgetsOptions;
 
-  private readonly windows = new Map<string, RetryWindow>();
+  private readonly accounts = new Map<string, RetryAccount>();
+
+  private readonly opensAt: number;
 
   constructor(options: DomainRetryBudgetsOptions) {
     this.options = options;
+    // What an earlier process of this host used is not known, so its part is closed until all of it
+    // has left the window.
+    this.opensAt = options.clock.now() + options.windowMs + settleMs;
   }
 
   getBudget(service: string, requestId: string): RetryAllowance {
-    const window = this.getWindow(service);
-    const { clock } = this.options;
     return {
-      addRequest: () => window.addRequest(clock.now()),
-      hasRetry: () => this.hasRetry(service),
+      addRequest: () => this.getAccount(service).addRequest(this.options.clock.now()),
       readScarcity: () => this.readScarcity(service),
       takeRetry: () => this.takeRetry(service, requestId),
     };
   }
 
-  /** Requests and retries of this host in the newest window, by service. */
-  readOwnCounts(): Readonly<Record<string, RetryCounts>> {
+  readBalances(): Readonly<Record<string, RetryBalance>> {
     const now = this.options.clock.now();
-    const counts = [...this.windows].map(
-      ([service, window]) => [service, window.readCounts(now)] as const,
+    pruneMap(this.accounts, (account) => account.isIdle(now));
+    return Object.fromEntries(
+      [...this.accounts.keys()].map((service) => [service, this.readBalance(service)]),
     );
-    return Object.fromEntries(counts.filter(([, { requests }]) => requests > 0));
   }
 
-  private takeRetry(service: string, requestId: string): boolean {
-    const { clock, log } = this.options;
-    const { own, others, taken, allowed } = this.countRetries(service);
-    const isTaken = taken + 1 <= allowed;
-    if (isTaken) this.getWindow(service).addRetry(clock.now());
+  computeMissing(service: string): number {
+    return this.getAccount(service).computeMissing(this.ownExtra, this.options.clock.now());
+  }
+
+  addCredit(service: string, credit: RetryAmount): void {
+    this.getAccount(service).addCredit(credit);
+  }
+
+  lendRetries(service: string, retries: number): RetryAmount {
+    const { clock } = this.options;
+    return this.getAccount(service).lendRetries(retries, this.ownExtra, clock.now());
+  }
+
+  /** The part of this host in the retries beyond the share. */
+  private get ownExtra(): number {
+    const { extra, failureDomains, countHosts } = this.options;
+    return extra / (failureDomains * Math.max(1, countHosts()));
+  }
+
+  private async takeRetry(service: string, requestId: string): Promise<boolean> {
+    const { clock, log, borrowRetry, readOthers } = this.options;
+    const { used, left } = this.readBalance(service);
+    const others = readOthers(service);
+    const takeOwn = (): boolean => this.getAccount(service).takeRetry(this.ownExtra, clock.now());
+    const isOwn = takeOwn();
+    if (!isOwn) await borrowRetry(service);
+    const isTaken = isOwn || takeOwn();
+    const round = (value: number): number => Math.round(100 * value) / 100;
     log.info('requests: a retry was decided', {
-      ...{ requestId, service, isTaken, allowed: Math.round(10 * allowed) / 10 },
-      ownRequests: own.requests,
-      ownRetries: own.retries,
-      otherRequests: others.requests,
-      otherRetries: others.retries,
-      otherHosts: others.hosts,
+      ...{ requestId, service, isTaken, isOwn, used: round(used), left: round(left) },
+      ...{ otherLeft: round(others.left), otherHosts: others.hosts },
     });
     return isTaken;
   }
 
-  private hasRetry(service: string): boolean {
-    const { taken, allowed } = this.countRetries(service);
-    return taken + 1 <= allowed;
-  }
-
   private readScarcity(service: string): number {
-    const { taken, allowed } = this.countRetries(service);
-    return taken + 1 <= allowed ? taken / allowed : 1;
+    const own = this.readBalance(service);
+    const others = this.options.readOthers(service);
+    const used = own.used + others.used;
+    const left = own.left + others.left;
+    return left < 1 ? 1 : used / (used + left);
   }
 
-  /** Numbers of retries in the newest window: taken by the failure domain, and allowed for it. */
-  private countRetries(service: string): CountedRetries {
-    const { clock, share, extra, failureDomains, readOtherCounts } = this.options;
-    const own = this.getWindow(service).readCounts(clock.now());
-    const others = readOtherCounts(service);
-    const allowed = share * (own.requests + others.requests) + extra / failureDomains;
-    const taken = own.retries + others.retries;
-    return { own, others, taken, allowed: usableShare * allowed };
+  private readBalance(service: string): RetryBalance {
+    return this.getAccount(service).readBalance(this.ownExtra, this.options.clock.now());
   }
 
-  private getWindow(service: string): RetryWindow {
-    const known = this.windows.get(service);
+  private getAccount(service: string): RetryAccount {
+    const known = this.accounts.get(service);
     if (known) return known;
-    const window = new RetryWindow({ windowMs: this.options.windowMs });
-    this.windows.set(service, window);
-    return window;
+    const { share, windowMs } = this.options;
+    const account = new RetryAccount({ share, windowMs, opensAt: this.opensAt });
+    this.accounts.set(service, account);
+    return account;
   }
 }
--- a/src/application/fleet/FleetView.ts
+++ b/src/application/fleet/FleetView.ts
@@ -43,6 +43,12 @@
 
   controlHosts: readonly ControlHostInfo[] = [];
 
+  /**
+   * Most entry hosts that this failure domain has had. A host that is missing from the list may
+   * still serve callers, so the number never falls.
+   */
+  domainSize = 1;
+
   private readonly options: FleetViewOptions;
 
   /** Upstreams that are serving or leaving, by name. */
@@ -117,6 +123,12 @@
       else this.peers.set(address, { ...peer, until: Math.min(peer.until, now + unlistedPeerMs) });
     });
     hosts.entryHosts.forEach((info) => this.peers.set(info.address, { info, until: Infinity }));
+    this.recordDomainSize(this.entryHosts.length);
+  }
+
+  /** Records how many entry hosts this failure domain has had. */
+  recordDomainSize(hosts: number): void {
+    this.domainSize = Math.max(this.domainSize, hosts);
   }
 
   private applyPreset({ number, document }: { number: number; document: string }): void {
--- a/src/application/fleet/PeerActivities.ts
+++ b/src/application/fleet/PeerActivities.ts
@@ -1,9 +1,12 @@
 import pruneMap from '../../domain/collections/pruneMap.ts';
 import type { DomainMessage } from '../../domain/fleet/DomainMessage.ts';
-import type { RetryCounts } from '../../domain/requests/RetryWindow.ts';
+import type { RetryBalance } from '../../domain/requests/RetryAccount.ts';
+import type { RetryLender } from './RetryLoans.ts';
 
-// What a peer reported counts for this long unless the peer reports it again.
-const reportLifetimeMs = 2500;
+// Open requests that a peer reported count for this long unless the peer reports them again.
+const inFlightLifetimeMs = 2500;
+// The same for retries. An idle peer reports nothing, but may have the most left.
+const retriesLifetimeMs = 10_000;
 // Every candidate of a choice reads the counts, so expired reports are not searched each time.
 const sweepIntervalMs = 250;
 
@@ -13,19 +16,19 @@
 }
 
 interface RetryReport {
-  readonly counts: RetryCounts;
+  readonly balance: RetryBalance;
   readonly until: number;
 }
 
 interface PeerActivity {
   /** Open requests by upstream. */
   readonly inFlight: Map<string, InFlightReport>;
-  /** Requests and retries by service. */
+  /** Retries by service. */
   readonly retries: Map<string, RetryReport>;
 }
 
-/** Requests and retries of several hosts for a service. */
-export interface PeerRetryCounts extends RetryCounts {
+/** Retries of several hosts for a service. */
+export interface PeerRetryBalance extends RetryBalance {
   /** Number of hosts that reported them; a hub counts as one. */
   readonly hosts: number;
 }
@@ -48,25 +51,43 @@
     return this.inFlightSums.get(upstream) ?? 0;
   }
 
-  /** Requests and retries of all peers for a service. */
-  countRetries(service: string, now: number): PeerRetryCounts {
-    this.dropExpired(now);
-    const reports = [...this.peers.values()].flatMap(({ retries }) => retries.get(service) ?? []);
+  /** Retries of all peers for a service. */
+  readRetries(service: string, now: number): PeerRetryBalance {
+    const balances = this.listBalances(service, now).map(([, balance]) => balance);
     return {
-      requests: reports.reduce((sum, { counts }) => sum + counts.requests, 0),
-      retries: reports.reduce((sum, { counts }) => sum + counts.retries, 0),
-      hosts: reports.length,
+      used: balances.reduce((sum, { used }) => sum + used, 0),
+      left: balances.reduce((sum, { left }) => sum + left, 0),
+      hosts: balances.length,
     };
   }
 
-  /** Requests and retries of all peers, by service. */
-  computeRetries(now: number): Readonly<Record<string, RetryCounts>> {
+  /** Retries of all peers, by service. */
+  computeRetries(now: number): Readonly<Record<string, RetryBalance>> {
     const services = [...this.peers.values()].flatMap(({ retries }) => [...retries.keys()]);
     return Object.fromEntries(
-      [...new Set(services)].map((service) => [service, this.countRetries(service, now)]),
+      [...new Set(services)].map((service) => [service, this.readRetries(service, now)]),
     );
   }
 
+  /** Peers that reported to have retries left for a service. */
+  listLenders(service: string, now: number): readonly RetryLender[] {
+    return this.listBalances(service, now)
+      .filter(([, { left }]) => left > 0)
+      .map(([address, { left }]) => ({ address, left }));
+  }
+
+  /** Forgets the retries that peers reported, because a digest has those of all. */
+  resetRetries(): void {
+    this.peers.forEach(({ retries }) => retries.clear());
+  }
+
+  /** Records that a peer has no retries left for a service. */
+  markEmpty(address: string, service: string): void {
+    const retries = this.peers.get(address)?.retries;
+    const known = retries?.get(service);
+    if (known) retries?.set(service, { ...known, balance: { ...known.balance, left: 0 } });
+  }
+
   /** Upstreams with open requests of any peer. */
   listBusy(now: number): readonly string[] {
     this.dropExpired(now);
@@ -76,16 +97,23 @@
   /** Records what the message of a peer reports. */
   recordMessage(from: string, { upstreams, retries }: DomainMessage, now: number): void {
     const peer = this.peers.get(from) ?? { inFlight: new Map(), retries: new Map() };
-    const until = now + reportLifetimeMs;
     upstreams.forEach(({ upstream, inFlight }) =>
-      this.setInFlight(peer, upstream, { count: inFlight, until }),
+      this.setInFlight(peer, upstream, { count: inFlight, until: now + inFlightLifetimeMs }),
     );
-    Object.entries(retries).forEach(([service, counts]) =>
-      peer.retries.set(service, { counts, until }),
+    Object.entries(retries).forEach(([service, balance]) =>
+      peer.retries.set(service, { balance, until: now + retriesLifetimeMs }),
     );
     this.peers.set(from, peer);
   }
 
+  private listBalances(service: string, now: number): (readonly [string, RetryBalance])[] {
+    this.dropExpired(now);
+    return [...this.peers].flatMap(([address, { retries }]) => {
+      const report = retries.get(service);
+      return report ? [[address, report.balance] as const] : [];
+    });
+  }
+
   private setInFlight({ inFlight }: PeerActivity, upstream: string, report: InFlightReport): void {
     const change = report.count - (inFlight.get(upstream)?.count ?? 0);
     if (report.count > 0) inFlight.set(upstream, report);
--- a/src/application/requests/RequestDispatch.ts
+++ b/src/application/requests/RequestDispatch.ts
@@ -70,8 +70,8 @@
       // Nearly every request finishes here, so the upstreams are listed again only for a retry.
       if (!policy.isRetryable(attempt.end) || this.runsLeft <= 0 || !mayTryAgain()) break;
       chosen = this.chooseNext();
-      // `mayRetry` takes a retry from the budget, so it is called last.
-      if (chosen && !policy.mayRetry(attempt.end)) chosen = undefined;
+      // A retry that was taken can't be given back, so it is taken last.
+      if (chosen && !(await policy.takeRetry(attempt.end))) chosen = undefined;
     }
     if (!reported) return this.createFailure(chooser.describeRefusal(request));
     return { ...reported, attempts: this.tried.size };
@@ -98,7 +98,7 @@
     const early = await Promise.race([first.ended, first.overdue]);
     if (early) return early;
     // A second attempt that has to wait would only delay other requests.
-    const second = this.startSecond((serviceTimes) => serviceTimes <= 1);
+    const second = await this.startSecond(first, (serviceTimes) => serviceTimes <= 1);
     return second ? this.waitEither(first, second) : this.runHedgedLate(first);
   }
 
@@ -111,7 +111,7 @@
     const early = await Promise.race([first.ended, late]);
     ended.abort();
     if (early) return early;
-    const second = this.startSecond((serviceTimes) => this.mayEndInTime(serviceTimes));
+    const second = await this.startSecond(first, (serviceTimes) => this.mayEndInTime(serviceTimes));
     return second ? this.waitEither(first, second) : first.ended;
   }
 
@@ -128,14 +128,19 @@
     return policy.computeHedgeTime({ now, deadline: request.deadline, overdueAt });
   }
 
-  private startSecond(mayWait: (serviceTimes: number) => boolean): OpenAttempt | undefined {
+  /** Starts an attempt beside one that is overdue, unless that ends before a retry is taken. */
+  private async startSecond(
+    first: OpenAttempt,
+    mayWait: (serviceTimes: number) => boolean,
+  ): Promise<OpenAttempt | undefined> {
     const { policy, chooser, mayTryAgain, mayHedge } = this.options;
     if (!mayHedge() || !mayTryAgain()) return undefined;
     const chosen = this.chooseNext();
     if (!chosen || !mayWait(chooser.estimateServiceTimes(chosen))) return undefined;
-    // `mayRetry` takes a retry from the budget, so it is called last.
-    if (!policy.mayRetry('unknown')) return undefined;
-    return this.startAttempt(chosen, Infinity);
+    // A retry that was taken can't be given back, so it is taken last.
+    const isTaken = policy.takeRetry('unknown');
+    const isNeeded = await Promise.race([first.ended.then(() => false), isTaken]);
+    return isNeeded ? this.startAttempt(chosen, Infinity) : undefined;
   }
 
   private startAttempt(chosen: UsableUpstream, hedgeAt: number): OpenAttempt {
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -130,7 +130,9 @@
       ...{ clock, log },
       ...settings.retries,
       failureDomains: settings.failureDomains.length,
-      readOtherCounts: (service) => this.exchange.countRetries(service),
+      countHosts: () => this.view.domainSize,
+      readOthers: (service) => this.exchange.readRetries(service),
+      borrowRetry: (service) => this.exchange.borrowRetry(service),
     });
     this.exchange = this.createExchange();
     this.observer = new SuspicionObserver({
@@ -247,7 +249,9 @@
       findRelay: () => this.findRelay(),
       suspicions: this.suspicions,
       statements: this.statements,
-      readRetries: () => this.retryBudgets.readOwnCounts(),
+      ledger: this.retryBudgets,
+      countHosts: () => this.view.domainSize,
+      onDomainSize: (hosts) => this.view.recordDomainSize(hosts),
     });
   }
 
--- a/src/domain/fleet/DomainMessage.ts
+++ b/src/domain/fleet/DomainMessage.ts
@@ -1,5 +1,5 @@
 import type { Suspicion } from '../detection/SuspicionTracker.ts';
-import type { RetryCounts } from '../requests/RetryWindow.ts';
+import type { RetryBalance } from '../requests/RetryAccount.ts';
 import type { StatedLimit } from '../statements/UpstreamLimits.ts';
 
 /** What an entry host reports about one upstream. */
@@ -21,6 +21,24 @@
   readonly leavingIncarnation: number | undefined;
 }
 
+/** Asks a host for retries that it does not need. */
+export interface RetryLoanRequest {
+  /** Number that the loan repeats. */
+  readonly id: number;
+  readonly service: string;
+  /** Retries that are missing; may be a fraction. */
+  readonly retries: number;
+}
+
+/** Retries that a host lends to the one that asked. */
+export interface RetryLoan {
+  readonly id: number;
+  /** As many as were asked for, or fewer. */
+  readonly retries: number;
+  /** Time for which they may be used, from the request for them on, in milliseconds. */
+  readonly leftMs: number;
+}
+
 /** Message from an entry host to the others of its failure domain, or from a control host. */
 export interface DomainMessage {
   /**
@@ -32,8 +50,12 @@
   /** Whether the sender has just started and asks which upstreams are suspected or limited. */
   readonly asksSuspicions: boolean;
   readonly upstreams: readonly UpstreamActivity[];
-  /** Requests and retries of the sender in the newest window, by service. */
-  readonly retries: Readonly<Record<string, RetryCounts>>;
+  /** Retries of the sender that are used and left, by service. */
+  readonly retries: Readonly<Record<string, RetryBalance>>;
+  readonly loanRequest: RetryLoanRequest | undefined;
+  readonly loan: RetryLoan | undefined;
+  /** Most entry hosts that the sender has known in its failure domain; undefined if not told. */
+  readonly domainSize: number | undefined;
 }
 
 /** A report about an upstream that says nothing new; its name is to be added. */
@@ -53,6 +75,9 @@
   asksSuspicions: false,
   upstreams: [],
   retries: {},
+  loanRequest: undefined,
+  loan: undefined,
+  domainSize: undefined,
 };
 
 /** Whether a message reports what hosts send; a message of a relay has suspicions only. */
--- a/src/domain/requests/AtMostOnceRetryPolicy.ts
+++ b/src/domain/requests/AtMostOnceRetryPolicy.ts
@@ -21,7 +21,7 @@
     return 1;
   }
 
-  mayRetry(result: AttemptResult): boolean {
+  async takeRetry(result: AttemptResult): Promise<boolean> {
     if (!this.isRetryable(result)) return false;
     // A request that no upstream received added no load, so its retry takes nothing from the
     // budget.
--- a/src/domain/requests/IdempotentRetryPolicy.ts
+++ b/src/domain/requests/IdempotentRetryPolicy.ts
@@ -19,7 +19,7 @@
     return this.budget.readScarcity();
   }
 
-  mayRetry(result: AttemptResult): boolean {
+  async takeRetry(result: AttemptResult): Promise<boolean> {
     if (!this.isRetryable(result)) return false;
     // A request that no upstream received added no load, so its retry takes nothing from the
     // budget.
--- a/src/domain/requests/RetryBudget.ts
+++ b/src/domain/requests/RetryBudget.ts
@@ -12,16 +12,17 @@
     this.tokens = Math.min(maxTokens, this.tokens + retryShare);
   }
 
-  hasRetry(): boolean {
-    return this.tokens >= 1;
+  readScarcity(): number {
+    return this.tokens >= 1 ? 1 - this.tokens / maxTokens : 1;
   }
 
-  readScarcity(): number {
-    return this.hasRetry() ? 1 - this.tokens / maxTokens : 1;
+  async takeRetry(): Promise<boolean> {
+    return this.takeToken();
   }
 
-  takeRetry(): boolean {
-    if (!this.hasRetry()) return false;
+  /** Takes one retry; returns false when none is allowed. */
+  takeToken(): boolean {
+    if (this.tokens < 1) return false;
     this.tokens -= 1;
     return true;
   }
--- a/src/domain/requests/RetryPolicy.ts
+++ b/src/domain/requests/RetryPolicy.ts
@@ -19,10 +19,10 @@
    */
   readScarcity(): number;
   /**
-   * Whether an attempt with this result may be retried now; if so, takes the retry from the retry
-   * budget, unless the failed attempt was not sent.
+   * Takes a retry of an attempt with this result from the retry budget, unless the failed attempt
+   * was not sent; resolves with false when none is allowed.
    */
-  mayRetry(result: AttemptResult): boolean;
+  takeRetry(result: AttemptResult): Promise<boolean>;
   /**
    * Instant from which the request may be sent to a second upstream too if the attempt has no
    * answer by then; `Infinity` for never.
--- a/tests/fleet/domainExchange.test.ts
+++ b/tests/fleet/domainExchange.test.ts
@@ -2,7 +2,9 @@
 
 import SuspicionRelay from '../../src/application/fleet/SuspicionRelay.ts';
 import SuspicionTracker from '../../src/domain/detection/SuspicionTracker.ts';
+import type { RetryAmount } from '../../src/domain/requests/RetryAccount.ts';
 import createExchange from '../fixtures/createExchange.ts';
+import createRetryLedger from '../fixtures/createRetryLedger.ts';
 import FakeClock from '../fixtures/FakeClock.ts';
 import FakeDatagrams from '../fixtures/FakeDatagrams.ts';
 import SilentLog from '../fixtures/SilentLog.ts';
@@ -27,11 +29,16 @@
     await Promise.all(tasks);
   });
 
-  function startHost(ownAddress: string, peers: readonly string[], relay?: string) {
+  function startHost(
+    ownAddress: string,
+    peers: readonly string[],
+    relay?: string,
+    ledger = createRetryLedger(() => ({ kilns: { used: 1, left: 0.7 } })),
+  ) {
     const suspicions = new SuspicionTracker({ decayMs: 9000 });
     const exchange = createExchange(datagrams, {
       ...{ clock, ownAddress, suspicions, listPeers: () => peers, findRelay: () => relay },
-      readRetries: () => ({ kilns: { requests: 5, retries: 1 } }),
+      ledger,
     });
     tasks.push(exchange.run(stopping.signal));
     return { exchange, suspicions };
@@ -69,7 +76,9 @@
 
     hosts.at(-2)?.exchange.requestSuspicions();
 
-    expect(datagrams.sent.map(({ to }) => to).join('')).toBe('kabcdefg');
+    const asked = datagrams.sent.filter(({ message }) => message.asksSuspicions);
+    expect(asked.map(({ to }) => to).join('')).toBe('kabcdefg');
+    expect(datagrams.sent).toHaveLength(16);
   });
 
   it('should count the open requests and retries of the other hosts', async () => {
@@ -85,7 +94,7 @@
     await clock.advanceBy(500);
 
     expect([openRequests, second.exchange.countInFlight('u1')]).toEqual([2, 0]);
-    expect(second.exchange.countRetries('kilns')).toEqual({ requests: 5, retries: 1, hosts: 1 });
+    expect(second.exchange.readRetries('kilns')).toEqual({ used: 1, left: 0.7, hosts: 1 });
   });
 
   // Hosts report their open requests repeatedly. Guards against sums that drift with each report.
@@ -137,6 +146,95 @@
     expect(late.exchange.countInFlight('u1')).toBe(1);
   });
 
+  describe('loans of retries', () => {
+    function startLender(ownAddress: string, left: number) {
+      const asked: number[] = [];
+      const ledger = {
+        ...createRetryLedger(() => ({ kilns: { used: 1, left } })),
+        lendRetries: (_service: string, retries: number) => {
+          asked.push(retries);
+          return { retries: Math.min(retries, left), until: clock.now() + 300 };
+        },
+      };
+      return { asked, ...startHost(ownAddress, ['a', 'b', 'c'], undefined, ledger) };
+    }
+
+    function startBorrower() {
+      const credits: RetryAmount[] = [];
+      const ledger = {
+        ...createRetryLedger(),
+        computeMissing: () => 0.8 - credits.reduce((sum, { retries }) => sum + retries, 0),
+        addCredit: (_service: string, credit: RetryAmount) => credits.push(credit),
+      };
+      return { credits, ...startHost('a', ['a', 'b', 'c'], undefined, ledger) };
+    }
+
+    it('should come from the hosts that have most left', async () => {
+      const { exchange, credits } = startBorrower();
+      const lenders = [startLender('b', 0.3), startLender('c', 0.6)];
+      lenders.forEach((lender) => lender.exchange.recordStart('u1'));
+      await clock.advanceBy(500);
+
+      await exchange.borrowRetry('kilns');
+
+      expect(lenders.map(({ asked }) => asked)).toEqual([[expect.closeTo(0.2)], [0.6]]);
+      expect(credits.map(({ until }) => until - clock.now())).toEqual([300, 300]);
+    });
+
+    // Guards against the use of retries that their lender counts as used up by then.
+    it('should end with the time that the lender gave, from the request on', async () => {
+      const { exchange, credits } = startBorrower();
+      const { asked } = startLender('b', 1);
+      const { deliver } = FakeDatagrams.prototype;
+      datagrams.deliver = (to, content, from) => {
+        const deliverNow = (): void => deliver.call(datagrams, to, content, from);
+        if (to === 'a') tasks.push(clock.sleepUntil(clock.now() + 200).then(deliverNow));
+        else deliverNow();
+      };
+
+      const borrowing = exchange.borrowRetry('kilns');
+      await clock.advanceBy(200);
+      await borrowing;
+
+      expect(asked).toEqual([0.25]);
+      expect(credits.map(({ until }) => until - clock.now())).toEqual([100]);
+    });
+
+    // Guards against loans to an earlier process of the host, and to a request that was made up.
+    it('should be taken once, from the host that was asked', async () => {
+      const { exchange, credits } = startBorrower();
+      const answers: (readonly [string, unknown])[] = [];
+      const { deliver } = FakeDatagrams.prototype;
+      startLender('b', 1);
+      datagrams.deliver = (to, content, from) => {
+        if (to === 'a') answers.push([from, content]);
+        else deliver.call(datagrams, to, content, from);
+      };
+      const borrowing = exchange.borrowRetry('kilns');
+      await clock.advanceBy(100);
+      await borrowing;
+      const [, answer] = answers[0] ?? [];
+
+      ['c', 'b', 'b'].forEach((from) => deliver.call(datagrams, 'a', answer, from));
+
+      expect(credits.map(({ retries }) => retries)).toEqual([0.25]);
+    });
+
+    it('should not be asked for again at once when the hosts had too little', async () => {
+      const { exchange } = startBorrower();
+      const { asked } = startLender('b', 0);
+
+      for (const waitMs of [0, 300, 300]) {
+        await clock.advanceBy(waitMs);
+        const borrowing = exchange.borrowRetry('kilns');
+        await clock.advanceBy(50);
+        await borrowing;
+      }
+
+      expect(asked).toHaveLength(2);
+    });
+  });
+
   it('should ignore malformed datagrams and accept the next valid one', () => {
     const { suspicions } = startHost('a', ['a']);
 
@@ -149,6 +247,9 @@
       { s: [[upstream, incarnation, 'unknown']] },
       { s: [[upstream, incarnation, kind]], u: [['u2', -1]] },
       { s: [[upstream, incarnation, kind]], r: { kilns: [1] } },
+      { s: [[upstream, incarnation, kind]], q: [1, 'kilns', -1] },
+      { s: [[upstream, incarnation, kind]], l: [1, 0.5] },
+      { s: [[upstream, incarnation, kind]], n: 'many' },
     ];
     malformed.forEach((content) => datagrams.deliver('a', content, 'b'));
     const riskBefore = suspicions.getRisk('u1', 1, clock.now());
--- a/tests/fleet/domainHub.test.ts
+++ b/tests/fleet/domainHub.test.ts
@@ -3,8 +3,9 @@
 import type DomainExchange from '../../src/application/fleet/DomainExchange.ts';
 import DomainHub from '../../src/application/fleet/DomainHub.ts';
 import SuspicionTracker from '../../src/domain/detection/SuspicionTracker.ts';
-import type { RetryCounts } from '../../src/domain/requests/RetryWindow.ts';
+import type { RetryBalance } from '../../src/domain/requests/RetryAccount.ts';
 import createExchange from '../fixtures/createExchange.ts';
+import createRetryLedger from '../fixtures/createRetryLedger.ts';
 import FakeClock from '../fixtures/FakeClock.ts';
 import FakeDatagrams from '../fixtures/FakeDatagrams.ts';
 import SeededRandom from '../fixtures/SeededRandom.ts';
@@ -20,8 +21,8 @@
 
   readonly hosts;
 
-  /** Requests and retries of each host. */
-  retries: Readonly<Record<string, RetryCounts>> = {};
+  /** Retries of each host. */
+  retries: Readonly<Record<string, RetryBalance>> = {};
 
   private readonly stopping = new AbortController();
 
@@ -34,7 +35,7 @@
       const exchange = createExchange(this.datagrams, {
         ...{ clock: this.clock, ownAddress, suspicions, listPeers: () => addresses },
         findRelay: () => hubAddress,
-        readRetries: () => this.retries,
+        ledger: createRetryLedger(() => this.retries),
       });
       this.tasks.push(exchange.run(this.stopping.signal));
       return { ownAddress, exchange, suspicions };
@@ -53,7 +54,7 @@
 
   /** Lets all hosts find the hub. */
   async start(): Promise<void> {
-    this.retries = { history: { requests: 10, retries: 1 } };
+    this.retries = { history: { used: 10, left: 1 } };
     await this.clock.advanceBy(2500);
   }
 
@@ -151,7 +152,7 @@
     const { clock, first } = await startDomain(20);
     await clock.advanceBy(5000);
 
-    expect(first.countRetries('history')).toEqual({ requests: 190, retries: 19, hosts: 1 });
+    expect(first.readRetries('history')).toEqual({ used: 190, left: 19, hosts: 1 });
   });
 
   it('should tell the load that an upstream reported to another host', async () => {
--- a/tests/fleet/exchangeCost.test.ts
+++ b/tests/fleet/exchangeCost.test.ts
@@ -3,6 +3,7 @@
 import type DomainExchange from '../../src/application/fleet/DomainExchange.ts';
 import type { SuspicionKind } from '../../src/domain/detection/SuspicionTracker.ts';
 import createExchange from '../fixtures/createExchange.ts';
+import createRetryLedger from '../fixtures/createRetryLedger.ts';
 import FakeClock from '../fixtures/FakeClock.ts';
 import FakeDatagrams from '../fixtures/FakeDatagrams.ts';
 import SeededRandom from '../fixtures/SeededRandom.ts';
@@ -48,10 +49,10 @@
     this.exchanges = addresses.map((ownAddress) =>
       createExchange(this.datagrams, {
         ...{ clock: this.clock, ownAddress, listPeers: () => addresses },
-        readRetries: () => ({
-          history: { requests: 50, retries: Math.floor(this.random.next() * 4) },
-          kilns: { requests: 23, retries: Math.floor(this.random.next() * 4) },
-        }),
+        ledger: createRetryLedger(() => ({
+          history: { used: Math.floor(this.random.next() * 4), left: 1.5 },
+          kilns: { used: Math.floor(this.random.next() * 4), left: 0.7 },
+        })),
       }),
     );
     this.stopping = addresses.map(() => new AbortController());
--- a/tests/fleet/retryBudgets.fuzz.test.ts
+++ b/tests/fleet/retryBudgets.fuzz.test.ts
@@ -70,6 +70,21 @@
     expect(await listExceeded(plan, 1)).toEqual([]);
   });
 
+  // Guards against a limit that is kept by giving up retries.
+  it('should let hosts that hear each other use two thirds of the limit', async () => {
+    const fleet = new RetryFleet(
+      {
+        ...quietPlan,
+        limit: { ...quietPlan.limit, extra: 64 },
+        ...{ domainSizes: [12, 12, 12, 12], rates: [0.4, 0.4, 0.4, 0.4] },
+      },
+      new SeededRandom(1),
+    );
+    await fleet.run();
+
+    expect(fleet.oracle.computeUse()).toBeGreaterThan(2 / 3);
+  });
+
   it('should stay within the limit while hosts restart in turn', async () => {
     const restarts = allHosts.map((index) => ({
       ...({ kind: 'kill', forMs: 500, hosts: [index] } as const),
--- a/tests/fleet/retryBudgets.test.ts
+++ b/tests/fleet/retryBudgets.test.ts
@@ -1,93 +1,156 @@
-import { describe, expect, it } from 'vitest';
+import { beforeEach, describe, expect, it } from 'vitest';
 
 import DomainRetryBudgets from '../../src/application/fleet/DomainRetryBudgets.ts';
-import type { PeerRetryCounts } from '../../src/application/fleet/PeerActivities.ts';
 import type { LogFields } from '../../src/ports/Log.ts';
 import FakeClock from '../fixtures/FakeClock.ts';
 import SilentLog from '../fixtures/SilentLog.ts';
 
-function createBudgets(
-  clock: FakeClock,
-  others: PeerRetryCounts,
-  log = new SilentLog(),
-): DomainRetryBudgets {
-  return new DomainRetryBudgets({
-    ...{ clock, log },
-    share: 0.2,
-    extra: 60,
-    windowMs: 10_000,
-    failureDomains: 3,
-    readOtherCounts: () => others,
-  });
-}
+const windowMs = 10_000;
+// Until then, an earlier process of the host may have used its part.
+const openMs = 12_000;
 
 describe('DomainRetryBudgets', () => {
-  const noRetries = { requests: 0, retries: 0, hosts: 0 };
+  let clock: FakeClock;
+  let budgets: DomainRetryBudgets;
+  let others: { used: number; left: number; hosts: number };
+  let domainSize: number;
+  /** What other hosts lend when this one asks. */
+  let loan: number;
+  let lines: (LogFields | undefined)[];
+
+  beforeEach(() => {
+    clock = new FakeClock();
+    others = { used: 0, left: 0, hosts: 0 };
+    domainSize = 4;
+    loan = 0;
+    lines = [];
+    const log = new SilentLog();
+    log.info = (_message: string, fields?: LogFields) => lines.push(fields);
+    budgets = new DomainRetryBudgets({
+      ...{ clock, log, share: 0.2, extra: 60, windowMs, failureDomains: 3 },
+      countHosts: () => domainSize,
+      readOthers: () => others,
+      borrowRetry: async (service) => {
+        budgets.addCredit(service, { retries: loan, until: clock.now() + 500 });
+      },
+    });
+  });
+
+  async function takeRetries(calls: number): Promise<number> {
+    const budget = budgets.getBudget('history', 'r1');
+    const taken = await Promise.all(Array.from({ length: calls }, () => budget.takeRetry()));
+    return taken.filter(Boolean).length;
+  }
 
-  function takeRetries(budgets: DomainRetryBudgets, calls: number): number {
+  function addRequests(count: number): void {
     const budget = budgets.getBudget('history', 'r1');
-    return Array.from({ length: calls }, () => budget.takeRetry()).filter(Boolean).length;
+    Array.from({ length: count }, () => budget.addRequest(0.2));
   }
 
-  // Guards against retries of all failure domains that together exceed the limit of the service.
-  it('should let a single host use four fifths of the budget of its failure domain', () => {
-    const budgets = createBudgets(new FakeClock(), noRetries);
-    Array.from({ length: 100 }, () => budgets.getBudget('history', 'r1').addRequest(0.2));
+  // Guards against hosts that hear no others and use the budget of the whole failure domain each.
+  it('should let a host that hears no other one use its own part', async () => {
+    await clock.advanceBy(openMs);
 
-    // Four fifths of 0.2 x 100 + 60 / 3.
-    expect(takeRetries(budgets, 100)).toBe(32);
+    // 60 / 3 failure domains / 4 hosts.
+    expect(await takeRetries(100)).toBe(5);
   });
 
-  it('should count the retries of the other hosts of the failure domain', () => {
-    const budgets = createBudgets(new FakeClock(), { requests: 0, retries: 10, hosts: 3 });
+  it('should let the requests of a host earn retries', async () => {
+    await clock.advanceBy(openMs);
+    addRequests(100);
 
-    expect(takeRetries(budgets, 100)).toBe(6);
-    expect(budgets.getBudget('history', 'r1').hasRetry()).toBe(false);
+    // In addition, 0.2 x 100 for 10 of the 12.75 s in which the retries of a window are earned.
+    expect(await takeRetries(100)).toBe(5 + 15);
   });
 
-  it('should report the used part of the budget as scarcity, from 0 to 1', () => {
-    const budgets = createBudgets(new FakeClock(), noRetries);
-    const budget = budgets.getBudget('history', 'r1');
-    const before = budget.readScarcity();
-    takeRetries(budgets, 8);
+  // Guards against a restart that makes room for the retries of the earlier process once more.
+  it('should keep the part of a host that has just started closed', async () => {
+    const atStart = await takeRetries(100);
+    await clock.advanceBy(11_000);
+    const later = await takeRetries(100);
+    await clock.advanceBy(1000);
 
-    expect([before, budget.readScarcity()]).toEqual([0, 0.5]);
-    takeRetries(budgets, 100);
-    expect(budget.readScarcity()).toBe(1);
+    expect([atStart, later, await takeRetries(100)]).toEqual([0, 0, 5]);
   });
 
-  it('should allow retries again when the window has passed', async () => {
-    const clock = new FakeClock();
-    const budgets = createBudgets(clock, noRetries);
-    takeRetries(budgets, 100);
+  it('should open the part again when its retries have left the window', async () => {
+    await clock.advanceBy(openMs);
+    const first = await takeRetries(100);
+    await clock.advanceBy(windowMs + 1500);
+    const early = await takeRetries(100);
+    await clock.advanceBy(500);
+
+    expect([first, early, await takeRetries(100)]).toEqual([5, 0, 5]);
+  });
 
-    await clock.advanceBy(10_500);
+  // Guards against retries that are saved up over several windows and used in one.
+  it('should drop what requests earned and was not used', async () => {
+    addRequests(100);
+    await clock.advanceBy(2100);
 
-    expect(takeRetries(budgets, 100)).toBe(16);
+    expect(await takeRetries(100)).toBe(0);
   });
 
-  // Guards against an excess that logs can't explain: what each decision was based on.
-  it('should log what each decision was based on', () => {
-    const fields: (LogFields | undefined)[] = [];
-    const log = new SilentLog();
-    log.info = (_message: string, values?: LogFields) => fields.push(values);
-    const budgets = createBudgets(new FakeClock(), { requests: 7, retries: 13, hosts: 4 }, log);
+  it('should use what other hosts lend', async () => {
+    loan = 1;
 
-    takeRetries(budgets, 5);
+    expect(await takeRetries(1)).toBe(1);
+  });
 
-    expect(fields.map((values) => values?.isTaken)).toEqual([true, true, true, true, false]);
-    expect(fields.at(-1)).toEqual({
-      ...{ requestId: 'r1', service: 'history', isTaken: false, allowed: 17.1 },
-      ...{ ownRequests: 0, ownRetries: 4, otherRequests: 7, otherRetries: 13, otherHosts: 4 },
-    });
+  it('should give to others only what is left, and count it as used', async () => {
+    await clock.advanceBy(openMs);
+    const lent = [3, 3, 3].map((retries) => budgets.lendRetries('history', retries).retries);
+
+    expect(lent).toEqual([3, 2, 0]);
+    expect(await takeRetries(100)).toBe(0);
+  });
+
+  it('should make the part smaller when the failure domain has more hosts', async () => {
+    await clock.advanceBy(openMs);
+    domainSize = 10;
+
+    expect(await takeRetries(100)).toBe(2);
+  });
+
+  it('should report the used part of all retries as scarcity, from 0 to 1', async () => {
+    await clock.advanceBy(openMs);
+    const budget = budgets.getBudget('history', 'r1');
+    const unused = budget.readScarcity();
+    others = { used: 1, left: 2, hosts: 3 };
+    await takeRetries(2);
+    const halfUsed = budget.readScarcity();
+    await takeRetries(3);
+    others = { used: 3, left: 0, hosts: 3 };
+
+    expect([unused, halfUsed, budget.readScarcity()]).toEqual([0, 3 / 8, 1]);
+  });
+
+  // Guards against an excess that logs can't explain: what each decision was based on.
+  it('should log what each decision was based on', async () => {
+    await clock.advanceBy(openMs);
+    domainSize = 20;
+    others = { used: 13, left: 0.5, hosts: 4 };
+    await takeRetries(2);
+
+    expect(lines).toEqual([
+      {
+        ...{ requestId: 'r1', service: 'history', isTaken: true, isOwn: true },
+        ...{ used: 0, left: 1, otherLeft: 0.5, otherHosts: 4 },
+      },
+      {
+        ...{ requestId: 'r1', service: 'history', isTaken: false, isOwn: false },
+        ...{ used: 1, left: 0, otherLeft: 0.5, otherHosts: 4 },
+      },
+    ]);
   });
 
-  it('should report the requests and retries that this host counted', () => {
-    const budgets = createBudgets(new FakeClock(), noRetries);
-    budgets.getBudget('history', 'r1').addRequest(0.2);
-    budgets.getBudget('history', 'r1').takeRetry();
-    budgets.getBudget('kilns', 'r1').hasRetry();
+  it('should report what is used and left, and forget services without requests', async () => {
+    await clock.advanceBy(openMs);
+    await takeRetries(2);
+    const balances = budgets.readBalances();
+    await clock.advanceBy(windowMs + 2000);
 
-    expect(budgets.readOwnCounts()).toEqual({ history: { requests: 1, retries: 1 } });
+    expect(balances).toEqual({ history: { used: 2, left: 3 } });
+    expect(budgets.readBalances()).toEqual({});
   });
 });
