src/adapters/http, src/domain/requests: an entry host keeps a bounded number of bytes of bodies

Report of other operators: an upstream sent bytes without end, the process that had called it ran out of memory, and the requests of other callers ended with it.

It could happen here, from both sides. Each answer was bounded by 8 MiB and each body of a caller by the limit of the preset, but nothing bounded their sum. Heads, chunk extensions, trailers and bytes after an answer were bounded already (tests/requests/endlessAnswers).

Change: BufferBudget counts the bytes of all bodies and answers that the process keeps. Beyond 16 MiB, the largest one gives way: a body that is still being read is refused, not run (host_overloaded); an unfinished answer fails (answer_dropped); the connection of a caller that does not read its answer is closed. A body that can't fit at all is refused at once as too large. An answer that declares too many bytes fails before they are read; one without length that does not end counts against its upstream, and an idempotent request may go to another one. Bodies of known length are collected without a second copy.

--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -11,6 +11,8 @@
 import type RequestHandler from '../../application/requests/RequestHandler.ts';
 import type Failure from '../../domain/errors/Failure.ts';
 import type { CallerLimits } from '../../domain/presets/Preset.ts';
+import type BufferBudget from '../../domain/requests/BufferBudget.ts';
+import type BufferedBytes from '../../domain/requests/BufferedBytes.ts';
 import type { ListenAddress } from '../../domain/settings/DaemonSettings.ts';
 import type Clock from '../../ports/Clock.ts';
 import type Log from '../../ports/Log.ts';
@@ -47,6 +49,8 @@
   readonly maxHeaderBytes?: number;
   /** The default dialect unless set. */
   readonly dialect?: RequestDialect;
+  /** Limits the memory of requests and answers; unless set, there is no limit. */
+  readonly buffers?: BufferBudget;
 }
 
 function readHeaders(request: IncomingMessage): Header[] {
@@ -201,7 +205,9 @@
     }
     const { deadline, route } = opened.value;
     this.latestDeadline = Math.max(this.latestDeadline, deadline);
-    const body = await readBody(request, { maxBytes: route.maxBodyBytes, deadline, clock });
+    const buffer = this.openBuffer(response);
+    const maxBytes = Math.min(route.maxBodyBytes, this.options.buffers?.maxBytes ?? Infinity);
+    const body = await readBody(request, { maxBytes, deadline, clock, buffer });
     if (!body.ok) {
       await this.refuseRequest(request, response, body.failure);
       return;
@@ -217,6 +223,13 @@
     response.end();
   }
 
+  /** Opens a buffer that lasts until the answer was written. */
+  private openBuffer(response: ServerResponse): BufferedBytes | undefined {
+    const buffer = this.options.buffers?.openBuffer();
+    if (buffer) response.once('close', () => buffer.release());
+    return buffer;
+  }
+
   // While a request is open, the caller would mistake an error answer for the answer to that
   // request, so the connection is closed without one.
   private handleClientError(error: NodeJS.ErrnoException, socket: Duplex): void {
@@ -273,6 +286,11 @@
       ...this.dialect.createCallerHeaders(answer, this.options.clock.now()).flat(),
     ];
     response.writeHead(answer.status, headers);
-    if (hasContent) response.write(answer.body);
+    if (!hasContent) return;
+    // A caller that reads slowly must not keep the memory that others need.
+    const buffer = this.openBuffer(response);
+    buffer?.setDropHandler(() => response.destroy());
+    buffer?.addBytes(answer.body.byteLength);
+    response.write(answer.body);
   }
 }
--- a/src/adapters/http/UndiciUpstreamClient.ts
+++ b/src/adapters/http/UndiciUpstreamClient.ts
@@ -2,6 +2,7 @@
 
 import DefaultDialect from '../../application/requests/DefaultDialect.ts';
 import type RequestDialect from '../../application/requests/RequestDialect.ts';
+import type BufferBudget from '../../domain/requests/BufferBudget.ts';
 import type Clock from '../../ports/Clock.ts';
 import type UpstreamClient from '../../ports/UpstreamClient.ts';
 import type { UpstreamRequest, UpstreamResult } from '../../ports/UpstreamClient.ts';
@@ -23,6 +24,8 @@
   readonly connectTimeoutMs?: number;
   /** The default dialect unless set. */
   readonly dialect?: RequestDialect;
+  /** Limits the memory of all answers; unless set, there is no limit. */
+  readonly buffers?: BufferBudget;
 }
 
 /**
@@ -34,6 +37,8 @@
 
   private readonly dialect: RequestDialect;
 
+  private readonly buffers: BufferBudget | undefined;
+
   private readonly keepAliveAgent: Agent;
 
   private readonly singleUseAgent: Agent;
@@ -43,6 +48,7 @@
   constructor(options: UndiciUpstreamClientOptions) {
     this.clock = options.clock;
     this.dialect = options.dialect ?? new DefaultDialect();
+    this.buffers = options.buffers;
     this.deadlines = new ExchangeDeadlines(options.clock);
     const shared = {
       connections: options.connectionsPerUpstream,
@@ -66,7 +72,9 @@
     if (this.clock.now() >= request.deadline) {
       return { kind: 'not_sent', reason: 'deadline_passed' };
     }
-    const exchange = new UpstreamExchange({ request, clock: this.clock, dialect: this.dialect });
+    const exchange = new UpstreamExchange({
+      ...{ request, clock: this.clock, dialect: this.dialect, buffers: this.buffers },
+    });
     const onCancel = (): void => exchange.cancelExchange('cancelled');
     request.signal.addEventListener('abort', onCancel, { once: true });
     this.deadlines.addExchange(exchange);
--- a/src/adapters/http/UpstreamExchange.ts
+++ b/src/adapters/http/UpstreamExchange.ts
@@ -2,6 +2,8 @@
 
 import DefaultDialect from '../../application/requests/DefaultDialect.ts';
 import type RequestDialect from '../../application/requests/RequestDialect.ts';
+import type BufferBudget from '../../domain/requests/BufferBudget.ts';
+import type BufferedBytes from '../../domain/requests/BufferedBytes.ts';
 import type Clock from '../../ports/Clock.ts';
 import type {
   NotSentReason,
@@ -9,6 +11,7 @@
   UpstreamRequest,
   UpstreamResult,
 } from '../../ports/UpstreamClient.ts';
+import BodyCollector from './BodyCollector.ts';
 
 // Codes of the errors with which undici rejects an invalid request before it opens a connection.
 const malformedCodes: ReadonlySet<string> = new Set([
@@ -44,19 +47,23 @@
 
   private expectedBytes: number | undefined;
 
-  private receivedBytes = 0;
+  private collector = new BodyCollector(undefined);
 
-  private readonly chunks: Buffer[] = [];
+  private readonly buffer: BufferedBytes | undefined;
 
   constructor(options: {
     readonly request: UpstreamRequest;
     readonly clock: Clock;
     /** The default dialect unless set. */
     readonly dialect?: RequestDialect;
+    /** Limits the memory of all answers; unless set, there is no limit. */
+    readonly buffers?: BufferBudget | undefined;
   }) {
     this.request = options.request;
     this.dialect = options.dialect ?? new DefaultDialect();
     this.clock = options.clock;
+    this.buffer = options.buffers?.openBuffer();
+    this.buffer?.setDropHandler(() => this.failAnswer('dropped'));
     this.result = new Promise((resolve) => {
       this.resolveResult = resolve;
     });
@@ -111,24 +118,26 @@
     if (echoRequestId && !this.dialect.isAnswerTo(requestId, head)) this.failAnswer('mismatched');
     // An answer with status 304 has no body; undici would wait for as many bytes as its
     // content-length states and fail the answer.
+    if (this.isFinished) return;
     if (!this.mayHaveBody()) this.endAnswer();
+    else if ((this.expectedBytes ?? 0) > this.request.maxAnswerBytes) this.failAnswer('too_large');
     // A body with neither a length nor chunked coding ends with the connection.
     else if (length === undefined && !this.isChunked() && !this.dialect.mayEndByClose) {
       this.failAnswer('truncated');
-    }
+    } else this.collector = new BodyCollector(this.expectedBytes);
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.isFinished) return;
-    this.receivedBytes += chunk.byteLength;
-    if (this.receivedBytes > this.request.maxAnswerBytes) this.failAnswer('too_large');
-    else this.chunks.push(chunk);
+    this.collector.addChunk(chunk);
+    if (this.collector.size > this.request.maxAnswerBytes) this.failAnswer('endless');
+    else this.buffer?.addBytes(chunk.byteLength);
   }
 
   onResponseEnd(): void {
     if (this.isFinished) return;
     const hasLengthMismatch =
-      this.expectedBytes !== undefined && this.receivedBytes !== this.expectedBytes;
+      this.expectedBytes !== undefined && this.collector.size !== this.expectedBytes;
     if (hasLengthMismatch) this.failAnswer('truncated');
     else this.endAnswer();
   }
@@ -171,7 +180,7 @@
     const answer = {
       status: this.status,
       headers: this.headers,
-      body: Buffer.concat(this.chunks),
+      body: this.collector.takeBody(),
       isUnframed: this.mayHaveBody() && this.expectedBytes === undefined && !this.isChunked(),
     };
     this.endExchange({ kind: 'answered', answer });
@@ -190,6 +199,8 @@
   private endExchange(result: UpstreamResult): void {
     if (this.isFinished) return;
     this.isFinished = true;
+    this.buffer?.release();
+    this.collector.drop();
     this.resolveResult(result);
   }
 }
--- a/src/adapters/http/readBody.ts
+++ b/src/adapters/http/readBody.ts
@@ -1,9 +1,11 @@
 import type { IncomingMessage } from 'node:http';
 
 import type Result from '../../domain/errors/Result.ts';
+import type BufferedBytes from '../../domain/requests/BufferedBytes.ts';
 import type Clock from '../../ports/Clock.ts';
+import BodyCollector from './BodyCollector.ts';
 
-type Refusal = 'body_too_large' | 'deadline_passed' | 'request_malformed';
+type Refusal = 'body_too_large' | 'deadline_passed' | 'host_overloaded' | 'request_malformed';
 
 /** Limits for the body of a request. */
 export interface BodyLimits {
@@ -11,6 +13,8 @@
   /** Time by which the body must be complete. */
   readonly deadline: number;
   readonly clock: Clock;
+  /** Counts the bytes of the body, which is given up when the buffer is dropped. */
+  readonly buffer?: BufferedBytes | undefined;
 }
 
 // RFC 9112, section 6.3: a request with neither header has no body.
@@ -32,6 +36,7 @@
   }
   const details: Readonly<Record<Refusal, string>> = {
     body_too_large: `the body is too large: expected at most ${limits.maxBytes} bytes`,
+    host_overloaded: 'this host keeps too many bytes of requests and answers',
     deadline_passed: 'the deadline passed before the body was complete',
     request_malformed: 'the caller closed the connection before the body was complete',
   };
@@ -39,19 +44,22 @@
     ok: false,
     failure: { kind, message: `${request.method} ${request.url}: ${details[kind]}` },
   });
-  if (Number(request.headers['content-length'] ?? 0) > limits.maxBytes) {
-    return refuse('body_too_large');
-  }
+  const declared = request.headers['content-length'];
+  const declaredBytes = declared === undefined ? undefined : Number(declared);
+  if ((declaredBytes ?? 0) > limits.maxBytes) return refuse('body_too_large');
   const bodyEnded = new AbortController();
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const collector = new BodyCollector(declaredBytes);
   const result = await new Promise<Result<Uint8Array>>((resolve) => {
+    limits.buffer?.setDropHandler(() => resolve(refuse('host_overloaded')));
     request.on('data', (chunk: Buffer) => {
-      size += chunk.byteLength;
-      if (size > limits.maxBytes) resolve(refuse('body_too_large'));
-      else chunks.push(chunk);
+      if (collector.size + chunk.byteLength > limits.maxBytes) resolve(refuse('body_too_large'));
+      else collector.addChunk(chunk);
+      limits.buffer?.addBytes(chunk.byteLength);
+    });
+    request.once('end', () => {
+      limits.buffer?.markKept();
+      resolve({ ok: true, value: collector.takeBody() });
     });
-    request.once('end', () => resolve({ ok: true, value: Buffer.concat(chunks) }));
     request.once('error', () => resolve(refuse('request_malformed')));
     request.once('close', () => resolve(refuse('request_malformed')));
     limits.clock
@@ -62,5 +70,6 @@
   // Without a reason, abort creates an error with a stack trace, at a cost for each request.
   bodyEnded.abort('the body ended');
   request.removeAllListeners('data');
+  collector.drop();
   return result;
 }
--- a/src/application/requests/classifyAttempt.ts
+++ b/src/application/requests/classifyAttempt.ts
@@ -10,6 +10,8 @@
   truncated: 'truncated',
   mismatched: 'mismatched',
   too_large: 'good',
+  endless: 'failed',
+  dropped: 'cancelled',
   cancelled: 'cancelled',
   unreachable: 'unreachable',
   forbidden: 'cancelled',
@@ -17,6 +19,14 @@
   malformed: 'cancelled',
 };
 
+// A retry would not help: another upstream would get the same malformed request or send the same
+// oversized answer, and this host would have no room for it either.
+const finalReasons: ReadonlySet<NotSentReason | SentFailure> = new Set([
+  'malformed',
+  'too_large',
+  'dropped',
+]);
+
 /** Meaning of an attempt's result for the request and for the upstream's health. */
 export interface AttemptClassification {
   readonly end: AttemptResult;
@@ -53,9 +63,7 @@
       statements: isMisdirected ? undefined : statements,
     };
   }
-  // A retry would not help: another upstream would get the same malformed request or send the same
-  // oversized answer.
-  const isFinal = isOver || result.reason === 'malformed' || result.reason === 'too_large';
+  const isFinal = isOver || finalReasons.has(result.reason);
   const failureResult = result.kind === 'not_sent' ? 'not_sent' : 'unknown';
   return {
     end: isFinal ? 'given_up' : failureResult,
--- a/src/application/requests/describeUpstreamFailure.ts
+++ b/src/application/requests/describeUpstreamFailure.ts
@@ -23,6 +23,8 @@
   truncated: 'answer_truncated',
   mismatched: 'answer_mismatched',
   too_large: 'answer_too_large',
+  endless: 'answer_too_large',
+  dropped: 'answer_dropped',
 };
 
 /** Describes for the caller why an attempt produced no answer that can be forwarded. */
--- a/src/daemon/EntryHost.ts
+++ b/src/daemon/EntryHost.ts
@@ -28,6 +28,7 @@
 import ServiceLevelCounters from '../domain/metrics/ServiceLevelCounters.ts';
 import SlotBalancer from '../domain/requests/SlotBalancer.ts';
 import type DaemonSettings from '../domain/settings/DaemonSettings.ts';
+import BufferBudget from '../domain/requests/BufferBudget.ts';
 import type Clock from '../ports/Clock.ts';
 import type Log from '../ports/Log.ts';
 import type RandomSource from '../ports/RandomSource.ts';
@@ -35,6 +36,7 @@
 import EntryDetection from './EntryDetection.ts';
 import PeerNetwork from './PeerNetwork.ts';
 import TaskGroup from './TaskGroup.ts';
+import maxBufferedBytes from './maxBufferedBytes.ts';
 
 // With 48 entry hosts, each upstream has about 400 connections.
 const connectionsPerUpstream = 8;
@@ -106,7 +108,8 @@
       return new TrpcClaimLink({ host: peer.host, connection });
     });
     this.claims = new ClaimClient({ clock, random, log, holder, links });
-    this.upstreamClient = new UndiciUpstreamClient({ clock, connectionsPerUpstream });
+    const buffers = new BufferBudget({ maxBytes: maxBufferedBytes });
+    this.upstreamClient = new UndiciUpstreamClient({ clock, connectionsPerUpstream, buffers });
     const serviceLevels = new ServiceLevelObserver({
       host: settings.host,
       clock,
@@ -119,6 +122,7 @@
       handler: this.createRequestHandler([serviceLevels, metrics]),
       clock,
       log,
+      buffers,
     });
     this.platform = new PlatformFrontEnd({
       clock,
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -26,6 +26,7 @@
 import LowestCostBalancer from '../domain/requests/LowestCostBalancer.ts';
 import type { BalancerCosts } from '../domain/requests/LowestCostBalancer.ts';
 import type UsableUpstream from '../domain/requests/UsableUpstream.ts';
+import BufferBudget from '../domain/requests/BufferBudget.ts';
 import type { FleetEntrySettings } from '../domain/settings/FleetSettings.ts';
 import UpstreamStatements from '../domain/statements/UpstreamStatements.ts';
 import type Clock from '../ports/Clock.ts';
@@ -43,6 +44,7 @@
 import formatAddress from './formatAddress.ts';
 import listEntryGauges from './listEntryGauges.ts';
 import listSeedPeers from './listSeedPeers.ts';
+import maxBufferedBytes from './maxBufferedBytes.ts';
 import readProcessorMs from './readProcessorMs.ts';
 
 // The listener accepts slightly more than a preset allows; the limits of the preset are checked for
@@ -146,11 +148,13 @@
       killMs: settings.stopTimeoutMs,
       estimateAttemptMs: (operation) => this.observer.estimateLongMs(operation),
     });
+    const buffers = new BufferBudget({ maxBytes: maxBufferedBytes });
     this.upstreamClient = new UndiciUpstreamClient({
       clock,
       connectionsPerUpstream,
       connectTimeoutMs,
       dialect,
+      buffers,
     });
     this.loadMonitor = new LoadMonitor({
       clock,
@@ -165,6 +169,7 @@
       log,
       dialect,
       maxHeaderBytes,
+      buffers,
     });
     const readState = (): HostStateName => this.getState();
     this.platform = new PlatformFrontEnd({ clock, log, metrics, readState });
--- a/src/domain/errors/ErrorKind.ts
+++ b/src/domain/errors/ErrorKind.ts
@@ -10,6 +10,7 @@
   | 'deadline_passed'
   | 'host_not_ready'
   | 'host_stopping'
+  | 'host_overloaded'
   | 'caller_gone'
   | 'caller_gone_after_dispatch'
   // Idempotency keys and claims.
@@ -33,6 +34,7 @@
   | 'answer_truncated'
   | 'answer_mismatched'
   | 'answer_too_large'
+  | 'answer_dropped'
   // Announcements.
   | 'announcement_invalid'
   | 'announcement_stale'
--- a/src/domain/errors/errorAnswers.ts
+++ b/src/domain/errors/errorAnswers.ts
@@ -24,6 +24,7 @@
   deadline_passed: refuse(504),
   host_not_ready: refuse(503),
   host_stopping: refuse(503),
+  host_overloaded: refuse(503),
   caller_gone: refuse(499),
   caller_gone_after_dispatch: failUnknown(499),
 
@@ -47,6 +48,7 @@
   answer_truncated: failUnknown(502),
   answer_mismatched: failUnknown(502),
   answer_too_large: failUnknown(502),
+  answer_dropped: failUnknown(502),
 
   announcement_invalid: refuse(400),
   announcement_stale: refuse(409),
--- a/src/ports/UpstreamClient.ts
+++ b/src/ports/UpstreamClient.ts
@@ -50,7 +50,17 @@
 
 /** How a request failed after its first byte may have been sent. */
 export type SentFailure =
-  'timed_out' | 'reset' | 'truncated' | 'mismatched' | 'too_large' | 'cancelled';
+  | 'timed_out'
+  | 'reset'
+  | 'truncated'
+  | 'mismatched'
+  /** The answer declared more bytes than the route allows. */
+  | 'too_large'
+  /** The answer had no length and did not end within the bytes that the route allows. */
+  | 'endless'
+  /** This host dropped the answer because it kept too many bytes. */
+  | 'dropped'
+  | 'cancelled';
 
 /** How one request to one upstream ended. */
 export type UpstreamResult =
--- /dev/null
+++ b/tests/platform/memory.test.ts
@@ -0,0 +1,138 @@
+import type { Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+
+import PlatformFleet, { maxStartMs, ports } from '../fixtures/PlatformFleet.ts';
+import RawCaller from '../fixtures/RawCaller.ts';
+import RawUpstream from '../fixtures/RawUpstream.ts';
+
+// What the platform gives a process; one that uses more is killed.
+const maxMemoryMib = 250;
+const filler = Buffer.alloc(65_536, 'x');
+const maxBodyBytes = 67_108_864;
+
+function createDocument(): string {
+  const route = { host: 'a.example', kind: 'safe', timeout: '8s', maxAttempts: 1 };
+  return JSON.stringify({
+    version: 1,
+    routes: ['sound', 'endless', 'large'].map((service) => ({
+      ...route,
+      pathPrefix: `/${service}/`,
+      service,
+    })),
+    services: [{ name: 'sound' }, { name: 'endless' }, { name: 'large' }],
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes, headerTimeout: '3s', idleTimeout: '15s' },
+  });
+}
+
+describe('memory of an entry host', () => {
+  const fleet = new PlatformFleet({ controlHosts: 1, entryHosts: 1 });
+  const [ip = ''] = fleet.entryIps;
+  const upstreams: RawUpstream[] = [];
+
+  function writeHead(socket: Socket, head: string, fields: string): void {
+    const requestId = /x-attempt-id: (\S+)/i.exec(head)?.[1] ?? '';
+    const answerHead = `HTTP/1.1 200 OK\r\nx-attempt-id: ${requestId}\r\nx-response-signature: s\r\n`;
+    socket.write(`${answerHead}${fields}\r\n\r\n`);
+  }
+
+  function writeEndless(socket: Socket, pauseMs: number): void {
+    if (socket.destroyed) return;
+    socket.write(filler, () => setTimeout(() => writeEndless(socket, pauseMs), pauseMs));
+  }
+
+  beforeAll(async () => {
+    await fleet.start(createDocument());
+    const answers: Readonly<Record<string, ConstructorParameters<typeof RawUpstream>[0]>> = {
+      sound: ({ socket, head }) => {
+        writeHead(socket, head, 'content-length: 6');
+        socket.write('answer');
+      },
+      endless: ({ socket, head }) => {
+        writeHead(socket, head, 'connection: close');
+        // Slow enough that each answer stays open for seconds.
+        writeEndless(socket, 50);
+      },
+      large: ({ socket, head }) => {
+        writeHead(socket, head, 'content-length: 8000000');
+        socket.write(Buffer.alloc(8_000_000, 'x'));
+      },
+    };
+    await Promise.all(
+      Object.entries(answers).map(async ([service, answer]) => {
+        const upstream = new RawUpstream(answer);
+        upstreams.push(upstream);
+        await fleet.announce(`i-${service}`, service, await upstream.open());
+      }),
+    );
+    await fleet.waitStatus(() => fleet.sendRequest(ip, 'GET', '/sound/0', 'first'), 200);
+  }, 2 * maxStartMs);
+
+  afterAll(async () => {
+    await fleet.stop();
+    upstreams.forEach((upstream) => upstream.close());
+  }, maxStartMs);
+
+  /** Sends requests one after the other; returns their statuses. */
+  async function sendSound(count: number): Promise<readonly (number | string)[]> {
+    const statuses: (number | string)[] = [];
+    while (statuses.length < count) {
+      const id = `sound-${statuses.length}`;
+      const answer = fleet.sendRequest(ip, 'GET', '/sound/1', id);
+      statuses.push(await answer.then(({ status }) => status, String));
+      await sleep(100);
+    }
+    return statuses;
+  }
+
+  async function expectSound(): Promise<void> {
+    expect(await sendSound(30)).toEqual(Array.from({ length: 30 }, () => 200));
+    const peak = await fleet.readPeakMemory(ip);
+    process.stdout.write(`peak memory of the entry host: ${Math.round(peak)} MiB\n`);
+    expect(peak).toBeLessThan(maxMemoryMib);
+  }
+
+  // Guards against an upstream whose answers without end use up the memory, so that the requests of
+  // other callers end with the process.
+  it(
+    'should stay within its limit while many answers have no end',
+    async () => {
+      const requests = Array.from({ length: 100 }, (_, index) =>
+        fleet.sendRequest(ip, 'GET', '/endless/1', `endless-${index}`).catch(String),
+      );
+      await expectSound();
+      await Promise.all(requests);
+    },
+    maxStartMs,
+  );
+
+  it(
+    'should stay within its limit while callers send large bodies',
+    async () => {
+      const body = Buffer.alloc(20_000_000, 'x');
+      const requests = Array.from({ length: 20 }, (_, index) =>
+        fleet.sendRequest(ip, 'POST', '/endless/1', `body-${index}`, body).catch(String),
+      );
+      await expectSound();
+      await Promise.all(requests);
+    },
+    maxStartMs,
+  );
+
+  it(
+    'should stay within its limit while callers do not read large answers',
+    async () => {
+      const callers = await Promise.all(
+        Array.from({ length: 40 }, () => RawCaller.connectTo(`http://${ip}:${ports.callers}`)),
+      );
+      callers.forEach((caller, index) => {
+        caller.socket.pause();
+        caller.write(`GET /large/1 HTTP/1.1\r\nhost: a.example\r\nx-attempt-id: l${index}\r\n\r\n`);
+      });
+      await expectSound();
+      callers.forEach(({ socket }) => socket.destroy());
+    },
+    maxStartMs,
+  );
+});
--- a/tests/requests/requestOutcomes.test.ts
+++ b/tests/requests/requestOutcomes.test.ts
@@ -20,6 +20,8 @@
     'truncated',
     'mismatched',
     'too_large',
+    'endless',
+    'dropped',
     'silent',
     'deregistered',
     'throws',
@@ -91,6 +93,24 @@
     expect([answer.errorKind, answer.outcome]).toEqual(['upstream_reset', 'unknown']);
   });
 
+  // Guards against an upstream that sends without end and fails requests that another could answer.
+  it.each([
+    ['endless', 200],
+    ['too_large', 502],
+    ['dropped', 502],
+  ] as const)(
+    'should end with the right status after an answer that is %s',
+    async (end, status) => {
+      const path = createHandlerPath({
+        attempts: [{ end, waitMs: 0, callerDisconnects: 'no' }],
+        repeat: 'allowed',
+        upstreams: 2,
+      });
+
+      expect((await path.runRequest()).answer.status).toBe(status);
+    },
+  );
+
   // Guards against storing no answer, or reporting the outcome ran, for a server error: the
   // operation may have run in part.
   it('should pass on a server error with the outcome unknown and store its answer', async () => {
--- a/tests/requests/upstreamAnswers.test.ts
+++ b/tests/requests/upstreamAnswers.test.ts
@@ -91,6 +91,12 @@
       `${ok}content-length: 1001\r\n\r\n${'x'.repeat(1001)}`,
       'failed too_large',
     ],
+    [
+      'exceeds the limit in chunks',
+      'keep',
+      `${ok}transfer-encoding: chunked\r\n\r\n3e9\r\n${'x'.repeat(1001)}\r\n`,
+      'failed endless',
+    ],
     [
       'is longer than its content length',
       'keep',
