platform: a control host keeps a bounded number of bytes of documents

The same cause as on entry hosts: each document was bounded by 2 MB, their sum by nothing. 200 calls that stay incomplete took a control host to 445 MiB, of 250 MB that it may have; its process would end.

--- a/src/daemon/maxBufferedBytes.ts
+++ b/src/daemon/maxBufferedBytes.ts
@@ -1,6 +1,6 @@
 /**
- * Bytes of requests and answers that an entry host keeps in memory at a time. Of the 250 MB of a
- * process, the program itself takes about 100, and memory that was freed is reused with a delay.
+ * Bytes of requests and answers that a process keeps in memory at a time. Of the 250 MB that it may
+ * use, the program itself takes about 100, and memory that was freed is reused with a delay.
  */
 const maxBufferedBytes = 16_777_216;
 
--- a/tests/platform/memory.test.ts
+++ b/tests/platform/memory.test.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 
+import { fetch } from 'undici';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 
 import PlatformFleet, { maxStartMs, ports } from '../fixtures/PlatformFleet.ts';
@@ -26,7 +27,7 @@
   });
 }
 
-describe('memory of an entry host', () => {
+describe('memory of a process', () => {
   const fleet = new PlatformFleet({ controlHosts: 1, entryHosts: 1 });
   const [ip = ''] = fleet.entryIps;
   const upstreams: RawUpstream[] = [];
@@ -135,4 +136,32 @@
     },
     maxStartMs,
   );
+
+  // Guards against callers of a control host that together take up its memory.
+  it(
+    'should stay within its limit, at a control host, while many documents are incomplete',
+    async () => {
+      const [controlIp = ''] = fleet.controlIps;
+      const origin = `http://${controlIp}:${ports.operators}`;
+      const callers = await Promise.all(
+        Array.from({ length: 200 }, () => RawCaller.connectTo(origin)),
+      );
+      callers.forEach((caller, index) => {
+        const path = index % 2 === 0 ? 'config' : 'instances/i-1';
+        caller.write(
+          `PUT /pistachiohoist/${path} HTTP/1.1\r\nhost: a\r\ncontent-length: 2000000\r\n\r\n`,
+        );
+        caller.socket.write(Buffer.alloc(1_900_000, '{'));
+      });
+      await sleep(2000);
+      const read = await fetch(`${origin}/pistachiohoist/config`);
+
+      expect(read.status).toBe(200);
+      const peak = await fleet.readPeakMemory(controlIp);
+      process.stdout.write(`peak memory of the control host: ${Math.round(peak)} MiB\n`);
+      expect(peak).toBeLessThan(maxMemoryMib);
+      callers.forEach(({ socket }) => socket.destroy());
+    },
+    maxStartMs,
+  );
 });
