src/application/requests: a retry is sent within half a second of its decision

A retry counts against the budget from its decision on, but a process that was paused, or a request that waited for a connection, could write it after its window had passed.

Change: the budget names the instant until which a retry may be sent, and it is checked directly before the write, with the other permissions. An attempt that was not sent hands its retry on to the next one until then.

Measured: the new test of tests/requests/requestOutcomes fails without the check: the retry is sent 600 ms after its decision.

--- a/src/application/fleet/DomainRetryBudgets.ts
+++ b/src/application/fleet/DomainRetryBudgets.ts
@@ -1,6 +1,6 @@
 import pruneMap from '../../domain/collections/pruneMap.ts';
 import type RetryAllowance from '../../domain/requests/RetryAllowance.ts';
-import RetryAccount, { settleMs } from '../../domain/requests/RetryAccount.ts';
+import RetryAccount, { sendMs, settleMs } from '../../domain/requests/RetryAccount.ts';
 import type { RetryAmount, RetryBalance } from '../../domain/requests/RetryAccount.ts';
 import type Clock from '../../ports/Clock.ts';
 import type Log from '../../ports/Log.ts';
@@ -79,7 +79,7 @@
     return extra / (failureDomains * Math.max(1, countHosts()));
   }
 
-  private async takeRetry(service: string, requestId: string): Promise<boolean> {
+  private async takeRetry(service: string, requestId: string): Promise<number | undefined> {
     const { clock, log, borrowRetry, readOthers } = this.options;
     const { used, left } = this.readBalance(service);
     const others = readOthers(service);
@@ -92,7 +92,7 @@
       ...{ requestId, service, isTaken, isOwn, used: round(used), left: round(left) },
       ...{ otherLeft: round(others.left), otherHosts: others.hosts },
     });
-    return isTaken;
+    return isTaken ? clock.now() + sendMs : undefined;
   }
 
   private readScarcity(service: string): number {
--- a/src/application/requests/AttemptSender.ts
+++ b/src/application/requests/AttemptSender.ts
@@ -59,6 +59,8 @@
   readonly serviceTimes: number;
   /** Instant from which the request may be sent to another upstream too; `Infinity` for never. */
   readonly hedgeAt: number;
+  /** Instant until which the request may be sent; a retry is allowed only for a short time. */
+  readonly sendBy: number;
   /** Why the request must not be sent now, or undefined while it may be sent. */
   readonly findRefusal: () => Failure | undefined;
 }
@@ -175,7 +177,7 @@
       readonly cancellation: AbortController;
     },
   ): Promise<UpstreamResult> {
-    const { upstreamClient, pool, gate } = this.options;
+    const { upstreamClient, pool, gate, clock } = this.options;
     const { record } = plan.chosen;
     return upstreamClient.sendRequest({
       address: record.address,
@@ -194,7 +196,10 @@
       signal: plan.cancellation.signal,
       // An upstream can leave, pause or be ejected while the request waits for a connection.
       mayDispatch: () =>
-        !plan.findRefusal() && pool.isUsable(record) && (gate?.maySend(record) ?? true),
+        clock.now() < plan.sendBy &&
+        !plan.findRefusal() &&
+        pool.isUsable(record) &&
+        (gate?.maySend(record) ?? true),
     });
   }
 
--- a/src/application/requests/RequestDispatch.ts
+++ b/src/application/requests/RequestDispatch.ts
@@ -1,5 +1,6 @@
 import type Failure from '../../domain/errors/Failure.ts';
 import type { ServiceSettings } from '../../domain/presets/Preset.ts';
+import type { AttemptResult } from '../../domain/requests/AttemptResult.ts';
 import type RetryPolicy from '../../domain/requests/RetryPolicy.ts';
 import type UsableUpstream from '../../domain/requests/UsableUpstream.ts';
 import type Clock from '../../ports/Clock.ts';
@@ -50,6 +51,9 @@
   /** Number of attempts that may have run the request, including the open ones. */
   private runs = 0;
 
+  /** Instant until which the newest attempt may be sent. */
+  private sendBy = Infinity;
+
   constructor(options: RequestDispatchOptions) {
     this.options = options;
   }
@@ -71,7 +75,7 @@
       if (!policy.isRetryable(attempt.end) || this.runsLeft <= 0 || !mayTryAgain()) break;
       chosen = this.chooseNext();
       // A retry that was taken can't be given back, so it is taken last.
-      if (chosen && !(await policy.takeRetry(attempt.end))) chosen = undefined;
+      if (chosen && !(await this.takeRetry(attempt.end))) chosen = undefined;
     }
     if (!reported) return this.createFailure(chooser.describeRefusal(request));
     return { ...reported, attempts: this.tried.size };
@@ -133,23 +137,34 @@
     first: OpenAttempt,
     mayWait: (serviceTimes: number) => boolean,
   ): Promise<OpenAttempt | undefined> {
-    const { policy, chooser, mayTryAgain, mayHedge } = this.options;
+    const { chooser, mayTryAgain, mayHedge } = this.options;
     if (!mayHedge() || !mayTryAgain()) return undefined;
     const chosen = this.chooseNext();
     if (!chosen || !mayWait(chooser.estimateServiceTimes(chosen))) return undefined;
     // A retry that was taken can't be given back, so it is taken last.
-    const isTaken = policy.takeRetry('unknown');
+    const isTaken = this.takeRetry('unknown');
     const isNeeded = await Promise.race([first.ended.then(() => false), isTaken]);
     return isNeeded ? this.startAttempt(chosen, Infinity) : undefined;
   }
 
+  /**
+   * Takes a retry of an attempt with this result. An attempt that was not sent has used nothing, so
+   * the next one may be sent in its place.
+   */
+  private async takeRetry(end: AttemptResult): Promise<boolean> {
+    if (end === 'not_sent' && this.options.clock.now() < this.sendBy) return true;
+    const sendBy = await this.options.policy.takeRetry(end);
+    this.sendBy = sendBy ?? this.sendBy;
+    return sendBy !== undefined;
+  }
+
   private startAttempt(chosen: UsableUpstream, hedgeAt: number): OpenAttempt {
     const { request, service, chooser, sender, findRefusal, onEnd } = this.options;
     const { upstream } = chosen.record;
     this.tried.add(upstream);
     this.runs += 1;
     const serviceTimes = chooser.estimateServiceTimes(chosen);
-    const plan = { chosen, serviceTimes, hedgeAt, findRefusal };
+    const plan = { chosen, serviceTimes, hedgeAt, findRefusal, sendBy: this.sendBy };
     const attempt = sender.startAttempt(request, service, plan);
     const recordEnd = (ended: EndedAttempt): EndedAttempt => {
       if (!ended.mayHaveRun) this.runs -= 1;
--- a/src/domain/requests/AtMostOnceRetryPolicy.ts
+++ b/src/domain/requests/AtMostOnceRetryPolicy.ts
@@ -21,11 +21,8 @@
     return 1;
   }
 
-  async takeRetry(result: AttemptResult): Promise<boolean> {
-    if (!this.isRetryable(result)) return false;
-    // A request that no upstream received added no load, so its retry takes nothing from the
-    // budget.
-    return result === 'not_sent' || this.budget.takeRetry();
+  async takeRetry(result: AttemptResult): Promise<number | undefined> {
+    return this.isRetryable(result) ? this.budget.takeRetry() : undefined;
   }
 
   /** Returns `Infinity`: a second upstream could run the operation again. */
--- a/src/domain/requests/IdempotentRetryPolicy.ts
+++ b/src/domain/requests/IdempotentRetryPolicy.ts
@@ -19,11 +19,8 @@
     return this.budget.readScarcity();
   }
 
-  async takeRetry(result: AttemptResult): Promise<boolean> {
-    if (!this.isRetryable(result)) return false;
-    // A request that no upstream received added no load, so its retry takes nothing from the
-    // budget.
-    return result === 'not_sent' || this.budget.takeRetry();
+  async takeRetry(result: AttemptResult): Promise<number | undefined> {
+    return this.isRetryable(result) ? this.budget.takeRetry() : undefined;
   }
 
   /**
--- a/src/domain/requests/RetryAccount.ts
+++ b/src/domain/requests/RetryAccount.ts
@@ -1,6 +1,7 @@
-// A retry arrives at its upstream up to this long after it was decided: the time to connect, and to
-// send a lost packet once more.
-const arrivalMs = 750;
+/** Time after its decision in which a retry is sent: enough to connect. */
+export const sendMs = 500;
+// A retry arrives at its upstream up to this long after its decision: a lost packet is sent again.
+const arrivalMs = sendMs + 250;
 // A request earns a share of a retry, which is lost unless it is used within this time. Otherwise
 // hosts could use in one window what they earned in several.
 const earnedMs = 2000;
--- a/src/domain/requests/RetryAllowance.ts
+++ b/src/domain/requests/RetryAllowance.ts
@@ -4,6 +4,9 @@
   addRequest(retryShare: number): void;
   /** Scarcity of retries: 0 while none of the allowed ones is taken, 1 when none remains. */
   readScarcity(): number;
-  /** Takes one retry from the budget; resolves with false when none is allowed. */
-  takeRetry(): Promise<boolean>;
+  /**
+   * Takes one retry from the budget; resolves with the instant until which it may be sent, or
+   * undefined when none is allowed.
+   */
+  takeRetry(): Promise<number | undefined>;
 }
--- a/src/domain/requests/RetryBudget.ts
+++ b/src/domain/requests/RetryBudget.ts
@@ -16,8 +16,8 @@
     return this.tokens >= 1 ? 1 - this.tokens / maxTokens : 1;
   }
 
-  async takeRetry(): Promise<boolean> {
-    return this.takeToken();
+  async takeRetry(): Promise<number | undefined> {
+    return this.takeToken() ? Infinity : undefined;
   }
 
   /** Takes one retry; returns false when none is allowed. */
--- a/src/domain/requests/RetryPolicy.ts
+++ b/src/domain/requests/RetryPolicy.ts
@@ -19,10 +19,10 @@
    */
   readScarcity(): number;
   /**
-   * Takes a retry of an attempt with this result from the retry budget, unless the failed attempt
-   * was not sent; resolves with false when none is allowed.
+   * Takes a retry of an attempt with this result from the retry budget; resolves with the instant
+   * until which it may be sent, or undefined when none is allowed.
    */
-  takeRetry(result: AttemptResult): Promise<boolean>;
+  takeRetry(result: AttemptResult): Promise<number | undefined>;
   /**
    * Instant from which the request may be sent to a second upstream too if the attempt has no
    * answer by then; `Infinity` for never.
--- a/tests/fleet/retryBudgets.test.ts
+++ b/tests/fleet/retryBudgets.test.ts
@@ -39,7 +39,7 @@
   async function takeRetries(calls: number): Promise<number> {
     const budget = budgets.getBudget('history', 'r1');
     const taken = await Promise.all(Array.from({ length: calls }, () => budget.takeRetry()));
-    return taken.filter(Boolean).length;
+    return taken.filter((sendBy) => sendBy !== undefined).length;
   }
 
   function addRequests(count: number): void {
@@ -63,6 +63,13 @@
     expect(await takeRetries(100)).toBe(5 + 15);
   });
 
+  // Guards against a host that was paused and sends a retry whose window has passed meanwhile.
+  it('should allow a retry for half a second', async () => {
+    await clock.advanceBy(openMs);
+
+    expect(await budgets.getBudget('history', 'r1').takeRetry()).toBe(clock.now() + 500);
+  });
+
   // Guards against a restart that makes room for the retries of the earlier process once more.
   it('should keep the part of a host that has just started closed', async () => {
     const atStart = await takeRetries(100);
--- a/tests/requests/requestOutcomes.test.ts
+++ b/tests/requests/requestOutcomes.test.ts
@@ -111,6 +111,29 @@
     },
   );
 
+  // Guards against a host that was paused between the decision to retry and the write.
+  it('should not send a retry after the time for which it was allowed', async () => {
+    const broken: AttemptScript = { end: 'reset', waitMs: 0, callerDisconnects: 'no' };
+    const path = createHandlerPath({
+      attempts: [broken, { ...broken, end: 'good', waitMs: 600 }],
+      ...{ repeat: 'allowed', upstreams: 2, retryMs: 500 },
+    });
+
+    const { answer, possibleRuns, triedUpstreams } = await path.runRequest();
+
+    expect([answer.status, possibleRuns, triedUpstreams.length]).toEqual([502, 1, 2]);
+  });
+
+  it('should send the request to another upstream with the same retry when it was not sent', async () => {
+    const broken: AttemptScript = { end: 'reset', waitMs: 0, callerDisconnects: 'no' };
+    const path = createHandlerPath({
+      attempts: [broken, { ...broken, end: 'unreachable' }],
+      ...{ repeat: 'allowed', upstreams: 3, retryShare: 0 },
+    });
+
+    expect((await path.runRequest()).answer.status).toBe(200);
+  });
+
   // Guards against storing no answer, or reporting the outcome ran, for a server error: the
   // operation may have run in part.
   it('should pass on a server error with the outcome unknown and store its answer', async () => {
