src/application/fleet: at the first start of the fleet, no retries of earlier processes are counted

Cause: the part of a host that starts is closed for 11.75 s, because an earlier process of it may have used it.

Change: a setting, first_start, which the template takes from the platform, says so. Without it, and after any restart, the part stays closed.

--- a/src/application/fleet/DomainRetryBudgets.ts
+++ b/src/application/fleet/DomainRetryBudgets.ts
@@ -18,6 +18,8 @@
   readonly extra: number;
   readonly windowMs: number;
   readonly failureDomains: number;
+  /** Whether no process of the fleet has run before, so that none can have used retries. */
+  readonly isFirstStart: boolean;
   /** Most entry hosts that the failure domain of this host has had. */
   readonly countHosts: () => number;
   /** What the other entry hosts of the failure domain last reported. */
@@ -41,7 +43,8 @@
     this.options = options;
     // What an earlier process of this host used is not known, so its part is closed until all of it
     // has left the window.
-    this.opensAt = options.clock.now() + options.windowMs + settleMs;
+    const opensAt = options.clock.now() + options.windowMs + settleMs;
+    this.opensAt = options.isFirstStart ? -Infinity : opensAt;
   }
 
   getBudget(service: string, requestId: string): RetryAllowance {
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -132,6 +132,7 @@
       ...{ clock, log },
       ...settings.retries,
       failureDomains: settings.failureDomains.length,
+      isFirstStart: settings.isFirstStart,
       countHosts: () => this.view.domainSize,
       readOthers: (service) => this.exchange.readRetries(service),
       borrowRetry: (service) => this.exchange.borrowRetry(service),
--- a/src/domain/settings/FleetSettings.ts
+++ b/src/domain/settings/FleetSettings.ts
@@ -30,6 +30,8 @@
     readonly metrics: ListenAddress;
   };
   readonly retries: FleetRetrySettings;
+  /** Whether no process of the fleet has run before. */
+  readonly isFirstStart: boolean;
   /**
    * How long the callers' listener stays open after `/ready` begins to answer 503, in milliseconds.
    */
--- a/tests/fleet/retryBudgets.test.ts
+++ b/tests/fleet/retryBudgets.test.ts
@@ -18,6 +18,17 @@
   let loan: number;
   let lines: (LogFields | undefined)[];
 
+  function createBudgets(isFirstStart: boolean, log = new SilentLog()): DomainRetryBudgets {
+    return new DomainRetryBudgets({
+      ...{ clock, log, isFirstStart, share: 0.2, extra: 60, windowMs, failureDomains: 3 },
+      countHosts: () => domainSize,
+      readOthers: () => others,
+      borrowRetry: async (service) => {
+        budgets.addCredit(service, { retries: loan, until: clock.now() + 500 });
+      },
+    });
+  }
+
   beforeEach(() => {
     clock = new FakeClock();
     others = { used: 0, left: 0, hosts: 0 };
@@ -26,14 +37,7 @@
     lines = [];
     const log = new SilentLog();
     log.info = (_message: string, fields?: LogFields) => lines.push(fields);
-    budgets = new DomainRetryBudgets({
-      ...{ clock, log, share: 0.2, extra: 60, windowMs, failureDomains: 3 },
-      countHosts: () => domainSize,
-      readOthers: () => others,
-      borrowRetry: async (service) => {
-        budgets.addCredit(service, { retries: loan, until: clock.now() + 500 });
-      },
-    });
+    budgets = createBudgets(false, log);
   });
 
   async function takeRetries(calls: number): Promise<number> {
@@ -80,6 +84,12 @@
     expect([atStart, later, await takeRetries(100)]).toEqual([0, 0, 5]);
   });
 
+  it('should open the part at once when no process of the fleet has run before', async () => {
+    budgets = createBudgets(true);
+
+    expect(await takeRetries(100)).toBe(5);
+  });
+
   it('should open the part again when its retries have left the window', async () => {
     await clock.advanceBy(openMs);
     const first = await takeRetries(100);
--- a/tests/settings/parseFleetSettings.test.ts
+++ b/tests/settings/parseFleetSettings.test.ts
@@ -28,6 +28,7 @@
       role: 'entry',
       failureDomains: ['north', 'south'],
       retries: { share: 0.2, extra: 62, windowMs: 10_000 },
+      isFirstStart: false,
       stopGraceMs: 2200,
       stopTimeoutMs: 30_000,
       suspicionMs: 9000,
