src/adapters/http: a body takes no memory before it arrives

Cause: a body of known length was collected in memory of its full size from the first byte on, so a caller that only declares much would take it, and every dropped body left a large block to be freed.

Change: chunks are kept as they arrive and joined at the end. Callers that are cut off because they do not read their answers are logged.

--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -289,7 +289,13 @@
     if (!hasContent) return;
     // A caller that reads slowly must not keep the memory that others need.
     const buffer = this.openBuffer(response);
-    buffer?.setDropHandler(() => response.destroy());
+    buffer?.setDropHandler(() => {
+      this.options.log.warn('requests: closing the connection of a caller, for want of memory', {
+        requestId: this.dialect.findRequestId(readHeaders(request)),
+        unreadBytes: answer.body.byteLength,
+      });
+      response.destroy();
+    });
     buffer?.addBytes(answer.body.byteLength);
     response.write(answer.body);
   }
--- a/src/adapters/http/UpstreamExchange.ts
+++ b/src/adapters/http/UpstreamExchange.ts
@@ -47,7 +47,7 @@
 
   private expectedBytes: number | undefined;
 
-  private collector = new BodyCollector(undefined);
+  private readonly collector = new BodyCollector();
 
   private readonly buffer: BufferedBytes | undefined;
 
@@ -124,7 +124,7 @@
     // A body with neither a length nor chunked coding ends with the connection.
     else if (length === undefined && !this.isChunked() && !this.dialect.mayEndByClose) {
       this.failAnswer('truncated');
-    } else this.collector = new BodyCollector(this.expectedBytes);
+    }
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
--- a/src/adapters/http/readBody.ts
+++ b/src/adapters/http/readBody.ts
@@ -44,11 +44,11 @@
     ok: false,
     failure: { kind, message: `${request.method} ${request.url}: ${details[kind]}` },
   });
-  const declared = request.headers['content-length'];
-  const declaredBytes = declared === undefined ? undefined : Number(declared);
-  if ((declaredBytes ?? 0) > limits.maxBytes) return refuse('body_too_large');
+  if (Number(request.headers['content-length'] ?? 0) > limits.maxBytes) {
+    return refuse('body_too_large');
+  }
   const bodyEnded = new AbortController();
-  const collector = new BodyCollector(declaredBytes);
+  const collector = new BodyCollector();
   const result = await new Promise<Result<Uint8Array>>((resolve) => {
     limits.buffer?.setDropHandler(() => resolve(refuse('host_overloaded')));
     request.on('data', (chunk: Buffer) => {
