src/application/fleet: loans of retries know their lenders themselves

RetryLoans lists the hosts to ask from what they reported, and DomainPeers lists the other hosts of the failure domain for both.

Retries that were lent no longer count as used by the lender as well as by the borrower, which made them look scarcer than they are, and a change of half a retry that is left is reported.

--- a/src/application/fleet/DomainExchange.ts
+++ b/src/application/fleet/DomainExchange.ts
@@ -11,6 +11,7 @@
 import type DatagramSocket from '../../ports/DatagramSocket.ts';
 import type Log from '../../ports/Log.ts';
 import Notifier from '../tasks/Notifier.ts';
+import DomainPeers from './DomainPeers.ts';
 import DomainReceiver from './DomainReceiver.ts';
 import DomainReports from './DomainReports.ts';
 import type { ReportedLoad } from './DomainReports.ts';
@@ -19,7 +20,6 @@
 import ReportRouting from './ReportRouting.ts';
 import type RetryLedger from './RetryLedger.ts';
 import RetryLoans from './RetryLoans.ts';
-import type { RetryLender } from './RetryLoans.ts';
 import UnsentChanges from './UnsentChanges.ts';
 
 // An upstream with at least this many open requests is busy: half of the slots of a typical
@@ -43,8 +43,6 @@
 // A host that starts asks this many peers for their suspicions. All peers know nearly the same, but
 // many of them may be starting too.
 const askedPeers = 8;
-// A host that reported no retries is asked for this many, since its requests earn more.
-const assumedRetriesLeft = 0.25;
 const urgentKinds: ReadonlySet<SuspicionKind> = new Set(['broken', 'hanging', 'misplaced']);
 
 /** Options of the exchange. */
@@ -91,10 +89,9 @@
 
   private readonly receiver: DomainReceiver;
 
-  private readonly loans: RetryLoans;
+  private readonly others: DomainPeers;
 
-  /** Number of times that this host looked for lenders; each time another one comes first. */
-  private searches = 0;
+  private readonly loans: RetryLoans;
 
   private readonly sendLimit = new RateLimit({ unitsPerSecond: maxBytesPerSecond, burstMs });
 
@@ -105,13 +102,12 @@
 
   constructor(options: DomainExchangeOptions) {
     this.options = options;
-    const { clock, findRelay, listPeers, ledger } = options;
+    const { clock, ownAddress, findRelay, listPeers, ledger } = options;
     this.notifier = new Notifier(clock);
     this.routing = new ReportRouting({ clock, findRelay, countHosts: () => listPeers().length });
+    this.others = new DomainPeers({ ownAddress, listAddresses: listPeers });
     this.loans = new RetryLoans({
-      ...{ clock, ledger },
-      listLenders: (service) => this.listLenders(service),
-      onEmpty: (lender, service) => this.peers.markEmpty(lender, service),
+      ...{ clock, ledger, peers: this.others, activities: this.peers },
       sendMessage: (message, address) => this.sendMessage(message, [address]),
     });
     const { reports, peers, routing, loans } = this;
@@ -232,7 +228,7 @@
    * many retries they have left; called once this host has their addresses.
    */
   requestSuspicions(): void {
-    const asked = this.listPeersFrom(0).slice(0, askedPeers);
+    const asked = this.others.listFrom(0).slice(0, askedPeers);
     this.sendMessage({ ...emptyDomainMessage, asksSuspicions: true }, asked);
   }
 
@@ -344,42 +340,19 @@
   private sendWithSuspicions(message: DomainMessage): void {
     const suspicions = this.unsent.takeSuspicions();
     if (suspicions.length === 0 && !hasReports(message)) return;
-    this.sendMessage({ ...message, suspicions }, this.listOtherPeers());
+    this.sendMessage({ ...message, suspicions }, this.others.listOthers());
     const relay = suspicions.length > 0 ? this.options.findRelay() : undefined;
     if (relay !== undefined) this.sendMessage({ ...emptyDomainMessage, suspicions }, [relay]);
   }
 
   private takeUnsentRetries(): Readonly<Record<string, RetryBalance>> {
-    const unsent = Object.entries(this.options.ledger.readBalances()).filter(
-      ([service, { used }]) => used !== this.reports.readOwnRetries(service)?.used,
+    const unsent = Object.entries(this.options.ledger.readBalances()).filter(([service, balance]) =>
+      this.reports.hasChangedRetries(service, balance),
     );
     unsent.forEach(([service, balance]) => this.reports.setOwnRetries(service, balance));
     return Object.fromEntries(unsent);
   }
 
-  /** Lists the hosts to ask for retries: those that reported to have some, then the others. */
-  private listLenders(service: string): readonly RetryLender[] {
-    const known = this.peers.listLenders(service, this.options.clock.now());
-    const left = new Map(known.map((lender) => [lender.address, lender.left]));
-    this.searches += 1;
-    return this.listPeersFrom(this.searches)
-      .map((address) => ({ address, left: left.get(address) ?? assumedRetriesLeft }))
-      .sort((first, second) => second.left - first.left);
-  }
-
-  /** Lists the other hosts in the order that all hosts have, from `offset` after this one. */
-  private listPeersFrom(offset: number): readonly string[] {
-    const peers = this.listOtherPeers().sort();
-    const next = peers.findIndex((address) => address > this.options.ownAddress);
-    const start = (Math.max(0, next) + offset) % Math.max(1, peers.length);
-    return [...peers.slice(start), ...peers.slice(0, start)];
-  }
-
-  private listOtherPeers(): string[] {
-    const { ownAddress, listPeers } = this.options;
-    return listPeers().filter((address) => address !== ownAddress);
-  }
-
   private sendMessage(message: DomainMessage, addresses: readonly string[]): void {
     const { socket, clock } = this.options;
     this.sendLimit.takeUnits(socket.sendMessage(message, addresses), clock.now());
--- a/src/application/fleet/DomainReports.ts
+++ b/src/application/fleet/DomainReports.ts
@@ -6,6 +6,8 @@
 const retentionMs = 30_000;
 // What the others assume of a load that was reported a while ago halves in this time.
 const halfLifeMs = 800;
+// What is left changes with each request; a smaller change hardly matters to hosts that borrow.
+const minLeftChange = 0.5;
 
 /** A load that an upstream reported. */
 export interface ReportedLoad {
@@ -73,6 +75,13 @@
     return this.ownRetries.get(service);
   }
 
+  /** Whether the retries of this host differ from what the others count so much that it matters. */
+  hasChangedRetries(service: string, { used, left }: RetryBalance): boolean {
+    const reported = this.ownRetries.get(service);
+    if (!reported) return true;
+    return used !== reported.used || Math.abs(left - reported.left) >= minLeftChange;
+  }
+
   /** Records the retries of this host that are about to be reported. */
   setOwnRetries(service: string, balance: RetryBalance): void {
     this.ownRetries.set(service, balance);
--- a/src/application/fleet/PeerActivities.ts
+++ b/src/application/fleet/PeerActivities.ts
@@ -1,7 +1,6 @@
 import pruneMap from '../../domain/collections/pruneMap.ts';
 import type { DomainMessage } from '../../domain/fleet/DomainMessage.ts';
 import type { RetryBalance } from '../../domain/requests/RetryAccount.ts';
-import type { RetryLender } from './RetryLoans.ts';
 
 // Open requests that a peer reported count for this long unless the peer reports them again.
 const inFlightLifetimeMs = 2500;
@@ -53,7 +52,9 @@
 
   /** Retries of all peers for a service. */
   readRetries(service: string, now: number): PeerRetryBalance {
-    const balances = this.listBalances(service, now).map(([, balance]) => balance);
+    this.dropExpired(now);
+    const reports = [...this.peers.values()].flatMap(({ retries }) => retries.get(service) ?? []);
+    const balances = reports.map(({ balance }) => balance);
     return {
       used: balances.reduce((sum, { used }) => sum + used, 0),
       left: balances.reduce((sum, { left }) => sum + left, 0),
@@ -69,11 +70,10 @@
     );
   }
 
-  /** Peers that reported to have retries left for a service. */
-  listLenders(service: string, now: number): readonly RetryLender[] {
-    return this.listBalances(service, now)
-      .filter(([, { left }]) => left > 0)
-      .map(([address, { left }]) => ({ address, left }));
+  /** Retries that a peer has left for a service; undefined if it has not reported them. */
+  readLeft(address: string, service: string, now: number): number | undefined {
+    this.dropExpired(now);
+    return this.peers.get(address)?.retries.get(service)?.balance.left;
   }
 
   /** Forgets the retries that peers reported, because a digest has those of all. */
@@ -106,14 +106,6 @@
     this.peers.set(from, peer);
   }
 
-  private listBalances(service: string, now: number): (readonly [string, RetryBalance])[] {
-    this.dropExpired(now);
-    return [...this.peers].flatMap(([address, { retries }]) => {
-      const report = retries.get(service);
-      return report ? [[address, report.balance] as const] : [];
-    });
-  }
-
   private setInFlight({ inFlight }: PeerActivity, upstream: string, report: InFlightReport): void {
     const change = report.count - (inFlight.get(upstream)?.count ?? 0);
     if (report.count > 0) inFlight.set(upstream, report);
--- a/src/application/fleet/RetryLoans.ts
+++ b/src/application/fleet/RetryLoans.ts
@@ -6,6 +6,8 @@
   RetryLoanRequest,
 } from '../../domain/fleet/DomainMessage.ts';
 import type Clock from '../../ports/Clock.ts';
+import type DomainPeers from './DomainPeers.ts';
+import type PeerActivities from './PeerActivities.ts';
 import type RetryLedger from './RetryLedger.ts';
 
 // An answer inside a failure domain takes far less, and the request of a caller waits for it.
@@ -15,25 +17,26 @@
 const maxAsked = 12;
 // After a search that found too little, the next one waits until hosts may have earned more.
 const searchPauseMs = 500;
-
-/** A host that may have retries left. */
-export interface RetryLender {
-  readonly address: string;
-  /** Retries that it is likely to have left. */
-  readonly left: number;
-}
+// A host that reported no retries is asked for this many, since its requests earn more.
+const assumedLeft = 0.25;
 
 /** Options of the loans. */
 export interface RetryLoansOptions {
   readonly clock: Clock;
   readonly ledger: RetryLedger;
-  /** Hosts that may have retries left for a service, in the order in which to ask them. */
-  readonly listLenders: (service: string) => readonly RetryLender[];
-  /** Called when a host had less than it was asked for, or did not answer. */
-  readonly onEmpty: (lender: string, service: string) => void;
+  readonly peers: DomainPeers;
+  /** What the peers reported to have left. */
+  readonly activities: PeerActivities;
   readonly sendMessage: (message: DomainMessage, address: string) => void;
 }
 
+/** A host that may have retries left. */
+interface RetryLender {
+  readonly address: string;
+  /** Retries that it is likely to have left. */
+  readonly left: number;
+}
+
 interface OpenRequest {
   readonly lender: string;
   readonly service: string;
@@ -51,6 +54,9 @@
   /** Instant from which to search again after a search that found too little, by service. */
   private readonly searchAt = new Map<string, number>();
 
+  /** Number of searches; each begins with another host. */
+  private searches = 0;
+
   /**
    * Number of the last request. Begins with the start of the process, so that an answer to an
    * earlier process of this host is not taken.
@@ -67,9 +73,9 @@
    * together.
    */
   async borrowRetry(service: string): Promise<void> {
-    const { clock, ledger, listLenders } = this.options;
+    const { clock, ledger } = this.options;
     if (clock.now() < (this.searchAt.get(service) ?? -Infinity)) return;
-    const lenders = listLenders(service).slice(0, maxAsked);
+    const lenders = this.listLenders(service);
     let missing = ledger.computeMissing(service);
     while (missing > 0 && lenders.length > 0) {
       const asked: Promise<void>[] = [];
@@ -103,12 +109,27 @@
     if (lent > 0) {
       this.options.ledger.addCredit(service, { retries: lent, until: askedAt + leftMs });
     }
-    if (lent < request.retries) this.options.onEmpty(from, service);
+    if (lent < request.retries) this.options.activities.markEmpty(from, service);
     answered.abort();
   }
 
+  /** Lists the hosts to ask, those that are likely to have most left first. */
+  private listLenders(service: string): RetryLender[] {
+    const { peers, activities, clock } = this.options;
+    const now = clock.now();
+    this.searches += 1;
+    return peers
+      .listFrom(this.searches)
+      .map((address) => ({
+        address,
+        left: activities.readLeft(address, service, now) || assumedLeft,
+      }))
+      .sort((first, second) => second.left - first.left)
+      .slice(0, maxAsked);
+  }
+
   private async askLender(lender: string, service: string, retries: number): Promise<void> {
-    const { clock, sendMessage, onEmpty } = this.options;
+    const { clock, sendMessage, activities } = this.options;
     const now = clock.now();
     pruneMap(this.open, ({ askedAt }) => askedAt + maxAnswerMs <= now);
     this.lastId += 1;
@@ -117,6 +138,6 @@
     this.open.set(id, { lender, service, retries, askedAt: now, answered });
     sendMessage({ ...emptyDomainMessage, loanRequest: { id, service, retries } }, lender);
     await clock.sleepUntil(now + answerMs, answered.signal);
-    if (!answered.signal.aborted) onEmpty(lender, service);
+    if (!answered.signal.aborted) activities.markEmpty(lender, service);
   }
 }
--- a/src/domain/requests/RetryAccount.ts
+++ b/src/domain/requests/RetryAccount.ts
@@ -16,7 +16,7 @@
 
 /** Retries of one host, or the sum over several, for a service. */
 export interface RetryBalance {
-  /** Retries that were used or lent in the newest window. */
+  /** Retries that were used in the newest window. */
   readonly used: number;
   /** Retries that may be used now; may be a fraction. */
   readonly left: number;
@@ -70,7 +70,7 @@
   /** What was used or lent of the retries beyond the share, until it has left every window. */
   private extraUsed: readonly RetryAmount[] = [];
 
-  /** All that was used or lent in the newest window. */
+  /** Retries that this host used in the newest window. */
   private used: readonly RetryAmount[] = [];
 
   constructor(options: RetryAccountOptions) {
@@ -109,6 +109,7 @@
   takeRetry(extra: number, now: number): boolean {
     if (this.computeMissing(extra, now) > 0) return false;
     this.takeRetries(1, now);
+    this.used = [...this.used, { retries: 1, until: now + this.options.windowMs }];
     return true;
   }
 
@@ -141,7 +142,6 @@
       const until = now + windowMs + settleMs;
       this.extraUsed = [...this.extraUsed, { retries: fromExtra, until }];
     }
-    if (retries > 0) this.used = [...this.used, { retries, until: now + windowMs }];
     return Math.min(now + loanMs, ...taken.map(({ until }) => until));
   }
 
