--- a/eslint.config.js
+++ b/eslint.config.js
@@ -230,6 +230,7 @@
       'platform/**/*.ts',
       'bench/**/*.ts',
       'examples/**/*.ts',
+      'tests/runSoak.ts',
     ],
     rules: { 'n/no-process-exit': 'off' },
   },
--- /dev/null
+++ b/tests/soak/SoakHistory.ts
@@ -0,0 +1,40 @@
+import type { SoakEvent, SoakEventKind, TimedEvent } from './SoakEvent.ts';
+
+// Rules with a time bound hold for a host that was not disturbed for this long.
+const contactMs = 3000;
+
+type RequestEventKind =
+  'request_sent' | 'request_answered' | 'request_cut' | 'request_arrived' | 'request_ran';
+
+/** All events of a run, in the order of their time. */
+export default class SoakHistory {
+  private readonly events: TimedEvent[] = [];
+
+  record(event: SoakEvent, at: number): void {
+    this.events.push({ ...event, at });
+  }
+
+  list<Kind extends SoakEventKind>(kind: Kind): readonly TimedEvent<Kind>[] {
+    return this.events.filter((event): event is TimedEvent<Kind> => event.kind === kind);
+  }
+
+  /** Maps events of a kind by request id; of several, the first counts. */
+  mapById<Kind extends RequestEventKind>(kind: Kind): ReadonlyMap<string, TimedEvent<Kind>> {
+    const events = new Map<string, TimedEvent<Kind>>();
+    this.list(kind).forEach((event) => {
+      const { id } = event as TimedEvent<RequestEventKind>;
+      if (!events.has(id)) events.set(id, event);
+    });
+    return events;
+  }
+
+  /** Whether a host, or any control host, was disturbed within the contact time or since `from`. */
+  isDisturbed(host: string, from: number, to: number): boolean {
+    return this.list('host_disturbed').some(
+      (event) =>
+        (event.host === host || event.role === 'control') &&
+        event.at > from - contactMs &&
+        event.at <= to,
+    );
+  }
+}
--- /dev/null
+++ b/tests/soak/drawPlan.ts
@@ -0,0 +1,75 @@
+import SeededRandom from '../fixtures/SeededRandom.ts';
+import type { LinkFault, SoakPlan, SoakStep, UpstreamMode } from './SoakPlan.ts';
+
+// The time after the last fault: recovery, and five seconds in which requests are counted.
+const calmMs = 20_000;
+const startMs = 2000;
+const modes: readonly UpstreamMode[] = [
+  ...(['failing', 'resetting', 'hanging', 'slow'] as const),
+  ...(['truncating', 'doubling', 'refusing', 'endless'] as const),
+];
+const linkFaults: readonly LinkFault[] = [
+  ...(['delayed', 'reset', 'silent_to_upstream', 'silent_from_upstream'] as const),
+];
+const hostKinds = ['kill', 'stop', 'stop', 'pause', 'hangup'] as const;
+
+/** Size of the runs that are drawn. */
+export interface PlanSize {
+  readonly seed: number;
+  readonly durationMs: number;
+  /** Number of entry hosts. */
+  readonly size: number;
+}
+
+/** Draws a plan; the same seed and size give the same plan. */
+export default function drawPlan({ seed, durationMs, size }: PlanSize): SoakPlan {
+  const random = new SeededRandom(seed);
+  const draw = (count: number): number => Math.floor(random.next() * count);
+  const choose = <Value>(values: readonly Value[]): Value => values[draw(values.length)] as Value;
+  const controlHosts = size >= 12 ? 5 : 3;
+  const upstreams = 2 + Math.ceil(size / 2);
+  const faultMs = durationMs - calmMs - startMs;
+  const drawTime = (): number => startMs + draw(faultMs);
+
+  const drawHostStep = (): SoakStep => {
+    const role = random.next() < 0.35 ? 'control' : 'entry';
+    const target = draw(role === 'control' ? controlHosts : size);
+    const kind = choose(hostKinds);
+    return { kind, role, target, atMs: drawTime(), forMs: 200 + draw(3000) };
+  };
+  // A series stops or kills all hosts of a role, at once or one after the other.
+  const drawSeries = (): readonly SoakStep[] => {
+    const kind = choose(['stop', 'kill'] as const);
+    const role = choose(['control', 'entry'] as const);
+    const firstAt = drawTime();
+    const gapMs = random.next() < 0.4 ? 0 : 500 + draw(2500);
+    const count = role === 'control' ? controlHosts : size;
+    return Array.from({ length: count }, (_, target) => ({
+      ...{ kind, role, target, forMs: 200, atMs: firstAt + target * gapMs },
+    }));
+  };
+  const drawUpstreamStep = (): SoakStep => {
+    const target = draw(2 * upstreams);
+    const times = { target, atMs: drawTime(), forMs: 1000 + draw(6000) };
+    const number = random.next();
+    const isWide = random.next() < 0.2;
+    if (number < 0.45) return { kind: 'mode', mode: choose(modes), isWide, ...times };
+    if (number < 0.7) return { kind: 'link', fault: choose(linkFaults), ...times };
+    return { kind: number < 0.9 ? 'leave' : 'crash', target, atMs: times.atMs };
+  };
+  const drawPreset = (): SoakStep => ({ kind: 'preset', atMs: drawTime() });
+
+  const perMinute = (count: number): number => Math.ceil((count * faultMs) / 60_000);
+  const steps = [
+    ...Array.from({ length: perMinute(16 + size) }, drawHostStep),
+    ...(random.next() < 0.6 ? drawSeries() : []),
+    ...Array.from({ length: perMinute(30 + 2 * size) }, drawUpstreamStep),
+    ...Array.from({ length: perMinute(20) }, drawPreset),
+  ];
+  return {
+    ...{ seed, durationMs, controlHosts, entryHosts: size, upstreams, callers: 6 * size },
+    steps: steps
+      .filter(({ atMs }) => atMs < startMs + faultMs)
+      .sort((first, second) => first.atMs - second.atMs),
+  };
+}
