--- a/review/lib/Target.mjs
+++ b/review/lib/Target.mjs
@@ -7,6 +7,9 @@
 const callTimeoutMs = 1000;
 const maxBackoffMs = 400;
 
+// Requests that wait for a slot; further ones are rejected.
+const maxWaiting = 8;
+
 /** A stand-in target: it announces itself, runs requests in its slots and can leave. */
 export default class Target {
   state = 'ready';
@@ -15,6 +18,8 @@
 
   running = 0;
 
+  waiting = [];
+
   heartbeatAddress = undefined;
 
   isClosed = false;
@@ -125,22 +130,44 @@
       refuse(421, { 'x-instance-id': this.id, 'x-not-executed': '1' });
       return;
     }
-    if (this.running >= this.slots) {
+    if (this.running >= this.slots && this.waiting.length >= maxWaiting) {
       refuse(503, { 'x-not-executed': '1' });
       return;
     }
-    this.running += 1;
+    if (!(await this.takeSlot(response))) return;
     this.record({ event: 'run', id: this.id, attempt, method, url });
     await Promise.all([request.toArray(), sleep(this.workMs)]).catch(() => undefined);
-    this.running -= 1;
+    this.releaseSlot();
     const body = `answer of ${this.id} to ${attempt}`;
     response.writeHead(200, {
       'x-attempt-id': attempt,
       'x-response-signature': `s.${this.id}.${attempt}`,
-      'x-server-load': `${this.running},0,${this.slots}`,
+      'x-server-load': `${this.running},${this.waiting.length},${this.slots}`,
       'content-length': Buffer.byteLength(body),
       ...(this.state === 'ready' ? {} : { connection: 'close' }),
     });
     response.end(body);
   }
+
+  /** Resolves to false when the connection closes before a slot is free. */
+  async takeSlot(response) {
+    if (this.running < this.slots) {
+      this.running += 1;
+      return true;
+    }
+    return new Promise((resolve) => {
+      const grant = () => resolve(true);
+      this.waiting.push(grant);
+      response.once('close', () => {
+        this.waiting = this.waiting.filter((other) => other !== grant);
+        resolve(false);
+      });
+    });
+  }
+
+  releaseSlot() {
+    const next = this.waiting.shift();
+    if (next) next();
+    else this.running -= 1;
+  }
 }
