review: show that uploads are denied while their route moves to another service

Cause: the service of a request is looked up again once its body is complete, in the newer configuration.

--- a/review/lib/settings.mjs
+++ b/review/lib/settings.mjs
@@ -41,7 +41,7 @@
 }
 
 /** A configuration with one safe and one unsafe route, each to a service of its own. */
-export function createConfig(version, changes = {}) {
+export function createConfig(version, changes = {}, services = ['history', 'kilns']) {
   const common = { host: 'a.example', priority: 1, maxAttempts: 2, objective: '1000ms' };
   return {
     version,
@@ -55,7 +55,7 @@
         ...{ timeout: '4000ms', service: 'kilns', ...changes.book },
       },
     ],
-    services: ['history', 'kilns'].map((name) => ({
+    services: services.map((name) => ({
       ...{ name, healthPath: '/health', maxConns: 390, protocol: 'h1', tls: false },
     })),
     limits: {
