--- a/src/application/fleet/RegistrationService.ts
+++ b/src/application/fleet/RegistrationService.ts
@@ -5,6 +5,7 @@
 import type UpstreamRegistry from '../../domain/membership/UpstreamRegistry.ts';
 import type Clock from '../../ports/Clock.ts';
 import type Log from '../../ports/Log.ts';
+import type { ReplicaRole } from '../replication/ReplicaContext.ts';
 import type CommandForwarder from './CommandForwarder.ts';
 
 // Upstreams call another control host after 1 s without an answer.
@@ -15,17 +16,25 @@
 /** Whether the active preset of a control host has a service; `undecided` before any preset. */
 export type ServiceCheckResult = 'known' | 'unknown' | 'undecided';
 
+/** The part of the replica that the service uses. */
+export interface RegistrationReplica {
+  readonly role: ReplicaRole;
+  readonly appliedIndex: number;
+  /** Whether this host is in contact with a leader and has applied what it had missed. */
+  readonly isCurrent: boolean;
+}
+
 /** Options of the service. */
 export interface RegistrationServiceOptions {
   readonly clock: Clock;
   readonly log: Log;
+  readonly replica: RegistrationReplica;
   readonly registry: UpstreamRegistry;
   readonly forwarder: CommandForwarder;
   /** Peers address of this control host. */
   readonly ownAddress: string;
   /** Whether the control host with this peers address is known. */
   readonly isKnownHost: (address: string) => boolean;
-  readonly isLeading: () => boolean;
   /** Whether the active preset has the service; `undecided` before the first preset. */
   readonly checkService: (service: string) => ServiceCheckResult;
   /** Time without an announcement after which an upstream is silent, in milliseconds. */
@@ -51,21 +60,17 @@
    * it is committed. After `no_quorum` or `not_leader`, the upstream may try another control host.
    */
   async acceptRegistration(registration: Registration): Promise<Result<void>> {
-    const { registry, log } = this.options;
+    const { registry } = this.options;
     const { upstream, service } = registration;
     const refusal = this.findRefusal(upstream, service);
     if (refusal) return { ok: false, failure: refusal };
     const keeper = this.chooseTrackingHost(upstream);
     const result = registry.checkRegistration(registration, keeper);
-    if (result === 'stale') {
-      log.info('membership: ignored a stale announcement', {
-        upstream,
-        sequence: registration.sequence,
-      });
+    if (result !== 'stale') this.resetSilenceTimeout(upstream);
+    if (result !== 'changed') {
+      this.recordUncommitted(result, registration);
       return { ok: true, value: undefined };
     }
-    this.resetSilenceTimeout(upstream);
-    if (result === 'unchanged') return { ok: true, value: undefined };
     return this.commitChange({ kind: 'register_upstream', registration, keeper });
   }
 
@@ -75,7 +80,10 @@
    */
   async removeUpstream(upstream: string, bornAt: number | undefined): Promise<Result<void>> {
     const current = this.options.registry.findUpstream(upstream);
-    if (!current || current.state === 'gone') return { ok: true, value: undefined };
+    if (!current || current.state === 'gone') {
+      this.recordUncommitted('removed', { upstream, bornAt });
+      return { ok: true, value: undefined };
+    }
     return this.commitChange({
       kind: 'remove_upstream',
       upstream,
@@ -147,8 +155,8 @@
 
   // The leader tracks the announcements in place of control hosts that it does not know.
   private isResponsible(keeper: string): boolean {
-    const { ownAddress, isKnownHost, isLeading } = this.options;
-    return keeper === ownAddress || (isLeading() && !isKnownHost(keeper));
+    const { ownAddress, isKnownHost, replica } = this.options;
+    return keeper === ownAddress || (replica.role === 'leader' && !isKnownHost(keeper));
   }
 
   private resetSilenceTimeout(upstream: string): void {
@@ -156,6 +164,34 @@
     this.announcementDueAt.set(upstream, clock.now() + silenceMs);
   }
 
+  // What this host knows decides such an answer, so the line says how old that is. Announcements
+  // that change nothing come every second from each upstream.
+  private recordUncommitted(
+    result: 'unchanged' | 'stale' | 'removed',
+    call: {
+      readonly upstream: string;
+      readonly bornAt: number | undefined;
+      readonly sequence?: number;
+      readonly state?: string;
+    },
+  ): void {
+    const { log, registry, replica } = this.options;
+    const { upstream, bornAt, sequence, state } = call;
+    const known = registry.findUpstream(upstream);
+    log[result === 'unchanged' ? 'debug' : 'info']('membership: answered a call without a commit', {
+      result,
+      upstream,
+      bornAt,
+      sequence,
+      state,
+      knownState: known?.state,
+      knownBornAt: known?.bornAt,
+      knownSequence: known?.sequence,
+      appliedIndex: replica.appliedIndex,
+      isCurrent: replica.isCurrent,
+    });
+  }
+
   private async commitChange(command: RegisterUpstream | RemoveUpstream): Promise<Result<void>> {
     const { clock, forwarder, log } = this.options;
     const { upstream, state } =
--- a/src/daemon/FleetControlHost.ts
+++ b/src/daemon/FleetControlHost.ts
@@ -110,11 +110,11 @@
     this.registrations = new RegistrationService({
       clock,
       log,
+      replica,
       registry: state.registry,
       forwarder: this.forwarder,
       ownAddress,
       isKnownHost: (address) => this.discovery.findHost(address) !== undefined,
-      isLeading: () => replica.role === 'leader',
       checkService: (service) => this.checkService(service),
       silenceMs: settings.upstreamSilenceMs,
     });
--- a/tests/platform/controlFrontEnd.test.ts
+++ b/tests/platform/controlFrontEnd.test.ts
@@ -82,11 +82,11 @@
       registrations: new RegistrationService({
         clock,
         log,
+        replica: { role: 'leader', appliedIndex: 0, isCurrent: true },
         registry: state.registry,
         forwarder,
         ownAddress: 'c1',
         isKnownHost: () => true,
-        isLeading: () => true,
         checkService: (service) => {
           if (!state.numberedPreset) return 'undecided';
           return service === 'kilns' ? 'known' : 'unknown';
