--- a/src/adapters/trpc/controlMessages.ts
+++ b/src/adapters/trpc/controlMessages.ts
@@ -36,7 +36,7 @@
   z.object({
     kind: z.literal('remove_upstream'),
     upstream: z.string(),
-    bornAt: z.int(),
+    bornAt: createOptionalSchema(z.int()),
     state: z.enum(['gone', 'silent']),
   }),
 ]);
--- a/src/adapters/trpc/fleetMessages.ts
+++ b/src/adapters/trpc/fleetMessages.ts
@@ -58,5 +58,8 @@
 
 /** Answer of `fleet.propose`. */
 export const proposeAnswerSchema = createResultSchema<ControlReply>(
-  z.object({ kind: z.literal('accepted') }),
+  z.object({
+    kind: z.literal('accepted'),
+    registryEffect: createOptionalSchema(z.enum(['changed', 'unchanged', 'stale'])),
+  }),
 );
--- a/src/application/fleet/RegistrationService.ts
+++ b/src/application/fleet/RegistrationService.ts
@@ -76,20 +76,17 @@
 
   /**
    * Marks an upstream as `gone`. `bornAt` names the incarnation; it is undefined when the upstream
-   * did not send it.
+   * did not send it. Fails like `acceptRegistration`.
    */
   async removeUpstream(upstream: string, bornAt: number | undefined): Promise<Result<void>> {
     const current = this.options.registry.findUpstream(upstream);
-    if (!current || current.state === 'gone') {
+    // This host may lack committed changes. Only the end of a run is certain without them, because
+    // a run that has left does not come back.
+    if (current?.state === 'gone' && bornAt !== undefined && bornAt <= current.bornAt) {
       this.recordUncommitted('removed', { upstream, bornAt });
       return { ok: true, value: undefined };
     }
-    return this.commitChange({
-      kind: 'remove_upstream',
-      upstream,
-      bornAt: bornAt ?? current.bornAt,
-      state: 'gone',
-    });
+    return this.commitChange({ kind: 'remove_upstream', upstream, bornAt, state: 'gone' });
   }
 
   /** Removes upstreams whose announcements stopped, until the signal aborts. */
@@ -194,14 +191,19 @@
 
   private async commitChange(command: RegisterUpstream | RemoveUpstream): Promise<Result<void>> {
     const { clock, forwarder, log } = this.options;
-    const { upstream, state } =
+    const { upstream, bornAt, state } =
       command.kind === 'register_upstream' ? command.registration : command;
     const committed = await forwarder.commitCommand(command, clock.now() + commitTimeoutMs);
     log.info('membership: a change of the registry was proposed', {
       change: command.kind,
       upstream,
+      bornAt,
       state,
       outcome: committed.ok ? 'committed' : committed.failure.kind,
+      effect:
+        committed.ok && committed.value.kind === 'accepted'
+          ? committed.value.registryEffect
+          : undefined,
     });
     return committed.ok ? { ok: true, value: undefined } : committed;
   }
--- a/src/domain/control/ControlCommand.ts
+++ b/src/domain/control/ControlCommand.ts
@@ -1,7 +1,7 @@
 import type { ClaimChange, ClaimDecision } from '../claims/Claim.ts';
 import type Result from '../errors/Result.ts';
 import type { Registration } from '../membership/RegisteredUpstream.ts';
-import type { Removal } from '../membership/UpstreamRegistry.ts';
+import type { Removal, RegistryEffect } from '../membership/UpstreamRegistry.ts';
 import type NumberedPreset from '../presets/NumberedPreset.ts';
 import type Preset from '../presets/Preset.ts';
 
@@ -66,5 +66,9 @@
 /** The reply that the proposer of a command receives when the command is applied. */
 export type ControlReply =
   | { readonly kind: 'preset_change'; readonly result: Result<AcceptedChange> }
-  | { readonly kind: 'accepted' }
+  | {
+      readonly kind: 'accepted';
+      /** Set for a command that concerns an upstream. */
+      readonly registryEffect?: RegistryEffect | undefined;
+    }
   | { readonly kind: 'claims'; readonly decisions: readonly ClaimDecision[] };
--- a/src/domain/control/ControlStateMachine.ts
+++ b/src/domain/control/ControlStateMachine.ts
@@ -47,12 +47,16 @@
       case 'put_numbered_preset':
         this.applyNumberedPreset(command);
         return { kind: 'accepted' };
-      case 'register_upstream':
-        this.registry.applyRegistration(command.registration, command.keeper, position.index);
-        return { kind: 'accepted' };
+      case 'register_upstream': {
+        const { registration, keeper } = command;
+        const effect = this.registry.applyRegistration(registration, keeper, position.index);
+        return { kind: 'accepted', registryEffect: effect };
+      }
       case 'remove_upstream':
-        this.registry.applyRemoval(command, position.index);
-        return { kind: 'accepted' };
+        return {
+          kind: 'accepted',
+          registryEffect: this.registry.applyRemoval(command, position.index),
+        };
       case 'change_claims':
         return { kind: 'claims', decisions: this.claims.applyChanges(command.changes, position) };
       default:
--- a/src/domain/membership/RegisteredUpstream.ts
+++ b/src/domain/membership/RegisteredUpstream.ts
@@ -24,7 +24,10 @@
   readonly warmMs: number;
 }
 
-/** An upstream as the control group stores it. */
+/**
+ * An upstream as the control group stores it. The tombstone of a run that was never registered has
+ * only its name and `bornAt`; its other fields are empty or 0.
+ */
 export default interface RegisteredUpstream extends Omit<Registration, 'state'> {
   readonly state: RegisteredState;
   /** Address of the peers listener of the control host that receives the announcements. */
--- a/src/domain/membership/UpstreamRegistry.ts
+++ b/src/domain/membership/UpstreamRegistry.ts
@@ -15,12 +15,22 @@
 /** The end of a run of an upstream, which left (`gone`) or stopped announcing itself (`silent`). */
 export interface Removal {
   readonly upstream: string;
-  readonly bornAt: number;
+  /** Undefined for the run that is registered when the removal is applied. */
+  readonly bornAt: number | undefined;
   readonly state: 'gone' | 'silent';
 }
 
-/** What a registration does to the registry; `stale` when the registry has newer information. */
-export type RegistrationResult = 'changed' | 'unchanged' | 'stale';
+/**
+ * What a registration or a removal does to the registry; `stale` when the registry has newer
+ * information.
+ */
+export type RegistryEffect = 'changed' | 'unchanged' | 'stale';
+
+// What the tombstone of a run that was never registered says of the run.
+const unregistered = {
+  ...{ service: '', address: '', failureDomain: '', slots: 0 },
+  ...{ sequence: 0, warmMs: 0, keeper: '' },
+};
 
 /** The registered upstreams; every control host applies the same changes in the same order. */
 export default class UpstreamRegistry {
@@ -39,7 +49,7 @@
   }
 
   /** Determines what a registration would do to the registry. */
-  checkRegistration(registration: Registration, keeper: string): RegistrationResult {
+  checkRegistration(registration: Registration, keeper: string): RegistryEffect {
     const { bornAt, sequence, address, state } = registration;
     const current = this.records.get(registration.upstream);
     if (this.isReplaced(registration)) return 'stale';
@@ -58,22 +68,32 @@
   }
 
   /** Applies a registration that changes the registry; others are ignored. */
-  applyRegistration(registration: Registration, keeper: string, index: number): void {
-    if (this.checkRegistration(registration, keeper) !== 'changed') return;
+  applyRegistration(registration: Registration, keeper: string, index: number): RegistryEffect {
+    const effect = this.checkRegistration(registration, keeper);
+    if (effect !== 'changed') return effect;
     // Any other upstream at the same address has stopped, even if it did not announce that.
     this.listUpstreams()
       .filter((other) => other.address === registration.address)
       .filter((other) => other.upstream !== registration.upstream)
       .forEach((other) => this.storeRecord({ ...other, state: 'gone', changedAt: index }));
     this.storeRecord({ ...registration, keeper, changedAt: index });
+    return effect;
   }
 
   /** Marks the run of an upstream as `gone` or `silent`; a later run is not changed. */
-  applyRemoval({ upstream, bornAt, state }: Removal, index: number): void {
+  applyRemoval({ upstream, bornAt, state }: Removal, index: number): RegistryEffect {
     const current = this.records.get(upstream);
-    if (!current || current.state === 'gone' || current.bornAt > bornAt || current.state === state)
-      return;
-    this.storeRecord({ ...current, state, changedAt: index });
+    const endedBornAt = bornAt ?? current?.bornAt;
+    if (endedBornAt === undefined) return 'unchanged';
+    if (current && current.bornAt > endedBornAt) return 'stale';
+    const isSameRun = current?.bornAt === endedBornAt;
+    if (isSameRun && (current.state === 'gone' || current.state === state)) return 'unchanged';
+    if (state === 'silent' && !isSameRun) return 'stale';
+    // A run that left before it was registered gets a tombstone too, because its announcements may
+    // still arrive.
+    const record = current ?? { ...unregistered, upstream };
+    this.storeRecord({ ...record, bornAt: endedBornAt, state, changedAt: index });
+    return 'changed';
   }
 
   /** The records that changed after an index; all upstreams for an index that is too old. */
