--- a/tests/platform/controlFrontEnd.test.ts
+++ b/tests/platform/controlFrontEnd.test.ts
@@ -17,6 +17,7 @@
   service: 'kilns',
   address: '10.0.0.1:8080',
   zone: 'north',
+  version: 'v1',
   slots: 4,
   state: 'ready',
   warmupLeft: '0ms',
@@ -181,6 +182,16 @@
     expect(state.registry.findUpstream('i-1')?.state).toBe('serving');
   });
 
+  // Guards against a message of another writer that removes a live upstream.
+  it('should refuse a deregistration that cannot be read and keep the upstream', async () => {
+    const call = { method: 'DELETE', body: '{"born":' };
+
+    const refused = await fetch(`${origin}/instances/i-1`, call);
+
+    expect(refused.status).toBe(400);
+    expect(state.registry.findUpstream('i-1')?.state).toBe('serving');
+  });
+
   it('should remove an upstream that deregisters', async () => {
     const accepted = await fetch(`${origin}/instances/i-1`, { method: 'DELETE' });
 
@@ -191,6 +202,7 @@
   it.each([
     ['a service that the configuration does not name', '/instances/i-2', { service: 'other' }, 400],
     ['a field of another type', '/instances/i-2', { slots: 'four' }, 400],
+    ['a missing field', '/instances/i-2', { version: undefined }, 400],
     ['an unknown path', '/elsewhere', {}, 404],
   ])('should refuse an announcement with %s', async (_title, path, changes, status) => {
     const refused = await put(path, JSON.stringify({ ...announcement, ...changes }));
--- a/tests/platform/decode.test.ts
+++ b/tests/platform/decode.test.ts
@@ -40,6 +40,11 @@
   it.each([
     ['a missing service', { service: undefined }, 'service'],
     ['a service of another type', { service: 7 }, 'service'],
+    ['a missing version', { version: undefined }, 'version'],
+    ['a version that is null', { version: null }, 'version'],
+    ['a version of another type', { version: 1 }, 'version'],
+    ['a nested version', { version: { name: 'v1' } }, 'version'],
+    ['an empty version', { version: '' }, 'version'],
     ['an unknown state', { state: 'asleep' }, 'state'],
     ['an address without a port', { address: '10.0.0.1' }, 'address'],
     ['a fractional process start time', { born: 1.5 }, 'born'],
@@ -125,13 +130,39 @@
     expect(decodeRegistration('i-1', text).ok).toBe(false);
   });
 
+  // Guards against another writer that takes live upstreams out of use: whatever lacks a field, or
+  // has one of another type, is refused.
+  it('should refuse an announcement without any one field but the start time', () => {
+    const optional = ['born'];
+    const refused = Object.keys(announcement).filter(
+      (key) => !decodeRegistration('i-1', JSON.stringify({ ...announcement, [key]: undefined })).ok,
+    );
+
+    expect(refused).toEqual(Object.keys(announcement).filter((key) => !optional.includes(key)));
+  });
+
   it.each([
     ['', undefined],
+    ['{}', undefined],
     ['{"born":5}', 5],
-    ['{"born":"x"}', undefined],
-    ['{', undefined],
   ])('should decode the deregistration body "%s"', (text, bornAt) => {
-    expect(decodeDeregistration(text)).toBe(bornAt);
+    expect(decodeDeregistration('i-1', text)).toEqual({ ok: true, value: bornAt });
+  });
+
+  // Guards against a message of another writer that removes a live upstream.
+  it.each([
+    ['i-1', '{"born":"x"}'],
+    ['i-1', '{"born":null}'],
+    ['i-1', '{"born":1.5}'],
+    ['i-1', '{'],
+    ['i-1', '[]'],
+    ['i-1', 'null'],
+    ['a b', ''],
+    ['', ''],
+  ])('should refuse a deregistration of "%s" with the body "%s"', (upstream, text) => {
+    const decoded = decodeDeregistration(upstream, text);
+
+    expect(decoded.ok ? '' : decoded.failure.kind).toBe('announcement_invalid');
   });
 });
 
--- a/tests/soak/SoakUpstream.ts
+++ b/tests/soak/SoakUpstream.ts
@@ -108,7 +108,10 @@
     while (!this.isClosed && Date.now() < deadline) {
       this.sequence += 1;
       const { sequence, address, bornAt: born } = this;
-      const content = { service, address, zone: 'north', slots: 4, state, warmupLeft: '0ms' };
+      const content = {
+        ...{ service, address, zone: 'north', version: 'v1' },
+        ...{ slots: 4, state, warmupLeft: '0ms' },
+      };
       const body = JSON.stringify({ ...content, sequence, born });
       const ip = fleet.controlIps[Math.floor(random.next() * fleet.controlIps.length)] ?? '';
       const call = fleet.put(ip, `/instances/${this.name}`, body).then(({ ok }) => ok);
