--- a/src/application/fleet/RegistrationService.ts
+++ b/src/application/fleet/RegistrationService.ts
@@ -12,6 +12,11 @@
 const commitTimeoutMs = 900;
 const sweepIntervalMs = 1000;
 const announcementsToTakeOver = 3;
+// Time without an announcement after which an upstream is silent while another one has announced
+// the same address. Upstreams announce themselves about every 1.5 s.
+const contestedSilenceMs = 5000;
+// Number of stale announcements after which an upstream is known to run and to be out of use.
+const staleToWarn = 3;
 
 /** Whether the active preset of a control host has a service; `undecided` before any preset. */
 export type ServiceCheckResult = 'known' | 'unknown' | 'undecided';
@@ -41,16 +46,35 @@
   readonly silenceMs: number;
 }
 
+/** When an upstream that sends no further announcement is silent. */
+interface SilenceDeadlines {
+  readonly silentAt: number;
+  /** The same while another upstream has announced its address. */
+  readonly contestedSilentAt: number;
+}
+
+/** Stale announcements of one run. */
+interface StaleRun {
+  readonly bornAt: number;
+  readonly sequence: number;
+  readonly count: number;
+}
+
 /** Handles the announcements of upstreams at a control host. */
 export default class RegistrationService {
   private readonly options: RegistrationServiceOptions;
 
-  /** Instant by which the next announcement of each upstream that this host tracks is due. */
-  private readonly announcementDueAt = new Map<string, number>();
+  /** By upstream that this host tracks. */
+  private readonly deadlines = new Map<string, SilenceDeadlines>();
 
   /** Number of announcements that this host received, by upstream. */
   private readonly announcementCounts = new Map<string, number>();
 
+  private readonly staleRuns = new Map<string, StaleRun>();
+
+  /** Upstreams that this host tracks and whose address another one has announced. */
+  private contested: ReadonlySet<string> = new Set();
+
   constructor(options: RegistrationServiceOptions) {
     this.options = options;
   }
@@ -66,7 +90,8 @@
     if (refusal) return { ok: false, failure: refusal };
     const keeper = this.chooseTrackingHost(upstream);
     const result = registry.checkRegistration(registration, keeper);
-    if (result !== 'stale') this.resetSilenceTimeout(upstream);
+    if (result === 'stale') this.recordStale(registration);
+    else this.resetSilenceTimeout(upstream);
     if (result !== 'changed') {
       this.recordUncommitted(result, registration);
       return { ok: true, value: undefined };
@@ -117,22 +142,23 @@
       .listUpstreams()
       .filter(({ keeper, state }) => state !== 'silent' && this.isResponsible(keeper));
     const names = new Set(trackedUpstreams.map(({ upstream }) => upstream));
-    [...this.announcementDueAt.keys()]
+    [...this.deadlines.keys()]
       .filter((upstream) => !names.has(upstream))
       .forEach((upstream) => {
-        this.announcementDueAt.delete(upstream);
+        this.deadlines.delete(upstream);
         this.announcementCounts.delete(upstream);
       });
     // An upstream whose announcements this host has just taken over gets the whole silence timeout.
     trackedUpstreams
-      .filter(({ upstream }) => !this.announcementDueAt.has(upstream))
+      .filter(({ upstream }) => !this.deadlines.has(upstream))
       .forEach(({ upstream }) => this.resetSilenceTimeout(upstream));
-    const silent = trackedUpstreams.filter(
-      ({ upstream }) => (this.announcementDueAt.get(upstream) ?? now) < now,
-    );
+    this.updateContested(names);
+    const silent = trackedUpstreams.filter(({ upstream }) => this.getSilentAt(upstream) < now);
     await Promise.all(
       silent.map(async ({ upstream, bornAt }) => {
-        log.info('membership: the announcements of an upstream stopped', { upstream, bornAt });
+        const isContested = this.contested.has(upstream);
+        const fields = { upstream, bornAt, isContested };
+        log.info('membership: the announcements of an upstream stopped', fields);
         const command = { kind: 'remove_upstream', upstream, bornAt, state: 'silent' } as const;
         await this.commitChange(command);
       }),
@@ -158,7 +184,48 @@
 
   private resetSilenceTimeout(upstream: string): void {
     const { clock, silenceMs } = this.options;
-    this.announcementDueAt.set(upstream, clock.now() + silenceMs);
+    const now = clock.now();
+    this.deadlines.set(upstream, {
+      silentAt: now + silenceMs,
+      contestedSilentAt: now + Math.min(silenceMs, contestedSilenceMs),
+    });
+    this.staleRuns.delete(upstream);
+  }
+
+  private getSilentAt(upstream: string): number {
+    const deadlines = this.deadlines.get(upstream);
+    if (!deadlines) return Infinity;
+    return this.contested.has(upstream) ? deadlines.contestedSilentAt : deadlines.silentAt;
+  }
+
+  private updateContested(trackedNames: ReadonlySet<string>): void {
+    const { log, registry } = this.options;
+    const contested = registry.listContested().filter(({ upstream }) => trackedNames.has(upstream));
+    contested
+      .filter(({ upstream }) => !this.contested.has(upstream))
+      .forEach(({ upstream, bornAt, address }) =>
+        log.warn('membership: another upstream announced the address of one that is in use', {
+          ...{ upstream, bornAt, address },
+        }),
+      );
+    this.contested = new Set(contested.map(({ upstream }) => upstream));
+  }
+
+  // A delayed announcement is ignored. A run that sends one after the other is alive, but out of
+  // use: another writer used its name, or its start time went back.
+  private recordStale({ upstream, bornAt, sequence }: Registration): void {
+    const { log, registry } = this.options;
+    const last = this.staleRuns.get(upstream);
+    const isSameRun = last?.bornAt === bornAt;
+    if (isSameRun && sequence <= last.sequence) return;
+    const count = isSameRun ? last.count + 1 : 1;
+    this.staleRuns.set(upstream, { bornAt, sequence, count });
+    if (count !== staleToWarn) return;
+    const known = registry.findUpstream(upstream);
+    log.warn('membership: an upstream that announces itself is not in use', {
+      ...{ upstream, bornAt, sequence },
+      ...{ knownState: known?.state, knownBornAt: known?.bornAt },
+    });
   }
 
   // What this host knows decides such an answer, so the line says how old that is. Announcements
--- a/src/domain/membership/UpstreamRegistry.ts
+++ b/src/domain/membership/UpstreamRegistry.ts
@@ -44,6 +44,18 @@
     return [...this.records.values()].filter(({ state }) => state !== 'gone');
   }
 
+  /**
+   * Upstreams that are serving or leaving and announced an address that another one of them
+   * announced too. At most one of them is there: the others have stopped, or another writer named
+   * the address.
+   */
+  listContested(): readonly RegisteredUpstream[] {
+    const inUse = this.listUpstreams().filter(({ state }) => state !== 'silent');
+    const counts = new Map<string, number>();
+    inUse.forEach(({ address }) => counts.set(address, (counts.get(address) ?? 0) + 1));
+    return inUse.filter(({ address }) => (counts.get(address) ?? 0) > 1);
+  }
+
   findUpstream(upstream: string): RegisteredUpstream | undefined {
     return this.records.get(upstream);
   }
@@ -52,7 +64,6 @@
   checkRegistration(registration: Registration, keeper: string): RegistryEffect {
     const { bornAt, sequence, address, state } = registration;
     const current = this.records.get(registration.upstream);
-    if (this.isReplaced(registration)) return 'stale';
     if (!current) return 'changed';
     if (bornAt !== current.bornAt) return bornAt > current.bornAt ? 'changed' : 'stale';
     // A run that has left does not come back, so a late announcement of it is ignored.
@@ -71,11 +82,6 @@
   applyRegistration(registration: Registration, keeper: string, index: number): RegistryEffect {
     const effect = this.checkRegistration(registration, keeper);
     if (effect !== 'changed') return effect;
-    // Any other upstream at the same address has stopped, even if it did not announce that.
-    this.listUpstreams()
-      .filter((other) => other.address === registration.address)
-      .filter((other) => other.upstream !== registration.upstream)
-      .forEach((other) => this.storeRecord({ ...other, state: 'gone', changedAt: index }));
     this.storeRecord({ ...registration, keeper, changedAt: index });
     return effect;
   }
@@ -121,13 +127,6 @@
     return this.prunedThrough;
   }
 
-  // A delayed announcement may name an address that a newer upstream has taken over.
-  private isReplaced({ upstream, address, bornAt }: Registration): boolean {
-    return this.listUpstreams().some(
-      (other) => other.address === address && other.upstream !== upstream && other.bornAt > bornAt,
-    );
-  }
-
   private storeRecord(record: RegisteredUpstream): void {
     this.records.set(record.upstream, record);
     const tombstones = [...this.records.values()].filter(({ state }) => state === 'gone');
