--- a/src/application/fleet/RegistrationService.ts
+++ b/src/application/fleet/RegistrationService.ts
@@ -1,3 +1,4 @@
+import pruneMap from '../../domain/collections/pruneMap.ts';
 import type { RegisterUpstream, RemoveUpstream } from '../../domain/control/ControlCommand.ts';
 import type Failure from '../../domain/errors/Failure.ts';
 import type Result from '../../domain/errors/Result.ts';
@@ -53,6 +54,12 @@
   readonly contestedSilentAt: number;
 }
 
+/** Number of announcements of an upstream since the control host `keeper` tracks it. */
+interface AnnouncementCount {
+  readonly keeper: string;
+  readonly count: number;
+}
+
 /** Stale announcements of one run. */
 interface StaleRun {
   readonly bornAt: number;
@@ -67,8 +74,8 @@
   /** By upstream that this host tracks. */
   private readonly deadlines = new Map<string, SilenceDeadlines>();
 
-  /** Number of announcements that this host received, by upstream. */
-  private readonly announcementCounts = new Map<string, number>();
+  /** Announcements that this host received of upstreams that another one tracks. */
+  private readonly announcementCounts = new Map<string, AnnouncementCount>();
 
   private readonly staleRuns = new Map<string, StaleRun>();
 
@@ -142,12 +149,11 @@
       .listUpstreams()
       .filter(({ keeper, state }) => state !== 'silent' && this.isResponsible(keeper));
     const names = new Set(trackedUpstreams.map(({ upstream }) => upstream));
-    [...this.deadlines.keys()]
-      .filter((upstream) => !names.has(upstream))
-      .forEach((upstream) => {
-        this.deadlines.delete(upstream);
-        this.announcementCounts.delete(upstream);
-      });
+    pruneMap(this.deadlines, (_deadlines, upstream) => !names.has(upstream));
+    const isUnknown = (_value: unknown, upstream: string): boolean =>
+      !registry.findUpstream(upstream);
+    pruneMap(this.announcementCounts, isUnknown);
+    pruneMap(this.staleRuns, isUnknown);
     // An upstream whose announcements this host has just taken over gets the whole silence timeout.
     trackedUpstreams
       .filter(({ upstream }) => !this.deadlines.has(upstream))
@@ -170,10 +176,17 @@
   // with each call, so a host takes over only after several announcements.
   private chooseTrackingHost(upstream: string): string {
     const { registry, ownAddress } = this.options;
-    const announced = (this.announcementCounts.get(upstream) ?? 0) + 1;
-    this.announcementCounts.set(upstream, announced);
-    const current = registry.findUpstream(upstream)?.keeper;
-    return current !== undefined && announced < announcementsToTakeOver ? current : ownAddress;
+    const known = registry.findUpstream(upstream);
+    const isTracked = known?.state === 'serving' || known?.state === 'leaving';
+    const keeper = isTracked ? known.keeper : ownAddress;
+    if (keeper === ownAddress) {
+      this.announcementCounts.delete(upstream);
+      return ownAddress;
+    }
+    const last = this.announcementCounts.get(upstream);
+    const count = last?.keeper === keeper ? last.count + 1 : 1;
+    this.announcementCounts.set(upstream, { keeper, count });
+    return count < announcementsToTakeOver ? keeper : ownAddress;
   }
 
   // The leader tracks the announcements in place of control hosts that it does not know.
--- a/tests/fleet/registrationService.test.ts
+++ b/tests/fleet/registrationService.test.ts
@@ -144,6 +144,39 @@
     });
   });
 
+  // Guards against upstreams that are out of use for a moment because the host that tracked their
+  // announcements no longer gets them.
+  it('should keep an upstream in use that announces itself to another host than before', async () => {
+    const other = group.createHost('other');
+    const stopping = new AbortController();
+    const tasks = [current, other].map((host) => host.registrations.run(stopping.signal));
+    await announce(current, {});
+
+    const states: string[] = [];
+    for (const later of Array.from({ length: 40 }, (_, index) => index + 2)) {
+      await announce(other, { sequence: later });
+      await group.clock.advanceBy(announceMs);
+      states.push(...group.listStates());
+    }
+    stopping.abort();
+    await group.clock.advanceBy(2000);
+    await Promise.all(tasks);
+
+    expect(new Set(states)).toEqual(new Set(['u1 serving']));
+    expect(group.state.registry.findUpstream('u1')?.keeper).toBe('other');
+  });
+
+  // Guards against a run that no host tracks, under the name of one that another host tracked.
+  it('should track a new run where it announces itself when the earlier one has left', async () => {
+    const other = group.createHost('other');
+    await announce(current, { bornAt: 1000 });
+    await depart(current, 1000);
+
+    await announce(other, { bornAt: 2000 });
+
+    expect(group.state.registry.findUpstream('u1')?.keeper).toBe('other');
+  });
+
   it('should warn about a run that goes on announcing itself although it is not in use', async () => {
     const warning = 'membership: an upstream that announces itself is not in use';
     await announce(current, { bornAt: 2000 });
