--- a/src/adapters/trpc/controlMessages.ts
+++ b/src/adapters/trpc/controlMessages.ts
@@ -38,6 +38,7 @@
     upstream: z.string(),
     bornAt: createOptionalSchema(z.int()),
     state: z.enum(['gone', 'silent']),
+    keeper: createOptionalSchema(z.string()),
   }),
 ]);
 
--- a/src/application/fleet/RegistrationService.ts
+++ b/src/application/fleet/RegistrationService.ts
@@ -161,12 +161,14 @@
     this.updateContested(names);
     const silent = trackedUpstreams.filter(({ upstream }) => this.getSilentAt(upstream) < now);
     await Promise.all(
-      silent.map(async ({ upstream, bornAt }) => {
+      silent.map(async ({ upstream, bornAt, keeper }) => {
         const isContested = this.contested.has(upstream);
         const fields = { upstream, bornAt, isContested };
         log.info('membership: the announcements of an upstream stopped', fields);
-        const command = { kind: 'remove_upstream', upstream, bornAt, state: 'silent' } as const;
-        await this.commitChange(command);
+        await this.commitChange({
+          ...{ kind: 'remove_upstream', state: 'silent' },
+          ...{ upstream, bornAt, keeper },
+        });
       }),
     );
   }
--- a/src/domain/membership/UpstreamRegistry.ts
+++ b/src/domain/membership/UpstreamRegistry.ts
@@ -18,6 +18,11 @@
   /** Undefined for the run that is registered when the removal is applied. */
   readonly bornAt: number | undefined;
   readonly state: 'gone' | 'silent';
+  /**
+   * For `silent`, the control host that tracked the announcements and heard no more. Commands of
+   * earlier releases lack it.
+   */
+  readonly keeper?: string | undefined;
 }
 
 /**
@@ -87,8 +92,10 @@
   }
 
   /** Marks the run of an upstream as `gone` or `silent`; a later run is not changed. */
-  applyRemoval({ upstream, bornAt, state }: Removal, index: number): RegistryEffect {
+  applyRemoval({ upstream, bornAt, state, keeper }: Removal, index: number): RegistryEffect {
     const current = this.records.get(upstream);
+    // Another host hears the upstream now.
+    if (keeper !== undefined && keeper !== current?.keeper) return 'stale';
     const endedBornAt = bornAt ?? current?.bornAt;
     if (endedBornAt === undefined) return 'unchanged';
     if (current && current.bornAt > endedBornAt) return 'stale';
--- a/tests/fleet/registrationService.test.ts
+++ b/tests/fleet/registrationService.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 
-import RegistryGroup from '../fixtures/RegistryGroup.ts';
+import RegistryGroup, { silenceMs } from '../fixtures/RegistryGroup.ts';
 import type { RegistryHost } from '../fixtures/RegistryGroup.ts';
 import createRegistration from '../fixtures/createRegistration.ts';
 
@@ -166,6 +166,25 @@
     expect(group.state.registry.findUpstream('u1')?.keeper).toBe('other');
   });
 
+  // Guards against a host that returns from a cut and removes the upstreams that have meanwhile
+  // moved to another host.
+  it('should not remove an upstream that another host has taken over', async () => {
+    const returning = group.createLaggingHost('returning');
+    const stopping = new AbortController();
+    const running = returning.registrations.run(stopping.signal);
+    await announce(returning, { sequence: 1 });
+    returning.catchUp();
+    for (const later of [2, 3, 4]) await announce(current, { sequence: later });
+
+    await group.clock.advanceBy(2 * silenceMs);
+    stopping.abort();
+    await group.clock.advanceBy(2000);
+    await running;
+
+    expect(group.state.registry.findUpstream('u1')?.keeper).toBe('current');
+    expect(group.listStates()).toEqual(['u1 serving']);
+  });
+
   // Guards against a run that no host tracks, under the name of one that another host tracked.
   it('should track a new run where it announces itself when the earlier one has left', async () => {
     const other = group.createHost('other');
