--- a/tests/runFuzz.ts
+++ b/tests/runFuzz.ts
@@ -6,6 +6,7 @@
   'tests/claims/claimFuzz.test.ts',
   'tests/detection/floor.fuzz.test.ts',
   'tests/fleet/openGroup.fuzz.test.ts',
+  'tests/fleet/registrations.fuzz.test.ts',
   'tests/fleet/retryBudgets.fuzz.test.ts',
   'tests/membership/fuzz.test.ts',
   'tests/presets/presetRegistry.test.ts',
