--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -111,9 +111,13 @@
     this.server.maxHeadersCount = 0;
     this.server.on('connection', (socket) => this.connections.addConnection(socket));
     this.server.on('clientError', (error, socket) => this.handleClientError(error, socket));
-    this.server.on('connect', (_request, socket) =>
-      this.handleClientError(new Error('method CONNECT is not supported'), socket),
-    );
+    this.server.on('connect', (_request, socket) => {
+      // Node.js no longer handles errors of this connection.
+      socket.on('error', (error) =>
+        options.log.info('requests: the connection of a caller failed', { error: error.message }),
+      );
+      this.handleClientError(new Error('method CONNECT is not supported'), socket);
+    });
     this.server.on('checkExpectation', (request, response) => {
       if (!this.connections.acceptRequest(request.socket, response)) return;
       const message = `${request.method} ${request.url}: header Expect: value "${request.headers.expect}": expected 100-continue`;
--- a/tests/requests/callersListener.test.ts
+++ b/tests/requests/callersListener.test.ts
@@ -1,3 +1,5 @@
+import { setImmediate } from 'node:timers/promises';
+
 import { afterEach, describe, expect, it } from 'vitest';
 
 import createEntryPath, { createUsable } from '../fixtures/createEntryPath.ts';
@@ -291,4 +293,21 @@
       expect(text.length - text.indexOf('\r\n\r\n') - 4).toBe(size);
     });
   });
+
+  // Guards against one caller that ends the process, and with it the requests of all others.
+  it('should go on when callers of CONNECT requests reset their connections', async () => {
+    const { path, caller } = await startPath(({ socket }) => socket.end(answer));
+    const failure = 'requests: the connection of a caller failed';
+    // A reset that arrives before the host has read the request shows nothing.
+    while (!path.log.messages.includes(failure)) {
+      const resetting = await RawCaller.connectTo(path.origin);
+      resetting.write(`CONNECT other:80 HTTP/1.1\r\n${host}\r\n\r\n`);
+      resetting.socket.resetAndDestroy();
+      await resetting.waitClosed();
+      await setImmediate();
+    }
+
+    caller.write(`${getHead}\r\n`);
+    await caller.waitFor('ok');
+  });
 });
