--- a/src/adapters/trpc/replicationMessages.ts
+++ b/src/adapters/trpc/replicationMessages.ts
@@ -68,6 +68,8 @@
   previousTerm: countSchema,
   entries: z.array(entrySchema),
   commitIndex: countSchema,
+  // Messages of earlier releases lack it.
+  quorumAgeMs: z.number().nonnegative().default(0),
 });
 
 /** Request to store a chunk of a snapshot. */
--- a/src/application/replication/MessageHandler.ts
+++ b/src/application/replication/MessageHandler.ts
@@ -82,7 +82,8 @@
     return this.handleMessage(request, async () => {
       if (!(await this.followLeader(request))) return this.createAppendAnswer(false, 0);
       const { log } = this.context;
-      const { previousIndex, entries } = request;
+      const { previousIndex, entries, quorumAgeMs } = request;
+      this.context.recordLeaderQuorum(quorumAgeMs);
       const previousTerm = log.readTerm(previousIndex);
       // Committed entries are the same in the log of every later leader.
       const isMatching =
--- a/src/application/replication/PeerReplicationTask.ts
+++ b/src/application/replication/PeerReplicationTask.ts
@@ -101,6 +101,7 @@
         previousTerm: context.log.readTerm(previousIndex) ?? 0,
         entries: context.log.listEntries(progress.nextIndex, batchBytes),
         commitIndex,
+        quorumAgeMs: Math.round(Math.max(0, sentAt - context.quorumContactAt)),
       },
       sentAt + context.times.messageTimeoutMs,
     );
--- a/src/application/replication/Replica.ts
+++ b/src/application/replication/Replica.ts
@@ -171,12 +171,13 @@
   }
 
   /**
-   * Whether this replica had contact with a leader, or leads and had contact with a majority,
-   * within an election timeout, and has applied what it had missed before.
+   * Whether this replica leads, or had contact with a leader within an election timeout; the leader
+   * had contact with a majority within the quorum timeout; and this replica has applied what it had
+   * missed before.
    */
   get isCurrent(): boolean {
     const { context } = this;
-    return context.hasLeader && context.hasCaughtUp && !context.isStopped;
+    return context.hasLeader && context.hasQuorum && context.hasCaughtUp && !context.isStopped;
   }
 
   /** Whether this replica can't form a group, only join one, and has applied no command yet. */
--- a/src/application/replication/ReplicaContext.ts
+++ b/src/application/replication/ReplicaContext.ts
@@ -86,6 +86,9 @@
   /** When the last message of a leader was handled. */
   leaderContactAt = -Infinity;
 
+  /** When the leader that this replica follows last had contact with a majority. */
+  private leaderQuorumAt = -Infinity;
+
   /**
    * Whether this replica has applied everything that was committed when it last found a leader, or
    * became one.
@@ -143,6 +146,21 @@
     return this.now < this.leaderContactAt + this.times.minElectionTimeoutMs;
   }
 
+  /** When this leader, or the one that this replica follows, last had contact with a majority. */
+  get quorumContactAt(): number {
+    return this.leadership?.computeQuorumDeadline(this.configuration, 0) ?? this.leaderQuorumAt;
+  }
+
+  /** Whether a majority of the voters was in contact with the leader within the quorum timeout. */
+  get hasQuorum(): boolean {
+    return this.now < this.quorumContactAt + this.times.quorumTimeoutMs;
+  }
+
+  /** Records how long ago the leader that this replica follows had contact with a majority. */
+  recordLeaderQuorum(ageMs: number): void {
+    this.leaderQuorumAt = this.now - ageMs;
+  }
+
   /** Creates the common fields of a message to the replica with the id `to`. */
   createHeader(to: string, term: number) {
     const { replicaId, host, group } = this.store.identity;
--- a/src/application/replication/replicaTimes.ts
+++ b/src/application/replication/replicaTimes.ts
@@ -5,6 +5,11 @@
   /** Each election timeout is drawn at random between this minimum and the maximum. */
   readonly minElectionTimeoutMs: number;
   readonly maxElectionTimeoutMs: number;
+  /**
+   * Time without contact between the leader and a majority after which the leader and its followers
+   * no longer count as current. One lost message may not reach it.
+   */
+  readonly quorumTimeoutMs: number;
   /** Replaces the minimum election timeout after a start, until there is contact with a leader. */
   readonly initialElectionTimeoutMs: number;
   /**
@@ -25,6 +30,7 @@
   heartbeatMs: 100,
   minElectionTimeoutMs: 500,
   maxElectionTimeoutMs: 1000,
+  quorumTimeoutMs: 800,
   initialElectionTimeoutMs: 500,
   messageTimeoutMs: 400,
   bootstrapIntervalMs: 200,
--- a/src/daemon/fleetTimes.ts
+++ b/src/daemon/fleetTimes.ts
@@ -10,6 +10,7 @@
   minElectionTimeoutMs: 1200,
   maxElectionTimeoutMs: 2000,
   messageTimeoutMs: 450,
+  quorumTimeoutMs: 1700,
   bootstrapIntervalMs: 200,
   // A replica that has just started has had no contact with a leader, so it need not wait for the
   // full election timeout; the pre-vote keeps it from deposing an existing leader.
--- a/src/ports/ReplicationLink.ts
+++ b/src/ports/ReplicationLink.ts
@@ -34,6 +34,8 @@
   readonly previousTerm: number;
   readonly entries: readonly LogEntry[];
   readonly commitIndex: number;
+  /** Time since the sender last had contact with a majority, in milliseconds. */
+  readonly quorumAgeMs: number;
 }
 
 /**
--- a/tests/fleet/peerCompression.test.ts
+++ b/tests/fleet/peerCompression.test.ts
@@ -106,7 +106,14 @@
       const answer = await link.sendEntries(
         {
           ...{ groupId: 'group-of-the-test', to: 'replica-2', from: 'replica-1', fromHost: 'c1' },
-          ...{ term: 1, previousIndex: 1, previousTerm: 1, entries, commitIndex: 1 },
+          ...{
+            term: 1,
+            previousIndex: 1,
+            previousTerm: 1,
+            entries,
+            commitIndex: 1,
+            quorumAgeMs: 0,
+          },
         },
         clock.now() + 5000,
       );
--- a/tests/replication/caughtUp.test.ts
+++ b/tests/replication/caughtUp.test.ts
@@ -1,7 +1,9 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 
+import fleetTimes from '../../src/daemon/fleetTimes.ts';
 import ReplicaGroupFixture, { listIds } from '../fixtures/ReplicaGroupFixture.ts';
 import type { RunningReplica } from '../fixtures/ReplicaGroupFixture.ts';
+import SeededRandom from '../fixtures/SeededRandom.ts';
 
 describe('replica that returns to its group', () => {
   let group: ReplicaGroupFixture;
@@ -60,4 +62,50 @@
 
     expect(await watchMissing(host, 65)).toBe(0);
   });
+
+  // Guards against entry hosts that follow the smaller half of a split group, while the larger half
+  // accepts changes.
+  it('should not be current for long in a half without a majority', async () => {
+    const hosts = ['a', 'b', 'c', 'd', 'e'];
+    const split = new ReplicaGroupFixture({ hosts, times: fleetTimes, seed: 3 });
+    await split.startAll();
+    await split.commitAll(listIds(5));
+    await split.clock.advanceBy(3000);
+    const leader = (await split.waitLeader()).host;
+    const smaller = [leader, hosts.find((host) => host !== leader) ?? ''];
+    const larger = hosts.filter((host) => !smaller.includes(host));
+    const isCurrent = (host: string): boolean => split.get(host).replica.isCurrent;
+    const wereCurrent = hosts.every(isCurrent);
+    smaller.forEach((host) => split.network.cutHost(host, larger));
+
+    await split.clock.advanceBy(fleetTimes.quorumTimeoutMs);
+    const stillCurrent = smaller.filter(isCurrent);
+    await split.waitFor(() => larger.every(isCurrent), 3000);
+    await split.stopAll();
+
+    expect(wereCurrent).toBe(true);
+    expect(stillCurrent).toEqual([]);
+  });
+
+  // Guards against entry hosts that leave a control host for one lost message.
+  it('should stay current while every message is late and some are lost', async () => {
+    const hosts = ['a', 'b', 'c', 'd', 'e'];
+    const lossy = new ReplicaGroupFixture({ hosts, times: fleetTimes, seed: 4 });
+    const random = new SeededRandom(4);
+    await lossy.startAll();
+    await lossy.commitAll(listIds(5));
+    await lossy.clock.advanceBy(3000);
+    lossy.network.drawDelay = () => random.next() * 100;
+    lossy.network.isAnswerLost = () => random.next() < 0.03;
+    let checks = 0;
+    let failures = 0;
+    while (checks < 3000) {
+      await lossy.clock.advanceBy(100);
+      checks += hosts.length;
+      failures += hosts.filter((host) => !lossy.get(host).replica.isCurrent).length;
+    }
+    await lossy.stopAll();
+
+    expect(failures / checks).toBeLessThan(0.005);
+  });
 });
--- a/tests/replication/partition.test.ts
+++ b/tests/replication/partition.test.ts
@@ -109,7 +109,14 @@
     const { replica } = group.get('b');
     const message = {
       ...{ groupId: replica.groupId ?? '', to: replica.replicaId, from: 'x', fromHost: 'x' },
-      ...{ term: 99, previousIndex: 0, previousTerm: 0, entries: [], commitIndex: 0 },
+      ...{
+        term: 99,
+        previousIndex: 0,
+        previousTerm: 0,
+        entries: [],
+        commitIndex: 0,
+        quorumAgeMs: 0,
+      },
     };
 
     const otherReplica = await replica.handleAppend({ ...message, to: 'old id' });
