--- a/tests/platform/startCached.test.ts
+++ b/tests/platform/startCached.test.ts
@@ -55,4 +55,12 @@
 
     expect(await startDaemon()).toMatchObject(missingSettings);
   });
+
+  // Guards against a process that ends because its settings change while it starts.
+  it('should not end on a signal to reload before the daemon handles it', async () => {
+    const source = "process.kill(process.pid, 'SIGHUP'); setTimeout(() => process.exit(3), 100);";
+    await writeFile(join(folder, 'pistachiohoist.cjs'), source);
+
+    expect(await startDaemon()).toMatchObject({ code: 3 });
+  });
 });
