--- a/src/domain/membership/UpstreamRegistry.ts
+++ b/src/domain/membership/UpstreamRegistry.ts
@@ -1,9 +1,9 @@
 import type RegisteredUpstream from './RegisteredUpstream.ts';
 import type { Registration } from './RegisteredUpstream.ts';
 
-// Enough for several hours of ordinary releases; a host that is further behind receives the whole
-// list.
-const maxTombstones = 1000;
+// Records of runs that have left or fell silent. Enough for several hours of ordinary releases; a
+// host that is further behind receives the whole list.
+const maxEnded = 1000;
 
 /** Changes after an index, or all records when the changes are no longer known. */
 export interface RegistryChanges {
@@ -41,7 +41,7 @@
 export default class UpstreamRegistry {
   private readonly records = new Map<string, RegisteredUpstream>();
 
-  /** Highest index of a tombstone that was dropped; the changes up to it are no longer complete. */
+  /** Highest index of an ended run that was dropped; changes up to it are no longer complete. */
   private prunedThrough = 0;
 
   /** Upstreams that are serving, leaving or silent, in the order of their first registration. */
@@ -136,9 +136,11 @@
 
   private storeRecord(record: RegisteredUpstream): void {
     this.records.set(record.upstream, record);
-    const tombstones = [...this.records.values()].filter(({ state }) => state === 'gone');
-    if (tombstones.length <= maxTombstones) return;
-    const [oldest] = tombstones.sort((left, right) => left.changedAt - right.changedAt);
+    const ended = [...this.records.values()].filter(
+      ({ state }) => state === 'gone' || state === 'silent',
+    );
+    if (ended.length <= maxEnded) return;
+    const [oldest] = ended.sort((left, right) => left.changedAt - right.changedAt);
     if (!oldest) return;
     this.records.delete(oldest.upstream);
     this.prunedThrough = Math.max(this.prunedThrough, oldest.changedAt);
--- a/tests/fleet/upstreamRegistry.test.ts
+++ b/tests/fleet/upstreamRegistry.test.ts
@@ -99,4 +99,22 @@
     expect(registry.listChanges(1000).isWhole).toBe(false);
     expect(registry.listRecords()).toHaveLength(1001);
   });
+
+  // Guards against a registry that grows with each upstream that ever crashed.
+  it('should keep a bounded number of upstreams that fell silent', () => {
+    const registry = createRegistry();
+    Array.from({ length: 1002 }, (_, index) => `silent${index}`).forEach((upstream, index) => {
+      registry.applyRegistration(createRegistration({ upstream }), 'c1', 2 + 2 * index);
+      registry.applyRemoval({ upstream, bornAt: 1000, state: 'silent' }, 3 + 2 * index);
+    });
+
+    registry.applyRegistration(
+      createRegistration({ upstream: 'silent0', sequence: 9 }),
+      'c1',
+      4000,
+    );
+
+    expect(registry.listRecords()).toHaveLength(1002);
+    expect(registry.findUpstream('silent0')?.state).toBe('serving');
+  });
 });
