--- a/src/application/fleet/RegistrationService.ts
+++ b/src/application/fleet/RegistrationService.ts
@@ -177,7 +177,7 @@
   // stored as `keeper`. An upstream that calls the control hosts in turn would change the `keeper`
   // with each call, so a host takes over only after several announcements.
   private chooseTrackingHost(upstream: string): string {
-    const { registry, ownAddress } = this.options;
+    const { registry, ownAddress, replica } = this.options;
     const known = registry.findUpstream(upstream);
     const isTracked = known?.state === 'serving' || known?.state === 'leaving';
     const keeper = isTracked ? known.keeper : ownAddress;
@@ -188,7 +188,8 @@
     const last = this.announcementCounts.get(upstream);
     const count = last?.keeper === keeper ? last.count + 1 : 1;
     this.announcementCounts.set(upstream, { keeper, count });
-    return count < announcementsToTakeOver ? keeper : ownAddress;
+    // Without contact to the group, this host could not commit the change.
+    return count < announcementsToTakeOver || !replica.isCurrent ? keeper : ownAddress;
   }
 
   // The leader tracks the announcements in place of control hosts that it does not know.
--- a/tests/fleet/registrationService.test.ts
+++ b/tests/fleet/registrationService.test.ts
@@ -166,6 +166,19 @@
     expect(group.state.registry.findUpstream('u1')?.keeper).toBe('other');
   });
 
+  // Guards against announcements that are refused only because the host that hears them can't take
+  // over the upstream.
+  it('should acknowledge unchanged announcements without a majority', async () => {
+    const other = group.createHost('other');
+    await announce(current, {});
+    group.hasMajority = false;
+
+    const accepted = [];
+    for (const later of [2, 3, 4, 5]) accepted.push(await announce(other, { sequence: later }));
+
+    expect(accepted).toEqual([true, true, true, true]);
+  });
+
   // Guards against a host that returns from a cut and removes the upstreams that have meanwhile
   // moved to another host.
   it('should not remove an upstream that another host has taken over', async () => {
