--- a/src/application/replication/replicaTimes.ts
+++ b/src/application/replication/replicaTimes.ts
@@ -7,7 +7,8 @@
   readonly maxElectionTimeoutMs: number;
   /**
    * Time without contact between the leader and a majority after which the leader and its followers
-   * no longer count as current. One lost message may not reach it.
+   * no longer count as current. Longer than two heartbeats, so that one lost message does not end
+   * it.
    */
   readonly quorumTimeoutMs: number;
   /** Replaces the minimum election timeout after a start, until there is contact with a leader. */
