--- a/src/application/fleet/RegistrationService.ts
+++ b/src/application/fleet/RegistrationService.ts
@@ -54,9 +54,11 @@
   readonly contestedSilentAt: number;
 }
 
-/** Number of announcements of an upstream since the control host `keeper` tracks it. */
+/** Successive announcements of an upstream while the control host `keeper` tracks it. */
 interface AnnouncementCount {
   readonly keeper: string;
+  /** Sequence of the last one. */
+  readonly sequence: number;
   readonly count: number;
 }
 
@@ -95,7 +97,7 @@
     const { upstream, service } = registration;
     const refusal = this.findRefusal(upstream, service);
     if (refusal) return { ok: false, failure: refusal };
-    const keeper = this.chooseTrackingHost(upstream);
+    const keeper = this.chooseTrackingHost(registration);
     const result = registry.checkRegistration(registration, keeper);
     if (result === 'stale') this.recordStale(registration);
     else this.resetSilenceTimeout(upstream);
@@ -175,8 +177,8 @@
 
   // One control host at a time tracks the announcements of an upstream; the address of that host is
   // stored as `keeper`. An upstream that calls the control hosts in turn would change the `keeper`
-  // with each call, so a host takes over only after several announcements.
-  private chooseTrackingHost(upstream: string): string {
+  // again and again, so a host takes over only after several announcements with none in between.
+  private chooseTrackingHost({ upstream, sequence }: Registration): string {
     const { registry, ownAddress, replica } = this.options;
     const known = registry.findUpstream(upstream);
     const isTracked = known?.state === 'serving' || known?.state === 'leaving';
@@ -186,8 +188,9 @@
       return ownAddress;
     }
     const last = this.announcementCounts.get(upstream);
-    const count = last?.keeper === keeper ? last.count + 1 : 1;
-    this.announcementCounts.set(upstream, { keeper, count });
+    const isNext = last?.keeper === keeper && sequence === last.sequence + 1;
+    const count = isNext ? last.count + 1 : 1;
+    this.announcementCounts.set(upstream, { keeper, sequence, count });
     // Without contact to the group, this host could not commit the change.
     return count < announcementsToTakeOver || !replica.isCurrent ? keeper : ownAddress;
   }
--- a/tests/fleet/registrationService.test.ts
+++ b/tests/fleet/registrationService.test.ts
@@ -166,6 +166,18 @@
     expect(group.state.registry.findUpstream('u1')?.keeper).toBe('other');
   });
 
+  // Guards against a commit, and so traffic between failure domains, for every few announcements.
+  it('should not change the tracking host of an upstream that calls the hosts in turn', async () => {
+    const others = [group.createHost('second'), group.createHost('third')];
+    await announce(current, {});
+
+    for (const later of Array.from({ length: 30 }, (_, index) => index + 2)) {
+      await announce([current, ...others][later % 3] ?? current, { sequence: later });
+    }
+
+    expect(group.commands).toHaveLength(1);
+  });
+
   // Guards against announcements that are refused only because the host that hears them can't take
   // over the upstream.
   it('should acknowledge unchanged announcements without a majority', async () => {
