--- a/src/adapters/http/createHttpServer.ts
+++ b/src/adapters/http/createHttpServer.ts
@@ -20,6 +20,10 @@
 export default function createHttpServer(options: HttpServerOptions): Server {
   const { log, failureMessage, serve } = options;
   const server = createServer(options.server, (request, response) => {
+    // A connection that was busy when the server began to close is not closed by itself.
+    response.once('close', () => {
+      if (!server.listening) server.closeIdleConnections();
+    });
     serve(request, response).catch((error: Error) => {
       log.error(failureMessage, { error: error.message });
       response.destroy();
