src/daemon: the last log line of each process says why it ended

What operators saw: a process of a deployment had ended by itself, and nothing said why. An uncaught error went to standard error only, which was not kept, and a stop, a refused start and a failure could not be told apart in the log. Cause: no line for the end; and a line that an ending process hands to the log stays in its buffer. Ruled out: a handler that logs an uncaught error and lets the process live on; docs/design.md, section 11, says why. Change: ProcessEnd, shared by both programs, writes 'lifecycle: ended' with the reason synchronously. Conclusion: an end by itself leaves its reason. Lines that were logged in the last moments before an uncaught error can still be lost.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -14,4 +14,4 @@
 bundle platform/main.ts cjs pistachiohoist.cjs
 # Without settings the daemon loads all its code and then exits with 2; any other exit is an error.
 env -u PISTACHIOHOIST_BOOT node --max-old-space-size=160 "$folder/start.mjs" --write-cache \
-  2>/dev/null || [ $? -eq 2 ]
+  >/dev/null 2>&1 || [ $? -eq 2 ]
--- a/src/adapters/winston/LineStream.ts
+++ b/src/adapters/winston/LineStream.ts
@@ -2,7 +2,8 @@
 import type { WriteStream } from 'node:fs';
 import { Writable } from 'node:stream';
 
-const standardOutput = 1;
+/** Descriptor of standard output. */
+export const standardOutput = 1;
 // About one second of output at the maximum rate of the log.
 const maxBufferedBytes = 131_072;
 
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -9,6 +9,7 @@
 import ControlHost from './ControlHost.ts';
 import type Daemon from './Daemon.ts';
 import EntryHost from './EntryHost.ts';
+import ProcessEnd from './ProcessEnd.ts';
 import checkEnvironment from './checkEnvironment.ts';
 import readSettings from './readSettings.ts';
 
@@ -20,13 +21,7 @@
 
 Exit codes: 0 stopped or check passed, 1 failed while running, 2 usage error or invalid settings.
 `;
-const exitFailed = 1;
-const exitRefused = 2;
-
-function refuseStart(message: string): never {
-  process.stderr.write(`pistachiohoistd: ${message}\n`);
-  process.exit(exitRefused);
-}
+const processEnd: ProcessEnd = new ProcessEnd({ program: 'pistachiohoistd' });
 
 function parseCommandLine(): { readonly file: string; readonly isCheckOnly: boolean } {
   try {
@@ -41,10 +36,11 @@
       process.stdout.write(usage);
       process.exit(0);
     }
-    if (values.config === undefined) return refuseStart('option --config is missing; see --help');
+    if (values.config === undefined)
+      return processEnd.refuseCommand('option --config is missing; see --help');
     return { file: values.config, isCheckOnly: values['check-config'] };
   } catch (error) {
-    return refuseStart(`${(error as Error).message}; see --help`);
+    return processEnd.refuseCommand(`${(error as Error).message}; see --help`);
   }
 }
 
@@ -55,9 +51,12 @@
 }
 
 async function startDaemon(file: string, isCheckOnly: boolean): Promise<void> {
+  const refuse = (message: string): never =>
+    isCheckOnly ? processEnd.refuseCommand(message) : processEnd.refuseStart(message);
   const result = await readSettings(file, parseSettings);
-  if (!result.ok) refuseStart(result.failure.message);
+  if (!result.ok) return refuse(result.failure.message);
   const settings = result.value;
+  processEnd.setHost(settings.host);
   const clock = new SystemClock();
   const log = new WinstonLog({ host: settings.host, level: settings.logLevel, clock });
   // A signal during startup is handled after startup; without a listener for it, it would terminate
@@ -75,12 +74,12 @@
   let daemon: Daemon;
   try {
     await checkEnvironment(settings);
-    if (isCheckOnly) return;
+    if (isCheckOnly) return undefined;
     daemon = await (settings.role === 'entry'
       ? EntryHost.startHost(options)
       : ControlHost.startHost(options));
   } catch (error) {
-    if (error instanceof FailureError) refuseStart(`${file}: ${error.message}`);
+    if (error instanceof FailureError) refuse(`${file}: ${error.message}`);
     throw error;
   }
   log.info('lifecycle: started', { role: settings.role });
@@ -88,8 +87,11 @@
   if (failure !== undefined) log.error('lifecycle: failed', { error: failure });
   await daemon.stop();
   await log.endLog();
-  process.exit(failure === undefined ? 0 : exitFailed);
+  return failure === undefined
+    ? processEnd.endProcess('stop_requested')
+    : processEnd.endProcess('failed', { error: failure });
 }
 
+processEnd.watchErrors();
 const { file, isCheckOnly } = parseCommandLine();
 await startDaemon(file, isCheckOnly);
