src/adapters/http: each listener counts its open connections

Operators saw nothing of connections that take up a process: neither how many there were, nor whether they had sent anything, so that an end for want of descriptors (EMFILE) had no sign before it. Cause: no part of the process counts connections; the platform's own count covers a whole host. Ruled out: the count of net.Server, which does not tell connections that have sent something from those that have not. Change: `ListenerConnections` counts the open connections of a listener, and those that have not sent a whole head of a request, or at `peers` no peer key. Conclusion: nothing is limited yet.

--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -17,6 +17,7 @@
 import type Clock from '../../ports/Clock.ts';
 import type Log from '../../ports/Log.ts';
 import CallerConnections from './CallerConnections.ts';
+import type ListenerConnections from './ListenerConnections.ts';
 import openServer from './openServer.ts';
 import readBody from './readBody.ts';
 import writeClientError from './writeClientError.ts';
@@ -51,6 +52,8 @@
   readonly dialect?: RequestDialect;
   /** Limits the memory of requests and answers; unless set, there is no limit. */
   readonly buffers?: BufferBudget;
+  /** Counts the connections of the listener. */
+  readonly listenerConnections?: ListenerConnections;
 }
 
 function readHeaders(request: IncomingMessage): Header[] {
@@ -110,6 +113,7 @@
     // limited already.
     this.server.maxHeadersCount = 0;
     this.server.on('connection', (socket) => this.connections.addConnection(socket));
+    options.listenerConnections?.watchRequests(this.server);
     this.server.on('clientError', (error, socket) => this.handleClientError(error, socket));
     this.server.on('connect', (_request, socket) => {
       // Node.js no longer handles errors of this connection.
--- a/src/adapters/http/PlatformFrontEnd.ts
+++ b/src/adapters/http/PlatformFrontEnd.ts
@@ -9,6 +9,7 @@
 import type Clock from '../../ports/Clock.ts';
 import type Log from '../../ports/Log.ts';
 import type MetricsSource from '../../ports/MetricsSource.ts';
+import type ListenerConnections from './ListenerConnections.ts';
 import closeServer from './closeServer.ts';
 import createHttpServer from './createHttpServer.ts';
 import openServer from './openServer.ts';
@@ -27,6 +28,8 @@
   readonly readState: () => HostStateName;
   /** Set on entry hosts that accept announcements of upstreams. */
   readonly announcements?: AnnouncementService;
+  /** Counts the connections of the listener. */
+  readonly listenerConnections?: ListenerConnections;
 }
 
 /** Serves health and readiness probes, metrics and the announcements of upstreams. */
@@ -43,6 +46,7 @@
       failureMessage: 'membership: a request to the platform listener failed',
       serve: (request, response) => this.serveRequest(request, response),
     });
+    options.listenerConnections?.watchRequests(this.server);
   }
 
   openListener(address: ListenAddress): Promise<void> {
--- a/src/adapters/trpc/TrpcPeerServer.ts
+++ b/src/adapters/trpc/TrpcPeerServer.ts
@@ -10,6 +10,7 @@
 import errorAnswers from '../../domain/errors/errorAnswers.ts';
 import type { ListenAddress } from '../../domain/settings/DaemonSettings.ts';
 import type Log from '../../ports/Log.ts';
+import type ListenerConnections from '../http/ListenerConnections.ts';
 import openServer from '../http/openServer.ts';
 import writeClientError from '../http/writeClientError.ts';
 import compareKeys from './compareKeys.ts';
@@ -23,6 +24,8 @@
   readonly router: AnyTRPCRouter;
   readonly peerKey: string;
   readonly log: Log;
+  /** Counts the connections of the listener. */
+  readonly listenerConnections?: ListenerConnections;
 }
 
 /**
@@ -61,6 +64,7 @@
       response.writeHead(426, { 'content-type': 'application/json', upgrade: 'websocket' });
       response.end(JSON.stringify({ error: 'message_invalid', message: 'expected a WebSocket' }));
     });
+    options.listenerConnections?.watchServer(this.server);
     this.server.on('upgrade', (request, socket, head) => this.acceptPeer(request, socket, head));
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) =>
       writeClientError(error, socket),
@@ -99,6 +103,7 @@
       );
       return;
     }
+    this.options.listenerConnections?.markProven(request.socket);
     this.webSocketServer.handleUpgrade(request, socket, head, (peer) => {
       this.webSocketServer.emit('connection', peer, request);
     });
--- a/src/daemon/FleetControlHost.ts
+++ b/src/daemon/FleetControlHost.ts
@@ -1,4 +1,5 @@
 import NodeDisk from '../adapters/disk/NodeDisk.ts';
+import ListenerConnections from '../adapters/http/ListenerConnections.ts';
 import PlatformFrontEnd from '../adapters/http/PlatformFrontEnd.ts';
 import PrometheusMetrics from '../adapters/metrics/PrometheusMetrics.ts';
 import TrpcFleetLink from '../adapters/trpc/TrpcFleetLink.ts';
@@ -31,6 +32,7 @@
 import type PresetCodec from '../ports/PresetCodec.ts';
 import type RandomSource from '../ports/RandomSource.ts';
 import type Daemon from './Daemon.ts';
+import listConnectionGauges from './listConnectionGauges.ts';
 import listControlGauges from './listControlGauges.ts';
 import listLoadGauges from './listLoadGauges.ts';
 import TaskGroup from './TaskGroup.ts';
@@ -66,6 +68,13 @@
 
   readonly registrations: RegistrationService;
 
+  /** Connections of each listener. */
+  readonly connections = {
+    operators: new ListenerConnections({ listener: 'operators' }),
+    peers: new ListenerConnections({ listener: 'peers' }),
+    metrics: new ListenerConnections({ listener: 'metrics' }),
+  };
+
   private readonly options: FleetControlOptions;
 
   private readonly components: ControlComponents;
@@ -130,6 +139,7 @@
       }),
       peerKey: settings.peerKey,
       log,
+      listenerConnections: this.connections.peers,
     });
     this.loadMonitor = new LoadMonitor({
       clock,
@@ -140,6 +150,7 @@
       clock,
       log,
       metrics: this.createMetrics(),
+      listenerConnections: this.connections.metrics,
       readState: () => {
         if (this.isStopping) return 'stopping';
         return replica.isCurrent ? 'ready' : 'starting';
@@ -312,6 +323,7 @@
           help: 'Control hosts that this host has discovered.',
           readValue: () => this.discovery.listHosts().length,
         },
+        ...listConnectionGauges(Object.values(this.connections)),
         ...listLoadGauges(this.loadMonitor),
         ...listControlGauges(replica),
       ],
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -1,4 +1,5 @@
 import HttpFrontEnd from '../adapters/http/HttpFrontEnd.ts';
+import ListenerConnections from '../adapters/http/ListenerConnections.ts';
 import PlatformFrontEnd from '../adapters/http/PlatformFrontEnd.ts';
 import UndiciUpstreamClient from '../adapters/http/UndiciUpstreamClient.ts';
 import PrometheusMetrics from '../adapters/metrics/PrometheusMetrics.ts';
@@ -42,6 +43,7 @@
   peerIdleCloseMs,
 } from './fleetTimes.ts';
 import formatAddress from './formatAddress.ts';
+import listConnectionGauges from './listConnectionGauges.ts';
 import listEntryGauges from './listEntryGauges.ts';
 import listSeedPeers from './listSeedPeers.ts';
 import maxBufferedBytes from './maxBufferedBytes.ts';
@@ -91,6 +93,12 @@
 
   private readonly upstreamClient: UndiciUpstreamClient;
 
+  private readonly connections = {
+    callers: new ListenerConnections({ listener: 'callers' }),
+    platform: new ListenerConnections({ listener: 'platform' }),
+    metrics: new ListenerConnections({ listener: 'metrics' }),
+  };
+
   private readonly callers: HttpFrontEnd;
 
   private readonly platform: PlatformFrontEnd;
@@ -171,10 +179,18 @@
       dialect,
       maxHeaderBytes,
       buffers,
+      listenerConnections: this.connections.callers,
     });
     const readState = (): HostStateName => this.getState();
-    this.platform = new PlatformFrontEnd({ clock, log, metrics, readState });
-    this.metricsFrontEnd = new PlatformFrontEnd({ clock, log, metrics, readState });
+    const common = { clock, log, metrics, readState };
+    this.platform = new PlatformFrontEnd({
+      ...common,
+      listenerConnections: this.connections.platform,
+    });
+    this.metricsFrontEnd = new PlatformFrontEnd({
+      ...common,
+      listenerConnections: this.connections.metrics,
+    });
     this.shutdown = this.createShutdown();
   }
 
@@ -323,7 +339,8 @@
     const { view, subscriber, socket, statements, loadMonitor } = this;
     const { clock } = this.options;
     const gauges = listEntryGauges({ clock, view, subscriber, socket, statements, loadMonitor });
-    return new PrometheusMetrics(gauges, { hasProcessMetrics: false });
+    const connectionGauges = listConnectionGauges(Object.values(this.connections));
+    return new PrometheusMetrics([...gauges, ...connectionGauges], { hasProcessMetrics: false });
   }
 
   private startStop(): number {
--- /dev/null
+++ b/src/daemon/listConnectionGauges.ts
@@ -0,0 +1,20 @@
+import type ListenerConnections from '../adapters/http/ListenerConnections.ts';
+import type { GaugeSource } from '../adapters/metrics/PrometheusMetrics.ts';
+
+/** Lists the gauges for the connections of the listeners of a process. */
+export default function listConnectionGauges(
+  listeners: readonly Pick<ListenerConnections, 'listener' | 'openCount' | 'unprovenCount'>[],
+): readonly GaugeSource[] {
+  return listeners.flatMap((connections) => [
+    {
+      name: `connections_${connections.listener}`,
+      help: `Open connections of the listener ${connections.listener}.`,
+      readValue: () => connections.openCount,
+    },
+    {
+      name: `connections_unproven_${connections.listener}`,
+      help: `Connections of the listener ${connections.listener} without a request or the peer key yet.`,
+      readValue: () => connections.unprovenCount,
+    },
+  ]);
+}
