src/adapters/http: a stop logs how many connections it closed without an answer

Callers saw: connections closed without an answer around planned stops; the logs did not tell where they were closed. Cause of the gap: nothing counted the connections of a host that stops. Change: the line `requests: the listener is closed` counts the connections accepted since the stop began, those closed before any answer, and those closed after bytes that no answer followed, with the delay of the event loop when idle connections were closed. `lifecycle: accepting no new connections` has the delay of the listener's close. Three rows of a test that list all log lines of a stop have the new line in their list; they are as strict as before.

--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -154,7 +154,9 @@
 
   /** Makes all further answers ask callers to close their connections. */
   startClose(): void {
+    if (this.isStopping) return;
     this.isStopping = true;
+    this.connections.resetCounts();
   }
 
   /**
@@ -168,15 +170,21 @@
     NetServer.prototype.close.call(this.server, () => closed.abort());
     const { clock, log } = this.options;
     // A request may still arrive on a connection that looks idle or was just accepted.
-    await clock.sleepUntil(clock.now() + lingerMs, closed.signal);
+    const idleAt = clock.now() + lingerMs;
+    await clock.sleepUntil(idleAt, closed.signal);
+    const idleLateMs = Math.max(0, Math.round(clock.now() - idleAt));
     this.connections.closeIdle();
     const flushedAt = Math.max(clock.now(), this.latestDeadline) + flushMs;
     await clock.sleepUntil(Math.min(flushedAt, deadline + lastFlushMs), closed.signal);
     // Stops the interval that checks for overdue headers.
     this.server.close();
-    if (closed.signal.aborted) return;
-    log.warn('requests: closing connections whose callers did not read their answers');
-    this.connections.closeAll();
+    if (!closed.signal.aborted) {
+      log.warn('requests: closing connections whose callers did not read their answers');
+      this.connections.closeAll();
+      // The connections are counted when their close events have run.
+      await clock.yieldToEventLoop();
+    }
+    log.info('requests: the listener is closed', { ...this.connections.readCounts(), idleLateMs });
   }
 
   private async serveRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/src/application/lifecycle/Shutdown.ts
+++ b/src/application/lifecycle/Shutdown.ts
@@ -55,7 +55,9 @@
     listeners.forEach((listener) => listener.startClose());
     await this.runStep('announcing the stop', () => hostRecord.announceStopping());
     await clock.sleepUntil(graceDeadline);
-    log.info('lifecycle: accepting no new connections');
+    log.info('lifecycle: accepting no new connections', {
+      lateMs: Math.round(clock.now() - graceDeadline),
+    });
     await Promise.all(
       listeners.map((listener) =>
         this.runStep('closing a listener', () => listener.closeListener(answerDeadline)),
--- a/tests/requests/callersListener.test.ts
+++ b/tests/requests/callersListener.test.ts
@@ -271,7 +271,11 @@
         await closed;
 
         expect((await caller.waitClosed()).match(/HTTP\/1\.1 200/g)).toHaveLength(2);
-        expect(path.log.messages).toEqual(['requests: answered', 'requests: answered']);
+        expect(path.log.messages).toEqual([
+          'requests: answered',
+          'requests: answered',
+          'requests: the listener is closed',
+        ]);
       },
     );
 
