tests/fleet: a final fault right after an acknowledgement ends each run of the open group

Callers would see: a configuration or a departure that was acknowledged and is gone after some hosts lost their disks while all others lost power at the same moment. Cause: the fuzz drew a lost disk of one host with a loss of power of the others, but seldom while changes were under way, and never two lost disks at once. Ruled out: nothing was found to be acknowledged before it is durable on a majority. Read for it: RegistrationService, NumberedPresetService, CommandForwarder, Replica, LogWriterTask, PeerReplicationTask, MessageHandler. What is answered without a commit rests on applied entries only. Change: each run now ends with this fault, for one or two lost disks, as soon as one of several commands is acknowledged on slow disks and links. The check after it is the one that runs had before, which stays.

--- a/tests/fleet/openGroup.fuzz.test.ts
+++ b/tests/fleet/openGroup.fuzz.test.ts
@@ -17,8 +17,10 @@
 const spares = ['f', 'g', 'h', 'i'];
 /** Time within which a restarted or new host has to catch up, in milliseconds. */
 const catchUpMs = 4000;
+/** Time within which a command is acknowledged without faults, in milliseconds. */
+const acknowledgementMs = 2000;
 
-const totals = { acknowledged: 0, confirmed: 0, wiped: 0, replaced: 0, elected: 0 };
+const totals = { acknowledged: 0, confirmed: 0, wiped: 0, replaced: 0, elected: 0, finalFaults: 0 };
 
 /** One run of a control group that is found through seeds, with its workload and random source. */
 class OpenGroupRun {
@@ -36,8 +38,12 @@
   /** When each restarted or new host counts as caught up; until then no disk may be lost. */
   private readonly catchingUp = new Map<string, number>();
 
+  /** Number of disks that the final fault takes. */
+  private readonly lostHosts: number;
+
   constructor(runSeed: number) {
     this.random = new SeededRandom(runSeed + 1);
+    this.lostHosts = 1 + Math.floor(this.random.next() * 2);
     this.group = new ReplicaGroupFixture({
       hosts: founders,
       joining: [...joining, ...spares],
@@ -45,6 +51,7 @@
       snapshotEntries: 8,
       chunkBytes: 90,
       times: fleetTimes,
+      minVoters: 2 * this.lostHosts + 1,
     });
     this.workload = new LogWorkload(this.group);
   }
@@ -120,24 +127,54 @@
     sideA.forEach((member) => this.group.network.cutHost(member, sideB));
   }
 
-  /** Repairs all faults, starts all hosts, and checks that all agree, commit and are voters. */
+  /**
+   * Checks that all hosts agree, before and after a final fault: some hosts lose their disks while
+   * all others lose power.
+   */
   async finish(): Promise<void> {
+    const { group, oracle } = this;
+    await this.checkRepaired('last');
+    await this.startFinalFault();
+    await this.checkRepaired('after the final fault');
+    totals.acknowledged += oracle.acknowledged.size;
+    totals.confirmed += this.workload.confirmed;
+    totals.elected += group.log.messages.filter((line) => line === 'replication: leading').length;
+    await group.stopAll();
+  }
+
+  /** Repairs all faults, starts all hosts, and checks that all agree, commit and are voters. */
+  private async checkRepaired(lastId: string): Promise<void> {
     const { group, oracle } = this;
     this.group.repairFaults();
     group.disks.forEach((disk) => Object.assign(disk, { stopAt: Infinity }));
     await this.workload.waitCalls();
     await group.clock.advanceBy(6000);
     for (const member of this.members) await this.join(member);
-    await group.commit('last');
+    await group.commit(lastId);
     const { ids } = (await group.waitLeader()).state;
     await group.waitAllApplied(ids.length);
     await group.waitFor(() => this.areAllVoters());
     oracle.checkStates(group.running.values());
     oracle.checkFinal(ids);
-    totals.acknowledged += oracle.acknowledged.size;
-    totals.confirmed += this.workload.confirmed;
-    totals.elected += group.log.messages.filter((line) => line === 'replication: leading').length;
-    await group.stopAll();
+  }
+
+  /** Happens as soon as one more command is acknowledged, while others are under way. */
+  private async startFinalFault(): Promise<void> {
+    const { group, oracle, random, workload } = this;
+    group.drawDiskDelay = () => random.next() * 30;
+    group.network.drawDelay = () => random.next() * 10;
+    await workload.callLeaders(4, 0);
+    const { size } = oracle.acknowledged;
+    const deadline = group.clock.now() + acknowledgementMs;
+    while (oracle.acknowledged.size === size && group.clock.now() < deadline) {
+      await group.clock.advanceBy(1);
+    }
+    if (oracle.acknowledged.size > size) totals.finalFaults += 1;
+    const order = [...this.members].sort(() => random.next() - 0.5);
+    order.slice(0, this.lostHosts).forEach((host) => group.wipe(host));
+    order
+      .slice(this.lostHosts)
+      .forEach((host) => group.kill(host, Math.floor(random.next() * 200)));
   }
 
   private areAllVoters(): boolean {
@@ -276,6 +313,7 @@
         `open group fuzz: FUZZ_SEED=${seed} FUZZ_RUNS=${numRuns}: ${JSON.stringify(totals)}\n`,
       );
       expect(totals.acknowledged).toBeGreaterThan(numRuns);
+      expect(totals.finalFaults).toBe(numRuns);
     },
     timeoutMs,
   );
