--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -132,7 +132,8 @@
   }
 
   openListener(address: ListenAddress): Promise<void> {
-    return openServer(this.server, address, 'listen.callers');
+    const { log } = this.options;
+    return openServer(this.server, { address, key: 'listen.callers', log });
   }
 
   /** The address that the listener is bound to; tests listen on port 0. */
--- a/src/adapters/http/PlatformFrontEnd.ts
+++ b/src/adapters/http/PlatformFrontEnd.ts
@@ -50,7 +50,8 @@
   }
 
   openListener(address: ListenAddress): Promise<void> {
-    return openServer(this.server, address, 'listen.platform');
+    const { log } = this.options;
+    return openServer(this.server, { address, key: 'listen.platform', log });
   }
 
   /** The address that the listener is bound to; tests listen on port 0. */
--- a/src/adapters/trpc/TrpcOperatorServer.ts
+++ b/src/adapters/trpc/TrpcOperatorServer.ts
@@ -52,7 +52,8 @@
   }
 
   openListener(address: ListenAddress): Promise<void> {
-    return openServer(this.server, address, 'listen.operators');
+    const { log } = this.options;
+    return openServer(this.server, { address, key: 'listen.operators', log });
   }
 
   /** Stops accepting calls and resolves when the open calls have finished. */
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -73,7 +73,7 @@
   };
   let daemon: Daemon;
   try {
-    await checkEnvironment(settings);
+    await checkEnvironment(settings, log);
     if (isCheckOnly) return undefined;
     daemon = await (settings.role === 'entry'
       ? EntryHost.startHost(options)
--- a/tests/requests/closeServer.test.ts
+++ b/tests/requests/closeServer.test.ts
@@ -21,7 +21,8 @@
       answerCall = () => response.end('answer');
     },
   });
-  await openServer(server, { ip: '127.0.0.1', port: 0 }, 'test');
+  const address = { ip: '127.0.0.1', port: 0 };
+  await openServer(server, { address, key: 'test', log: new SilentLog() });
   const { port } = server.address() as AddressInfo;
   const caller = await RawCaller.connectTo(`http://127.0.0.1:${port}`);
   caller.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
