src/adapters/http: a refused connection is closed when the other side closes it, or soon after

What operators would see: a control host that has refused upgrades does not finish its stop; descriptors that stay in use although the other side has closed. Cause: after a refused upgrade (peers) and a CONNECT request (callers) the answer was written, but nobody read the connection any more. With unread input on it, Node.js never reports the end of the other side, so the connection stayed, and closing the listener waited for it. Ruled out: the lost last line; the process ended with 0 because nothing was left in its event loop, without coming to the line. While a connection to another peer keeps the loop alive it would wait for that too; this was not measured. Conclusion: refused connections no longer stay. How many connections a stranger may open at the same time is not limited by this.

--- a/src/adapters/http/writeClientError.ts
+++ b/src/adapters/http/writeClientError.ts
@@ -3,6 +3,7 @@
 import type ErrorKind from '../../domain/errors/ErrorKind.ts';
 import errorAnswers from '../../domain/errors/errorAnswers.ts';
 import createFailureAnswer from '../../application/requests/createFailureAnswer.ts';
+import endSocket from './endSocket.ts';
 
 type ClientErrorKind = Extract<
   ErrorKind,
@@ -40,5 +41,5 @@
     `pistachiohoist-error: ${kind}`,
     'connection: close',
   ].join('\r\n');
-  socket.end(Buffer.concat([Buffer.from(`${head}\r\n\r\n`), body]));
+  endSocket(socket, Buffer.concat([Buffer.from(`${head}\r\n\r\n`), body]));
 }
--- a/src/adapters/trpc/TrpcPeerServer.ts
+++ b/src/adapters/trpc/TrpcPeerServer.ts
@@ -11,6 +11,7 @@
 import type { ListenAddress } from '../../domain/settings/DaemonSettings.ts';
 import type Log from '../../ports/Log.ts';
 import type ListenerConnections from '../http/ListenerConnections.ts';
+import endSocket from '../http/endSocket.ts';
 import openServer from '../http/openServer.ts';
 import writeClientError from '../http/writeClientError.ts';
 import compareKeys from './compareKeys.ts';
@@ -97,7 +98,8 @@
         address: request.socket.remoteAddress,
       });
       const body = JSON.stringify({ error: 'unauthorized', message: 'expected the peer key' });
-      socket.end(
+      endSocket(
+        socket,
         `HTTP/1.1 ${errorAnswers.unauthorized.status} Unauthorized\r\n` +
           'content-type: application/json\r\nconnection: close\r\n' +
           `content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
--- a/tests/platform/strangeInput.test.ts
+++ b/tests/platform/strangeInput.test.ts
@@ -136,4 +136,16 @@
     expect(answer.status).toBe(200);
     expect(listEnded()).toEqual([]);
   });
+
+  it(
+    'should stop as usual after it',
+    async () => {
+      const codes = [...fleet.processes.values()].map((running) => running.stop());
+
+      expect(await Promise.all(codes)).toEqual([0, 0]);
+      const outputs = [...fleet.processes.values()].map(({ output }) => output);
+      outputs.forEach((output) => expect(output).toContain('"reason":"stop_requested"'));
+    },
+    maxStartMs,
+  );
 });
