src/adapters/trpc: a malformed message of a peer does not end the process

What callers would see: entry or control processes that end by themselves, all that follow the same peer at the same moment. Cause: the client of tRPC throws in a timer what its handling of a message throws ("rethrown asynchronously"), for example for text that is not JSON, null, a number, a binary frame, or an answer whose result or error is not an object. Nothing can catch that. Ruled out: strange or broken handshakes, resets in the midst of one, and closing while connecting: no error went uncaught on the code before. Change: the encoder of the connection checks each message first. A malformed answer fails its call; another message is ignored and the call ends by its deadline. Both are logged with the address of the peer. The connection and the dialer get the log, tests and bench pass one. Conclusion: a process survives a peer, or another program at the address of one, that answers wrongly after the handshake.

--- a/bench/capacity/measureDetection.ts
+++ b/bench/capacity/measureDetection.ts
@@ -89,7 +89,7 @@
   const server = new TrpcPeerServer({ router: router({ detection }), peerKey, log });
   await server.openListener({ ip: '127.0.0.1', port: 0 });
   const address = `127.0.0.1:${server.address.port}`;
-  const connection = new TrpcPeerConnection({ address, peerKey, ownHost: 'entry-1', clock });
+  const connection = new TrpcPeerConnection({ address, peerKey, ownHost: 'entry-1', clock, log });
   const link = new TrpcDetectionLink({ connection, release: () => connection.close() });
   const measure = async (servicesWithTraffic: number) => {
     const report = createReport(1, servicesWithTraffic, clock.now());
--- a/src/adapters/trpc/TrpcPeerConnection.ts
+++ b/src/adapters/trpc/TrpcPeerConnection.ts
@@ -6,6 +6,8 @@
 
 import type Result from '../../domain/errors/Result.ts';
 import type Clock from '../../ports/Clock.ts';
+import type Log from '../../ports/Log.ts';
+import createPeerEncoder from './createPeerEncoder.ts';
 import { maxPeerMessageBytes } from './TrpcPeerServer.ts';
 import peerCompression from './peerCompression.ts';
 
@@ -20,6 +22,8 @@
   readonly peerKey: string;
   readonly ownHost: string;
   readonly clock: Clock;
+  /** Gets a line for each malformed message of the peer. */
+  readonly log: Log;
   /**
    * Idle timeout in milliseconds. When set, the connection opens with the first call, closes after
    * this time without a call, and is replaced when a call gets no answer by its deadline. Otherwise
@@ -79,6 +83,9 @@
     return createWSClient({
       url: `ws://${options.address}`,
       WebSocket: PeerSocket as unknown as typeof globalThis.WebSocket,
+      experimental_encoder: createPeerEncoder(() =>
+        options.log.warn('peers: a message of a peer is malformed', { address: options.address }),
+      ),
       retryDelayMs: (attempt) => Math.min(maxReconnectDelayMs, 50 * 2 ** attempt),
       ...(options.idleCloseMs === undefined
         ? { keepAlive: { enabled: true, intervalMs: pingIntervalMs, pongTimeoutMs } }
--- a/src/adapters/trpc/TrpcPeerDialer.ts
+++ b/src/adapters/trpc/TrpcPeerDialer.ts
@@ -1,5 +1,6 @@
 import type { PeerAddress } from '../../domain/membership/choosePeers.ts';
 import type Clock from '../../ports/Clock.ts';
+import type Log from '../../ports/Log.ts';
 import type PeerDialer from '../../ports/PeerDialer.ts';
 import TrpcPeerConnection from './TrpcPeerConnection.ts';
 
@@ -14,6 +15,7 @@
   readonly peerKey: string;
   readonly ownHost: string;
   readonly clock: Clock;
+  readonly log: Log;
   /** See `TrpcPeerConnectionOptions`. */
   readonly idleCloseMs?: number;
   /** See `TrpcPeerConnectionOptions`. */
--- a/src/daemon/FleetControlHost.ts
+++ b/src/daemon/FleetControlHost.ts
@@ -171,6 +171,7 @@
       peerKey,
       ownHost: settings.host,
       clock,
+      log,
       idleCloseMs: peerIdleCloseMs,
       isCompressed: true,
     });
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -126,6 +126,7 @@
       peerKey: settings.peerKey,
       ownHost: settings.host,
       clock,
+      log,
       idleCloseMs: peerIdleCloseMs,
       isCompressed: true,
     });
--- a/src/daemon/PeerNetwork.ts
+++ b/src/daemon/PeerNetwork.ts
@@ -45,7 +45,7 @@
     this.options = options;
     const { host, role, failureDomain, peerKey, control, listen } = settings;
     const exchangeNow = (): void => this.gossip.exchangeNow();
-    this.dialer = new TrpcPeerDialer({ peerKey, ownHost: host, clock });
+    this.dialer = new TrpcPeerDialer({ peerKey, ownHost: host, clock, log });
     const { hosts, upstreams } = this;
     this.gossip = new Gossip({
       clock,
--- a/tests/claims/claimLink.test.ts
+++ b/tests/claims/claimLink.test.ts
@@ -51,7 +51,13 @@
     await server.openListener({ ip: '127.0.0.1', port });
     const systemClock = new SystemClock();
     const address = `127.0.0.1:${port}`;
-    const options = { address, peerKey, ownHost: 'entry-1', clock: systemClock };
+    const options = {
+      address,
+      peerKey,
+      ownHost: 'entry-1',
+      clock: systemClock,
+      log: new SilentLog(),
+    };
     const connection = new TrpcPeerConnection(options);
     closers.push(() => server.closeListener());
     closers.push(() => connection.close());
--- a/tests/detection/reports.test.ts
+++ b/tests/detection/reports.test.ts
@@ -122,7 +122,7 @@
     const clock = new SystemClock();
     const connection = new TrpcPeerConnection({
       address: `127.0.0.1:${port}`,
-      ...{ peerKey, ownHost: 'entry-1', clock },
+      ...{ peerKey, ownHost: 'entry-1', clock, log: new SilentLog() },
     });
     const link = new TrpcDetectionLink({ connection, release: () => connection.close() });
     closers.push(
--- a/tests/fleet/fleetLink.test.ts
+++ b/tests/fleet/fleetLink.test.ts
@@ -3,6 +3,7 @@
 import SystemClock from '../../src/adapters/system/SystemClock.ts';
 import TrpcFleetLink from '../../src/adapters/trpc/TrpcFleetLink.ts';
 import TrpcPeerDialer from '../../src/adapters/trpc/TrpcPeerDialer.ts';
+import SilentLog from '../fixtures/SilentLog.ts';
 
 describe('TrpcFleetLink', () => {
   const warnings: string[] = [];
@@ -23,7 +24,9 @@
   // time. Guards against a warning of Node.js on standard error.
   it('should allow 20 concurrent calls without a warning of Node.js', async () => {
     const clock = new SystemClock();
-    const dialer = new TrpcPeerDialer({ peerKey: 'key', ownHost: 'c1', clock, idleCloseMs: 1000 });
+    const log = new SilentLog();
+    const options = { peerKey: 'key', ownHost: 'c1', clock, log, idleCloseMs: 1000 };
+    const dialer = new TrpcPeerDialer(options);
     // No process listens on this port.
     const address = '127.0.0.1:1';
     const link = new TrpcFleetLink(dialer.takeConnection({ host: address, address }), clock);
--- a/tests/fleet/peerCompression.test.ts
+++ b/tests/fleet/peerCompression.test.ts
@@ -96,7 +96,7 @@
     closers.push(() => proxy.close());
     const clock = new SystemClock();
     const connection = new TrpcPeerConnection({
-      ...{ address, peerKey, ownHost: 'c1', clock },
+      ...{ address, peerKey, ownHost: 'c1', clock, log: new SilentLog() },
       idleCloseMs: 3000,
       isCompressed: true,
     });
--- a/tests/membership/peers.test.ts
+++ b/tests/membership/peers.test.ts
@@ -52,7 +52,7 @@
   });
 
   const createDialer = (key: string): TrpcPeerDialer => {
-    dialers.push(new TrpcPeerDialer({ peerKey: key, ownHost: 'e1', clock }));
+    dialers.push(new TrpcPeerDialer({ peerKey: key, ownHost: 'e1', clock, log: new SilentLog() }));
     return dialers[dialers.length - 1] as TrpcPeerDialer;
   };
   const openGossip = (key: string): TrpcGossipLink =>
--- a/tests/replication/trpcLink.test.ts
+++ b/tests/replication/trpcLink.test.ts
@@ -54,7 +54,13 @@
         .filter((other) => other !== host)
         .map((other) => {
           const address = addresses.get(other) ?? '';
-          const connection = new TrpcPeerConnection({ address, peerKey, ownHost: host, clock });
+          const connection = new TrpcPeerConnection({
+            address,
+            peerKey,
+            ownHost: host,
+            clock,
+            log,
+          });
           cleanups.push(async () => connection.close());
           return new TrpcReplicationLink({ host: other, connection });
         });
