src/adapters/http: no listener takes the descriptors that the rest of a process needs

Callers and operators saw: a control host whose process ends (exit 1, 'replication: stopped by an error', EMFILE at opening the log file) after strangers opened as many idle connections to its peers listener as the process may have descriptors. No key was needed. Cause: no listener had a limit in number, and on the peers listener a connection that sends nothing stayed for 60 to 90 s. Ruled out: `maxConnections` of net.Server: it closes the newest connection, so that a few idle strangers keep out hosts and probes. Change: each listener of a host found through seeds has a part of the descriptors of its process (`max_descriptors`, by default what the operating system allows; at most that). Beyond it, the oldest connection that has not sent a head of a request, or at `peers` the key, is closed, with a counter and at most one warning a second. Callers get 0.6 of what a reserve for files of 200 (at most half) leaves. At `peers` at most 64 connections lack the key, each for 5 s. The time of 5 s at `peers` has no test. EntryHost and ControlHost, which aren't found through seeds, have no limits yet. Conclusion: strangers can't take the descriptors of a part that must not end; a caller's new connection can be closed before its request.

--- a/examples/fleet/ManagedProcess.ts
+++ b/examples/fleet/ManagedProcess.ts
@@ -13,14 +13,22 @@
 
   private readonly exited: Promise<number | string>;
 
-  /** Starts Node.js with the arguments; `variables` are added to the current environment. */
+  /**
+   * Starts Node.js with the arguments; `variables` are added to the current environment, and
+   * `limits` are the arguments of the shell's `ulimit`, for example `-n 300`.
+   */
   constructor(
     name: string,
     args: readonly string[],
     variables: Readonly<Record<string, string>> = {},
+    limits?: string,
   ) {
     this.name = name;
-    this.child = spawn(process.execPath, args, {
+    const [file = '', ...rest] =
+      limits === undefined
+        ? [process.execPath, ...args]
+        : ['sh', '-c', `ulimit ${limits} && exec "$0" "$@"`, process.execPath, ...args];
+    this.child = spawn(file, rest, {
       stdio: ['ignore', 'pipe', 'pipe'],
       env: { ...process.env, ...variables },
     });
--- a/src/adapters/http/ListenerConnections.ts
+++ b/src/adapters/http/ListenerConnections.ts
@@ -1,25 +1,50 @@
 import type { Server } from 'node:http';
 import type { Socket } from 'node:net';
 
+import type Clock from '../../ports/Clock.ts';
+import type Log from '../../ports/Log.ts';
+
+// An operator needs no more lines to see that connections are closed; the counter has the rest.
+const logIntervalMs = 1000;
+
 /** Options of the connections of one listener. */
 export interface ListenerConnectionsOptions {
+  readonly clock: Clock;
+  readonly log: Log;
   /** Name of the listener in the settings, for example `callers`. */
   readonly listener: string;
+  readonly maxConnections: number;
+  /** Maximum number of unproven connections; `maxConnections` unless set. */
+  readonly maxUnproven?: number;
 }
 
 /**
- * Counts the open connections of one listener. A connection is unproven until it has sent what the
- * listener expects: the head of a request, or the peer key.
+ * Counts the open connections of one listener and limits their number. A connection is unproven
+ * until it has sent what the listener expects: the head of a request, or the peer key. Beyond the
+ * limit, the oldest unproven connection is closed, which is the new one when all others are proven:
+ * so connections that send nothing don't keep out those that do.
  */
 export default class ListenerConnections {
-  readonly listener: string;
+  /** Number of connections that were closed because of the limit. */
+  refusedCount = 0;
+
+  private readonly options: ListenerConnectionsOptions;
 
   private readonly open = new Set<Socket>();
 
+  /** In the order of their arrival. */
   private readonly unproven = new Set<Socket>();
 
-  constructor({ listener }: ListenerConnectionsOptions) {
-    this.listener = listener;
+  private loggedCount = 0;
+
+  private nextLogAt = -Infinity;
+
+  constructor(options: ListenerConnectionsOptions) {
+    this.options = options;
+  }
+
+  get listener(): string {
+    return this.options.listener;
   }
 
   get openCount(): number {
@@ -30,12 +55,12 @@
     return this.unproven.size;
   }
 
-  /** Counts the connections of a server. */
+  /** Counts and limits the connections of a server. */
   watchServer(server: Server): void {
     server.on('connection', (socket) => this.addConnection(socket));
   }
 
-  /** Counts the connections of a server on which the head of a request proves the connection. */
+  /** The same for a server on which the head of a request proves the connection. */
   watchRequests(server: Server): void {
     this.watchServer(server);
     server.on('request', ({ socket }) => this.markProven(socket));
@@ -47,11 +72,39 @@
   }
 
   private addConnection(socket: Socket): void {
+    const { maxConnections, maxUnproven = maxConnections } = this.options;
     this.open.add(socket);
     this.unproven.add(socket);
-    socket.once('close', () => {
-      this.open.delete(socket);
-      this.unproven.delete(socket);
+    socket.once('close', () => this.removeConnection(socket));
+    if (this.open.size <= maxConnections && this.unproven.size <= maxUnproven) return;
+    const [oldest] = this.unproven;
+    if (oldest) this.refuseConnection(oldest);
+  }
+
+  private removeConnection(socket: Socket): void {
+    this.open.delete(socket);
+    this.unproven.delete(socket);
+  }
+
+  private refuseConnection(socket: Socket): void {
+    this.refusedCount += 1;
+    this.removeConnection(socket);
+    this.writeLine(socket);
+    socket.destroy();
+  }
+
+  private writeLine(socket: Socket): void {
+    const { clock, log, listener, maxConnections } = this.options;
+    if (clock.now() < this.nextLogAt) return;
+    this.nextLogAt = clock.now() + logIntervalMs;
+    log.warn('lifecycle: a connection was closed: the listener has as many as it may have', {
+      listener,
+      address: socket.remoteAddress,
+      maxConnections,
+      open: this.openCount,
+      unproven: this.unprovenCount,
+      refused: this.refusedCount - this.loggedCount,
     });
+    this.loggedCount = this.refusedCount;
   }
 }
--- a/src/adapters/trpc/TrpcPeerServer.ts
+++ b/src/adapters/trpc/TrpcPeerServer.ts
@@ -20,6 +20,13 @@
 /** Largest message between peers; snapshots are sent in smaller chunks. */
 export const maxPeerMessageBytes = 16_777_216;
 
+// A peer sends its key with its first bytes; many times the longest delay of the network, in
+// milliseconds.
+const headersTimeout = 5000;
+// How often Node.js looks for connections without a head; a small part of the timeout, in
+// milliseconds.
+const connectionsCheckingInterval = 500;
+
 /** Options of the peers listener. */
 export interface TrpcPeerServerOptions {
   readonly router: AnyTRPCRouter;
@@ -61,8 +68,11 @@
       router: options.router,
       createContext: ({ req }) => ({ callerName: String(req.headers['pistachiohoist-host']) }),
     });
-    this.server = createServer((_request, response) => {
-      response.writeHead(426, { 'content-type': 'application/json', upgrade: 'websocket' });
+    const timeouts = { headersTimeout, connectionsCheckingInterval };
+    this.server = createServer(timeouts, (_request, response) => {
+      response.writeHead(426, {
+        ...{ 'content-type': 'application/json', upgrade: 'websocket', connection: 'close' },
+      });
       response.end(JSON.stringify({ error: 'message_invalid', message: 'expected a WebSocket' }));
     });
     options.listenerConnections?.watchServer(this.server);
--- a/src/adapters/yaml/parseFleetSettings.ts
+++ b/src/adapters/yaml/parseFleetSettings.ts
@@ -8,6 +8,8 @@
 import nameSchema from './nameSchema.ts';
 import parseYaml from './parseYaml.ts';
 
+const expectedDescriptors = 'expected a whole number from 64 to 10000000';
+
 const commonFields = {
   host: nameSchema,
   failure_domain: nameSchema,
@@ -15,6 +17,12 @@
   seeds: z.array(listenAddressSchema, 'expected a list of addresses'),
   peer_key: keySchema,
   log_level: logLevelSchema,
+  // Empty when the platform sets no limit.
+  max_descriptors: z
+    .int(expectedDescriptors)
+    .min(64, expectedDescriptors)
+    .max(10_000_000, expectedDescriptors)
+    .nullish(),
 };
 
 const expectedPrice = 'expected a number from 0 to 100';
@@ -83,6 +91,7 @@
     seeds: settings.seeds,
     peerKey: settings.peer_key,
     logLevel: settings.log_level,
+    maxDescriptors: settings.max_descriptors ?? undefined,
   };
   if (settings.role === 'entry') {
     return {
--- a/src/daemon/FleetControlHost.ts
+++ b/src/daemon/FleetControlHost.ts
@@ -10,6 +10,7 @@
 import createFleetRouter from '../adapters/trpc/createFleetRouter.ts';
 import createReplicationRouter from '../adapters/trpc/createReplicationRouter.ts';
 import { router } from '../adapters/trpc/trpcBase.ts';
+import readDescriptorLimit from '../adapters/system/readDescriptorLimit.ts';
 import UdpDatagramSocket from '../adapters/udp/UdpDatagramSocket.ts';
 import CommandForwarder from '../application/fleet/CommandForwarder.ts';
 import FeedService from '../application/fleet/FeedService.ts';
@@ -25,6 +26,7 @@
 import type { ControlReply } from '../domain/control/ControlCommand.ts';
 import ControlStateMachine from '../domain/control/ControlStateMachine.ts';
 import type { ControlHostInfo } from '../domain/fleet/FleetHosts.ts';
+import { splitControlDescriptors } from '../domain/settings/splitDescriptors.ts';
 import type { FleetControlSettings } from '../domain/settings/FleetSettings.ts';
 import type Clock from '../ports/Clock.ts';
 import type FleetLink from '../ports/FleetLink.ts';
@@ -55,13 +57,37 @@
   readonly codec: PresetCodec;
 }
 
+interface ControlListeners {
+  readonly operators: ListenerConnections;
+  readonly peers: ListenerConnections;
+  readonly metrics: ListenerConnections;
+}
+
 interface ControlComponents {
+  readonly connections: ControlListeners;
   readonly state: ControlStateMachine;
   readonly dialer: TrpcPeerDialer;
   readonly replica: Replica<ControlCommand, ControlReply>;
   readonly socket: UdpDatagramSocket;
 }
 
+function createListeners(
+  { clock, log }: Pick<FleetControlOptions, 'clock' | 'log'>,
+  maxDescriptors: number,
+): ControlListeners {
+  const parts = splitControlDescriptors(maxDescriptors);
+  const createListener = (listener: keyof ControlListeners, maxUnproven: number) =>
+    new ListenerConnections({
+      ...{ clock, log, listener, maxUnproven },
+      maxConnections: parts[listener],
+    });
+  return {
+    operators: createListener('operators', parts.operators),
+    peers: createListener('peers', parts.unprovenPeers),
+    metrics: createListener('metrics', parts.metrics),
+  };
+}
+
 /** Composition root of a control host in a fleet whose hosts discover each other through seeds. */
 export default class FleetControlHost implements Daemon {
   readonly presets: NumberedPresetService;
@@ -69,11 +95,7 @@
   readonly registrations: RegistrationService;
 
   /** Connections of each listener. */
-  readonly connections = {
-    operators: new ListenerConnections({ listener: 'operators' }),
-    peers: new ListenerConnections({ listener: 'peers' }),
-    metrics: new ListenerConnections({ listener: 'metrics' }),
-  };
+  readonly connections: ControlListeners;
 
   private readonly options: FleetControlOptions;
 
@@ -101,9 +123,10 @@
 
   private constructor(options: FleetControlOptions, components: ControlComponents) {
     const { settings, clock, log } = options;
-    const { replica, state } = components;
+    const { replica, state, connections } = components;
     this.options = options;
     this.components = components;
+    this.connections = connections;
     this.tasks = new TaskGroup({ log });
     const openLink = (address: string): FleetLink => this.openLink(address);
     const ownAddress = formatAddress(settings.listen.peers);
@@ -139,7 +162,7 @@
       }),
       peerKey: settings.peerKey,
       log,
-      listenerConnections: this.connections.peers,
+      listenerConnections: connections.peers,
     });
     this.loadMonitor = new LoadMonitor({
       clock,
@@ -150,7 +173,7 @@
       clock,
       log,
       metrics: this.createMetrics(),
-      listenerConnections: this.connections.metrics,
+      listenerConnections: connections.metrics,
       readState: () => {
         if (this.isStopping) return 'stopping';
         return replica.isCurrent ? 'ready' : 'starting';
@@ -194,7 +217,11 @@
       minVoters: 2 * settings.lostHosts + 1,
     });
     const socket = await UdpDatagramSocket.openSocket({ address: listen.peers, peerKey, log });
-    const host = new FleetControlHost(options, { state, dialer, replica, socket });
+    const connections = createListeners(
+      options,
+      await readDescriptorLimit(settings.maxDescriptors),
+    );
+    const host = new FleetControlHost(options, { state, dialer, replica, socket, connections });
     await host.peers.openListener(listen.peers);
     await host.metricsFrontEnd.openListener(listen.metrics);
     host.startTasks();
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -5,6 +5,7 @@
 import PrometheusMetrics from '../adapters/metrics/PrometheusMetrics.ts';
 import TrpcFleetLink from '../adapters/trpc/TrpcFleetLink.ts';
 import TrpcPeerDialer from '../adapters/trpc/TrpcPeerDialer.ts';
+import readDescriptorLimit from '../adapters/system/readDescriptorLimit.ts';
 import UdpDatagramSocket from '../adapters/udp/UdpDatagramSocket.ts';
 import DisabledClaimGate from '../application/claims/DisabledClaimGate.ts';
 import DomainExchange from '../application/fleet/DomainExchange.ts';
@@ -28,6 +29,7 @@
 import type { BalancerCosts } from '../domain/requests/LowestCostBalancer.ts';
 import type UsableUpstream from '../domain/requests/UsableUpstream.ts';
 import BufferBudget from '../domain/requests/BufferBudget.ts';
+import { splitEntryDescriptors } from '../domain/settings/splitDescriptors.ts';
 import type { FleetEntrySettings } from '../domain/settings/FleetSettings.ts';
 import UpstreamStatements from '../domain/statements/UpstreamStatements.ts';
 import type Clock from '../ports/Clock.ts';
@@ -65,6 +67,31 @@
   readonly codec: PresetCodec;
 }
 
+interface EntryListeners {
+  readonly callers: ListenerConnections;
+  readonly platform: ListenerConnections;
+  readonly metrics: ListenerConnections;
+}
+
+interface EntryComponents {
+  readonly socket: UdpDatagramSocket;
+  readonly connections: EntryListeners;
+}
+
+function createListeners(
+  { clock, log }: Pick<FleetEntryOptions, 'clock' | 'log'>,
+  maxDescriptors: number,
+): EntryListeners {
+  const parts = splitEntryDescriptors(maxDescriptors);
+  const createListener = (listener: keyof EntryListeners): ListenerConnections =>
+    new ListenerConnections({ clock, log, listener, maxConnections: parts[listener] });
+  return {
+    callers: createListener('callers'),
+    platform: createListener('platform'),
+    metrics: createListener('metrics'),
+  };
+}
+
 /** Composition root of an entry host in a fleet whose hosts discover each other through seeds. */
 export default class FleetEntryHost implements Daemon {
   private readonly options: FleetEntryOptions;
@@ -93,11 +120,7 @@
 
   private readonly upstreamClient: UndiciUpstreamClient;
 
-  private readonly connections = {
-    callers: new ListenerConnections({ listener: 'callers' }),
-    platform: new ListenerConnections({ listener: 'platform' }),
-    metrics: new ListenerConnections({ listener: 'metrics' }),
-  };
+  private readonly connections: EntryListeners;
 
   private readonly callers: HttpFrontEnd;
 
@@ -111,10 +134,11 @@
 
   private hasRequestedSuspicions = false;
 
-  private constructor(options: FleetEntryOptions, socket: UdpDatagramSocket) {
+  private constructor(options: FleetEntryOptions, { socket, connections }: EntryComponents) {
     const { settings, clock, log, codec, dialect } = options;
     this.options = options;
     this.socket = socket;
+    this.connections = connections;
     this.tasks = new TaskGroup({ log });
     this.view = new FleetView({
       clock,
@@ -200,10 +224,11 @@
    * be opened.
    */
   static async startHost(options: FleetEntryOptions): Promise<FleetEntryHost> {
-    const { listen, peerKey } = options.settings;
+    const { listen, peerKey, maxDescriptors } = options.settings;
     const { log } = options;
     const socket = await UdpDatagramSocket.openSocket({ address: listen.peers, peerKey, log });
-    const host = new FleetEntryHost(options, socket);
+    const connections = createListeners(options, await readDescriptorLimit(maxDescriptors));
+    const host = new FleetEntryHost(options, { socket, connections });
     await host.platform.openListener(listen.platform);
     await host.metricsFrontEnd.openListener(listen.metrics);
     await host.callers.openListener(listen.callers);
--- a/src/daemon/listConnectionGauges.ts
+++ b/src/daemon/listConnectionGauges.ts
@@ -3,7 +3,10 @@
 
 /** Lists the gauges for the connections of the listeners of a process. */
 export default function listConnectionGauges(
-  listeners: readonly Pick<ListenerConnections, 'listener' | 'openCount' | 'unprovenCount'>[],
+  listeners: readonly Pick<
+    ListenerConnections,
+    'listener' | 'openCount' | 'unprovenCount' | 'refusedCount'
+  >[],
 ): readonly GaugeSource[] {
   return listeners.flatMap((connections) => [
     {
@@ -16,5 +19,10 @@
       help: `Connections of the listener ${connections.listener} without a request or the peer key yet.`,
       readValue: () => connections.unprovenCount,
     },
+    {
+      name: `connections_refused_${connections.listener}`,
+      help: `Connections of the listener ${connections.listener} that were closed because of its limit.`,
+      readValue: () => connections.refusedCount,
+    },
   ]);
 }
--- a/src/domain/settings/FleetSettings.ts
+++ b/src/domain/settings/FleetSettings.ts
@@ -18,6 +18,11 @@
   readonly seeds: readonly ListenAddress[];
   readonly peerKey: string;
   readonly logLevel: 'error' | 'warn' | 'info' | 'debug';
+  /**
+   * Files and connections that the process may have open at a time; undefined for as many as the
+   * operating system allows it.
+   */
+  readonly maxDescriptors: number | undefined;
 }
 
 /** Settings of an entry host in a fleet whose hosts find each other through seeds. */
