src/application/replication: the errors of the data folder are counted and logged by call

Operators saw one line, 'replication: stopped by an error', whose text didn't always tell which call on which file the disk had refused, and none when an error passed. Cause: errors of the disk were logged only where they end the replica. Ruled out: a line in NodeDisk: it stands for one folder of the file system, and the tests use another disk. Change: `ReportingDisk` wraps the disk of both kinds of control hosts. It logs the first error of a call on a file and the next success of that call; hosts found through seeds show `disk_errors` and `disk_failing`. Conclusion: what an error leads to is unchanged: the process still ends with it.

--- a/src/daemon/ControlHost.ts
+++ b/src/daemon/ControlHost.ts
@@ -1,4 +1,3 @@
-import NodeDisk from '../adapters/disk/NodeDisk.ts';
 import PrometheusMetrics from '../adapters/metrics/PrometheusMetrics.ts';
 import HdrLatencyRecorder from '../adapters/metrics/HdrLatencyRecorder.ts';
 import PlatformFrontEnd from '../adapters/http/PlatformFrontEnd.ts';
@@ -34,6 +33,7 @@
 import listControlGauges from './listControlGauges.ts';
 import type { DaemonOptions } from './EntryHost.ts';
 import PeerNetwork from './PeerNetwork.ts';
+import openDisk from './openDisk.ts';
 import TaskGroup from './TaskGroup.ts';
 
 // Time limit for accepted proposals to commit and for the leadership to move to another host.
@@ -139,7 +139,7 @@
         const { connection } = network.dialer.takeConnection(peer);
         return new TrpcReplicationLink({ host: peer.host, connection });
       }),
-      disk: await NodeDisk.openFolder(settings.dataFolder ?? ''),
+      disk: await openDisk({ folder: settings.dataFolder ?? '', clock, log }),
       clock,
       random,
       log,
--- a/src/daemon/FleetControlHost.ts
+++ b/src/daemon/FleetControlHost.ts
@@ -1,4 +1,3 @@
-import NodeDisk from '../adapters/disk/NodeDisk.ts';
 import ListenerConnections from '../adapters/http/ListenerConnections.ts';
 import PlatformFrontEnd from '../adapters/http/PlatformFrontEnd.ts';
 import PrometheusMetrics from '../adapters/metrics/PrometheusMetrics.ts';
@@ -21,6 +20,7 @@
 import type { ServiceCheckResult } from '../application/fleet/RegistrationService.ts';
 import SuspicionRelay from '../application/fleet/SuspicionRelay.ts';
 import LoadMonitor from '../application/metrics/LoadMonitor.ts';
+import type ReportingDisk from '../application/replication/ReportingDisk.ts';
 import Replica from '../application/replication/Replica.ts';
 import type ControlCommand from '../domain/control/ControlCommand.ts';
 import type { ControlReply } from '../domain/control/ControlCommand.ts';
@@ -36,10 +36,12 @@
 import type Daemon from './Daemon.ts';
 import listConnectionGauges from './listConnectionGauges.ts';
 import listControlGauges from './listControlGauges.ts';
+import listDiskGauges from './listDiskGauges.ts';
 import listLoadGauges from './listLoadGauges.ts';
 import TaskGroup from './TaskGroup.ts';
 import fleetTimes, { peerIdleCloseMs } from './fleetTimes.ts';
 import formatAddress from './formatAddress.ts';
+import openDisk from './openDisk.ts';
 import listSeedPeers from './listSeedPeers.ts';
 import readProcessorMs from './readProcessorMs.ts';
 
@@ -67,6 +69,7 @@
   readonly connections: ControlListeners;
   readonly state: ControlStateMachine;
   readonly dialer: TrpcPeerDialer;
+  readonly disk: ReportingDisk;
   readonly replica: Replica<ControlCommand, ControlReply>;
   readonly socket: UdpDatagramSocket;
 }
@@ -199,6 +202,7 @@
       isCompressed: true,
     });
     const seeds = listSeedPeers(settings);
+    const disk = await openDisk({ folder: settings.dataFolder, clock, log });
     const replica = await Replica.startReplica<ControlCommand, ControlReply>({
       host: ownAddress,
       hosts: settings.formsGroup ? seeds : [],
@@ -208,7 +212,7 @@
           const { connection } = dialer.takeConnection({ host: address, address });
           return new TrpcReplicationLink({ host: address, connection });
         }),
-      disk: await NodeDisk.openFolder(settings.dataFolder),
+      disk,
       clock,
       random,
       log,
@@ -221,7 +225,9 @@
       options,
       await readDescriptorLimit(settings.maxDescriptors),
     );
-    const host = new FleetControlHost(options, { state, dialer, replica, socket, connections });
+    const host = new FleetControlHost(options, {
+      ...{ state, dialer, disk, replica, socket, connections },
+    });
     await host.peers.openListener(listen.peers);
     await host.metricsFrontEnd.openListener(listen.metrics);
     host.startTasks();
@@ -328,7 +334,7 @@
   }
 
   private createMetrics(): PrometheusMetrics {
-    const { replica, state } = this.components;
+    const { replica, state, disk } = this.components;
     return new PrometheusMetrics(
       [
         {
@@ -353,6 +359,7 @@
         },
         ...listConnectionGauges(Object.values(this.connections)),
         ...listLoadGauges(this.loadMonitor),
+        ...listDiskGauges(disk),
         ...listControlGauges(replica),
       ],
       { hasProcessMetrics: false },
