src/adapters/http: a stop accepts the connections that wait in the queue before it closes the listener

Callers saw: new connections closed without an answer when an entry host stops, 7 to 216 ms after their request was sent. Cause: Node.js accepts one connection in each turn of the event loop. Closing the listening socket resets all connections that the operating system has opened and the process has not accepted, with whatever their callers have sent. Change: the listener closes at the end of the first turn of at most 1 ms that accepted no connection, after 2 s at the latest; `queued` and `queueMs` in the line of the stop say how many connections waited and how long they took. A connection that opens between the last look and the close, under 1 ms before it, is still reset; closing a listening socket leaves no way around that.

--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -1,6 +1,5 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { Server as NetServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 
@@ -20,6 +19,7 @@
 import type ListenerConnections from './ListenerConnections.ts';
 import openServer from './openServer.ts';
 import readBody from './readBody.ts';
+import stopListening from './stopListening.ts';
 import writeClientError from './writeClientError.ts';
 
 const defaultMaxHeaderBytes = 16_384;
@@ -167,9 +167,11 @@
   async closeListener(deadline = Infinity): Promise<void> {
     this.startClose();
     const closed = new AbortController();
-    // The close method of http.Server destroys connections whose last answer is still being sent.
-    NetServer.prototype.close.call(this.server, () => closed.abort());
     const { clock, log } = this.options;
+    const stopped = await stopListening({
+      ...{ server: this.server, clock, deadline },
+      onClosed: () => closed.abort(),
+    });
     // A request may still arrive on a connection that looks idle or was just accepted.
     const idleAt = clock.now() + lingerMs;
     await clock.sleepUntil(idleAt, closed.signal);
@@ -185,7 +187,8 @@
       // The connections are counted when their close events have run.
       await clock.yieldToEventLoop();
     }
-    log.info('requests: the listener is closed', { ...this.connections.readCounts(), idleLateMs });
+    const counts = { ...this.connections.readCounts(), ...stopped };
+    log.info('requests: the listener is closed', { ...counts, idleLateMs });
   }
 
   private async serveRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/tests/requests/callersListener.test.ts
+++ b/tests/requests/callersListener.test.ts
@@ -239,6 +239,19 @@
       expect(await newCaller.waitClosed()).toMatch(/connection: close\r\n[^]*ok$/i);
     });
 
+    // Guards against requests that the operating system has received and the process has not
+    // accepted: closing the listener resets their connections.
+    it('should answer requests on connections that it has not accepted when it closes', async () => {
+      const { path } = await startPath(({ socket }) => socket.write(answer));
+      const callers = Array.from({ length: 50 }, () => RawCaller.openTo(path.origin));
+      callers.forEach((caller) => caller.write(`${getHead}\r\n`));
+
+      await path.frontEnd.closeListener();
+
+      const texts = await Promise.all(callers.map((caller) => caller.waitClosed()));
+      expect(texts.filter((text) => /200 OK\r\n[^]*ok$/.test(text))).toHaveLength(50);
+    });
+
     // Guards against closing a connection before a pipelined request on it is answered.
     it.each([
       ['before the upstream has answered either', [1, 0], 0],
