src/adapters/udp: a datagram that can not be sent is dropped, also after the close

What callers would see: processes that end by themselves, and answers that are lost in a stop. Cause: the socket of Node.js throws, instead of reporting to the callback, when it is closed and when a port is out of range. On a control host the relay of suspicions sends from the event of a datagram, where a throw ends the process; the addresses come from the feed requests of entry hosts and are not checked. An attempt that ends after the socket of its host was closed throws in its own bookkeeping. The port DatagramSocket promises that a message that can't be sent is dropped. Ruled out: wrong IP addresses, which reach the callback; wrong addresses of outgoing peer connections, whose new test passes on the code before. Change: what the socket throws counts as unsent, as other errors do; both are logged on level debug. Measured: npx vitest run tests/fleet/datagramSocket: 5 of 7 new tests fail on the code before ("Port should be > 0 and < 65536", "Not running"), 9 of 9 pass now; tests/fleet/strangePeer passes. That a real process met either of these was not seen. Conclusion: nobody who sends datagrams needs to know whether the socket is still open.

--- a/src/adapters/udp/UdpDatagramSocket.ts
+++ b/src/adapters/udp/UdpDatagramSocket.ts
@@ -121,14 +121,19 @@
     this.traffic.datagramsSent += 1;
     this.traffic.datagramBytesSent += bytes.byteLength;
     const separator = address.lastIndexOf(':');
-    this.socket.send(
-      bytes,
-      Number(address.slice(separator + 1)),
-      address.slice(0, separator),
-      (error) => {
-        if (error) this.unsent += 1;
-      },
-    );
+    const ip = address.slice(0, separator);
+    const port = Number(address.slice(separator + 1));
+    const onSent = (error: Error | null): void => {
+      if (!error) return;
+      this.unsent += 1;
+      this.options.log.debug('peers: a datagram was not sent', { address, error: error.message });
+    };
+    try {
+      this.socket.send(bytes, port, ip, onSent);
+    } catch (error) {
+      // Thrown when the socket is closed, and for a port that is out of range.
+      onSent(error as Error);
+    }
   }
 
   onMessage(receive: ReceiveMessage): void {
--- a/tests/fleet/datagramSocket.test.ts
+++ b/tests/fleet/datagramSocket.test.ts
@@ -66,6 +66,32 @@
     expect(bytes).toBe(Number(sockets[0]?.totals.datagramBytesSent) + 28 * received.length);
   });
 
+  // Guards against a host that ends because another one has told it an address that can't be used.
+  it.each(['127.0.0.1:0', '127.0.0.1:65536', '127.0.0.1:', '999.0.0.1:5', '[::1]:5', 'x'])(
+    'should drop a message to the address %s and send it to the others',
+    async (address) => {
+      const message = { ...emptyDomainMessage, suspicions: createSuspicions(1) };
+
+      sockets[0]?.sendMessage(message, [address, ...addresses.slice(1)]);
+      await waitReceived(() => received.length > 0);
+
+      expect(received).toHaveLength(1);
+      expect(sockets[0]?.unsentCount).toBe(1);
+    },
+  );
+
+  // Guards against a host that ends with an error, and loses answers, because the attempt of a
+  // request ends after its socket was closed.
+  it('should drop a message when it is closed', async () => {
+    const address = { ip, port: await block.takePort() };
+    const socket = await UdpDatagramSocket.openSocket({ address, peerKey, log: new SilentLog() });
+    socket.close();
+
+    socket.sendMessage({ ...emptyDomainMessage, suspicions: createSuspicions(1) }, addresses);
+
+    expect(socket.unsentCount).toBe(addresses.length);
+  });
+
   it('should not split a message with a single item', () => {
     const message = { ...emptyDomainMessage, suspicions: createSuspicions(1) };
 
--- a/tests/fleet/strangePeer.test.ts
+++ b/tests/fleet/strangePeer.test.ts
@@ -37,8 +37,7 @@
     process.off('uncaughtException', recordUncaught);
   });
 
-  function openConnection({ port }: AddressInfo): void {
-    const address = `127.0.0.1:${port}`;
+  function openConnection(address: string): void {
     connection = new TrpcPeerConnection({
       ...{ address, peerKey: 'key', ownHost: 'h', clock, idleCloseMs: 1000, log },
     });
@@ -78,7 +77,7 @@
         socket.send(JSON.stringify({ id, result: { type: 'data', data: 1 } }));
       });
     });
-    openConnection(server.address() as AddressInfo);
+    openConnection(`127.0.0.1:${(server.address() as AddressInfo).port}`);
 
     await requestPeer();
     expect(await requestPeer()).toEqual({ ok: true, value: 1 });
@@ -108,7 +107,7 @@
     });
     server.listen(0, '127.0.0.1');
     await once(server, 'listening');
-    openConnection(server.address() as AddressInfo);
+    openConnection(`127.0.0.1:${(server.address() as AddressInfo).port}`);
 
     const { ok } = await requestPeer(maxHandshakeMs);
     await clock.sleepUntil(clock.now() + 5);
@@ -116,4 +115,15 @@
     expect({ ok, uncaught }).toEqual({ ok: false, uncaught: [] });
     server.close();
   });
+
+  it.each(['', 'a b', '127.0.0.1:65536', '127.0.0.1:-1', '#'])(
+    'should survive the address %j',
+    async (address) => {
+      openConnection(address);
+
+      const { ok } = await requestPeer(maxHandshakeMs);
+
+      expect({ ok, uncaught }).toEqual({ ok: false, uncaught: [] });
+    },
+  );
 });
