src/adapters/http: a stop reads what has arrived before it ends a connection as idle

Cause: 100 ms after the listener had closed, every connection without an open request was destroyed. Timers run before reading, so after a stall a request that had arrived lay unread, and destroying its connection reset it. Parts of a request, and connections that were new and had sent nothing yet, were not told from idle ones. Ruled out: waiting longer alone (a stall can last longer than any wait). Change: connections are judged at the end of a turn in which everything that had arrived was read. One with a part of a request stays until it is answered, overdue or at the deadline of the stop, a new one for a second after it was accepted. Idle ones are ended in order, and destroyed 500 ms later if their callers keep them open. A stop waits for the connections themselves instead of the server's close event. Conclusion: no connection whose request has arrived is taken for an idle one.

--- a/src/adapters/http/CallerConnections.ts
+++ b/src/adapters/http/CallerConnections.ts
@@ -1,13 +1,28 @@
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+import Notifier from '../../application/tasks/Notifier.ts';
+import type Clock from '../../ports/Clock.ts';
+
+// Longer than the one-way delay from a load balancer in the same region, which is at most 8 ms.
+const lingerMs = 100;
+// Time for the first bytes on a new connection: one retransmission of a lost packet (RFC 6298).
+const firstBytesMs = 1000;
+// Time for a caller to end its side. Closing a connection with unread bytes would reset it before
+// the caller has read its answer.
+const endMs = 500;
+
 interface ConnectionState {
   readonly openResponses: Set<ServerResponse>;
   newestResponse: ServerResponse | undefined;
   /** Set once an answer has announced to the caller that the connection will be closed. */
   isClosing: boolean;
+  /** Set once the end of the connection was sent. */
+  isEnded: boolean;
   /** Bytes that had been read when the newest answer was sent; 0 before the first one. */
   answeredBytes: number;
+  /** Time from which the connection may be closed, unless bytes arrive. */
+  idleUntil: number;
 }
 
 /** Connections of a host that stops. */
@@ -22,23 +37,37 @@
 
 /** Tracks the callers' connections and their open requests. */
 export default class CallerConnections {
-  private isClosingIdle = false;
+  private readonly clock: Clock;
+
+  private readonly notifier: Notifier;
 
   private counts: CloseCounts = { accepted: 0, unanswered: 0, cutOff: 0 };
 
   private readonly states = new Map<Socket, ConnectionState>();
 
+  constructor(clock: Clock) {
+    this.clock = clock;
+    this.notifier = new Notifier(clock);
+  }
+
+  get size(): number {
+    return this.states.size;
+  }
+
   addConnection(socket: Socket): void {
     const state: ConnectionState = {
       openResponses: new Set(),
       newestResponse: undefined,
       isClosing: false,
+      isEnded: false,
       answeredBytes: 0,
+      idleUntil: this.clock.now() + firstBytesMs,
     };
     this.states.set(socket, state);
     this.addToCounts({ accepted: 1 });
     socket.once('close', () => {
       this.states.delete(socket);
+      this.notifier.notify();
       this.addToCounts({
         unanswered: state.answeredBytes === 0 ? 1 : 0,
         cutOff: socket.bytesRead > state.answeredBytes ? 1 : 0,
@@ -69,10 +98,9 @@
     // system.
     response.once('close', () => {
       if (response.writableFinished) state.answeredBytes = socket.bytesRead;
+      state.idleUntil = this.clock.now() + lingerMs;
       state.openResponses.delete(response);
-      // The last answer may have been written before the host began to stop, without announcing to
-      // the caller that the connection will be closed.
-      if (this.isClosingIdle && state.openResponses.size === 0) socket.end();
+      this.notifier.notify();
     });
     return true;
   }
@@ -92,16 +120,63 @@
     return (this.states.get(socket)?.openResponses.size ?? 0) > 0;
   }
 
-  /** Closes connections without an open request, now and whenever one becomes idle. */
-  closeIdle(): void {
-    this.isClosingIdle = true;
-    [...this.states]
-      .filter(([, { openResponses }]) => openResponses.size === 0)
-      .forEach(([socket]) => socket.destroy());
+  /**
+   * Closes each connection when it is idle. Resolves when none is left, or at the deadline, which
+   * may move while requests arrive. Returns how late the event loop was at the most, in
+   * milliseconds.
+   */
+  async closeIdle(readDeadline: () => number): Promise<number> {
+    const { clock } = this;
+    // A request may be in transit on a connection that looks idle.
+    const firstAt = clock.now() + lingerMs;
+    let maxLateMs = 0;
+    while (this.states.size > 0 && clock.now() < readDeadline()) {
+      const closeAt = Math.max(firstAt, this.findNextIdle());
+      await this.notifier.waitUntil(Math.min(closeAt, readDeadline()));
+      const now = clock.now();
+      maxLateMs = Math.max(maxLateMs, now - closeAt);
+      // Timers run before reading, so only the end of this turn shows what has arrived by now.
+      await clock.yieldToEventLoop();
+      if (now >= firstAt) this.endIdle(now);
+    }
+    return Math.round(maxLateMs);
   }
 
-  closeAll(): void {
+  /** Resolves when all connections are closed. */
+  async closeAll(): Promise<void> {
     [...this.states.keys()].forEach((socket) => socket.destroy());
+    while (this.states.size > 0) await this.notifier.waitUntil(Infinity);
+  }
+
+  private findNextIdle(): number {
+    return [...this.states].reduce(
+      (next, [socket, state]) => Math.min(next, this.getIdleUntil(socket, state)),
+      Infinity,
+    );
+  }
+
+  // A part of a request is completed or overdue later.
+  private getIdleUntil(socket: Socket, state: ConnectionState): number {
+    const isBusy = state.openResponses.size > 0 || socket.bytesRead > state.answeredBytes;
+    return isBusy || state.isEnded ? Infinity : state.idleUntil;
+  }
+
+  private endIdle(now: number): void {
+    [...this.states]
+      .filter(([socket, state]) => this.getIdleUntil(socket, state) <= now)
+      .forEach(([socket, state]) => {
+        this.endConnection(socket, state).catch(() => socket.destroy());
+      });
+  }
+
+  /** Ends a connection, and closes it when the caller has ended it too, or shortly later. */
+  private async endConnection(socket: Socket, state: ConnectionState): Promise<void> {
+    Object.assign(state, { isClosing: true, isEnded: true });
+    const closed = new AbortController();
+    socket.once('close', () => closed.abort('closed'));
+    socket.end();
+    await this.clock.sleepUntil(this.clock.now() + endMs, closed.signal);
+    socket.destroy();
   }
 
   private addToCounts({ accepted = 0, unanswered = 0, cutOff = 0 }: Partial<CloseCounts>): void {
--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -32,8 +32,6 @@
 // Time for a refused caller to stop sending. Closing a connection with unread bytes would reset it
 // before the caller has read the answer.
 const discardMs = 500;
-// Longer than the one-way delay from a load balancer in the same region, which is at most 8 ms.
-const lingerMs = 100;
 // Time that callers of a stopping host have to read their answers after the last deadline.
 const flushMs = 5000;
 // The same when the platform is about to kill the process.
@@ -78,7 +76,7 @@
 
   private readonly server: Server;
 
-  private readonly connections = new CallerConnections();
+  private readonly connections: CallerConnections;
 
   private readonly dialect: RequestDialect;
 
@@ -90,6 +88,7 @@
 
   constructor(options: HttpFrontEndOptions) {
     this.options = options;
+    this.connections = new CallerConnections(options.clock);
     this.dialect = options.dialect ?? new DefaultDialect();
     this.server = createServer(
       {
@@ -166,26 +165,17 @@
    */
   async closeListener(deadline = Infinity): Promise<void> {
     this.startClose();
-    const closed = new AbortController();
     const { clock, log } = this.options;
-    const stopped = await stopListening({
-      ...{ server: this.server, clock, deadline },
-      onClosed: () => closed.abort(),
-    });
-    // A request may still arrive on a connection that looks idle or was just accepted.
-    const idleAt = clock.now() + lingerMs;
-    await clock.sleepUntil(idleAt, closed.signal);
-    const idleLateMs = Math.max(0, Math.round(clock.now() - idleAt));
-    this.connections.closeIdle();
-    const flushedAt = Math.max(clock.now(), this.latestDeadline) + flushMs;
-    await clock.sleepUntil(Math.min(flushedAt, deadline + lastFlushMs), closed.signal);
+    const stopped = await stopListening({ server: this.server, clock, deadline });
+    const closingAt = clock.now();
+    const idleLateMs = await this.connections.closeIdle(() =>
+      Math.min(Math.max(closingAt, this.latestDeadline) + flushMs, deadline + lastFlushMs),
+    );
     // Stops the interval that checks for overdue headers.
     this.server.close();
-    if (!closed.signal.aborted) {
+    if (this.connections.size > 0) {
       log.warn('requests: closing connections whose callers did not read their answers');
-      this.connections.closeAll();
-      // The connections are counted when their close events have run.
-      await clock.yieldToEventLoop();
+      await this.connections.closeAll();
     }
     const counts = { ...this.connections.readCounts(), ...stopped };
     log.info('requests: the listener is closed', { ...counts, idleLateMs });
--- a/src/adapters/http/stopListening.ts
+++ b/src/adapters/http/stopListening.ts
@@ -15,8 +15,6 @@
   readonly clock: Clock;
   /** Time by which the listener is closed, `maxAcceptMs` from now at the latest. */
   readonly deadline: number;
-  /** Called when all connections are closed. */
-  readonly onClosed: () => void;
 }
 
 /** How a listener stopped. */
@@ -34,7 +32,7 @@
 export default async function stopListening(
   options: StopListeningOptions,
 ): Promise<StoppedListener> {
-  const { server, clock, onClosed } = options;
+  const { server, clock } = options;
   const startedAt = clock.now();
   const deadline = Math.min(options.deadline, startedAt + maxAcceptMs);
   let queued = 0;
@@ -53,6 +51,6 @@
   }
   server.off('connection', countConnection);
   // The close method of http.Server destroys connections whose last answer is still being sent.
-  NetServer.prototype.close.call(server, onClosed);
+  NetServer.prototype.close.call(server);
   return { queued, queueMs: Math.round(clock.now() - startedAt) };
 }
--- a/tests/requests/callersListener.test.ts
+++ b/tests/requests/callersListener.test.ts
@@ -7,6 +7,7 @@
 import createPreset, { createRoute } from '../fixtures/createPreset.ts';
 import RawCaller from '../fixtures/RawCaller.ts';
 import RawUpstream from '../fixtures/RawUpstream.ts';
+import stopProcess from '../fixtures/stopProcess.ts';
 import type { RawRequest } from '../fixtures/RawUpstream.ts';
 
 const host = 'host: fleet';
@@ -252,6 +253,45 @@
       expect(texts.filter((text) => /200 OK\r\n[^]*ok$/.test(text))).toHaveLength(50);
     });
 
+    async function waitListenerClosed(path: EntryPath): Promise<void> {
+      while (path.frontEnd.address) await setImmediate();
+    }
+
+    // Guards against closing a connection for its silence when its request has arrived and was not
+    // read, because the process stood still meanwhile.
+    it('should answer a request that arrives while the process stands still', async () => {
+      const { path, caller } = await startPath(({ socket }) => socket.write(answer));
+      caller.write(`${getHead}\r\n`);
+      await caller.waitFor('ok');
+
+      const closed = path.frontEnd.closeListener();
+      await waitListenerClosed(path);
+      caller.write(`${getHead}\r\n`);
+      stopProcess(500);
+      await closed;
+
+      expect((await caller.waitClosed()).match(/HTTP\/1\.1 200/g)).toHaveLength(2);
+    });
+
+    // Guards against closing a connection on which a part of a request has arrived, or none yet.
+    it.each([
+      ['the rest of a request', getHead.slice(0, 20)],
+      ['the first request of a connection', ''],
+    ])('should answer %s after it has closed idle connections', async (_title, part) => {
+      const { path, caller } = await startPath(({ socket }) => socket.write(answer));
+      const idleCaller = await RawCaller.connectTo(path.origin);
+      idleCaller.write(`${getHead}\r\n`);
+      await idleCaller.waitFor('ok');
+      caller.write(part);
+
+      const closed = path.frontEnd.closeListener();
+      await idleCaller.waitClosed();
+      caller.write(`${getHead.slice(part.length)}\r\n`);
+      await closed;
+
+      expect(await caller.waitClosed()).toMatch(/connection: close\r\n[^]*ok$/i);
+    });
+
     // Guards against closing a connection before a pipelined request on it is answered.
     it.each([
       ['before the upstream has answered either', [1, 0], 0],
