tests/platform: upstreams that answer strangely neither end a process nor leave a caller without an answer

What was asked: whether malformed answers of an upstream can end an entry host, as malformed input of strangers and peers could. Ruled out: 47 answers (no HTTP, 101, lengths and chunks that are wrong, odd status codes and headers, a second answer on the connection), each followed by an end, a reset or silence, on a real entry process. Change: a test only, beside those of strange input; its upstream takes the answer and the ending from the path of the request. Conclusion: no fault on this path; the test keeps it so.

--- a/tests/platform/strangeInput.test.ts
+++ b/tests/platform/strangeInput.test.ts
@@ -8,7 +8,8 @@
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 
 import PlatformFleet, { maxStartMs, ports } from '../fixtures/PlatformFleet.ts';
-import { strangeDatagrams, strangeRequests } from '../fixtures/strangeInput.ts';
+import RawUpstream from '../fixtures/RawUpstream.ts';
+import { createAnswers, strangeDatagrams, strangeRequests } from '../fixtures/strangeInput.ts';
 
 // Long enough for most answers, so that the connection ends after the process has let go of it.
 const answerMs = 100;
@@ -80,8 +81,29 @@
     ends.map((end) => [end, Buffer.from(text, 'latin1')] as const),
   );
 
-  beforeAll(() => fleet.start(document), 2 * maxStartMs);
-  afterAll(() => fleet.stop(), maxStartMs);
+  const asked = new Set<string>();
+  // The path of a request names the answer, and how the connection goes on after it.
+  const upstream = new RawUpstream(({ head, socket }) => {
+    const [path = '', ending = 'end', index] = /\/look\/(\w+)\/(\d+)/.exec(head) ?? [];
+    asked.add(path);
+    const requestId = /x-attempt-id: (\S+)/i.exec(head)?.[1] ?? '';
+    const bytes = createAnswers(requestId)[Number(index)] ?? '';
+    socket.write(bytes, 'latin1', () => {
+      if (ending !== 'waits') socket[ending as 'end' | 'resetAndDestroy']();
+    });
+  });
+
+  beforeAll(async () => {
+    await fleet.start(document);
+    await fleet.announce('i-1', 'kilns', await upstream.open());
+    const ready = () => fetch(`http://${entry}:${ports.platform}/ready`);
+    await fleet.waitStatus(ready, 200);
+  }, 2 * maxStartMs);
+
+  afterAll(async () => {
+    upstream.close();
+    await fleet.stop();
+  }, maxStartMs);
 
   function listEnded(): readonly string[] {
     return [...fleet.processes.values()]
@@ -137,6 +159,28 @@
     expect(listEnded()).toEqual([]);
   });
 
+  // Guards against a process that ends, or leaves its callers without an answer, because of what an
+  // upstream answers.
+  it.each(['end', 'resetAndDestroy', 'waits'])(
+    'should answer callers when an upstream answers strangely, then: %s',
+    async (ending) => {
+      const waiting = [...createAnswers('').keys()];
+      const statuses: number[] = [];
+      const askNext = async (): Promise<void> => {
+        for (let index = waiting.pop(); index !== undefined; index = waiting.pop()) {
+          const id = `${ending}-${index}`;
+          const path = `/look/${ending}/${index}`;
+          statuses.push((await fleet.sendRequest(entry, 'GET', path, id)).status);
+        }
+      };
+      await Promise.all(Array.from({ length: connectionsAtOnce }, askNext));
+
+      expect([...asked].filter((path) => path.includes(ending))).toHaveLength(statuses.length);
+      expect(listEnded()).toEqual([]);
+    },
+    maxStartMs,
+  );
+
   it(
     'should stop as usual after it',
     async () => {
