src/application/lifecycle: a step of a stop that fails does not prevent the later ones

What callers would see: a process that ends with 1 in a planned stop while its other listeners still answer calls. Cause: the hosts closed their parts one after another in one method. An error of one, such as "Not running" of a datagram socket, skipped the rest and rejected the stop, on which the program ended at once; a control host answers operators and upstreams meanwhile. Shutdown guarded its own steps, the hosts did not guard theirs. Ruled out: answers of an entry host to callers, which are out before its first unguarded step. That a step fails in a real process was not seen.

--- a/src/application/lifecycle/Shutdown.ts
+++ b/src/application/lifecycle/Shutdown.ts
@@ -1,5 +1,6 @@
 import type Clock from '../../ports/Clock.ts';
 import type Log from '../../ports/Log.ts';
+import runStopSteps from './runStopSteps.ts';
 import type {
   ClaimCompletions,
   HostRecordOwner,
@@ -71,12 +72,7 @@
     log.info('lifecycle: stopped');
   }
 
-  // A failed step must not prevent the later steps.
-  private async runStep(name: string, step: () => Promise<void>): Promise<void> {
-    try {
-      await step();
-    } catch (error) {
-      this.options.log.error(`lifecycle: ${name} failed`, { error: (error as Error).message });
-    }
+  private runStep(name: string, step: () => Promise<void>): Promise<void> {
+    return runStopSteps(this.options.log, [[name, step]]);
   }
 }
--- a/src/daemon/ControlHost.ts
+++ b/src/daemon/ControlHost.ts
@@ -16,6 +16,7 @@
 import { parseEjectionRecord } from '../adapters/trpc/detectionMessages.ts';
 import { router } from '../adapters/trpc/trpcBase.ts';
 import ClaimService from '../application/claims/ClaimService.ts';
+import runStopSteps from '../application/lifecycle/runStopSteps.ts';
 import type { HostStatus } from '../application/membership/HostHeartbeat.ts';
 import BurnReporter from '../application/metrics/BurnReporter.ts';
 import FleetListing from '../application/operators/FleetListing.ts';
@@ -154,15 +155,17 @@
   }
 
   async stop(): Promise<void> {
-    const { clock } = this.options;
+    const { clock, log } = this.options;
     this.isStopping = true;
-    this.network.heartbeat.renewRecord();
-    await this.replica.stop(clock.now() + stopMs);
-    await this.operators.closeListener();
-    await this.tasks.stop();
-    await this.platform.closeListener();
-    await this.peers.closeListener();
-    this.network.dialer.close();
+    await runStopSteps(log, [
+      ['announcing the stop', () => this.network.heartbeat.renewRecord()],
+      ['stopping the replica', () => this.replica.stop(clock.now() + stopMs)],
+      ['closing the operators listener', () => this.operators.closeListener()],
+      ['stopping the tasks', () => this.tasks.stop()],
+      ['closing the platform listener', () => this.platform.closeListener()],
+      ['closing the peers listener', () => this.peers.closeListener()],
+      ['closing connections to peers', () => this.network.dialer.close()],
+    ]);
   }
 
   async waitFailed(): Promise<string> {
--- a/src/daemon/FleetControlHost.ts
+++ b/src/daemon/FleetControlHost.ts
@@ -19,6 +19,7 @@
 import RegistrationService from '../application/fleet/RegistrationService.ts';
 import type { ServiceCheckResult } from '../application/fleet/RegistrationService.ts';
 import SuspicionRelay from '../application/fleet/SuspicionRelay.ts';
+import runStopSteps from '../application/lifecycle/runStopSteps.ts';
 import LoadMonitor from '../application/metrics/LoadMonitor.ts';
 import type ReportingDisk from '../application/replication/ReportingDisk.ts';
 import Replica from '../application/replication/Replica.ts';
@@ -243,13 +244,15 @@
   async stop(): Promise<void> {
     const { replica, socket, dialer } = this.components;
     this.isStopping = true;
-    await replica.stop(this.options.clock.now() + stopMs);
-    await this.tasks.stop();
-    this.forwarder.close();
-    socket.close();
-    await this.metricsFrontEnd.closeListener();
-    await this.peers.closeListener();
-    dialer.close();
+    await runStopSteps(this.options.log, [
+      ['stopping the replica', () => replica.stop(this.options.clock.now() + stopMs)],
+      ['stopping the tasks', () => this.tasks.stop()],
+      ['closing the links to other control hosts', () => this.forwarder.close()],
+      ['closing the datagram socket', () => socket.close()],
+      ['closing the metrics listener', () => this.metricsFrontEnd.closeListener()],
+      ['closing the peers listener', () => this.peers.closeListener()],
+      ['closing connections to peers', () => dialer.close()],
+    ]);
   }
 
   async waitFailed(): Promise<string> {
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -17,6 +17,7 @@
 import SuspicionObserver from '../application/fleet/SuspicionObserver.ts';
 import Shutdown from '../application/lifecycle/Shutdown.ts';
 import StopSchedule from '../application/lifecycle/StopSchedule.ts';
+import runStopSteps from '../application/lifecycle/runStopSteps.ts';
 import LoadMonitor from '../application/metrics/LoadMonitor.ts';
 import type RequestDialect from '../application/requests/RequestDialect.ts';
 import RequestHandler from '../application/requests/RequestHandler.ts';
@@ -238,12 +239,14 @@
 
   async stop(): Promise<void> {
     await this.shutdown.stopHost();
-    await this.tasks.stop();
-    await this.upstreamClient.close();
-    await this.platform.closeListener();
-    await this.metricsFrontEnd.closeListener();
-    this.socket.close();
-    this.dialer.close();
+    await runStopSteps(this.options.log, [
+      ['stopping the tasks', () => this.tasks.stop()],
+      ['closing connections to upstreams', () => this.upstreamClient.close()],
+      ['closing the platform listener', () => this.platform.closeListener()],
+      ['closing the metrics listener', () => this.metricsFrontEnd.closeListener()],
+      ['closing the datagram socket', () => this.socket.close()],
+      ['closing connections to peers', () => this.dialer.close()],
+    ]);
   }
 
   // Never resolves: every component of an entry host recovers without a restart.
