src/adapters/winston: a line that is logged while the log ends does not keep the process from ending

Operators would see: a process that has stopped, logs nothing more, listens nowhere and does not end, until the platform kills it. Cause: the end of the log waits until the output has written its last lines. A line that any task logs in that time was written after the end, which destroys the output; the end is then never reported, and the process waits for it for ever. Ruled out: the steps of the stop itself. In three stops of a control host that hung, its log had the line of the last step. Conclusion: fixed. An output whose reader has stopped reading still delays the end; that is not changed here.

--- a/src/adapters/winston/LineStream.ts
+++ b/src/adapters/winston/LineStream.ts
@@ -20,6 +20,8 @@
 
   private dropped = 0;
 
+  private isEnded = false;
+
   constructor(options: { readonly descriptor?: number } = {}) {
     const fd = options.descriptor ?? standardOutput;
     this.output = createWriteStream('', { fd, autoClose: false });
@@ -41,14 +43,17 @@
     return dropped;
   }
 
-  /** Resolves when all lines have been handed to the operating system. */
+  /** Resolves when all lines have been handed to the operating system; later lines are lost. */
   endOutput(): Promise<void> {
+    this.isEnded = true;
     return new Promise((resolve) => {
       this.output.end(() => resolve());
     });
   }
 
+  // A write after the end would destroy the output, and the end would never be reported.
   private acceptLine(line: string): void {
+    if (this.isEnded) return;
     if (this.output.writableLength > maxBufferedBytes) this.dropped += 1;
     else this.output.write(line);
   }
--- a/tests/logs/boundedLog.test.ts
+++ b/tests/logs/boundedLog.test.ts
@@ -49,6 +49,18 @@
     expect(await readLines()).toMatchObject([{ message: 'requests: answered', requestId: 'r1' }]);
   });
 
+  // Guards against a process that does not end because a task logged a line after its last one.
+  it('should end when a line follows while the last ones are being written', async () => {
+    const log = createLog(new FakeClock(), 10);
+
+    log.info('lifecycle: stopped');
+    const ended = log.endLog();
+    log.info('lifecycle: late');
+    await ended;
+
+    expect(await readLines()).toMatchObject([{ message: 'lifecycle: stopped' }]);
+  });
+
   // Guards against a log that fills the disk or uses too much processor time under load.
   it('should drop lines above the maximum rate, log how many, and always write errors', async () => {
     const clock = new FakeClock();
