src/adapters/http: the idle timeout ends a connection only after what has arrived was read

Callers saw: a request on a kept connection closed without an answer, by a reset, when an entry host had stood still until the idle timeout ended; found by reading, not seen in a trial. Cause: Node.js destroys a connection at its idle timeout. Timers run before reading in the turn that follows work of the event loop, so after a stall there the request of the caller could lie unread. Ruled out: the deadline itself (the request had arrived before it; only the reading came later). Change: at the timeout the host reads what has arrived and ends the connection, in order, only if that was nothing. Measured: the new test with a stall of 1.2 s failed before (read ECONNRESET) and passes now. A second new test, that a silent connection is still ended, passes on both. All 40 tests of callersListener pass. Conclusion: the idle timeout no longer loses a request that arrived in time. Node.js ends it after twice the time that is set, since a write before it counts as activity once; that is as before.

--- a/src/adapters/http/CallerConnections.ts
+++ b/src/adapters/http/CallerConnections.ts
@@ -142,6 +142,15 @@
     return Math.round(maxLateMs);
   }
 
+  /** Ends a connection that was silent until its timer ended, unless bytes have arrived. */
+  async endSilent(socket: Socket): Promise<void> {
+    // Timers run before reading, so only the end of this turn shows what has arrived by now.
+    await this.clock.yieldToEventLoop();
+    const state = this.states.get(socket);
+    if (!state || this.getIdleUntil(socket, state) === Infinity) return;
+    await this.endConnection(socket, state);
+  }
+
   /** Resolves when all connections are closed. */
   async closeAll(): Promise<void> {
     [...this.states.keys()].forEach((socket) => socket.destroy());
--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -113,6 +113,9 @@
     this.server.maxHeadersCount = 0;
     this.server.on('connection', (socket) => this.connections.addConnection(socket));
     options.listenerConnections?.watchRequests(this.server);
+    this.server.on('timeout', (socket) => {
+      this.connections.endSilent(socket).catch(() => socket.destroy());
+    });
     this.server.on('clientError', (error, socket) => this.handleClientError(error, socket));
     this.server.on('connect', (_request, socket) => {
       // Node.js no longer handles errors of this connection.
--- a/tests/requests/callersListener.test.ts
+++ b/tests/requests/callersListener.test.ts
@@ -1,4 +1,4 @@
-import { setImmediate } from 'node:timers/promises';
+import { setImmediate, setTimeout as sleep } from 'node:timers/promises';
 
 import { afterEach, describe, expect, it } from 'vitest';
 
@@ -20,6 +20,7 @@
     createRoute({ method: 'POST', path: '/quick', deadlineMs: 100 }),
   ],
 });
+const callerLimits = { maxHeaderBytes: 16_384, maxBodyBytes: 1000, headersTimeoutMs: 10_000 };
 const answer = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok';
 
 describe("callers' listener", () => {
@@ -164,6 +165,33 @@
     await expectRefusal(started, 'GET /history/1 HT', '408 request_timeout');
   });
 
+  // Guards against closing a connection for its silence when its request has arrived and was not
+  // read, because the process stood still meanwhile.
+  it('should answer a request that arrives before the idle timeout while the process stands still', async () => {
+    const { path, caller } = await startPath(({ socket }) => socket.write(answer));
+    path.frontEnd.useLimits({ ...callerLimits, idleTimeoutMs: 1000 });
+    caller.write(`${getHead}\r\n`);
+    await caller.waitFor('ok');
+    // Node.js starts the timeout once more when it ends for the first time after an answer.
+    await sleep(1200);
+    // Timers run next after this, and before reading.
+    await setImmediate();
+    caller.write(`${getHead}connection: close\r\n\r\n`);
+    stopProcess(1200);
+
+    expect((await caller.waitClosed()).match(/HTTP\/1\.1 200/g)).toHaveLength(2);
+  });
+
+  // Guards against connections that stay open without use.
+  it('should end a connection that is silent for the idle timeout', async () => {
+    const { path, caller } = await startPath(({ socket }) => socket.write(answer));
+    path.frontEnd.useLimits({ ...callerLimits, idleTimeoutMs: 100 });
+
+    caller.write(`${getHead}\r\n`);
+
+    expect(await caller.waitClosed()).toMatch(/ok$/);
+  });
+
   // Guards against losing the refusal because the connection is reset while the caller is still
   // sending.
   it('should deliver the refusal of a large body that is still being sent', async () => {
