src/adapters/http: a request whose headers time out is refused or run, never both

Callers saw: an answer 408 with the outcome not-run for a request that was run, when an entry host stood still until the header timeout ended, or when the rest of the headers came after the refusal. Cause: Node.js reports overdue headers from a timer, before it reads what has arrived. The refusal ended only the host's side of the connection; the rest of the headers was read later, and the request was handled and sent to an upstream. Ruled out: a caller that sends twice (the upstream got the one request of the caller, and the caller the refusal). Change: at the timeout the host reads first, and refuses only headers that are still incomplete. Measured: both new tests failed before (408 instead of 200, while the upstream had the request; 4 instead of 3 requests at the upstream) and pass now. All 42 tests of callersListener pass.

--- a/src/adapters/http/CallerConnections.ts
+++ b/src/adapters/http/CallerConnections.ts
@@ -142,6 +142,22 @@
     return Math.round(maxLateMs);
   }
 
+  /**
+   * Whether a request whose time for its head has ended is still incomplete when all that has
+   * arrived was read.
+   */
+  async isHeadOverdue(socket: Socket): Promise<boolean> {
+    const newestResponse = this.states.get(socket)?.newestResponse;
+    await this.clock.yieldToEventLoop();
+    return this.states.get(socket)?.newestResponse === newestResponse;
+  }
+
+  /** Ends a connection after its last answer; requests that arrive later are not handled. */
+  async endRefused(socket: Socket): Promise<void> {
+    const state = this.states.get(socket);
+    if (state && !state.isEnded) await this.endConnection(socket, state);
+  }
+
   /** Ends a connection that was silent until its timer ended, unless bytes have arrived. */
   async endSilent(socket: Socket): Promise<void> {
     // Timers run before reading, so only the end of this turn shows what has arrived by now.
--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -116,13 +116,13 @@
     this.server.on('timeout', (socket) => {
       this.connections.endSilent(socket).catch(() => socket.destroy());
     });
-    this.server.on('clientError', (error, socket) => this.handleClientError(error, socket));
+    this.server.on('clientError', (error, socket) => this.serveClientError(error, socket));
     this.server.on('connect', (_request, socket) => {
       // Node.js no longer handles errors of this connection.
       socket.on('error', (error) =>
         options.log.info('requests: the connection of a caller failed', { error: error.message }),
       );
-      this.handleClientError(new Error('method CONNECT is not supported'), socket);
+      this.serveClientError(new Error('method CONNECT is not supported'), socket);
     });
     this.server.on('checkExpectation', (request, response) => {
       if (!this.connections.acceptRequest(request.socket, response)) return;
@@ -243,11 +243,21 @@
     return buffer;
   }
 
+  private serveClientError(error: NodeJS.ErrnoException, socket: Duplex): void {
+    this.handleClientError(error, socket as Socket).catch(() => socket.destroy());
+  }
+
   // While a request is open, the caller would mistake an error answer for the answer to that
-  // request, so the connection is closed without one.
-  private handleClientError(error: NodeJS.ErrnoException, socket: Duplex): void {
-    if (this.connections.hasOpenRequest(socket as Socket)) socket.destroy();
-    else writeClientError(error, socket);
+  // request, so the connection is closed without one. After an error answer no request that
+  // arrives on the connection may run, because the answer says that it has not.
+  private async handleClientError(error: NodeJS.ErrnoException, socket: Socket): Promise<void> {
+    const isTimeout = error.code === 'ERR_HTTP_REQUEST_TIMEOUT';
+    if (isTimeout && !(await this.connections.isHeadOverdue(socket))) return;
+    if (this.connections.hasOpenRequest(socket)) socket.destroy();
+    else {
+      writeClientError(error, socket);
+      await this.connections.endRefused(socket);
+    }
   }
 
   // The rest of the body is discarded, so the connection can't carry another request after it.
--- a/tests/requests/callersListener.test.ts
+++ b/tests/requests/callersListener.test.ts
@@ -165,6 +165,43 @@
     await expectRefusal(started, 'GET /history/1 HT', '408 request_timeout');
   });
 
+  // Guards against a refusal as not run of a request that has arrived and runs, because the process
+  // stood still meanwhile.
+  it('should answer headers that are complete before the timeout while the process stands still', async () => {
+    const { caller, upstream } = await startPath(({ socket }) => socket.write(answer), {
+      headersTimeoutMs: 500,
+    });
+    caller.write('GET /history/1 HT');
+    // Timers run next after this, and before reading.
+    await setImmediate();
+
+    caller.write(`TP/1.1\r\n${host}\r\nconnection: close\r\n\r\n`);
+    stopProcess(1200);
+
+    expect(await caller.waitClosed()).toMatch(/^HTTP\/1\.1 200 OK\r\n[^]*ok$/);
+    expect(upstream.requestIds).toHaveLength(1);
+  });
+
+  // Guards against running a request after the caller was told that it was not run.
+  it('should not run a request whose headers are complete after their refusal', async () => {
+    const { path, upstream } = await startPath(({ socket }) => socket.write(answer), {
+      headersTimeoutMs: 300,
+    });
+    const refused = await RawCaller.connectTo(path.origin, { allowHalfOpen: true });
+    refused.write('GET /history/1 HT');
+    await refused.waitFor('"message":');
+
+    refused.write(`TP/1.1\r\n${host}\r\n\r\n`);
+    // Their answers come later than the host has read the refused request.
+    const others = await Promise.all([1, 2, 3].map(() => RawCaller.connectTo(path.origin)));
+    others.forEach((other) => other.write(`${getHead}\r\n`));
+    await Promise.all(others.map((other) => other.waitFor('ok')));
+
+    expect(refused.received).toContain('pistachiohoist-outcome: not-run');
+    expect(upstream.requestIds).toHaveLength(others.length);
+    refused.socket.destroy();
+  });
+
   // Guards against closing a connection for its silence when its request has arrived and was not
   // read, because the process stood still meanwhile.
   it('should answer a request that arrives before the idle timeout while the process stands still', async () => {
