tests/soak: LOST counts late cuts of requests that were not passed on

Its callers also stayed away from hosts that stop, and the client opened connections on its own. Cause: LostCheck counted only requests that had arrived at an upstream. Ruled out: reading the time of the last byte from the client's own events; a caller that opens the connection first and then writes knows it too, and knows a refused connection from a cut one. Limiting the new half to planned work: without any fault nothing may be cut either. Change: LostCheck has both halves; the second one excuses the request's own deadline and time in which the soak itself did not run. The first half excuses what it did before, nothing more. A fourth of the callers opens a connection for each request and stays with a host until it refuses; all hosts are used while fewer than half are in rotation. A connection that is refused is not a request any more; RECOVER counts it as not served, so that it is as strict as before. The history keeps its events by kind, because checks look them up for each request. Conclusion: the other half of the rule is checked; strange input is not sent yet.

--- a/tests/soak/SoakCaller.ts
+++ b/tests/soak/SoakCaller.ts
@@ -1,3 +1,6 @@
+import { once } from 'node:events';
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { Client } from 'undici';
@@ -5,12 +8,12 @@
 import { ports } from '../fixtures/PlatformFleet.ts';
 import type SeededRandom from '../fixtures/SeededRandom.ts';
 import type { SoakEvent } from './SoakEvent.ts';
+import { timeBudgetMs } from './checks/LostCheck.ts';
 
-const timeBudgetMs = 3000;
-// A caller that has no answer by then gives up.
+// A caller that has no connection or no answer by then gives up.
 const giveUpMs = timeBudgetMs + 2000;
-const meanPauseMs = 500;
-// Share of the requests after which a caller opens a connection to another host.
+const meanPauseMs = { keeping: 500, opening: 150 } as const;
+// Share of the requests after which a caller changes to another host.
 const changeShare = 0.05;
 
 const routes = [
@@ -19,22 +22,29 @@
   { service: 'moving', path: '/moving/', method: 'GET', mayRepeat: true },
 ] as const;
 
+/**
+ * Whether a caller keeps its connection until the host closes it, or opens one for each request and
+ * stays with the host until that refuses one.
+ */
+export type CallerHabit = 'keeping' | 'opening';
+
 /** Options of a caller. */
 export interface SoakCallerOptions {
   readonly name: string;
+  readonly habit: CallerHabit;
   readonly random: SeededRandom;
   /** Entry hosts that the platform sends new connections to. */
-  readonly listReady: () => readonly string[];
+  readonly listInRotation: () => readonly string[];
   readonly record: (event: SoakEvent) => void;
 }
 
-/** A caller that keeps its connection to a host until the host closes it. */
+/** A caller that sends requests to one host until it has to change or wants to. */
 export default class SoakCaller {
   private readonly options: SoakCallerOptions;
 
   private client: Client | undefined;
 
-  private host = '';
+  private host: string | undefined;
 
   private requests = 0;
 
@@ -44,22 +54,57 @@
 
   /** Sends requests until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const { random } = this.options;
+    const { random, habit } = this.options;
     while (!signal.aborted) {
-      await sleep(2 * meanPauseMs * random.next());
-      if (!this.client || random.next() < changeShare) await this.connect();
+      await sleep(2 * meanPauseMs[habit] * random.next());
+      const isChanging = random.next() < changeShare;
+      if (isChanging) this.host = undefined;
+      if (isChanging || habit === 'opening') await this.close();
+      if (!this.client) await this.connect();
       if (this.client && !signal.aborted) await this.sendRequest(this.client);
     }
-    await this.client?.destroy();
+    await this.close();
+  }
+
+  private async close(): Promise<void> {
+    const { client } = this;
+    this.client = undefined;
+    await client?.destroy();
   }
 
   private async connect(): Promise<void> {
-    const { listReady, random } = this.options;
-    await this.client?.destroy();
-    const hosts = listReady();
-    const host = hosts[Math.floor(random.next() * hosts.length)];
-    this.client = host === undefined ? undefined : new Client(`http://${host}:${ports.callers}`);
-    this.host = host ?? '';
+    const { listInRotation, random, record, habit } = this.options;
+    const hosts = listInRotation();
+    this.host ??= hosts[Math.floor(random.next() * hosts.length)] ?? '';
+    const { host } = this;
+    const socket = connect(ports.callers, host).on('error', () => undefined);
+    try {
+      await once(socket, 'connect', { signal: AbortSignal.timeout(giveUpMs) });
+    } catch {
+      socket.destroy();
+      record({ kind: 'connection_refused', host });
+      this.host = undefined;
+      return;
+    }
+    const client = SoakCaller.createClient(host, socket);
+    client.once('disconnect', () => {
+      if (this.client === client) this.client = undefined;
+      if (habit === 'keeping') this.host = undefined;
+    });
+    this.client = client;
+  }
+
+  /** Creates a client that uses an open connection and never opens another. */
+  private static createClient(host: string, socket: Socket): Client {
+    return new Client(`http://${host}:${ports.callers}`, {
+      connect: (_options, callback) => {
+        // The client does not go on when it is called back at once.
+        setImmediate(() => {
+          if (socket.destroyed) callback(new Error(`connection to ${host} was closed`), null);
+          else callback(null, socket);
+        });
+      },
+    });
   }
 
   private async sendRequest(client: Client): Promise<void> {
@@ -68,7 +113,7 @@
     const { service, mayRepeat } = route;
     this.requests += 1;
     const id = `${name}-${this.requests}`;
-    record({ kind: 'request_sent', id, host: this.host, service, mayRepeat });
+    record({ kind: 'request_sent', id, host: this.host ?? '', service, mayRepeat });
     const gaveUp = AbortSignal.timeout(giveUpMs);
     try {
       const answer = await client.request({
@@ -84,7 +129,7 @@
       record({ kind: 'request_answered', id, status, signature, body });
     } catch {
       if (!gaveUp.aborted) record({ kind: 'request_cut', id });
-      await this.connect();
+      await this.close();
     }
   }
 }
--- a/tests/soak/SoakEvent.ts
+++ b/tests/soak/SoakEvent.ts
@@ -17,6 +17,8 @@
       readonly signature: string;
       readonly body: string;
     }
+  /** No connection was opened, so no request was sent. */
+  | { readonly kind: 'connection_refused'; readonly host: string }
   /** The connection ended before the answer was whole. */
   | { readonly kind: 'request_cut'; readonly id: string }
   | {
@@ -45,6 +47,8 @@
     }
   | { readonly kind: 'host_exited'; readonly host: string; readonly code: number | string }
   | { readonly kind: 'memory_measured'; readonly host: string; readonly mib: number }
+  /** The soak itself did not run for a while, so that it saw late what happened then. */
+  | { readonly kind: 'soak_stalled'; readonly tookMs: number }
   | { readonly kind: 'faults_ended' };
 
 /** Names of the events. */
--- a/tests/soak/SoakHistory.ts
+++ b/tests/soak/SoakHistory.ts
@@ -8,14 +8,16 @@
 
 /** All events of a run, in the order of their time. */
 export default class SoakHistory {
-  private readonly events: TimedEvent[] = [];
+  private readonly events = new Map<SoakEventKind, TimedEvent[]>();
 
   record(event: SoakEvent, at: number): void {
-    this.events.push({ ...event, at });
+    const events = this.events.get(event.kind) ?? [];
+    this.events.set(event.kind, events);
+    events.push({ ...event, at });
   }
 
   list<Kind extends SoakEventKind>(kind: Kind): readonly TimedEvent<Kind>[] {
-    return this.events.filter((event): event is TimedEvent<Kind> => event.kind === kind);
+    return (this.events.get(kind) ?? []) as TimedEvent<Kind>[];
   }
 
   /** Maps events of a kind by request id; of several, the first counts. */
@@ -28,6 +30,14 @@
     return events;
   }
 
+  /** How long the soak itself did not run between two times, in milliseconds. */
+  measureStalls(from: number, to: number): number {
+    return this.list('soak_stalled').reduce((sum, { at, tookMs }) => {
+      const overlapMs = Math.min(at, to) - Math.max(at - tookMs, from);
+      return sum + Math.max(0, overlapMs);
+    }, 0);
+  }
+
   /** Whether a host, or any control host, was disturbed within the contact time or since `from`. */
   isDisturbed(host: string, from: number, to: number): boolean {
     return this.list('host_disturbed').some(
--- a/tests/soak/SoakRun.ts
+++ b/tests/soak/SoakRun.ts
@@ -16,6 +16,10 @@
 // The settings give a process 4 s to stop; the platform then kills it.
 const stopTimeoutMs = 4000;
 const progressMs = 10_000;
+// One caller of so many opens a connection for each request.
+const openingCallers = 4;
+// The soak measures whether it runs itself as often as this.
+const stallMs = 20;
 // Time to recover after the last fault, and some in which requests are counted.
 const calmMs = 20_000;
 
@@ -104,6 +108,7 @@
     const tasks = [
       this.probeRepeatedly(),
       this.printProgress(),
+      this.watchStalls(),
       operator.runReads(ending.signal),
       ...Array.from({ length: plan.callers }, (_, index) =>
         this.createCaller(index).run(ending.signal),
@@ -125,15 +130,18 @@
   private createCaller(index: number): SoakCaller {
     return new SoakCaller({
       name: `c${index}`,
+      habit: index % openingCallers === 0 ? 'opening' : 'keeping',
       random: new SeededRandom(this.plan.seed + 100 + index),
-      listReady: () => this.listReady(),
+      listInRotation: () => this.listInRotation(),
       record: (event) => this.record(event),
     });
   }
 
-  private listReady(): readonly string[] {
-    const ready = this.fleet.entryIps.filter((ip) => (this.misses.get(ip) ?? 0) < maxMisses);
-    return ready.length > 0 ? ready : this.fleet.entryIps;
+  /** Hosts that stop are in rotation until the probes show it, and all are while few are ready. */
+  private listInRotation(): readonly string[] {
+    const { entryIps } = this.fleet;
+    const ready = entryIps.filter((ip) => (this.misses.get(ip) ?? 0) < maxMisses);
+    return 2 * ready.length < entryIps.length ? entryIps : ready;
   }
 
   private async probeHost(ip: string): Promise<{ readonly status: number }> {
@@ -153,6 +161,15 @@
     }
   }
 
+  private async watchStalls(): Promise<void> {
+    while (!this.ending.signal.aborted) {
+      const wakeAt = this.now + stallMs;
+      await sleep(stallMs);
+      const tookMs = this.now - wakeAt;
+      if (tookMs > stallMs) this.record({ kind: 'soak_stalled', tookMs });
+    }
+  }
+
   private async printProgress(): Promise<void> {
     while (!this.ending.signal.aborted) {
       const sent = this.history.list('request_sent').length;
--- a/tests/soak/checks.test.ts
+++ b/tests/soak/checks.test.ts
@@ -38,6 +38,7 @@
   [111, createRun('r1', upstream)],
   [150, createAnswer('r1', 200)],
 ];
+const waiting: readonly Timed[] = [[100, createRequest('r1')]];
 const presets: readonly Timed[] = [
   [0, { kind: 'preset_sent', number: 1, service: 'looks' }],
   [10, { kind: 'preset_acknowledged', number: 1 }],
@@ -94,6 +95,11 @@
     'a request that is cut in a planned stop',
     [...served.slice(0, 2), [120, disturb('stop')], [900, { kind: 'request_cut', id: 'r1' }]],
   ],
+  [
+    'LOST',
+    'a request that is cut late in a planned stop',
+    [...waiting, [120, disturb('stop')], [310, { kind: 'request_cut', id: 'r1' }]],
+  ],
   [
     'CONFIG',
     'a request that goes by an older preset',
@@ -123,6 +129,15 @@
       [17_100, createAnswer('r1', 503)],
     ],
   ],
+  [
+    'RECOVER',
+    'callers that are still refused connections',
+    [
+      [1000, { kind: 'faults_ended' }],
+      ...served.map(([at, event]): Timed => [17_000 + at, event]),
+      ...Array.from({ length: 4 }, (): Timed => [17_500, { kind: 'connection_refused', host }]),
+    ],
+  ],
   ['PROCESS', 'a process that ends by itself', [[500, { kind: 'host_exited', host, code: 1 }]]],
   [
     'PROCESS',
@@ -140,11 +155,22 @@
   ],
   [
     'a cut of a request that was not passed on',
+    [...waiting, [120, { kind: 'request_cut', id: 'r1' }]],
+  ],
+  [
+    'a late cut by a host that is killed',
+    [...waiting, [120, disturb('kill')], [310, { kind: 'request_cut', id: 'r1' }]],
+  ],
+  ['a cut at the deadline of the request', [...waiting, [3100, { kind: 'request_cut', id: 'r1' }]]],
+  [
+    'a cut that the soak itself saw late',
     [
-      [100, createRequest('r1')],
-      [120, { kind: 'request_cut', id: 'r1' }],
+      ...waiting,
+      [310, { kind: 'request_cut', id: 'r1' }],
+      [315, { kind: 'soak_stalled', tookMs: 60 }],
     ],
   ],
+  ['a connection that is refused', [[100, { kind: 'connection_refused', host }]]],
   [
     'a late request to a leaving upstream while a control host is down',
     [
--- a/tests/soak/checks/RecoverCheck.ts
+++ b/tests/soak/checks/RecoverCheck.ts
@@ -12,8 +12,9 @@
   checkHistory(history: SoakHistory): CheckResult {
     const answers = history.mapById('request_answered');
     const violations = history.list('faults_ended').flatMap(({ at: endedAt }) => {
-      const late = history.list('request_sent').filter(({ at }) => at > endedAt + recoverMs);
-      const served = late.filter(({ id }) => answers.get(id)?.status === 200);
+      const tried = [...history.list('request_sent'), ...history.list('connection_refused')];
+      const late = tried.filter(({ at }) => at > endedAt + recoverMs);
+      const served = late.filter((event) => 'id' in event && answers.get(event.id)?.status === 200);
       const isRecovered = late.length > 0 && served.length >= minShare * late.length;
       return isRecovered
         ? []
