tests/soak: strangers send malformed input to every listener

Cause: the soak sent well-formed requests to the callers' and operators' ports only. Ruled out: random bytes drawn while a run is played, which a seed would not repeat and a plan could not be cut down to. Change: two kinds of steps. Strangers open a number of connections to one listener of one host, send one of sixteen inputs (half requests, CONNECT, upgrades without the key, bad framing, many requests at once and so on) and reset, half close or keep them; datagrams are random bytes to the peers' port. Each listener of each host gets six such steps. They are drawn after the older steps, so plans that were printed and the older steps of a seed stay as they are. The test of a plan checks that each listener is reached, and one of a stranger that its reset reaches a socket of an upgrade.

--- a/tests/soak/SoakPlan.ts
+++ b/tests/soak/SoakPlan.ts
@@ -1,3 +1,5 @@
+import type { ListenerName } from '../fixtures/PlatformFleet.ts';
+
 /** How a stand-in upstream treats requests. */
 export type UpstreamMode =
   | 'good'
@@ -11,15 +13,61 @@
   /** Sends a body without end. */
   | 'endless';
 
-/** One fault or piece of planned work; `target` is a position among the hosts or upstreams. */
-export type SoakStep =
-  | {
-      readonly kind: 'kill' | 'stop' | 'pause' | 'hangup';
-      readonly role: 'control' | 'entry';
-      readonly target: number;
-      readonly atMs: number;
-      readonly forMs: number;
-    }
+/** What a stranger sends on a connection. */
+export type StrangerInput =
+  | 'nothing'
+  | 'bytes'
+  | 'half_head'
+  | 'half_body'
+  | 'unknown_expectation'
+  | 'bad_chunk'
+  | 'two_lengths'
+  | 'bad_path'
+  | 'long_head'
+  | 'many_requests'
+  | 'connect'
+  | 'upgrade'
+  | 'upgrade_and_frames'
+  | 'other_upgrade'
+  | 'bad_document'
+  | 'bad_instance';
+
+/** How a stranger ends a connection; an idle one is closed after the time of the step. */
+export type StrangerEnding = 'reset' | 'late_reset' | 'reset_on_answer' | 'half_close' | 'idle';
+
+/** What is done to a host. */
+export interface HostStep {
+  readonly kind: 'kill' | 'stop' | 'pause' | 'hangup';
+  readonly role: 'control' | 'entry';
+  readonly target: number;
+  readonly atMs: number;
+  readonly forMs: number;
+}
+
+/** Connections of strangers to a listener of a host. */
+export interface StrangerStep {
+  readonly kind: 'strangers';
+  readonly role: 'control' | 'entry';
+  readonly target: number;
+  readonly listener: ListenerName;
+  readonly input: StrangerInput;
+  readonly ending: StrangerEnding;
+  readonly count: number;
+  readonly atMs: number;
+  readonly forMs: number;
+}
+
+/** Datagrams of a stranger to the peers' port of a host. */
+export interface DatagramStep {
+  readonly kind: 'datagrams';
+  readonly role: 'control' | 'entry';
+  readonly target: number;
+  readonly count: number;
+  readonly atMs: number;
+}
+
+/** What is done to an upstream. */
+export type UpstreamStep =
   | {
       readonly kind: 'mode';
       readonly mode: UpstreamMode;
@@ -36,7 +84,14 @@
       readonly atMs: number;
       readonly forMs: number;
       readonly fault: LinkFault;
-    }
+    };
+
+/** One fault or piece of planned work; `target` is a position among the hosts or upstreams. */
+export type SoakStep =
+  | HostStep
+  | StrangerStep
+  | DatagramStep
+  | UpstreamStep
   | { readonly kind: 'preset'; readonly atMs: number };
 
 /** What happens to the connections between entry hosts and an upstream. */
--- a/tests/soak/SoakRun.ts
+++ b/tests/soak/SoakRun.ts
@@ -8,8 +8,9 @@
 import type { HostDisturbance, SoakEvent } from './SoakEvent.ts';
 import SoakHistory from './SoakHistory.ts';
 import SoakOperator from './SoakOperator.ts';
-import type { SoakPlan, SoakStep } from './SoakPlan.ts';
+import type { HostStep, SoakPlan, SoakStep, UpstreamStep } from './SoakPlan.ts';
 import SoakUpstream from './SoakUpstream.ts';
+import sendStrangers, { sendDatagrams } from './sendStrangers.ts';
 
 const probeMs = 1000;
 const maxMisses = 2;
@@ -191,11 +192,20 @@
 
   private async runStep(step: SoakStep): Promise<void> {
     if (step.kind === 'preset') await this.operator.changePreset();
-    else if ('role' in step) await this.disturbHost(step);
+    else if (step.kind === 'strangers') {
+      await sendStrangers({ address: this.findHost(step), port: ports[step.listener] }, step);
+    } else if (step.kind === 'datagrams') {
+      await sendDatagrams({ address: this.findHost(step), port: ports.peers }, step);
+    } else if ('role' in step) await this.disturbHost(step);
     else await this.disturbUpstream(step);
   }
 
-  private async disturbUpstream(step: Extract<SoakStep, { target: number }>): Promise<void> {
+  private findHost({ role, target }: Pick<HostStep, 'role' | 'target'>): string {
+    const { controlIps, entryIps } = this.fleet;
+    return (role === 'control' ? controlIps : entryIps)[target] ?? '';
+  }
+
+  private async disturbUpstream(step: UpstreamStep): Promise<void> {
     const upstream = this.upstreams[step.target % this.upstreams.length];
     if (!upstream) return;
     if (step.kind === 'mode') {
@@ -217,10 +227,9 @@
     }
   }
 
-  private async disturbHost(step: Extract<SoakStep, { role: string }>): Promise<void> {
+  private async disturbHost(step: HostStep): Promise<void> {
     const { fleet, restarting } = this;
-    const ips = step.role === 'control' ? fleet.controlIps : fleet.entryIps;
-    const ip = ips[step.target] ?? '';
+    const ip = this.findHost(step);
     const running = fleet.processes.get(ip);
     if (!running?.isRunning || restarting.has(ip)) return;
     const record = (disturbance: HostDisturbance): void =>
--- a/tests/soak/checks.test.ts
+++ b/tests/soak/checks.test.ts
@@ -1,10 +1,16 @@
+import { once } from 'node:events';
+import { createServer } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+
 import { describe, expect, it } from 'vitest';
 
+import { listeners } from '../fixtures/PlatformFleet.ts';
 import type { SoakEvent } from './SoakEvent.ts';
 import SoakHistory from './SoakHistory.ts';
 import checkRun, { soakChecks } from './checkRun.ts';
 import { createAnswerParts } from './checks/MixedCheck.ts';
 import drawPlan from './drawPlan.ts';
+import sendStrangers from './sendStrangers.ts';
 import shrinkPlan from './shrinkPlan.ts';
 
 type Timed = readonly [number, SoakEvent];
@@ -223,6 +229,17 @@
     expect(drawPlan(size).steps).not.toEqual(drawPlan({ ...size, seed: 8 }).steps);
   });
 
+  // Guards against a listener that only meets well-formed input.
+  it('should send strangers to each listener of each host', () => {
+    const { steps, controlHosts, entryHosts } = drawPlan(size);
+    const reached = steps.flatMap((step) =>
+      step.kind === 'strangers' ? [`${step.role} ${step.target} ${step.listener}`] : [],
+    );
+    const count = controlHosts * listeners.control.length + entryHosts * listeners.entry.length;
+
+    expect(new Set(reached).size).toBe(count);
+  });
+
   it('should be cut down to the steps that are needed to fail', async () => {
     const plan = drawPlan(size);
     const needed = [plan.steps[3], plan.steps.at(-2)];
@@ -235,3 +252,28 @@
     expect(shortest.steps).toEqual(expect.arrayContaining(needed));
   });
 });
+
+describe('strangers of the soak', () => {
+  // Guards against strangers that can't end a process whose socket has no error listener.
+  it('should reset connections whose upgrade was read', async () => {
+    const server = createServer().listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const reset = new Promise<string>((resolve) => {
+      server.on('upgrade', (_request, socket: Socket) => {
+        socket.on('error', (error: NodeJS.ErrnoException) => resolve(error.code ?? ''));
+        socket.end('HTTP/1.1 401 Unauthorized\r\n\r\n');
+      });
+    });
+
+    await sendStrangers(
+      { address: '127.0.0.1', port: (server.address() as AddressInfo).port },
+      {
+        ...({ kind: 'strangers', role: 'control', target: 0, listener: 'peers' } as const),
+        ...({ input: 'upgrade', ending: 'reset', count: 20, atMs: 0, forMs: 2000 } as const),
+      },
+    );
+
+    expect(await reset).toMatch(/^(ECONNRESET|EPIPE)$/);
+    server.close();
+  });
+});
--- a/tests/soak/drawPlan.ts
+++ b/tests/soak/drawPlan.ts
@@ -1,5 +1,16 @@
+import { listeners } from '../fixtures/PlatformFleet.ts';
+import type { ListenerName } from '../fixtures/PlatformFleet.ts';
 import SeededRandom from '../fixtures/SeededRandom.ts';
-import type { LinkFault, SoakPlan, SoakStep, UpstreamMode } from './SoakPlan.ts';
+import type {
+  HostStep,
+  LinkFault,
+  SoakPlan,
+  SoakStep,
+  StrangerEnding,
+  StrangerInput,
+  UpstreamMode,
+} from './SoakPlan.ts';
+import strangerInputs from './strangerInputs.ts';
 
 // The time after the last fault: recovery, and five seconds in which requests are counted.
 const calmMs = 20_000;
@@ -12,6 +23,11 @@
   ...(['delayed', 'reset', 'silent_to_upstream', 'silent_from_upstream'] as const),
 ];
 const hostKinds = ['kill', 'stop', 'stop', 'pause', 'hangup'] as const;
+const inputs = Object.keys(strangerInputs) as StrangerInput[];
+const endings: readonly StrangerEnding[] = [
+  ...(['reset', 'late_reset', 'reset_on_answer', 'half_close', 'idle'] as const),
+];
+const strangersOfListener = 6;
 
 /** Size of the runs that are drawn. */
 export interface PlanSize {
@@ -58,6 +74,29 @@
     return { kind: number < 0.9 ? 'leave' : 'crash', target, atMs: times.atMs };
   };
   const drawPreset = (): SoakStep => ({ kind: 'preset', atMs: drawTime() });
+  const drawStranger = (
+    role: HostStep['role'],
+    target: number,
+    listener: ListenerName,
+  ): SoakStep => {
+    const ending = choose(endings);
+    const isIdle = ending === 'idle';
+    return {
+      ...({ kind: 'strangers', role, target, listener, ending } as const),
+      input: choose(isIdle ? (['nothing', 'half_head', 'half_body'] as const) : inputs),
+      count: isIdle ? 50 + draw(200) : 5 + draw(20),
+      atMs: drawTime(),
+      forMs: ending === 'late_reset' ? draw(100) : 500 + draw(4000),
+    };
+  };
+  // Strangers reach each listener of each host.
+  const drawStrangers = (role: HostStep['role'], count: number): readonly SoakStep[] =>
+    Array.from({ length: count }, (_, target) => target).flatMap((target): SoakStep[] => [
+      ...listeners[role].flatMap((listener) =>
+        Array.from({ length: strangersOfListener }, () => drawStranger(role, target, listener)),
+      ),
+      { kind: 'datagrams', role, target, count: 1 + draw(50), atMs: drawTime() },
+    ]);
 
   const perMinute = (count: number): number => Math.ceil((count * faultMs) / 60_000);
   const steps = [
@@ -65,6 +104,8 @@
     ...(random.next() < 0.6 ? drawSeries() : []),
     ...Array.from({ length: perMinute(30 + 2 * size) }, drawUpstreamStep),
     ...Array.from({ length: perMinute(20) }, drawPreset),
+    ...drawStrangers('control', controlHosts),
+    ...drawStrangers('entry', size),
   ];
   return {
     ...{ seed, durationMs, controlHosts, entryHosts: size, upstreams, callers: 6 * size },
