src/application/replication: an error of the disk that passes does not end a control host

Operators saw: a control host whose process ends (exit 1) because its disk was full for some seconds, or because it could not open a file for want of descriptors. Cause: `ReplicaContext.fail` stops the replica, and with it the process, after any failed operation of the disk. Ruled out: a retry at each call of the disk (nine files would have to know of partial appends), and a retry of a failed sync alone, after which the page cache may not hold what was written. Change: `RetryingDisk` tries an operation again ten times a second while its error may pass (no room, quota, descriptors, memory, I/O error), so that the disk looks like one that hangs. A failed append is first truncated; after a failed sync everything since the last sync is written again; a failed sync of the folder ends the process as before, and so do EROFS, EACCES, ENOENT and damaged files. A host that is asked to stop, also while it starts, gives up after its time to stop. MemoryDisk gives its errors codes and knows failed syncs. Tests changed: `ReplicaGroupFixture` wraps its disks as a control host does, so that in the two tests of fullDisks that existed processes no longer end; their bounds are unchanged, and a new one (read-only) plays the end of a process. Not tested: a stop while the disk refuses, with a real process; a data folder that can't be created on a full disk still ends the start with 2.

--- a/src/daemon/ControlHost.ts
+++ b/src/daemon/ControlHost.ts
@@ -121,7 +121,7 @@
    * when the data folder or a listener can't be opened.
    */
   static async startHost(options: DaemonOptions): Promise<ControlHost> {
-    const { settings, clock, random, log } = options;
+    const { settings, clock, random, log, stopSignal } = options;
     const state = new ControlStateMachine({ parseSnapshot: parseControlSnapshot });
     let host: ControlHost | undefined;
     const ejections = new EjectionDirectory({ checkRecord: parseEjectionRecord });
@@ -133,6 +133,8 @@
       topics: [ejections],
     });
     const others = settings.control.filter((peer) => peer.host !== settings.host);
+    const folder = settings.dataFolder ?? '';
+    const { disk } = await openDisk({ folder, clock, log, stopSignal, stopMs });
     const replica = await Replica.startReplica<ControlCommand, ControlReply>({
       host: settings.host,
       hosts: settings.control.map((peer) => peer.host),
@@ -140,7 +142,7 @@
         const { connection } = network.dialer.takeConnection(peer);
         return new TrpcReplicationLink({ host: peer.host, connection });
       }),
-      disk: await openDisk({ folder: settings.dataFolder ?? '', clock, log }),
+      disk,
       clock,
       random,
       log,
--- a/src/daemon/EntryHost.ts
+++ b/src/daemon/EntryHost.ts
@@ -48,6 +48,8 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: Log;
+  /** Aborts when the daemon is asked to stop, also while it starts. */
+  readonly stopSignal: AbortSignal;
 }
 
 /** Composition root of a daemon with the role `entry`. */
--- a/src/daemon/FleetControlHost.ts
+++ b/src/daemon/FleetControlHost.ts
@@ -58,6 +58,8 @@
   readonly random: RandomSource;
   readonly log: Log;
   readonly codec: PresetCodec;
+  /** Aborts when the host is asked to stop, also while it starts. */
+  readonly stopSignal: AbortSignal;
 }
 
 interface ControlListeners {
@@ -70,7 +72,7 @@
   readonly connections: ControlListeners;
   readonly state: ControlStateMachine;
   readonly dialer: TrpcPeerDialer;
-  readonly disk: ReportingDisk;
+  readonly reporting: ReportingDisk;
   readonly replica: Replica<ControlCommand, ControlReply>;
   readonly socket: UdpDatagramSocket;
 }
@@ -190,7 +192,7 @@
    * when the data folder or a listener can't be opened.
    */
   static async startHost(options: FleetControlOptions): Promise<FleetControlHost> {
-    const { settings, clock, random, log } = options;
+    const { settings, clock, random, log, stopSignal } = options;
     const { peerKey, listen } = settings;
     const ownAddress = formatAddress(listen.peers);
     const state = new ControlStateMachine({ parseSnapshot: parseControlSnapshot });
@@ -203,7 +205,8 @@
       isCompressed: true,
     });
     const seeds = listSeedPeers(settings);
-    const disk = await openDisk({ folder: settings.dataFolder, clock, log });
+    const folder = settings.dataFolder;
+    const { disk, reporting } = await openDisk({ folder, clock, log, stopSignal, stopMs });
     const replica = await Replica.startReplica<ControlCommand, ControlReply>({
       host: ownAddress,
       hosts: settings.formsGroup ? seeds : [],
@@ -227,7 +230,7 @@
       await readDescriptorLimit(settings.maxDescriptors),
     );
     const host = new FleetControlHost(options, {
-      ...{ state, dialer, disk, replica, socket, connections },
+      ...{ state, dialer, reporting, replica, socket, connections },
     });
     await host.peers.openListener(listen.peers);
     await host.metricsFrontEnd.openListener(listen.metrics);
@@ -337,7 +340,7 @@
   }
 
   private createMetrics(): PrometheusMetrics {
-    const { replica, state, disk } = this.components;
+    const { replica, state, reporting } = this.components;
     return new PrometheusMetrics(
       [
         {
@@ -362,7 +365,7 @@
         },
         ...listConnectionGauges(Object.values(this.connections)),
         ...listLoadGauges(this.loadMonitor),
-        ...listDiskGauges(disk),
+        ...listDiskGauges(reporting),
         ...listControlGauges(replica),
       ],
       { hasProcessMetrics: false },
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -61,7 +61,9 @@
   const log = new WinstonLog({ host: settings.host, level: settings.logLevel, clock });
   // A signal during startup is handled after startup; without a listener for it, it would terminate
   // the process immediately.
+  const stopping = new AbortController();
   const stopRequested = waitSignal().then((signal) => {
+    stopping.abort('stop requested');
     log.info('lifecycle: stop requested', { signal });
     return undefined;
   });
@@ -70,6 +72,7 @@
     clock,
     random: new SystemRandomSource(),
     log,
+    stopSignal: stopping.signal,
   };
   let daemon: Daemon;
   try {
@@ -79,6 +82,11 @@
       ? EntryHost.startHost(options)
       : ControlHost.startHost(options));
   } catch (error) {
+    if (stopping.signal.aborted) {
+      log.info('lifecycle: stopped while starting', { error: (error as Error).message });
+      await log.endLog();
+      return processEnd.endProcess('stop_requested');
+    }
     if (error instanceof FailureError) refuse(`${file}: ${error.message}`);
     throw error;
   }
--- /dev/null
+++ b/src/domain/replication/mayDiskErrorPass.ts
@@ -0,0 +1,13 @@
+// Descriptors, memory or room that others hold for a time; an input or output error of a disk that
+// is reached through a network or a controller.
+const passingCodes: readonly (string | undefined)[] = [
+  ...['EMFILE', 'ENFILE', 'ENOMEM', 'ENOSPC', 'EDQUOT', 'EIO', 'EAGAIN', 'EBUSY', 'EINTR'],
+];
+
+/**
+ * Whether a disk operation that failed with this system error code may succeed later without an
+ * operator; false for a file system that is read-only or a file that is missing or may not be used.
+ */
+export default function mayDiskErrorPass(code: string | undefined): boolean {
+  return passingCodes.includes(code);
+}
--- a/tests/replication/fullDisks.test.ts
+++ b/tests/replication/fullDisks.test.ts
@@ -2,6 +2,7 @@
 import { describe, expect, it } from 'vitest';
 
 import fleetTimes from '../../src/daemon/fleetTimes.ts';
+import type MemoryDisk from '../fixtures/MemoryDisk.ts';
 import ReplicaGroupFixture from '../fixtures/ReplicaGroupFixture.ts';
 
 // A change is acknowledged within this time.
@@ -22,6 +23,15 @@
   readonly gapMs: number;
 }
 
+/** A disk that refuses for longer than a voter may stay silent. */
+interface RefusingDisk {
+  readonly host: string;
+  readonly refusedMs: number;
+  readonly faults: Pick<MemoryDisk, 'errorCode' | 'freeBytes' | 'failingSyncs'>;
+}
+
+const noFaults = { errorCode: undefined, freeBytes: undefined, failingSyncs: 0 };
+
 /** A control group whose ended processes are started again, as the platform does. */
 class SupervisedGroup {
   readonly group: ReplicaGroupFixture;
@@ -30,6 +40,9 @@
 
   private changes = 0;
 
+  /** Hosts whose processes ended by themselves. */
+  readonly ended = new Set<string>();
+
   constructor(seed: number) {
     this.group = new ReplicaGroupFixture({
       ...{ hosts: founders, joining: hosts, seed, snapshotEntries: 8 },
@@ -53,6 +66,7 @@
       hosts
         .filter((host) => running.get(host)?.hasStopped ?? true)
         .forEach((host) => {
+          this.ended.add(host);
           if (!this.startAt.has(host)) this.startAt.set(host, clock.now() + restartMs);
         });
       const due = hosts.filter((host) => (this.startAt.get(host) ?? Infinity) <= clock.now());
@@ -90,6 +104,20 @@
     await this.advance(gapMs);
   }
 
+  /** Plays a disk that refuses; returns the longest time that a change took meanwhile. */
+  async refuseDisk({ host, refusedMs, faults }: RefusingDisk): Promise<number> {
+    const { clock } = this.group;
+    const disk = Object.assign(this.group.getDisk(host), faults);
+    const endsAt = clock.now() + refusedMs;
+    const times: number[] = [];
+    while (clock.now() < endsAt) {
+      times.push(await this.measureChange());
+      await this.advance(1000);
+    }
+    Object.assign(disk, noFaults);
+    return Math.max(...times);
+  }
+
   /** Waits until all hosts are voters again and have applied the same changes. */
   async waitVoters(): Promise<void> {
     const deadline = this.group.clock.now() + 30_000;
@@ -177,4 +205,79 @@
     await supervised.waitVoters();
     await supervised.group.stopAll();
   }, 60_000);
+
+  // Guards against control hosts that end because of an error that passes, and against a host that
+  // takes no part any more after its disk has refused for long.
+  it('should go on without a host whose disk refuses, which takes part again afterwards', async () => {
+    const passing = fc.constantFrom(
+      { ...noFaults, freeBytes: 0 },
+      { ...noFaults, freeBytes: 70 },
+      { ...noFaults, errorCode: 'EMFILE' },
+      { ...noFaults, failingSyncs: 1000 },
+    );
+    await fc.assert(
+      fc.asyncProperty(
+        fc.shuffledSubarray(hosts, { minLength: hosts.length }),
+        fc.array(passing, { minLength: hosts.length, maxLength: hosts.length }),
+        fc.nat(),
+        async (order, faults, seed) => {
+          const supervised = new SupervisedGroup(seed);
+          await supervised.start();
+          for (const [index, host] of order.entries()) {
+            const disk = { host, refusedMs: 15_000, faults: faults[index] ?? noFaults };
+
+            expect(await supervised.refuseDisk(disk)).toBeLessThanOrEqual(ackMs);
+            await supervised.waitVoters();
+          }
+          expect([...supervised.ended]).toEqual([]);
+          await supervised.group.stopAll();
+        },
+      ),
+      { seed: 1, numRuns: 5 },
+    );
+  }, 120_000);
+
+  it('should go on while the disk of the leader refuses for long', async () => {
+    const supervised = new SupervisedGroup(2);
+    await supervised.start();
+    for (const faults of [
+      { ...noFaults, freeBytes: 0 },
+      { ...noFaults, errorCode: 'EMFILE' },
+      { ...noFaults, failingSyncs: 1000 },
+    ]) {
+      const { host } = await supervised.group.waitLeader();
+      const refusing = { host, refusedMs: 15_000, faults };
+
+      expect(await supervised.refuseDisk(refusing)).toBeLessThanOrEqual(ackMs);
+      await supervised.waitVoters();
+    }
+    expect([...supervised.ended]).toEqual([]);
+    await supervised.group.stopAll();
+  }, 60_000);
+
+  // Guards against a host that waits for ever where only an operator can help.
+  it('should end the process of a host whose disk is read-only, and take it back later', async () => {
+    const supervised = new SupervisedGroup(3);
+    await supervised.start();
+    const [host = ''] = founders;
+    const refusing = { host, refusedMs: 5000, faults: { ...noFaults, errorCode: 'EROFS' } };
+
+    expect(await supervised.refuseDisk(refusing)).toBeLessThanOrEqual(ackMs);
+    await supervised.waitVoters();
+    expect([...supervised.ended]).toEqual([host]);
+    await supervised.group.stopAll();
+  }, 60_000);
+
+  it('should start a host on a full disk once there is room', async () => {
+    const group = new ReplicaGroupFixture({ joining: ['d'] });
+    await group.startAll();
+    group.getDisk('d').freeBytes = 0;
+    const starting = group.startJoining('d');
+    await group.clock.advanceBy(10_000);
+    group.getDisk('d').freeBytes = undefined;
+    await group.run(starting);
+
+    expect(group.running.get('d')?.hasStopped).toBe(false);
+    await group.stopAll();
+  });
 });
