src/daemon: a process that ends because nothing is left to wait for says so

What operators saw: in trials of strange input a control host ended with 0 in its stop without having finished it, which looked complete. Cause: when a stop waits for an event that never comes and no connection or timer is left, Node.js ends the process with 0. Ruled out: ends in the middle of work, since an open listener keeps the process alive. Conclusion: each end that Node.js reports has its line.

--- a/src/daemon/ProcessEnd.ts
+++ b/src/daemon/ProcessEnd.ts
@@ -2,12 +2,14 @@
 import type { LogFields } from '../ports/Log.ts';
 
 /** Why a process ended. */
-export type EndReason = 'stop_requested' | 'start_refused' | 'failed' | 'uncaught_error';
+export type EndReason =
+  'stop_requested' | 'start_refused' | 'failed' | 'uncaught_error' | 'nothing_left';
 
 const exitCodes: Readonly<Record<EndReason, number>> = {
   stop_requested: 0,
   failed: 1,
   uncaught_error: 1,
+  nothing_left: 1,
   start_refused: 2,
 };
 
@@ -32,8 +34,12 @@
     this.host = host;
   }
 
-  /** Ends the process at any error that nothing else handles; see docs/design.md, section 11. */
-  watchErrors(): void {
+  /**
+   * Ends the process at any error that nothing else handles, see docs/design.md, section 11, and
+   * names the reason when it ends because nothing is left that it waits for.
+   */
+  watchProcess(): void {
+    process.once('beforeExit', () => this.endProcess('nothing_left'));
     // Node.js reports an unhandled rejection as an uncaught error, with the origin that says so.
     process.on('uncaughtException', (error, origin) => this.endUncaught(error, origin));
   }
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -77,7 +77,7 @@
   let daemon: Daemon;
   try {
     await checkEnvironment(settings, log);
-    if (isCheckOnly) return undefined;
+    if (isCheckOnly) return process.exit(0);
     daemon = await (settings.role === 'entry'
       ? EntryHost.startHost(options)
       : ControlHost.startHost(options));
@@ -100,6 +100,6 @@
     : processEnd.endProcess('failed', { error: failure });
 }
 
-processEnd.watchErrors();
+processEnd.watchProcess();
 const { file, isCheckOnly } = parseCommandLine();
 await startDaemon(file, isCheckOnly);
--- a/tests/processes/processEnd.test.ts
+++ b/tests/processes/processEnd.test.ts
@@ -78,6 +78,16 @@
     maxStartMs,
   );
 
+  // Guards against a stop that waits for an event that never comes, and looks like a complete one.
+  it('should tell an end because nothing is left to wait for', async () => {
+    const url = new URL('../../dist/daemon/ProcessEnd.js', import.meta.url);
+    const code = `import ProcessEnd from '${url}'; new ProcessEnd({ program: 'test' }).watchProcess();`;
+    const idle = new ManagedProcess('idle', ['--input-type=module', '--eval', code]);
+
+    expect(await idle.waitExit()).toBe(1);
+    expect(idle.output).toContain('"message":"lifecycle: ended","reason":"nothing_left"');
+  });
+
   // Guards against a refused start whose reason is on standard error only, which is not kept.
   it('should name the reason of a refused start', async () => {
     const missing = path.join(folder, 'missing.yaml');
