src/application/replication: messages that wait for a disk that refuses are few

Operators would see: a control host whose memory grows while its disk refuses, until its process ends. Cause: messages of other replicas are handled one at a time. Since an operation of the disk is tried again, the first may wait for minutes; the leader goes on sending, about two messages a second, each with up to 1 MiB of entries, and all of them wait. Ruled out: a deadline for waiting messages: one that has begun to write can't be given up. Fewer messages of the leader: an old leader of another release may send more. Change: beyond 32 messages that are handled or wait, a further one is refused with `host_not_ready`; peers treat it as they do a lost one. Measured: npx vitest run replication/refusingDisk: before the change none of 1,000 messages was refused, now more than 900, and the host takes part again. npx vitest run tests/replication tests/fleet/openGroup: 85 passed. The memory itself was not measured. Conclusion: what waits is at most 32 MiB.

--- a/src/application/replication/MessageHandler.ts
+++ b/src/application/replication/MessageHandler.ts
@@ -18,6 +18,9 @@
 import type ReplicationHandler from './ReplicationHandler.ts';
 import type SnapshotReceiver from './SnapshotReceiver.ts';
 
+// A few messages of each of nine control hosts; each has up to 1 MiB of entries or of a snapshot.
+const maxWaitingMessages = 32;
+
 /** Handles the messages of other replicas, one at a time. */
 export default class MessageHandler<Command, Reply> implements ReplicationHandler {
   private readonly context: ReplicaContext<Command, Reply>;
@@ -28,6 +31,9 @@
 
   private readonly receiver: SnapshotReceiver<Command, Reply>;
 
+  /** Messages that are handled, or wait for the disk. */
+  private waitingMessages = 0;
+
   constructor(options: {
     readonly context: ReplicaContext<Command, Reply>;
     readonly elections: ElectionTask<Command, Reply>;
@@ -179,13 +185,30 @@
     return this.runToResult(async () => {
       const { replicaId, group } = this.context.store.identity;
       if (header.to === replicaId && header.groupId === group?.groupId) {
-        return this.context.runSerial(work);
+        return this.runWaiting(header, work);
       }
       const refusal = this.refuse(`message from "${header.fromHost}"`, header.to);
       throw new FailureError(refusal.failure);
     });
   }
 
+  private async runWaiting<Value>(
+    { fromHost }: MessageHeader,
+    work: () => Promise<Value>,
+  ): Promise<Value> {
+    const { waitingMessages, context } = this;
+    if (waitingMessages >= maxWaitingMessages) {
+      const message = `message from "${fromHost}": host "${context.ownMember.host}" has ${waitingMessages} others that wait for its disk: expected fewer than ${maxWaitingMessages}`;
+      throw new FailureError({ kind: 'host_not_ready', message });
+    }
+    this.waitingMessages += 1;
+    try {
+      return await context.runSerial(work);
+    } finally {
+      this.waitingMessages -= 1;
+    }
+  }
+
   private async runToResult<Value>(work: () => Promise<Value>): Promise<Result<Value>> {
     try {
       return { ok: true, value: await work() };
