tests/requests: the test of queued connections opens them before the listener closes

Callers saw nothing of this: it concerns a test of `a stop accepts the connections that wait in the queue`. Cause: Node.js connects in the next tick, so the 50 connections of that test were opened after the old code had closed the listener, and were refused instead of reset. The test failed on the old code, but not for the reason that it names. Change: the fixture opens the connections and lets one tick pass, without a turn of the event loop, so that the operating system has them and the process doesn't. The check is the same: 50 answers. Conclusion: the test now shows the fault that it guards against.

--- a/tests/requests/callersListener.test.ts
+++ b/tests/requests/callersListener.test.ts
@@ -309,7 +309,7 @@
     // accepted: closing the listener resets their connections.
     it('should answer requests on connections that it has not accepted when it closes', async () => {
       const { path } = await startPath(({ socket }) => socket.write(answer));
-      const callers = Array.from({ length: 50 }, () => RawCaller.openTo(path.origin));
+      const callers = await RawCaller.openQueued(path.origin, 50);
       callers.forEach((caller) => caller.write(`${getHead}\r\n`));
 
       await path.frontEnd.closeListener();
