tests/soak: overlapping planned stops, second signals and reloads at the start

Cause: planned stops were drawn one by one, with one signal; the exit code of a stop was not looked at. Ruled out: a reload from the first millisecond on. Until Node.js runs the first statement, SIGHUP ends the process, which the soak would report in most runs; a drawn reload waits until the process listens to the signal. The plain hangup steps don't wait, so they may still hit a process that starts. Change: steps of stops may carry a second signal and a reload; a series of stops of all hosts that overlap, with four presets, is in each plan. A stop that ends with a code other than 0 breaks PROCESS; one that ends by SIGTERM is allowed, because a process that starts does not listen to it yet. The events of a run that breaks a rule are kept beside the logs, and LOST names the time of a cut.

--- a/examples/fleet/ManagedProcess.ts
+++ b/examples/fleet/ManagedProcess.ts
@@ -80,7 +80,8 @@
     this.child.kill('SIGCONT');
   }
 
-  private sendSignal(signal: NodeJS.Signals): Promise<number | string> {
+  /** Sends a signal to a process that still runs; resolves like `waitExit`. */
+  sendSignal(signal: NodeJS.Signals): Promise<number | string> {
     if (this.isRunning) this.child.kill(signal);
     return this.exited;
   }
--- a/tests/soak/SoakHistory.ts
+++ b/tests/soak/SoakHistory.ts
@@ -20,6 +20,15 @@
     return (this.events.get(kind) ?? []) as TimedEvent<Kind>[];
   }
 
+  /** One line for each event, in the order of their time. */
+  format(): string {
+    return [...this.events.values()]
+      .flat()
+      .sort((first, second) => first.at - second.at)
+      .map((event) => `${JSON.stringify(event)}\n`)
+      .join('');
+  }
+
   /** Maps events of a kind by request id; of several, the first counts. */
   mapById<Kind extends RequestEventKind>(kind: Kind): ReadonlyMap<string, TimedEvent<Kind>> {
     const events = new Map<string, TimedEvent<Kind>>();
--- a/tests/soak/SoakPlan.ts
+++ b/tests/soak/SoakPlan.ts
@@ -42,6 +42,10 @@
   readonly target: number;
   readonly atMs: number;
   readonly forMs: number;
+  /** A second signal to a host that stops. */
+  readonly again?: { readonly signal: 'SIGTERM' | 'SIGHUP'; readonly afterMs: number };
+  /** When a host that was started again is told to reload, from when it takes signals. */
+  readonly reloadMs?: number;
 }
 
 /** Connections of strangers to a listener of a host. */
--- a/tests/soak/SoakRun.ts
+++ b/tests/soak/SoakRun.ts
@@ -1,7 +1,10 @@
+import { writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { fetch } from 'undici';
 
+import type ManagedProcess from '../../examples/fleet/ManagedProcess.ts';
 import PlatformFleet, { ports } from '../fixtures/PlatformFleet.ts';
 import SeededRandom from '../fixtures/SeededRandom.ts';
 import SoakCaller from './SoakCaller.ts';
@@ -77,9 +80,11 @@
     await this.fleet.stop();
   }
 
-  /** Writes the logs of all processes to a folder and returns its path. */
-  saveLogs(): Promise<string> {
-    return this.fleet.saveLogs(`soak-${this.plan.seed}`);
+  /** Writes the logs of all processes and the events to a folder and returns its path. */
+  async saveLogs(): Promise<string> {
+    const folder = await this.fleet.saveLogs(`soak-${this.plan.seed}`);
+    await writeFile(join(folder, 'events.log'), this.history.format());
+    return folder;
   }
 
   private get now(): number {
@@ -236,7 +241,7 @@
       this.record({ kind: 'host_disturbed', host: ip, role: step.role, disturbance });
     if (step.kind === 'hangup') {
       record('hangup');
-      process.kill(running.pid ?? 0, 'SIGHUP');
+      running.sendSignal('SIGHUP');
       return;
     }
     restarting.add(ip);
@@ -248,21 +253,34 @@
       record('resume');
     } else {
       if (step.kind === 'kill') await running.kill();
-      else await this.stopHost(ip);
+      else await Promise.all([this.stopHost(ip), this.sendAgain(running, step)]);
       await sleep(step.forMs);
       await fleet.startProcess(ip);
       this.watchExit(ip);
       record('start');
     }
     restarting.delete(ip);
+    if (step.reloadMs === undefined) return;
+    await fleet.waitReloadable(ip);
+    await sleep(step.reloadMs);
+    record('hangup');
+    fleet.processes.get(ip)?.sendSignal('SIGHUP');
   }
 
-  /** Stops a host as planned; it is killed, which breaks a promise, if it takes too long. */
+  private async sendAgain(running: ManagedProcess, { again }: HostStep): Promise<void> {
+    if (!again) return;
+    await sleep(again.afterMs);
+    running.sendSignal(again.signal);
+  }
+
+  /** Stops a host as planned; it breaks a promise if it takes too long or ends with an error. */
   private async stopHost(ip: string): Promise<void> {
     const running = this.fleet.processes.get(ip);
-    const isStopped = running?.stop().then(() => true);
-    if (await Promise.race([isStopped, sleep(stopTimeoutMs).then(() => false)])) return;
-    this.record({ kind: 'host_exited', host: ip, code: 'killed after the time to stop' });
+    const code = await Promise.race([running?.stop(), sleep(stopTimeoutMs)]);
+    // A process that has not begun to listen to the signal ends by it.
+    if (code === 0 || code === 'SIGTERM') return;
+    const reason = code === undefined ? 'killed after the time to stop' : `${code} in its stop`;
+    this.record({ kind: 'host_exited', host: ip, code: reason });
     await running?.kill();
   }
 
--- a/tests/soak/checks.test.ts
+++ b/tests/soak/checks.test.ts
@@ -240,6 +240,18 @@
     expect(new Set(reached).size).toBe(count);
   });
 
+  // Guards against stops that are only seen one at a time and with one signal.
+  it('should stop all hosts in a series with second signals, reloads and presets', () => {
+    const steps = [1, 2, 3].flatMap((seed) => [...drawPlan({ ...size, seed }).steps]);
+    const stops = steps.flatMap((step) => (step.kind === 'stop' ? [step] : []));
+
+    expect(new Set(stops.map(({ role, target }) => `${role} ${target}`)).size).toBe(7);
+    expect(new Set(stops.map(({ again }) => again?.signal))).toEqual(
+      new Set(['SIGTERM', 'SIGHUP', undefined]),
+    );
+    expect(stops.some(({ reloadMs }) => reloadMs !== undefined && reloadMs < 500)).toBe(true);
+  });
+
   it('should be cut down to the steps that are needed to fail', async () => {
     const plan = drawPlan(size);
     const needed = [plan.steps[3], plan.steps.at(-2)];
--- a/tests/soak/checks/LostCheck.ts
+++ b/tests/soak/checks/LostCheck.ts
@@ -25,10 +25,14 @@
       const request = sent.get(id);
       if (!request || this.isExcused(history, request, at)) return [];
       const upstream = arrived.get(id)?.upstream;
-      if (upstream !== undefined) return [`request ${id} was passed on to ${upstream} and cut`];
+      if (upstream !== undefined) {
+        return [`request ${id} was passed on to ${upstream} and cut at ${Math.round(at)} ms`];
+      }
       const waitedMs = at - request.at - history.measureStalls(request.at, at);
       return waitedMs > lossSlackMs && at < request.at + timeBudgetMs
-        ? [`request ${id} was cut by ${request.host} after ${Math.round(waitedMs)} ms`]
+        ? [
+            `request ${id} was cut by ${request.host} after ${Math.round(waitedMs)} ms, at ${Math.round(at)} ms`,
+          ]
         : [];
     });
     return { checked: sent.size, violations };
--- a/tests/soak/drawPlan.ts
+++ b/tests/soak/drawPlan.ts
@@ -28,6 +28,10 @@
   ...(['reset', 'late_reset', 'reset_on_answer', 'half_close', 'idle'] as const),
 ];
 const strangersOfListener = 6;
+// A reload may come while a process that has just started is not ready yet.
+const maxReloadMs = 500;
+const maxGapMs = 1500;
+const overlapPresets = 4;
 
 /** Size of the runs that are drawn. */
 export interface PlanSize {
@@ -64,6 +68,31 @@
       ...{ kind, role, target, forMs: 200, atMs: firstAt + target * gapMs },
     }));
   };
+  const drawPlannedStop = (role: HostStep['role'], target: number, atMs = drawTime()): HostStep => {
+    const afterMs = draw(2000);
+    const signal = choose(['SIGTERM', 'SIGHUP'] as const);
+    return {
+      ...({ kind: 'stop', role, target, atMs, forMs: draw(600) } as const),
+      ...(random.next() < 0.4 && { again: { signal, afterMs } }),
+      ...(random.next() < 0.4 && { reloadMs: draw(maxReloadMs) }),
+    };
+  };
+  // Stops of all hosts of both roles that overlap, and changes of the preset meanwhile.
+  const drawOverlap = (): readonly SoakStep[] => {
+    const gapMs = draw(Math.min(maxGapMs, faultMs / size));
+    const firstAt = startMs + draw(faultMs - gapMs * size);
+    const drawStops = (role: HostStep['role'], count: number): readonly SoakStep[] =>
+      Array.from({ length: count }, (_, target) =>
+        drawPlannedStop(role, target, firstAt + target * gapMs),
+      );
+    return [
+      ...drawStops('control', controlHosts),
+      ...drawStops('entry', size),
+      ...Array.from({ length: overlapPresets }, (_, index): SoakStep => ({
+        ...({ kind: 'preset', atMs: firstAt + 500 * index } as const),
+      })),
+    ];
+  };
   const drawUpstreamStep = (): SoakStep => {
     const target = draw(2 * upstreams);
     const times = { target, atMs: drawTime(), forMs: 1000 + draw(6000) };
@@ -106,6 +135,8 @@
     ...Array.from({ length: perMinute(20) }, drawPreset),
     ...drawStrangers('control', controlHosts),
     ...drawStrangers('entry', size),
+    ...Array.from({ length: perMinute(size) }, () => drawPlannedStop('entry', draw(size))),
+    ...drawOverlap(),
   ];
   return {
     ...{ seed, durationMs, controlHosts, entryHosts: size, upstreams, callers: 6 * size },
