src/daemon: a stop goes on when a step of it fails or hangs, and ends before the platform kills the process

Operators saw: processes that end by themselves or are killed around planned work. Cause: closing a server waits for its connections, and one that never sent a whole request, or a refused upgrade that the peer keeps open, never ends. A step that throws ended the process with 1 before the later steps. The control host had no time by which its stop must be over. Ruled out: the listener of callers, whose stop has its own limits; a peers connection that sent nothing or half a head. Change: StopSteps runs each step of a stop with a deadline, logs one that fails or takes too long, and goes on. Entry hosts have 200 ms for what no caller uses after the last answer. Conclusion: fixed for any connection that stays; closing such connections at once is left to the listeners.

--- a/src/adapters/yaml/parseFleetSettings.ts
+++ b/src/adapters/yaml/parseFleetSettings.ts
@@ -23,11 +23,12 @@
     .min(64, expectedDescriptors)
     .max(10_000_000, expectedDescriptors)
     .nullish(),
+  // In milliseconds, as all defaults of durations are.
+  stop_timeout: durationSchema.default(30_000),
 };
 
 const expectedPrice = 'expected a number from 0 to 100';
 
-// The defaults of durations are in milliseconds.
 const entrySchema = z.strictObject({
   ...commonFields,
   role: z.literal('entry'),
@@ -44,7 +45,6 @@
   }),
   first_start: z.boolean('expected true or false').default(false),
   stop_grace: durationSchema.default(2200),
-  stop_timeout: durationSchema.default(30_000),
   other_domain_price: z.number(expectedPrice).min(0, expectedPrice).max(100, expectedPrice),
   suspicion: durationSchema.default(9000),
 });
@@ -92,6 +92,7 @@
     peerKey: settings.peer_key,
     logLevel: settings.log_level,
     maxDescriptors: settings.max_descriptors ?? undefined,
+    stopTimeoutMs: settings.stop_timeout,
   };
   if (settings.role === 'entry') {
     return {
@@ -107,7 +108,6 @@
         },
         isFirstStart: settings.first_start,
         stopGraceMs: settings.stop_grace,
-        stopTimeoutMs: settings.stop_timeout,
         otherDomainPrice: settings.other_domain_price,
         suspicionMs: settings.suspicion,
       },
--- a/src/application/lifecycle/Shutdown.ts
+++ b/src/application/lifecycle/Shutdown.ts
@@ -1,6 +1,6 @@
 import type Clock from '../../ports/Clock.ts';
 import type Log from '../../ports/Log.ts';
-import runStopSteps from './runStopSteps.ts';
+import StopSteps from './StopSteps.ts';
 import type {
   ClaimCompletions,
   HostRecordOwner,
@@ -31,10 +31,14 @@
 export default class Shutdown {
   private readonly options: ShutdownOptions;
 
+  private readonly steps: StopSteps;
+
   private stopped: Promise<void> | undefined;
 
   constructor(options: ShutdownOptions) {
+    const { clock, log } = options;
     this.options = options;
+    this.steps = new StopSteps({ clock, log, deadline: Infinity });
   }
 
   /**
@@ -47,6 +51,7 @@
   }
 
   private async runSteps(): Promise<void> {
+    const { steps } = this;
     const { clock, log, readiness, listeners, claims, hostRecord, stopGraceMs } = this.options;
     const answerDeadline = readiness.markStopping();
     const graceDeadline = Math.min(clock.now() + stopGraceMs, answerDeadline);
@@ -54,25 +59,21 @@
     // Busy connections are closed with their next answer. Idle connections are not closed yet,
     // because a request may already be in transit on them.
     listeners.forEach((listener) => listener.startClose());
-    await this.runStep('announcing the stop', () => hostRecord.announceStopping());
+    await steps.runStep('announcing the stop', () => hostRecord.announceStopping());
     await clock.sleepUntil(graceDeadline);
     log.info('lifecycle: accepting no new connections', {
       lateMs: Math.round(clock.now() - graceDeadline),
     });
     await Promise.all(
       listeners.map((listener) =>
-        this.runStep('closing a listener', () => listener.closeListener(answerDeadline)),
+        steps.runStep('closing a listener', () => listener.closeListener(answerDeadline)),
       ),
     );
     log.info('lifecycle: every request was answered');
-    await this.runStep('delivering claim completions', () =>
+    await steps.runStep('delivering claim completions', () =>
       claims.waitIdle(clock.now() + claimCompletionTimeoutMs),
     );
-    await this.runStep('withdrawing the host record', () => hostRecord.removeRecord());
+    await steps.runStep('withdrawing the host record', () => hostRecord.removeRecord());
     log.info('lifecycle: stopped');
   }
-
-  private runStep(name: string, step: () => Promise<void>): Promise<void> {
-    return runStopSteps(this.options.log, [[name, step]]);
-  }
 }
--- a/src/daemon/ControlHost.ts
+++ b/src/daemon/ControlHost.ts
@@ -16,7 +16,7 @@
 import { parseEjectionRecord } from '../adapters/trpc/detectionMessages.ts';
 import { router } from '../adapters/trpc/trpcBase.ts';
 import ClaimService from '../application/claims/ClaimService.ts';
-import runStopSteps from '../application/lifecycle/runStopSteps.ts';
+import StopSteps from '../application/lifecycle/StopSteps.ts';
 import type { HostStatus } from '../application/membership/HostHeartbeat.ts';
 import BurnReporter from '../application/metrics/BurnReporter.ts';
 import FleetListing from '../application/operators/FleetListing.ts';
@@ -159,15 +159,14 @@
   async stop(): Promise<void> {
     const { clock, log } = this.options;
     this.isStopping = true;
-    await runStopSteps(log, [
-      ['announcing the stop', () => this.network.heartbeat.renewRecord()],
-      ['stopping the replica', () => this.replica.stop(clock.now() + stopMs)],
-      ['closing the operators listener', () => this.operators.closeListener()],
-      ['stopping the tasks', () => this.tasks.stop()],
-      ['closing the platform listener', () => this.platform.closeListener()],
-      ['closing the peers listener', () => this.peers.closeListener()],
-      ['closing connections to peers', () => this.network.dialer.close()],
-    ]);
+    const steps = new StopSteps({ clock, log, deadline: Infinity });
+    await steps.runStep('announcing the stop', () => this.network.heartbeat.renewRecord());
+    await steps.runStep('stopping the replica', () => this.replica.stop(clock.now() + stopMs));
+    await steps.runStep('closing the operators listener', () => this.operators.closeListener());
+    await steps.runStep('stopping the tasks', () => this.tasks.stop());
+    await steps.runStep('closing the platform listener', () => this.platform.closeListener());
+    await steps.runStep('closing the peers listener', () => this.peers.closeListener());
+    await steps.runStep('closing connections to peers', () => this.network.dialer.close());
   }
 
   async waitFailed(): Promise<string> {
--- a/src/daemon/EntryHost.ts
+++ b/src/daemon/EntryHost.ts
@@ -15,7 +15,7 @@
 import { router } from '../adapters/trpc/trpcBase.ts';
 import ClaimClient from '../application/claims/ClaimClient.ts';
 import Shutdown from '../application/lifecycle/Shutdown.ts';
-import runStopSteps from '../application/lifecycle/runStopSteps.ts';
+import StopSteps from '../application/lifecycle/StopSteps.ts';
 import AnnouncementService from '../application/membership/AnnouncementService.ts';
 import ServiceLevelObserver from '../application/metrics/ServiceLevelObserver.ts';
 import PresetWatcher from '../application/presets/PresetWatcher.ts';
@@ -166,13 +166,13 @@
 
   async stop(): Promise<void> {
     await this.shutdown.stopHost();
-    await runStopSteps(this.options.log, [
-      ['stopping the tasks', () => this.tasks.stop()],
-      ['closing connections to upstreams', () => this.upstreamClient.close()],
-      ['closing the platform listener', () => this.platform.closeListener()],
-      ['closing the peers listener', () => this.peers.closeListener()],
-      ['closing connections to peers', () => this.network.dialer.close()],
-    ]);
+    const { clock, log } = this.options;
+    const steps = new StopSteps({ clock, log, deadline: Infinity });
+    await steps.runStep('stopping the tasks', () => this.tasks.stop());
+    await steps.runStep('closing connections to upstreams', () => this.upstreamClient.close());
+    await steps.runStep('closing the platform listener', () => this.platform.closeListener());
+    await steps.runStep('closing the peers listener', () => this.peers.closeListener());
+    await steps.runStep('closing connections to peers', () => this.network.dialer.close());
   }
 
   // Never resolves: every component of an entry host recovers without a restart.
--- a/src/daemon/FleetControlHost.ts
+++ b/src/daemon/FleetControlHost.ts
@@ -19,7 +19,7 @@
 import RegistrationService from '../application/fleet/RegistrationService.ts';
 import type { ServiceCheckResult } from '../application/fleet/RegistrationService.ts';
 import SuspicionRelay from '../application/fleet/SuspicionRelay.ts';
-import runStopSteps from '../application/lifecycle/runStopSteps.ts';
+import StopSteps from '../application/lifecycle/StopSteps.ts';
 import LoadMonitor from '../application/metrics/LoadMonitor.ts';
 import type ReportingDisk from '../application/replication/ReportingDisk.ts';
 import Replica from '../application/replication/Replica.ts';
@@ -34,7 +34,6 @@
 import type Log from '../ports/Log.ts';
 import type PresetCodec from '../ports/PresetCodec.ts';
 import type RandomSource from '../ports/RandomSource.ts';
-import type Daemon from './Daemon.ts';
 import listConnectionGauges from './listConnectionGauges.ts';
 import listControlGauges from './listControlGauges.ts';
 import listDiskGauges from './listDiskGauges.ts';
@@ -47,7 +46,11 @@
 import readProcessorMs from './readProcessorMs.ts';
 
 // Time limit for accepted proposals to commit and for the leadership to move to another host.
-const stopMs = 3000;
+const transferMs = 3000;
+// Time to close what has no call that can still succeed.
+const closeMs = 500;
+// Time for the last log lines and for the process to exit.
+const exitMs = 500;
 
 /** Options of a control host in a fleet whose hosts discover each other through seeds. */
 export interface FleetControlOptions {
@@ -68,6 +71,12 @@
   readonly metrics: ListenerConnections;
 }
 
+/** The listener whose calls a control host serves. */
+export interface CallListener {
+  /** Accepts no new calls and resolves when every open one has been answered. */
+  closeListener(): Promise<void>;
+}
+
 interface ControlComponents {
   readonly connections: ControlListeners;
   readonly state: ControlStateMachine;
@@ -95,7 +104,7 @@
 }
 
 /** Composition root of a control host in a fleet whose hosts discover each other through seeds. */
-export default class FleetControlHost implements Daemon {
+export default class FleetControlHost {
   readonly presets: NumberedPresetService;
 
   readonly registrations: RegistrationService;
@@ -206,7 +215,10 @@
     });
     const seeds = listSeedPeers(settings);
     const folder = settings.dataFolder;
-    const { disk, reporting } = await openDisk({ folder, clock, log, stopSignal, stopMs });
+    const { disk, reporting } = await openDisk({
+      ...{ folder, clock, log, stopSignal },
+      stopMs: transferMs,
+    });
     const replica = await Replica.startReplica<ControlCommand, ControlReply>({
       host: ownAddress,
       hosts: settings.formsGroup ? seeds : [],
@@ -244,20 +256,33 @@
     return leader === undefined ? undefined : this.discovery.findHost(leader)?.operatorsAddress;
   }
 
-  async stop(): Promise<void> {
+  /**
+   * Answers the open calls of a listener, stops the tasks and closes the other listeners.
+   * Resolves when the process may exit, at the latest shortly before the platform kills it.
+   */
+  async stop(listener: CallListener): Promise<void> {
+    const { settings, clock, log } = this.options;
     const { replica, socket, dialer } = this.components;
     this.isStopping = true;
-    await runStopSteps(this.options.log, [
-      ['stopping the replica', () => replica.stop(this.options.clock.now() + stopMs)],
-      ['stopping the tasks', () => this.tasks.stop()],
-      ['closing the links to other control hosts', () => this.forwarder.close()],
-      ['closing the datagram socket', () => socket.close()],
-      ['closing the metrics listener', () => this.metricsFrontEnd.closeListener()],
-      ['closing the peers listener', () => this.peers.closeListener()],
-      ['closing connections to peers', () => dialer.close()],
+    const deadline = clock.now() + Math.max(0, settings.stopTimeoutMs - exitMs);
+    const steps = new StopSteps({ clock, log, deadline });
+    const closing = steps.runStep('closing the operators listener', () => listener.closeListener());
+    const transferDeadline = Math.min(deadline, clock.now() + transferMs);
+    await steps.runStep('stopping the replica', () => replica.stop(transferDeadline));
+    await steps.runStep('ending the tasks', () => this.tasks.stop());
+    const closeDeadline = Math.min(deadline, clock.now() + closeMs);
+    const lastSteps = new StopSteps({ clock, log, deadline: closeDeadline });
+    await Promise.all([
+      lastSteps.runStep('answering the last calls', () => closing),
+      lastSteps.runStep('closing the metrics listener', () => this.metricsFrontEnd.closeListener()),
+      lastSteps.runStep('closing the peers listener', () => this.peers.closeListener()),
     ]);
+    await steps.runStep('closing the links to other control hosts', () => this.forwarder.close());
+    await steps.runStep('closing the datagram socket', () => socket.close());
+    await steps.runStep('closing the connections to peers', () => dialer.close());
   }
 
+  /** Resolves with an error message when the replica fails. */
   async waitFailed(): Promise<string> {
     const result = await this.components.replica.waitStopped();
     if (!result.ok) return result.failure.message;
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -17,7 +17,7 @@
 import SuspicionObserver from '../application/fleet/SuspicionObserver.ts';
 import Shutdown from '../application/lifecycle/Shutdown.ts';
 import StopSchedule from '../application/lifecycle/StopSchedule.ts';
-import runStopSteps from '../application/lifecycle/runStopSteps.ts';
+import StopSteps from '../application/lifecycle/StopSteps.ts';
 import LoadMonitor from '../application/metrics/LoadMonitor.ts';
 import type RequestDialect from '../application/requests/RequestDialect.ts';
 import RequestHandler from '../application/requests/RequestHandler.ts';
@@ -55,6 +55,9 @@
 // The listener accepts slightly more than a preset allows; the limits of the preset are checked for
 // each request.
 const maxHeaderBytes = 65_536;
+// Time to close what no caller uses. With the last flush of answers, it is below the time that
+// `StopSchedule` keeps until the platform kills the process.
+const closeMs = 200;
 
 /** Options of an entry host in a fleet whose hosts discover each other through seeds. */
 export interface FleetEntryOptions {
@@ -238,15 +241,17 @@
   }
 
   async stop(): Promise<void> {
+    const { clock, log } = this.options;
     await this.shutdown.stopHost();
-    await runStopSteps(this.options.log, [
-      ['stopping the tasks', () => this.tasks.stop()],
-      ['closing connections to upstreams', () => this.upstreamClient.close()],
-      ['closing the platform listener', () => this.platform.closeListener()],
-      ['closing the metrics listener', () => this.metricsFrontEnd.closeListener()],
-      ['closing the datagram socket', () => this.socket.close()],
-      ['closing connections to peers', () => this.dialer.close()],
+    const steps = new StopSteps({ clock, log, deadline: clock.now() + closeMs });
+    await steps.runStep('ending the tasks', () => this.tasks.stop());
+    await Promise.all([
+      steps.runStep('closing the connections to upstreams', () => this.upstreamClient.close()),
+      steps.runStep('closing the platform listener', () => this.platform.closeListener()),
+      steps.runStep('closing the metrics listener', () => this.metricsFrontEnd.closeListener()),
     ]);
+    await steps.runStep('closing the datagram socket', () => this.socket.close());
+    await steps.runStep('closing the connections to peers', () => this.dialer.close());
   }
 
   // Never resolves: every component of an entry host recovers without a restart.
--- a/src/domain/settings/FleetSettings.ts
+++ b/src/domain/settings/FleetSettings.ts
@@ -23,6 +23,8 @@
    * operating system allows it.
    */
   readonly maxDescriptors: number | undefined;
+  /** Time from the stop signal until the platform kills the process, in milliseconds. */
+  readonly stopTimeoutMs: number;
 }
 
 /** Settings of an entry host in a fleet whose hosts find each other through seeds. */
@@ -41,8 +43,6 @@
    * How long the callers' listener stays open after `/ready` begins to answer 503, in milliseconds.
    */
   readonly stopGraceMs: number;
-  /** Time from the stop signal until the platform kills the process, in milliseconds. */
-  readonly stopTimeoutMs: number;
   /** Cost of one KiB from another failure domain, relative to a lost request, which costs 4. */
   readonly otherDomainPrice: number;
   /** How long a suspicion of an upstream stays in effect, in milliseconds. */
--- /dev/null
+++ b/tests/platform/stoppingProcesses.test.ts
@@ -0,0 +1,50 @@
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+
+import PlatformFleet, { maxStartMs, ports } from '../fixtures/PlatformFleet.ts';
+import RawCaller from '../fixtures/RawCaller.ts';
+
+const document = JSON.stringify({
+  version: 1,
+  ...{ routes: [], services: [{ name: 'kilns' }] },
+  limits: {
+    ...{ maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000 },
+    ...{ headerTimeout: '3s', idleTimeout: '15s' },
+  },
+});
+const refusedUpgrade =
+  'GET / HTTP/1.1\r\nhost: a\r\nconnection: upgrade\r\nupgrade: websocket\r\n\r\n';
+
+describe('processes that stop', () => {
+  const fleet = new PlatformFleet({ controlHosts: 1, entryHosts: 1 });
+  const [controlIp = ''] = fleet.controlIps;
+  const [entryIp = ''] = fleet.entryIps;
+
+  beforeAll(() => fleet.start(document), 2 * maxStartMs);
+
+  afterAll(() => fleet.stop(), maxStartMs);
+
+  // Guards against a stop that lasts as long as a stranger keeps a connection open, so that the
+  // platform kills the process.
+  it.each([
+    ['an entry host', entryIp, ports.platform, ''],
+    ['an entry host', entryIp, ports.metrics, 'GET /metr'],
+    ['a control host', controlIp, ports.operators, ''],
+    ['a control host', controlIp, ports.metrics, ''],
+    ['a control host', controlIp, ports.peers, refusedUpgrade],
+  ])(
+    'should end by itself: %s (%s) with a connection to port %i that sent %j',
+    async (_role, ip, port, text) => {
+      const running = fleet.processes.get(ip);
+      const stranger = await RawCaller.connectTo(`http://${ip}:${port}`);
+      stranger.write(text);
+      if (text === refusedUpgrade) await stranger.waitFor('401');
+
+      expect(await running?.stop()).toBe(0);
+
+      stranger.socket.destroy();
+      await fleet.startProcess(ip);
+      await fleet.waitListening(ip);
+    },
+    maxStartMs,
+  );
+});
