src/daemon: a control host answers the calls that it has accepted before its replica stops

Operators saw: a change whose answer was a redirect to the host that was stopping, where nothing listened any more. Cause: the replica refuses proposals from the first step of its stop on, while calls that the control host was receiving were still being read. The leader then redirected them to itself. Ruled out: calls that wait for their commit; the replica waits for those before it hands over the leadership. Change: the stop first waits for the open calls, for 2 s at most, then stops the replica. The rest of the stop stays below stop_timeout. Measured: vitest run tests/platform/stoppingProcesses.test.ts: the new test, a change whose body ends after the signal to stop, had 307 instead of 200 before; it and the five others pass now. Conclusion: fixed for calls whose body arrives within 2 s; a slower one is refused as before.

--- a/examples/fleet/ManagedProcess.ts
+++ b/examples/fleet/ManagedProcess.ts
@@ -1,7 +1,9 @@
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
+import { setTimeout as sleep } from 'node:timers/promises';
 
 const maxOutputLength = 200_000;
+const outputPollMs = 10;
 
 /** A child process of the example whose output is captured. */
 export default class ManagedProcess {
@@ -56,6 +58,11 @@
     return this.child.exitCode === null && this.child.signalCode === null;
   }
 
+  /** Resolves when the process has written the text, or has ended. */
+  async waitOutput(text: string): Promise<void> {
+    while (this.isRunning && !this.capturedOutput.includes(text)) await sleep(outputPollMs);
+  }
+
   /** Resolves with the exit code of the process or with the signal that terminated it. */
   waitExit(): Promise<number | string> {
     return this.exited;
--- a/src/daemon/FleetControlHost.ts
+++ b/src/daemon/FleetControlHost.ts
@@ -45,6 +45,8 @@
 import listSeedPeers from './listSeedPeers.ts';
 import readProcessorMs from './readProcessorMs.ts';
 
+// Twice as long as a call may take to commit.
+const callsMs = 2000;
 // Time limit for accepted proposals to commit and for the leadership to move to another host.
 const transferMs = 3000;
 // Time to close what has no call that can still succeed.
@@ -257,7 +259,7 @@
   }
 
   /**
-   * Answers the open calls of a listener, stops the tasks and closes the other listeners.
+   * Answers the open calls of a listener, then stops the tasks and closes the other listeners.
    * Resolves when the process may exit, at the latest shortly before the platform kills it.
    */
   async stop(listener: CallListener): Promise<void> {
@@ -266,7 +268,9 @@
     this.isStopping = true;
     const deadline = clock.now() + Math.max(0, settings.stopTimeoutMs - exitMs);
     const steps = new StopSteps({ clock, log, deadline });
+    // A replica that stops refuses proposals, so it stops after the calls that may need them.
     const closing = steps.runStep('closing the operators listener', () => listener.closeListener());
+    await Promise.race([closing, clock.sleepUntil(Math.min(deadline, clock.now() + callsMs))]);
     const transferDeadline = Math.min(deadline, clock.now() + transferMs);
     await steps.runStep('stopping the replica', () => replica.stop(transferDeadline));
     await steps.runStep('ending the tasks', () => this.tasks.stop());
--- a/tests/platform/stoppingProcesses.test.ts
+++ b/tests/platform/stoppingProcesses.test.ts
@@ -47,4 +47,26 @@
     },
     maxStartMs,
   );
+
+  // Guards against a control host that refuses a change because it began to stop while it was
+  // receiving it.
+  it(
+    'should accept a change that a control host is receiving when it begins to stop',
+    async () => {
+      const running = fleet.processes.get(controlIp);
+      const caller = await RawCaller.connectTo(`http://${controlIp}:${ports.operators}`);
+      const change = document.replace('"version":1', '"version":2');
+      const head = `PUT /pistachiohoist/config HTTP/1.1\r\nhost: a\r\ncontent-length: ${change.length}`;
+      caller.write(`${head}\r\n\r\n${change.slice(0, 20)}`);
+      await fleet.waitStatus(() => fleet.put(controlIp, '/config', document), 200);
+
+      const exited = running?.stop();
+      await running?.waitOutput('lifecycle: stop requested');
+      caller.write(change.slice(20));
+
+      expect(await caller.waitClosed()).toMatch(/^HTTP\/1.1 200 /);
+      expect(await exited).toBe(0);
+    },
+    maxStartMs,
+  );
 });
