--- a/tests/platform/startCached.test.ts
+++ b/tests/platform/startCached.test.ts
@@ -27,7 +27,9 @@
   async function startDaemon() {
     const env = { ...process.env };
     delete env.PISTACHIOHOIST_BOOT;
-    return runFile(process.execPath, [join(folder, 'start.mjs')], { env }).then(
+    // As in the deploy file. With other flags, V8 would refuse the cache.
+    const args = ['--max-old-space-size=160', join(folder, 'start.mjs')];
+    return runFile(process.execPath, args, { env }).then(
       () => ({ code: 0, stderr: '' }),
       (error: { readonly code: number; readonly stderr: string }) => error,
     );
@@ -44,6 +46,33 @@
     expect(await startDaemon()).toMatchObject(missingSettings);
   });
 
+  // Guards against a process that crashes in damaged code.
+  it('should start with a damaged cache of the right length', async () => {
+    const content = await readFile(cache);
+    const start = content.subarray(0, content.length / 2);
+    await writeFile(cache, Buffer.concat([start, Buffer.alloc(content.length - start.length)]));
+
+    const started = await startDaemon();
+    await writeFile(cache, content);
+
+    expect(started).toMatchObject(missingSettings);
+  });
+
+  // Guards against a process that runs the code of an earlier build.
+  it('should not use the cache of another bundle of the same length', async () => {
+    const bundle = join(folder, 'pistachiohoist.cjs');
+    const source = await readFile(bundle, 'utf8');
+    await writeFile(
+      bundle,
+      source.replace('is missing: expected the path', 'is absent!: expected the path'),
+    );
+
+    const started = await startDaemon();
+    await writeFile(bundle, source);
+
+    expect(started.stderr).toContain('is absent!');
+  });
+
   it.each(['', 'not compiled code'])('should start with an invalid cache: %j', async (content) => {
     await writeFile(cache, content);
 
