src/adapters/http: all servers close in one way, which cuts off no call that has arrived

Callers saw: operators' and upstreams' calls that a control host cut off when it stopped; a call that was refused with 408 as not run and then served; a caller whose open request was cut because the next one on its connection was overdue. Cause: closeServer closed the listening socket at once, which resets the connections that the process has not accepted, and destroyed idle connections with unread bytes. createHttpServer decided overdue headers before it read what had arrived. Change: ServerConnections (CallerConnections before) tracks the connections of any server and decides on silence and refusals; closeServer accepts those that wait, ends idle ones after a turn that reads, and closes all at a deadline, which no server but the callers' had. The operators' server is made by createHttpServer too. An overdue request behind an open one ends the connection after the answer instead of at once. Entry hosts close their probe listeners together, in at most 150 ms. Two tests had to use the new arguments; their checks are the same. Bytes that begin no request (an empty line) after an answer hold a stop open until its deadline, and Node.js ends no such connection at its idle timeout; that is not mended here.

--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -1,7 +1,6 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
-import type { Duplex } from 'node:stream';
 
 import type { CallerAnswer } from '../../application/requests/CallerRequest.ts';
 import DefaultDialect from '../../application/requests/DefaultDialect.ts';
@@ -15,12 +14,11 @@
 import type { ListenAddress } from '../../domain/settings/DaemonSettings.ts';
 import type Clock from '../../ports/Clock.ts';
 import type Log from '../../ports/Log.ts';
-import CallerConnections from './CallerConnections.ts';
 import type ListenerConnections from './ListenerConnections.ts';
+import ServerConnections from './ServerConnections.ts';
+import closeServer from './closeServer.ts';
 import openServer from './openServer.ts';
 import readBody from './readBody.ts';
-import stopListening from './stopListening.ts';
-import writeClientError from './writeClientError.ts';
 
 const defaultMaxHeaderBytes = 16_384;
 // Longer than the idle timeout of common load balancers (60 s), so that the load balancer closes an
@@ -76,7 +74,7 @@
 
   private readonly server: Server;
 
-  private readonly connections: CallerConnections;
+  private readonly connections: ServerConnections;
 
   private readonly dialect: RequestDialect;
 
@@ -88,7 +86,6 @@
 
   constructor(options: HttpFrontEndOptions) {
     this.options = options;
-    this.connections = new CallerConnections(options.clock);
     this.dialect = options.dialect ?? new DefaultDialect();
     this.server = createServer(
       {
@@ -111,18 +108,15 @@
     // 0 means unlimited. Node.js would silently drop headers above this count; their total size is
     // limited already.
     this.server.maxHeadersCount = 0;
-    this.server.on('connection', (socket) => this.connections.addConnection(socket));
+    this.connections = new ServerConnections({ server: this.server, clock: options.clock });
     options.listenerConnections?.watchRequests(this.server);
-    this.server.on('timeout', (socket) => {
-      this.connections.endSilent(socket).catch(() => socket.destroy());
-    });
-    this.server.on('clientError', (error, socket) => this.serveClientError(error, socket));
     this.server.on('connect', (_request, socket) => {
       // Node.js no longer handles errors of this connection.
       socket.on('error', (error) =>
         options.log.info('requests: the connection of a caller failed', { error: error.message }),
       );
-      this.serveClientError(new Error('method CONNECT is not supported'), socket);
+      const error = new Error('method CONNECT is not supported');
+      this.connections.refuseConnection(error, socket as Socket);
     });
     this.server.on('checkExpectation', (request, response) => {
       if (!this.connections.acceptRequest(request.socket, response)) return;
@@ -169,19 +163,15 @@
   async closeListener(deadline = Infinity): Promise<void> {
     this.startClose();
     const { clock, log } = this.options;
-    const stopped = await stopListening({ server: this.server, clock, deadline });
+    const { server, connections } = this;
     const closingAt = clock.now();
-    const idleLateMs = await this.connections.closeIdle(() =>
-      Math.min(Math.max(closingAt, this.latestDeadline) + flushMs, deadline + lastFlushMs),
-    );
-    // Stops the interval that checks for overdue headers.
-    this.server.close();
-    if (this.connections.size > 0) {
+    const readDeadline = (): number =>
+      Math.min(Math.max(closingAt, this.latestDeadline) + flushMs, deadline + lastFlushMs);
+    const closed = await closeServer({ server, connections, clock, readDeadline });
+    if (closed.closedLate > 0) {
       log.warn('requests: closing connections whose callers did not read their answers');
-      await this.connections.closeAll();
     }
-    const counts = { ...this.connections.readCounts(), ...stopped };
-    log.info('requests: the listener is closed', { ...counts, idleLateMs });
+    log.info('requests: the listener is closed', { ...closed });
   }
 
   private async serveRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -243,23 +233,6 @@
     return buffer;
   }
 
-  private serveClientError(error: NodeJS.ErrnoException, socket: Duplex): void {
-    this.handleClientError(error, socket as Socket).catch(() => socket.destroy());
-  }
-
-  // While a request is open, the caller would mistake an error answer for the answer to that
-  // request, so the connection is closed without one. After an error answer no request that
-  // arrives on the connection may run, because the answer says that it has not.
-  private async handleClientError(error: NodeJS.ErrnoException, socket: Socket): Promise<void> {
-    const isTimeout = error.code === 'ERR_HTTP_REQUEST_TIMEOUT';
-    if (isTimeout && !(await this.connections.isHeadOverdue(socket))) return;
-    if (this.connections.hasOpenRequest(socket)) socket.destroy();
-    else {
-      writeClientError(error, socket);
-      await this.connections.endRefused(socket);
-    }
-  }
-
   // The rest of the body is discarded, so the connection can't carry another request after it.
   private async refuseRequest(
     request: IncomingMessage,
--- a/src/adapters/http/PlatformFrontEnd.ts
+++ b/src/adapters/http/PlatformFrontEnd.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
 import type AnnouncementService from '../../application/membership/AnnouncementService.ts';
@@ -12,12 +12,15 @@
 import type ListenerConnections from './ListenerConnections.ts';
 import closeServer from './closeServer.ts';
 import createHttpServer from './createHttpServer.ts';
+import type { HttpServer } from './createHttpServer.ts';
 import openServer from './openServer.ts';
 import parseAnnouncement from './parseAnnouncement.ts';
 import readBody from './readBody.ts';
 
 const maxAnnouncementBytes = 4096;
 const requestTimeoutMs = 5000;
+// The last step of a stop, for which the platform leaves 250 ms (`deliveryMs` less `lastFlushMs`).
+const closeMs = 150;
 
 /** Options of the platform listener. */
 export interface PlatformFrontEndOptions {
@@ -36,32 +39,35 @@
 export default class PlatformFrontEnd {
   private readonly options: PlatformFrontEndOptions;
 
-  private readonly server: Server;
+  private readonly http: HttpServer;
 
   constructor(options: PlatformFrontEndOptions) {
     this.options = options;
-    this.server = createHttpServer({
+    this.http = createHttpServer({
       server: { requestTimeout: requestTimeoutMs },
+      clock: options.clock,
       log: options.log,
       failureMessage: 'membership: a request to the platform listener failed',
       serve: (request, response) => this.serveRequest(request, response),
     });
-    options.listenerConnections?.watchRequests(this.server);
+    options.listenerConnections?.watchRequests(this.http.server);
   }
 
   openListener(address: ListenAddress): Promise<void> {
     const { log } = this.options;
-    return openServer(this.server, { address, key: 'listen.platform', log });
+    return openServer(this.http.server, { address, key: 'listen.platform', log });
   }
 
   /** The address that the listener is bound to; tests listen on port 0. */
   get address(): AddressInfo {
-    return this.server.address() as AddressInfo;
+    return this.http.server.address() as AddressInfo;
   }
 
-  /** Stops accepting connections and resolves when every open request has been answered. */
-  closeListener(): Promise<void> {
-    return closeServer(this.server);
+  /** Stops accepting connections and resolves when the open requests are answered, or shortly. */
+  async closeListener(): Promise<void> {
+    const { clock } = this.options;
+    const deadline = clock.now() + closeMs;
+    await closeServer({ ...this.http, clock, readDeadline: () => deadline });
   }
 
   private async serveRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/src/adapters/http/CallerConnections.ts
+++ b/src/adapters/http/ServerConnections.ts
@@ -1,8 +1,9 @@
-import type { ServerResponse } from 'node:http';
+import type { Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
 import Notifier from '../../application/tasks/Notifier.ts';
 import type Clock from '../../ports/Clock.ts';
+import writeClientError from './writeClientError.ts';
 
 // Longer than the one-way delay from a load balancer in the same region, which is at most 8 ms.
 const lingerMs = 100;
@@ -35,8 +36,8 @@
   readonly cutOff: number;
 }
 
-/** Tracks the callers' connections and their open requests. */
-export default class CallerConnections {
+/** Tracks the connections of a server and their open requests, and ends them. */
+export default class ServerConnections {
   private readonly clock: Clock;
 
   private readonly notifier: Notifier;
@@ -45,36 +46,20 @@
 
   private readonly states = new Map<Socket, ConnectionState>();
 
-  constructor(clock: Clock) {
+  constructor({ server, clock }: { readonly server: Server; readonly clock: Clock }) {
     this.clock = clock;
     this.notifier = new Notifier(clock);
+    server.on('connection', (socket) => this.addConnection(socket));
+    server.on('timeout', (socket) => {
+      this.endSilent(socket).catch(() => socket.destroy());
+    });
+    server.on('clientError', (error, socket) => this.refuseConnection(error, socket as Socket));
   }
 
   get size(): number {
     return this.states.size;
   }
 
-  addConnection(socket: Socket): void {
-    const state: ConnectionState = {
-      openResponses: new Set(),
-      newestResponse: undefined,
-      isClosing: false,
-      isEnded: false,
-      answeredBytes: 0,
-      idleUntil: this.clock.now() + firstBytesMs,
-    };
-    this.states.set(socket, state);
-    this.addToCounts({ accepted: 1 });
-    socket.once('close', () => {
-      this.states.delete(socket);
-      this.notifier.notify();
-      this.addToCounts({
-        unanswered: state.answeredBytes === 0 ? 1 : 0,
-        cutOff: socket.bytesRead > state.answeredBytes ? 1 : 0,
-      });
-    });
-  }
-
   /** Starts to count anew. */
   resetCounts(): void {
     this.counts = { accepted: 0, unanswered: 0, cutOff: 0 };
@@ -101,6 +86,10 @@
       state.idleUntil = this.clock.now() + lingerMs;
       state.openResponses.delete(response);
       this.notifier.notify();
+      // The head of the last answer may have been sent before it was known to be the last one.
+      if (state.isClosing && state.openResponses.size === 0 && !socket.writableEnded) {
+        this.startEnd(socket, state);
+      }
     });
     return true;
   }
@@ -116,8 +105,9 @@
     return true;
   }
 
-  hasOpenRequest(socket: Socket): boolean {
-    return (this.states.get(socket)?.openResponses.size ?? 0) > 0;
+  /** Answers bytes that are no request, or a request that is overdue, and ends the connection. */
+  refuseConnection(error: NodeJS.ErrnoException, socket: Socket): void {
+    this.handleClientError(error, socket).catch(() => socket.destroy());
   }
 
   /**
@@ -142,35 +132,65 @@
     return Math.round(maxLateMs);
   }
 
-  /**
-   * Whether a request whose time for its head has ended is still incomplete when all that has
-   * arrived was read.
-   */
-  async isHeadOverdue(socket: Socket): Promise<boolean> {
-    const newestResponse = this.states.get(socket)?.newestResponse;
-    await this.clock.yieldToEventLoop();
-    return this.states.get(socket)?.newestResponse === newestResponse;
+  /** Resolves when all connections are closed. */
+  async closeAll(): Promise<void> {
+    [...this.states.keys()].forEach((socket) => socket.destroy());
+    while (this.states.size > 0) await this.notifier.waitUntil(Infinity);
   }
 
-  /** Ends a connection after its last answer; requests that arrive later are not handled. */
-  async endRefused(socket: Socket): Promise<void> {
-    const state = this.states.get(socket);
-    if (state && !state.isEnded) await this.endConnection(socket, state);
+  private addConnection(socket: Socket): void {
+    const state: ConnectionState = {
+      openResponses: new Set(),
+      newestResponse: undefined,
+      isClosing: false,
+      isEnded: false,
+      answeredBytes: 0,
+      idleUntil: this.clock.now() + firstBytesMs,
+    };
+    this.states.set(socket, state);
+    this.addToCounts({ accepted: 1 });
+    socket.once('close', () => {
+      this.states.delete(socket);
+      this.notifier.notify();
+      this.addToCounts({
+        unanswered: state.answeredBytes === 0 ? 1 : 0,
+        cutOff: socket.bytesRead > state.answeredBytes ? 1 : 0,
+      });
+    });
   }
 
   /** Ends a connection that was silent until its timer ended, unless bytes have arrived. */
-  async endSilent(socket: Socket): Promise<void> {
+  private async endSilent(socket: Socket): Promise<void> {
+    const { bytesRead } = socket;
     // Timers run before reading, so only the end of this turn shows what has arrived by now.
     await this.clock.yieldToEventLoop();
     const state = this.states.get(socket);
-    if (!state || this.getIdleUntil(socket, state) === Infinity) return;
-    await this.endConnection(socket, state);
+    if (!state || state.isEnded || state.openResponses.size > 0) return;
+    // Node.js has started the timer again when it read the bytes.
+    if (socket.bytesRead === bytesRead) await this.endConnection(socket, state);
   }
 
-  /** Resolves when all connections are closed. */
-  async closeAll(): Promise<void> {
-    [...this.states.keys()].forEach((socket) => socket.destroy());
-    while (this.states.size > 0) await this.notifier.waitUntil(Infinity);
+  // While a request is open, the caller would mistake an error answer for the answer to it. After
+  // an error answer no request that arrives may run, because the answer says that it has not.
+  private async handleClientError(error: NodeJS.ErrnoException, socket: Socket): Promise<void> {
+    const state = this.states.get(socket);
+    if (!state) return;
+    if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') {
+      const { newestResponse } = state;
+      // Timers run before reading, so only the end of this turn shows what has arrived by now.
+      await this.clock.yieldToEventLoop();
+      if (state.newestResponse !== newestResponse) return;
+      if (newestResponse && state.openResponses.size > 0) {
+        this.markLastAnswer(socket, newestResponse);
+        newestResponse.shouldKeepAlive = false;
+        return;
+      }
+    }
+    if (state.openResponses.size > 0) socket.destroy();
+    else {
+      writeClientError(error, socket);
+      await this.endConnection(socket, state);
+    }
   }
 
   private findNextIdle(): number {
@@ -189,9 +209,11 @@
   private endIdle(now: number): void {
     [...this.states]
       .filter(([socket, state]) => this.getIdleUntil(socket, state) <= now)
-      .forEach(([socket, state]) => {
-        this.endConnection(socket, state).catch(() => socket.destroy());
-      });
+      .forEach(([socket, state]) => this.startEnd(socket, state));
+  }
+
+  private startEnd(socket: Socket, state: ConnectionState): void {
+    this.endConnection(socket, state).catch(() => socket.destroy());
   }
 
   /** Ends a connection, and closes it when the caller has ended it too, or shortly later. */
--- a/src/daemon/ControlHost.ts
+++ b/src/daemon/ControlHost.ts
@@ -112,6 +112,7 @@
     this.operators = new TrpcOperatorServer({
       router: this.createOperatorRouter(components.ejections),
       operatorKey: settings.operatorKey ?? '',
+      clock,
       log,
     });
   }
--- a/src/daemon/checkEnvironment.ts
+++ b/src/daemon/checkEnvironment.ts
@@ -1,7 +1,7 @@
+import { once } from 'node:events';
 import { createServer } from 'node:http';
 
 import openDataFolder from '../adapters/disk/openDataFolder.ts';
-import closeServer from '../adapters/http/closeServer.ts';
 import openServer from '../adapters/http/openServer.ts';
 import FailureError from '../domain/errors/FailureError.ts';
 import type DaemonSettings from '../domain/settings/DaemonSettings.ts';
@@ -11,7 +11,7 @@
 async function checkAddress(name: string, address: ListenAddress, log: Log): Promise<void> {
   const server = createServer();
   await openServer(server, { address, key: `listen.${name}`, log });
-  await closeServer(server);
+  await once(server.close(), 'close');
 }
 
 /**
--- a/tests/cli/commandLine.test.ts
+++ b/tests/cli/commandLine.test.ts
@@ -64,7 +64,10 @@
           createReport: async () => ({ createdAt: 0, services: [], hosts: [], missingHosts }),
         },
       });
-      return new TrpcOperatorServer({ router, operatorKey, log: new SilentLog() });
+      return new TrpcOperatorServer({
+        ...{ router, operatorKey, log: new SilentLog() },
+        clock: new SystemClock(),
+      });
     });
     await Promise.all(servers.map((server) => server.openListener({ ip: '127.0.0.1', port: 0 })));
     addresses = servers.map(({ address }) => `127.0.0.1:${address.port}`);
--- a/tests/requests/callersListener.test.ts
+++ b/tests/requests/callersListener.test.ts
@@ -182,6 +182,20 @@
     expect(upstream.requestIds).toHaveLength(1);
   });
 
+  // Guards against cutting off a request because the next one on its connection is overdue.
+  it('should answer an open request when the headers after it are not complete by the timeout', async () => {
+    const { caller } = await startPath(
+      ({ socket }) => {
+        setTimeout(() => socket.write(answer), 1200);
+      },
+      { headersTimeoutMs: 100 },
+    );
+
+    caller.write(`${getHead}\r\nGET /history/2`);
+
+    expect(await caller.waitClosed()).toMatch(/connection: close\r\n[^]*ok$/i);
+  });
+
   // Guards against running a request after the caller was told that it was not run.
   it('should not run a request whose headers are complete after their refusal', async () => {
     const { path, upstream } = await startPath(({ socket }) => socket.write(answer), {
--- a/tests/requests/listenerConnections.test.ts
+++ b/tests/requests/listenerConnections.test.ts
@@ -1,10 +1,10 @@
+import { once } from 'node:events';
+import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 
 import ListenerConnections from '../../src/adapters/http/ListenerConnections.ts';
-import closeServer from '../../src/adapters/http/closeServer.ts';
-import createHttpServer from '../../src/adapters/http/createHttpServer.ts';
 import openServer from '../../src/adapters/http/openServer.ts';
 import FakeClock from '../fixtures/FakeClock.ts';
 import RawCaller from '../fixtures/RawCaller.ts';
@@ -15,7 +15,7 @@
 describe('connections of a listener', () => {
   let log: SilentLog;
   let connections: ListenerConnections;
-  let server: ReturnType<typeof createHttpServer>;
+  let server: ReturnType<typeof createServer>;
   let callers: RawCaller[];
 
   const connect = async (): Promise<RawCaller> => {
@@ -37,19 +37,14 @@
     connections = new ListenerConnections({
       ...{ clock: new FakeClock(), log, listener: 'test', maxConnections: 3, maxUnproven: 2 },
     });
-    server = createHttpServer({
-      ...{ server: {}, log, failureMessage: 'test: handling a call failed' },
-      serve: async (_request, response) => {
-        response.end('answer');
-      },
-    });
+    server = createServer((_request, response) => response.end('answer'));
     connections.watchRequests(server);
     await openServer(server, { address: { ip: '127.0.0.1', port: 0 }, key: 'test', log });
   });
 
   afterEach(async () => {
     callers.forEach(({ socket }) => socket.destroy());
-    await closeServer(server);
+    await once(server.close(), 'close');
   });
 
   // Guards against strangers that connect and send nothing, and so keep out a host of the fleet.
