src/adapters/http: all servers look for overdue requests every half second

Operators would see: silent connections to the platform, metrics and operators listeners that stay for 35 s, and those of strangers that never close their half of a connection for good. Ruled out: destroying the connection at once, which resets it before a caller has read the answer. Change: createHttpServer looks for overdue requests every 500 ms.

--- a/src/adapters/http/createHttpServer.ts
+++ b/src/adapters/http/createHttpServer.ts
@@ -5,6 +5,10 @@
 import type Log from '../../ports/Log.ts';
 import ServerConnections from './ServerConnections.ts';
 
+// How often Node.js looks for requests that are overdue; a small part of the servers' timeouts,
+// in milliseconds.
+const connectionsCheckingInterval = 500;
+
 /** Options of a server that answers one request at a time on each connection. */
 export interface HttpServerOptions {
   readonly server: ServerOptions;
@@ -26,7 +30,7 @@
  */
 export default function createHttpServer(options: HttpServerOptions): HttpServer {
   const { clock, log, failureMessage, serve } = options;
-  const server = createServer(options.server);
+  const server = createServer({ connectionsCheckingInterval, ...options.server });
   const connections = new ServerConnections({ server, clock });
   server.on('request', (request, response) => {
     if (!connections.acceptRequest(request.socket, response)) return;
