--- a/tests/logs/boundedLog.test.ts
+++ b/tests/logs/boundedLog.test.ts
@@ -1,7 +1,11 @@
+import { execFile } from 'node:child_process';
+import { constants } from 'node:fs';
 import { mkdtemp, open, readFile, rm } from 'node:fs/promises';
 import type { FileHandle } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { setImmediate } from 'node:timers/promises';
+import { promisify } from 'node:util';
 
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 
@@ -77,4 +81,44 @@
     expect(lines[10]?.message).toBe('requests: failed');
     expect(lines[11]).toMatchObject({ message: 'log: lines were dropped', dropped: 15 });
   });
+
+  // Guards against a log that is silent for ever after its reader was slow once.
+  it('should go on when a reader that has stopped reads again', async () => {
+    const path = join(folder, 'pipe');
+    await promisify(execFile)('mkfifo', [path]);
+
+    const pipe = await open(path, constants.O_RDWR | constants.O_NONBLOCK);
+    const filler = Buffer.alloc(4096);
+    const fillPipe = async (): Promise<void> => {
+      await pipe.write(filler);
+      await fillPipe();
+    };
+    await expect(fillPipe()).rejects.toThrow('EAGAIN');
+    const lines = new LineStream({ descriptor: pipe.fd });
+    const log = new WinstonLog({ host: 'n1', level: 'info', clock: new FakeClock(), lines });
+
+    log.info('requests: while it does not read');
+    await log.endLog();
+    let text = '';
+    while (!text.includes('while it does not read')) {
+      const { bytesRead } = await pipe.read(filler).catch(() => ({ bytesRead: 0 }));
+      text += filler.toString('latin1', 0, bytesRead);
+      await setImmediate();
+    }
+    await pipe.close();
+  });
+
+  // Guards against lines that are lost without a trace while the disk of the output is full.
+  it('should count lines that the output refuses', async () => {
+    const full = await open('/dev/full', 'w');
+    const lines = new LineStream({ descriptor: full.fd });
+    const log = new WinstonLog({ host: 'n1', level: 'info', clock: new FakeClock(), lines });
+
+    log.info('requests: one');
+    log.info('requests: two');
+    await log.endLog();
+    await full.close();
+
+    expect(lines.takeDroppedCount()).toBe(2);
+  });
 });
