src/application/replication: entries read at the start are synced before they count

Operators would see: a change that was acknowledged and is gone after hosts lost power, when a process had been killed shortly before between a write and its sync. Cause: a process that starts takes the entries of its log as synced. Those that the process before it had written but not yet synced are only in the page cache of the host; it acknowledges them to the leader all the same. Older segments: a new one begins only after the last is synced. Change: the start syncs the newest segment of the log. Not shown with real processes and a real loss of power. Conclusion: what a control host acknowledges after a restart is on its disk.

--- a/src/application/replication/LogSegments.ts
+++ b/src/application/replication/LogSegments.ts
@@ -45,8 +45,8 @@
   }
 
   /**
-   * Reads all segments and truncates a torn last record. Throws `log_damaged` when any other record
-   * is damaged or the entries are not consecutive.
+   * Reads all segments, truncates a torn last record and syncs the newest segment. Throws
+   * `log_damaged` when any other record is damaged or the entries are not consecutive.
    */
   async loadEntries(log: Log): Promise<readonly StoredEntry[]> {
     const names = (await this.disk.list()).filter((name) => name.startsWith(namePrefix));
@@ -65,8 +65,9 @@
           bytes: content.byteLength - validBytes,
         });
         await this.disk.truncate(name, validBytes);
-        await this.disk.sync(name);
       }
+      // The process before this one may have ended between a write and its sync.
+      if (isLast) await this.disk.sync(name);
       const entries = records.map(({ value, size }) => ({ entry: value as LogEntry, size }));
       this.checkOrder(segment, entries, loaded.at(-1)?.entry);
       entries.forEach(({ size }) => segment.recordSizes.push(size));
--- a/tests/replication/logStore.test.ts
+++ b/tests/replication/logStore.test.ts
@@ -54,6 +54,22 @@
     expect(disk.syncs - syncsBefore).toBe(2);
   });
 
+  // Guards against an entry that a replica acknowledges after a restart of its process, although
+  // only the page cache of the host has it, and that a loss of power then removes.
+  it('should sync the entries that an earlier process had written but not synced', async () => {
+    const store = await openStore();
+    await writeEntries(1, store);
+    // The process is killed between the append and the sync.
+    disk.stopAt = disk.operations + 2;
+    await expect(writeEntries(1, store)).rejects.toThrow('stopped');
+    disk.stopAt = Infinity;
+    const { syncedIndex } = (await openStore()).log;
+    disk = disk.crash();
+
+    expect(syncedIndex).toBe(2);
+    expect((await openStore()).log.lastIndex).toBe(syncedIndex);
+  });
+
   // Guards against a crash in the middle of a write.
   it.each([1, 5, 60])('should truncate a last record that lacks %i bytes', async (missing) => {
     const name = await writeEntries(4);
