src/adapters/http: an attempt is given up at its deadline only after the answers that arrived were read

Callers saw: 504 with the outcome unknown for a request whose answer had arrived in time, when an entry host stood still until the deadline; a hedged request could take a retry in the same way, and a host that stops could give up such an attempt. Found by reading, not seen in a trial. Cause: the task that waits for the deadlines of attempts runs in a timer, and timers run before reading. Ruled out: late answers (an answer that arrives after the turn at the deadline is still given up). Change: the task reads what has arrived before it checks the exchanges whose deadline had passed when it woke. Conclusion: a stall no longer turns an answer into an unknown outcome. Each wake at a deadline costs one turn of the event loop.

--- a/src/adapters/http/ExchangeDeadlines.ts
+++ b/src/adapters/http/ExchangeDeadlines.ts
@@ -58,7 +58,10 @@
     while (this.deadlines.size > 0 && !this.isClosed) {
       this.wakeAt = this.findEarliestDeadline();
       await this.notifier.waitUntil(this.wakeAt);
-      this.checkOverdue();
+      const now = this.clock.now();
+      // Timers run before reading, so only the end of this turn shows what has arrived by now.
+      if (now >= this.wakeAt) await this.clock.yieldToEventLoop();
+      this.checkOverdue(now);
     }
     this.wakeAt = Infinity;
     this.task = undefined;
@@ -71,8 +74,7 @@
     );
   }
 
-  private checkOverdue(): void {
-    const now = this.clock.now();
+  private checkOverdue(now: number): void {
     if (now >= this.latest) {
       [...this.deadlines.keys()].forEach((exchange) => exchange.cancelExchange('timed_out'));
       this.deadlines.clear();
--- a/tests/requests/upstreamAnswers.test.ts
+++ b/tests/requests/upstreamAnswers.test.ts
@@ -5,6 +5,7 @@
 import type { UpstreamRequest, UpstreamResult } from '../../src/ports/UpstreamClient.ts';
 import RawUpstream from '../fixtures/RawUpstream.ts';
 import type { RawRequest } from '../fixtures/RawUpstream.ts';
+import stopProcess from '../fixtures/stopProcess.ts';
 
 const clock = new SystemClock();
 const ok = 'HTTP/1.1 200 OK\r\n';
@@ -48,6 +49,19 @@
     await Promise.all(clients.splice(0).map((client) => client.close()));
   });
 
+  // Guards against failing an answer that has arrived and was not read, because the process stood
+  // still until the deadline.
+  it('should take an answer that arrives before the deadline while the process stands still', async () => {
+    const { send } = await startUpstream(({ socket }) => {
+      socket.write(`${ok}content-length: 4\r\n\r\ntext`);
+      stopProcess(1500);
+    });
+
+    const result = await send('one', { deadline: clock.now() + 1000 });
+
+    expect(describeResult(result)).toBe('200 text');
+  });
+
   // Each row guards against passing on an incomplete or invalid answer, or against failing a
   // complete one.
   it.each([
