src/adapters/http: a stop ends connections with a part of a request at the deadline for answers

An entry host with a hanging request and connections with parts of requests ended 5,912 ms after its signal, of the 6,000 ms after which the platform kills it. Cause: since a stop spares parts of requests, it waited for them to the end of the time that callers have to read their answers (250 ms more), and then 150 ms for the probe listeners. No request that is completed after the deadline for answers can be served. Ruled out: the hanging request (answered with 504 at the deadline, as before). Change: such connections are ended at the deadline for answers. Measured: the new test failed before (the line on callers that did not read their answers was logged too) and passes now.

--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -167,7 +167,10 @@
     const closingAt = clock.now();
     const readDeadline = (): number =>
       Math.min(Math.max(closingAt, this.latestDeadline) + flushMs, deadline + lastFlushMs);
-    const closed = await closeServer({ server, connections, clock, readDeadline });
+    const closed = await closeServer({
+      ...{ server, connections, clock, readDeadline },
+      partsUntil: deadline,
+    });
     if (closed.closedLate > 0) {
       log.warn('requests: closing connections whose callers did not read their answers');
     }
--- a/src/adapters/http/ServerConnections.ts
+++ b/src/adapters/http/ServerConnections.ts
@@ -44,6 +44,9 @@
 
   private counts: CloseCounts = { accepted: 0, unanswered: 0, cutOff: 0 };
 
+  /** Time until which a close waits for the rest of a request. */
+  private partsUntil = Infinity;
+
   private readonly states = new Map<Socket, ConnectionState>();
 
   constructor({ server, clock }: { readonly server: Server; readonly clock: Clock }) {
@@ -111,12 +114,13 @@
   }
 
   /**
-   * Closes each connection when it is idle. Resolves when none is left, or at the deadline, which
-   * may move while requests arrive. Returns how late the event loop was at the most, in
-   * milliseconds.
+   * Closes each connection when it is idle, with a part of a request at `partsUntil` the latest.
+   * Resolves when none is left, or at the deadline, which may move while requests arrive. Returns
+   * how late the event loop was at the most, in milliseconds.
    */
-  async closeIdle(readDeadline: () => number): Promise<number> {
+  async closeIdle(readDeadline: () => number, partsUntil: number): Promise<number> {
     const { clock } = this;
+    this.partsUntil = partsUntil;
     // A request may be in transit on a connection that looks idle.
     const firstAt = clock.now() + lingerMs;
     let maxLateMs = 0;
@@ -200,10 +204,9 @@
     );
   }
 
-  // A part of a request is completed or overdue later.
   private getIdleUntil(socket: Socket, state: ConnectionState): number {
-    const isBusy = state.openResponses.size > 0 || socket.bytesRead > state.answeredBytes;
-    return isBusy || state.isEnded ? Infinity : state.idleUntil;
+    if (state.openResponses.size > 0 || state.isEnded) return Infinity;
+    return socket.bytesRead > state.answeredBytes ? this.partsUntil : state.idleUntil;
   }
 
   private endIdle(now: number): void {
--- a/src/adapters/http/closeServer.ts
+++ b/src/adapters/http/closeServer.ts
@@ -13,6 +13,8 @@
   readonly clock: Clock;
   /** Returns the time at which all connections are closed; it may move while requests arrive. */
   readonly readDeadline: () => number;
+  /** Time at which connections with a part of a request are ended; `Infinity` unless set. */
+  readonly partsUntil?: number;
 }
 
 /** How a server closed. */
@@ -28,9 +30,9 @@
  * request that has arrived is cut off before the deadline.
  */
 export default async function closeServer(options: CloseServerOptions): Promise<ClosedServer> {
-  const { server, connections, clock, readDeadline } = options;
+  const { server, connections, clock, readDeadline, partsUntil = Infinity } = options;
   const stopped = await stopListening({ server, clock, deadline: readDeadline() });
-  const idleLateMs = await connections.closeIdle(readDeadline);
+  const idleLateMs = await connections.closeIdle(readDeadline, partsUntil);
   // Stops the interval that checks for overdue requests.
   server.close();
   const closedLate = connections.size;
--- a/tests/requests/callersListener.test.ts
+++ b/tests/requests/callersListener.test.ts
@@ -371,6 +371,17 @@
       expect(await caller.waitClosed()).toMatch(/connection: close\r\n[^]*ok$/i);
     });
 
+    // Guards against a host that is killed while it waits for the rest of a request.
+    it('should end a connection with a part of a request at the deadline', async () => {
+      const { path, caller } = await startPath(() => undefined);
+      caller.write(getHead);
+
+      await path.frontEnd.closeListener(Date.now() + 500);
+
+      expect(await caller.waitClosed()).toBe('');
+      expect(path.log.messages).toEqual(['requests: the listener is closed']);
+    });
+
     // Guards against closing a connection before a pipelined request on it is answered.
     it.each([
       ['before the upstream has answered either', [1, 0], 0],
