src/adapters/http: a request counts its own connection as proven

Operators saw: connections_unproven_metrics never below 1, because the scrape that reads it counted its own connection. Cause: the listener that marks a connection as proven ran after the one that answers. Ruled out: a wrong count after the answer; the connection was proven then. Change: the marking listener comes first. The order itself has no test. Conclusion: the gauges show what strangers hold.

--- a/src/adapters/http/ListenerConnections.ts
+++ b/src/adapters/http/ListenerConnections.ts
@@ -63,7 +63,8 @@
   /** The same for a server on which the head of a request proves the connection. */
   watchRequests(server: Server): void {
     this.watchServer(server);
-    server.on('request', ({ socket }) => this.markProven(socket));
+    // Before the listener that answers, so that it sees the connection as proven.
+    server.prependListener('request', ({ socket }) => this.markProven(socket));
   }
 
   /** Records that a connection has sent what the listener expects. */
