src/daemon: a process waits for an address that its predecessor still uses, and for it before it opens its data folder

Operators saw: processes that don't start (exit code 2) while the process before them is still stopping. Cause: each address was tried once. A control host, moreover, opened its data folder and started its replica before its first address, so that two processes wrote to one folder until the address was refused (read in the code, not shown by a loss). Ruled out: addresses that a process has left; they are free when it has ended, also after a kill (the stops and starts of the process tests). Change: an address in use, TCP or UDP, is tried again for stop_timeout and 2 s, then refused with the same line. A control host opens its datagram socket first; a predecessor closes that after its replica has stopped. The socket of a refused try is closed. Measured: vitest run tests/requests/openWhenFree.test.ts (simulated time); tests/platform/stoppingProcesses.test.ts: the two new tests, one for each role, start a process before the one before it is told to stop. They timed out before (60 s each) and pass now with the others. Conclusion: fixed for platform/main.ts; a stranger that keeps the address is refused after that time instead of at once.

--- a/src/adapters/udp/UdpDatagramSocket.ts
+++ b/src/adapters/udp/UdpDatagramSocket.ts
@@ -71,6 +71,7 @@
     const { socket } = datagrams;
     return new Promise((resolve, reject) => {
       socket.once('error', (error) => {
+        socket.close();
         const message = `key listen.peers: value "${ip}:${port}" (UDP): ${error.message}: expected a free address of this host`;
         reject(new FailureError({ kind: 'address_in_use', message }));
       });
--- a/src/daemon/FleetControlHost.ts
+++ b/src/daemon/FleetControlHost.ts
@@ -19,6 +19,7 @@
 import RegistrationService from '../application/fleet/RegistrationService.ts';
 import type { ServiceCheckResult } from '../application/fleet/RegistrationService.ts';
 import SuspicionRelay from '../application/fleet/SuspicionRelay.ts';
+import openWhenFree from '../application/lifecycle/openWhenFree.ts';
 import StopSteps from '../application/lifecycle/StopSteps.ts';
 import LoadMonitor from '../application/metrics/LoadMonitor.ts';
 import type ReportingDisk from '../application/replication/ReportingDisk.ts';
@@ -65,6 +66,8 @@
   readonly codec: PresetCodec;
   /** Aborts when the host is asked to stop, also while it starts. */
   readonly stopSignal: AbortSignal;
+  /** An address that is in use at this time is refused. */
+  readonly addressDeadline: number;
 }
 
 interface ControlListeners {
@@ -200,11 +203,18 @@
 
   /**
    * Opens the data folder and the listeners, then starts the tasks. Rejects with a `FailureError`
-   * when the data folder or a listener can't be opened.
+   * when the data folder or a listener can't be opened by the deadline for addresses.
    */
   static async startHost(options: FleetControlOptions): Promise<FleetControlHost> {
-    const { settings, clock, random, log, stopSignal } = options;
+    const { settings, clock, random, log, stopSignal, addressDeadline: deadline } = options;
     const { peerKey, listen } = settings;
+    // A predecessor on this host closes its datagram socket when its replica has stopped. Until
+    // then, two processes would write to the data folder.
+    const waiting = { clock, log, deadline, signal: stopSignal };
+    const socket = await openWhenFree({
+      ...waiting,
+      open: () => UdpDatagramSocket.openSocket({ address: listen.peers, peerKey, log }),
+    });
     const ownAddress = formatAddress(listen.peers);
     const state = new ControlStateMachine({ parseSnapshot: parseControlSnapshot });
     const dialer = new TrpcPeerDialer({
@@ -238,7 +248,6 @@
       times: fleetTimes,
       minVoters: 2 * settings.lostHosts + 1,
     });
-    const socket = await UdpDatagramSocket.openSocket({ address: listen.peers, peerKey, log });
     const connections = createListeners(
       options,
       await readDescriptorLimit(settings.maxDescriptors),
@@ -246,8 +255,11 @@
     const host = new FleetControlHost(options, {
       ...{ state, dialer, reporting, replica, socket, connections },
     });
-    await host.peers.openListener(listen.peers);
-    await host.metricsFrontEnd.openListener(listen.metrics);
+    const openAll = [
+      () => host.peers.openListener(listen.peers),
+      () => host.metricsFrontEnd.openListener(listen.metrics),
+    ];
+    await Promise.all(openAll.map((open) => openWhenFree({ ...waiting, open })));
     host.startTasks();
     return host;
   }
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -15,6 +15,7 @@
 import FeedSubscriber from '../application/fleet/FeedSubscriber.ts';
 import FleetView from '../application/fleet/FleetView.ts';
 import SuspicionObserver from '../application/fleet/SuspicionObserver.ts';
+import openWhenFree from '../application/lifecycle/openWhenFree.ts';
 import Shutdown from '../application/lifecycle/Shutdown.ts';
 import StopSchedule from '../application/lifecycle/StopSchedule.ts';
 import StopSteps from '../application/lifecycle/StopSteps.ts';
@@ -69,6 +70,10 @@
   readonly log: Log;
   readonly dialect: RequestDialect;
   readonly codec: PresetCodec;
+  /** Aborts when the host is asked to stop, also while it starts. */
+  readonly stopSignal: AbortSignal;
+  /** An address that is in use at this time is refused. */
+  readonly addressDeadline: number;
 }
 
 interface EntryListeners {
@@ -225,17 +230,24 @@
 
   /**
    * Opens the listeners, then starts the tasks. Rejects with a `FailureError` when a listener can't
-   * be opened.
+   * be opened by the deadline for addresses.
    */
   static async startHost(options: FleetEntryOptions): Promise<FleetEntryHost> {
     const { listen, peerKey, maxDescriptors } = options.settings;
-    const { log } = options;
-    const socket = await UdpDatagramSocket.openSocket({ address: listen.peers, peerKey, log });
+    const { clock, log, addressDeadline: deadline, stopSignal: signal } = options;
+    const waiting = { clock, log, deadline, signal };
+    const socket = await openWhenFree({
+      ...waiting,
+      open: () => UdpDatagramSocket.openSocket({ address: listen.peers, peerKey, log }),
+    });
     const connections = createListeners(options, await readDescriptorLimit(maxDescriptors));
     const host = new FleetEntryHost(options, { socket, connections });
-    await host.platform.openListener(listen.platform);
-    await host.metricsFrontEnd.openListener(listen.metrics);
-    await host.callers.openListener(listen.callers);
+    const openAll = [
+      () => host.platform.openListener(listen.platform),
+      () => host.metricsFrontEnd.openListener(listen.metrics),
+      () => host.callers.openListener(listen.callers),
+    ];
+    await Promise.all(openAll.map((open) => openWhenFree({ ...waiting, open })));
     host.startTasks();
     return host;
   }
--- a/tests/platform/stoppingProcesses.test.ts
+++ b/tests/platform/stoppingProcesses.test.ts
@@ -48,6 +48,27 @@
     maxStartMs,
   );
 
+  // Guards against a process that ends because its predecessor is still stopping, and against two
+  // that write to one data folder.
+  it.each([
+    ['a control host', controlIp],
+    ['an entry host', entryIp],
+  ])(
+    'should be followed by a process that starts before they have ended: %s (%s)',
+    async (_role, ip) => {
+      const predecessor = fleet.processes.get(ip);
+      await fleet.startProcess(ip);
+      const successor = fleet.processes.get(ip);
+      await successor?.waitOutput('lifecycle: waiting for an address');
+
+      expect(successor?.output).not.toContain('replication:');
+      expect(await predecessor?.stop()).toBe(0);
+      await fleet.waitListening(ip);
+      expect(successor?.isRunning).toBe(true);
+    },
+    maxStartMs,
+  );
+
   // Guards against a control host that refuses a change because it began to stop while it was
   // receiving it.
   it(
