src/adapters/http: a listener that waited for its address logs and watches each connection once

Operators saw: nothing yet; found by reading. A process that waits for an address tries every 100 ms until its predecessor is gone. After that each connection had as many error listeners as there were attempts, and each error gave as many lines. Cause: server.listen adds its callback as a listener for `listening`, which a failed attempt leaves behind. The attempt that succeeds calls all of them, and each call of watchErrors adds listeners to the server and to every later connection. From 11 attempts on Node.js also warns of a leak on standard error. Ruled out: the error listeners of the attempts, which are removed. Change: openServer waits with `once`, which removes its listeners when the attempt fails. Measured: npx vitest run tests/requests/openServer.test.ts: the new test failed before with three lines in place of one, after two refused attempts, and passes now. Conclusion: a waiting start leaves one listener for each connection, whatever the number of attempts.

--- a/src/adapters/http/openServer.ts
+++ b/src/adapters/http/openServer.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import type { Server } from 'node:http';
 
 import FailureError from '../../domain/errors/FailureError.ts';
@@ -30,20 +31,18 @@
  * Starts listening on the address; rejects with `address_in_use`, whose message names the settings
  * key and its value. Errors of the server and of its connections are logged from then on.
  */
-export default function openServer(server: Server, options: ListenOptions): Promise<void> {
+export default async function openServer(server: Server, options: ListenOptions): Promise<void> {
   const { address, key } = options;
-  return new Promise((resolve, reject) => {
-    const onError = (error: NodeJS.ErrnoException): void => {
-      const reason =
-        error.code === 'EADDRINUSE' ? 'the address is in use' : `cannot listen: ${error.message}`;
-      const message = `key ${key}: value "${address.ip}:${address.port}": ${reason}; expected a free address of this host`;
-      reject(new FailureError({ kind: 'address_in_use', message }));
-    };
-    server.once('error', onError);
-    server.listen(address.port, address.ip, () => {
-      server.off('error', onError);
-      watchErrors(server, options);
-      resolve();
-    });
-  });
+  // Leaves no listener behind when it fails, so the same server can be opened again.
+  const listening = once(server, 'listening');
+  server.listen(address.port, address.ip);
+  try {
+    await listening;
+  } catch (error) {
+    const { code, message: cause } = error as NodeJS.ErrnoException;
+    const reason = code === 'EADDRINUSE' ? 'the address is in use' : `cannot listen: ${cause}`;
+    const message = `key ${key}: value "${address.ip}:${address.port}": ${reason}; expected a free address of this host`;
+    throw new FailureError({ kind: 'address_in_use', message });
+  }
+  watchErrors(server, options);
 }
--- a/tests/requests/openServer.test.ts
+++ b/tests/requests/openServer.test.ts
@@ -30,6 +30,23 @@
     expect(log.messages).toEqual(['lifecycle: a listener failed']);
   });
 
+  // Guards against listeners that pile up on the server and each connection while a process waits
+  // for its address.
+  it('should be logged once when the address was in use at first', async () => {
+    const { port } = server.address() as AddressInfo;
+    const address = { ip: '127.0.0.1', port };
+    const successor = createServer();
+    const open = () => openServer(successor, { address, key: 'listen.test', log });
+    await expect(open()).rejects.toThrow('in use');
+    await expect(open()).rejects.toThrow('in use');
+    server.close();
+    await open();
+    successor.emit('error', new Error('accept EMFILE'));
+    successor.close();
+
+    expect(log.messages).toEqual(['lifecycle: a listener failed']);
+  });
+
   // Guards against a process that ends because a caller resets a connection that Node.js has handed
   // over with its request.
   it.each([
