src/application/replication: what an earlier process wrote is written again when its first sync fails

Operators saw: nothing yet; found by reading. Entries that a control host counts as durable, and so acknowledges, could be lost at the next failure of power, when the first sync after its start had failed and the second had not. Cause: RetryingDisk took the bytes that it read from a file as synced. The process before may have ended between its write and its sync. After a failed sync the system may take unwritten bytes as written, so a second sync says nothing about them; and only bytes after `syncedSize` are written again, which left out all bytes that were read. Change: before its first sync of a file of an earlier process, the disk reads it; when the sync fails, it writes the whole content to a staged file, syncs that and renames it. Truncating the file itself could lose synced entries in a crash. Measured: npx vitest run tests/replication/retryingDisk.test.ts: the new test failed before, with ten zeros in place of ten bytes after a failed sync and a crash, and passes now. retryingDisk, logStore, crash, refusingDisk and fullDisks: 40 of 40 tests pass. Not tried on a real disk. Conclusion: a sync that succeeds at a retry covers all bytes of the file, whoever wrote them. It costs one more read of the newest segment at the start.

--- a/src/application/replication/FileChanges.ts
+++ b/src/application/replication/FileChanges.ts
@@ -8,13 +8,18 @@
   /** Whether the whole content was replaced since the last sync. */
   isReplaced = false;
 
-  /** Number of bytes at the start of the file that are as they were last synced. */
+  /** Number of bytes at the start of the file that are as they were last synced, or read. */
   syncedSize: number;
 
+  /** Whether the file has bytes of an earlier process, which may not have synced them. */
+  isReadBack: boolean;
+
   private unsynced: Uint8Array[] = [];
 
-  constructor(syncedSize: number) {
-    this.syncedSize = syncedSize;
+  /** `size` is the number of bytes that the file has already. */
+  constructor(size: number) {
+    this.syncedSize = size;
+    this.isReadBack = size > 0;
   }
 
   get size(): number {
@@ -28,6 +33,7 @@
 
   setContent(content: Uint8Array): void {
     this.isReplaced = true;
+    this.isReadBack = false;
     this.syncedSize = 0;
     this.unsynced = [content];
   }
@@ -45,5 +51,6 @@
     this.syncedSize = this.size;
     this.unsynced = [];
     this.isReplaced = false;
+    this.isReadBack = false;
   }
 }
--- a/src/application/replication/RetryingDisk.ts
+++ b/src/application/replication/RetryingDisk.ts
@@ -17,7 +17,8 @@
 /**
  * Retries operations whose error may pass, until they succeed or the time of `endRetriesAt` has
  * come: the disk then hangs instead of failing. After a failed sync the content of the page cache
- * is unknown, so everything since the last sync is written again.
+ * is unknown, so everything since the last sync is written again; a file of an earlier process as a
+ * whole, because nobody knows what that process has synced.
  */
 export default class RetryingDisk implements Disk {
   private readonly disk: Disk;
@@ -75,8 +76,13 @@
 
   async sync(name: string): Promise<void> {
     await this.runNext(name, async (changes) => {
+      // Only before the first try is it certain that a read returns what was written.
+      const readBack = changes.isReadBack
+        ? await this.runUntilDone(() => this.disk.read(name))
+        : undefined;
       await this.runUntilDone(async (isRetry) => {
-        if (isRetry) await this.writeAgain(name, changes);
+        if (isRetry && readBack) await this.writeWhole(name, readBack);
+        else if (isRetry) await this.writeAgain(name, changes);
         await this.disk.sync(name);
       });
       changes.markSynced();
@@ -131,6 +137,15 @@
     if (unsyncedBytes.byteLength > 0) await this.disk.append(name, unsyncedBytes);
   }
 
+  // Writing to the file itself could lose synced bytes of an earlier process in a crash.
+  private async writeWhole(name: string, content: Uint8Array): Promise<void> {
+    const staged = `again-${name}.new`;
+    await this.disk.write(staged, content);
+    await this.disk.sync(staged);
+    await this.disk.rename(staged, name);
+    await this.disk.syncFolder();
+  }
+
   private async runUntilDone<Value>(
     run: (isRetry: boolean) => Promise<Value>,
     mayRetry: (error: DiskError) => boolean = () => true,
--- a/tests/replication/retryingDisk.test.ts
+++ b/tests/replication/retryingDisk.test.ts
@@ -89,6 +89,19 @@
     );
   });
 
+  // Guards against entries that count as durable after a failed sync has lost them.
+  it('should keep what the process before has written when its first sync fails', async () => {
+    await memory.append('file', text);
+    await memory.syncFolder();
+    await disk.read('file');
+    memory.failingSyncs = 1;
+    const syncing = disk.sync('file');
+    await clock.advanceBy(1000);
+    await syncing;
+
+    expect(Buffer.from((await memory.crash().read('file')) ?? [])).toEqual(text);
+  });
+
   // Guards against retries that keep the processor busy, and against an early acknowledgement.
   it('should try again ten times a second at most', async () => {
     memory.freeBytes = 5;
