src/adapters/http: malformed bytes behind an open request do not cut off its answer

Callers saw: a connection that ended without an answer to a request that had been passed on, because malformed bytes followed it on the connection. The upstream had run it or was running it. Cause: when the parser fails while a request is open, an error answer could be mistaken for the answer to it, so the connection was destroyed at once. Ruled out: a malformed body of the open request itself, and the end of the connection within the next request: both still end the connection at once, because the request can't be completed or its caller has gone. Change: if the parser fails behind a whole request, the answer to it becomes the last one on the connection, as when the next is overdue. No later request on the connection is run. Measured: npx vitest run tests/requests/callersListener.test.ts -t "malformed bytes": the new test failed before with nothing received, after the upstream had got the request, and passes now. callersListener, closeServer and overdueRequests: 51 of 51 tests pass; with endSocket and openServer in place of closeServer 53 of 53. Conclusion: only the caller that sent malformed bytes was hit, so this explains no cut of well-formed callers.

--- a/src/adapters/http/ServerConnections.ts
+++ b/src/adapters/http/ServerConnections.ts
@@ -36,6 +36,12 @@
   readonly cutOff: number;
 }
 
+// Whether the parser failed at bytes that follow the whole request. At the end of a connection
+// the caller has gone, and its request is cancelled.
+function isBehindRequest({ code = '' }: NodeJS.ErrnoException, { req }: ServerResponse): boolean {
+  return code.startsWith('HPE_') && code !== 'HPE_INVALID_EOF_STATE' && req.complete;
+}
+
 /** Tracks the connections of a server and their open requests, and ends them. */
 export default class ServerConnections {
   private readonly clock: Clock;
@@ -179,12 +185,15 @@
   private async handleClientError(error: NodeJS.ErrnoException, socket: Socket): Promise<void> {
     const state = this.states.get(socket);
     if (!state) return;
-    if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') {
-      const { newestResponse } = state;
+    const { newestResponse } = state;
+    const isOverdue = error.code === 'ERR_HTTP_REQUEST_TIMEOUT';
+    if (isOverdue) {
       // Timers run before reading, so only the end of this turn shows what has arrived by now.
       await this.clock.yieldToEventLoop();
       if (state.newestResponse !== newestResponse) return;
-      if (newestResponse && state.openResponses.size > 0) {
+    }
+    if (newestResponse && state.openResponses.size > 0) {
+      if (isOverdue || isBehindRequest(error, newestResponse)) {
         this.markLastAnswer(socket, newestResponse);
         newestResponse.shouldKeepAlive = false;
         return;
--- a/tests/requests/callersListener.test.ts
+++ b/tests/requests/callersListener.test.ts
@@ -182,6 +182,16 @@
     expect(upstream.requestIds).toHaveLength(1);
   });
 
+  // Guards against cutting off a request that has been passed on because of what follows it.
+  it('should answer the open request before it closes a connection with malformed bytes', async () => {
+    const { caller } = await startPath(({ socket }) => {
+      setImmediate().then(() => socket.write(answer), undefined);
+    });
+    caller.write(`${getHead}\r\ngarbage\r\n\r\n`);
+
+    expect(await caller.waitClosed()).toMatch(/^HTTP\/1.1 200 OK\r\n.*\r\n\r\nok$/s);
+  });
+
   // Guards against cutting off a request because the next one on its connection is overdue.
   it('should answer an open request when the headers after it are not complete by the timeout', async () => {
     const { caller } = await startPath(
