src/adapters/http: a connection to an upstream fails at its timeout only if it has not opened by then

Callers saw: nothing that was recorded; found by reading. After a pause of an entry host that is longer than its connect timeout, every connection that was being opened failed, though the upstreams had accepted it: attempts were spent, and upstreams looked unreachable. Cause: timers run before the event loop handles what has arrived, so the timeout of createConnector decided before the opened connection was seen. Ruled out: a refused connection, whose error arrives as before. Change: the timer waits for the end of its turn, and ends the attempt only if it is still connecting. Conclusion: a pause of this process says nothing about an upstream. A connection that never opens ends one turn later than before.

--- a/src/adapters/http/createConnector.ts
+++ b/src/adapters/http/createConnector.ts
@@ -20,9 +20,12 @@
     const socket = connect({ host: hostname, port: Number(port), noDelay: true });
     socket.setKeepAlive(true, tcpKeepAliveDelayMs);
     socket.on('error', markReset);
-    const timer = setTimeout(() => {
+    const endAttempt = (): void => {
+      if (!socket.connecting) return;
       socket.destroy(new Error(`no connection to ${hostname}:${port} within ${timeoutMs} ms`));
-    }, timeoutMs);
+    };
+    // Timers run before reading, so only the end of this turn shows whether the connection is open.
+    const timer = setTimeout(() => setImmediate(endAttempt), timeoutMs);
     const onError = (error: Error): void => {
       clearTimeout(timer);
       callback(error, null);
