src/adapters/http: errors at accepting connections are logged within the limit of the log

Operators would see: a flood of lines when a listener fails to accept again and again, for example without descriptors; lines of the level error are written whatever their rate. Found by the review, by reading. Cause: openServer logged these errors as errors. Ruled out: a line for each connection that fails; that is on level debug. Change: they are warnings, which the log limits. Conclusion: a repeated error no longer displaces other lines.

--- a/src/adapters/http/openServer.ts
+++ b/src/adapters/http/openServer.ts
@@ -23,7 +23,7 @@
   });
   // Accepting a connection can fail, for example for want of descriptors.
   server.on('error', ({ message }) => {
-    log.error('lifecycle: a listener failed', { listener: key, error: message });
+    log.warn('lifecycle: a listener failed', { listener: key, error: message });
   });
 }
 
--- a/src/application/replication/MessageHandler.ts
+++ b/src/application/replication/MessageHandler.ts
@@ -18,7 +18,8 @@
 import type ReplicationHandler from './ReplicationHandler.ts';
 import type SnapshotReceiver from './SnapshotReceiver.ts';
 
-// A few messages of each of nine control hosts; each has up to 1 MiB of entries or of a snapshot.
+// A few messages of each control host of the largest group (docs/design.md, section 1.5); each has
+// up to 1 MiB of entries or of a snapshot.
 const maxWaitingMessages = 32;
 
 /** Handles the messages of other replicas, one at a time. */
