tests/detection: the test of the detection link listens on a free port

Cause: the port was 20,000 plus a part of the process id, which reaches into the range that the operating system gives to outgoing connections (32,768 to 60,999), so a connection of any other process can hold it. Ruled out: a server of the same test that was not closed; it was the first to listen there. Change: port 0, and the port that the system chose. The checks are the same. Measured: npx vitest run detection/reports passes; the collision itself was not provoked again. Conclusion: no other test computes its port so (grep).

--- a/tests/detection/reports.test.ts
+++ b/tests/detection/reports.test.ts
@@ -117,11 +117,10 @@
       peerKey,
       log: new SilentLog(),
     });
-    const port = 20_000 + (process.pid % 20_000);
-    await server.openListener({ ip: '127.0.0.1', port });
+    await server.openListener({ ip: '127.0.0.1', port: 0 });
     const clock = new SystemClock();
     const connection = new TrpcPeerConnection({
-      address: `127.0.0.1:${port}`,
+      address: `127.0.0.1:${server.address.port}`,
       ...{ peerKey, ownHost: 'entry-1', clock, log: new SilentLog() },
     });
     const link = new TrpcDetectionLink({ connection, release: () => connection.close() });
