src/application/lifecycle: a stop logs how recently a connection came when its listener closes

Cause: a host that closes its listener while a load balancer still sends it connections can't be told from one that nobody calls any more: its log has the lateness of the close only.

Change: 'lifecycle: accepting no new connections' names the time since the newest connection.

--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -137,6 +137,10 @@
     return this.server.address() as AddressInfo;
   }
 
+  get lastConnectionAt(): number {
+    return this.connections.lastConnectionAt;
+  }
+
   /**
    * Applies the limits of a preset to later connections and requests; undefined restores the
    * defaults.
--- a/src/adapters/http/ServerConnections.ts
+++ b/src/adapters/http/ServerConnections.ts
@@ -50,6 +50,9 @@
 
   private counts: CloseCounts = { accepted: 0, unanswered: 0, cutOff: 0 };
 
+  /** Time at which the newest connection was accepted; `-Infinity` before the first one. */
+  lastConnectionAt = -Infinity;
+
   /** Time until which a close waits for the rest of a request. */
   private partsUntil = Infinity;
 
@@ -149,13 +152,14 @@
   }
 
   private addConnection(socket: Socket): void {
+    this.lastConnectionAt = this.clock.now();
     const state: ConnectionState = {
       openResponses: new Set(),
       newestResponse: undefined,
       isClosing: false,
       isEnded: false,
       answeredBytes: 0,
-      idleUntil: this.clock.now() + firstBytesMs,
+      idleUntil: this.lastConnectionAt + firstBytesMs,
     };
     this.states.set(socket, state);
     this.addToCounts({ accepted: 1 });
--- a/src/application/lifecycle/Shutdown.ts
+++ b/src/application/lifecycle/Shutdown.ts
@@ -63,6 +63,7 @@
     await clock.sleepUntil(graceDeadline);
     log.info('lifecycle: accepting no new connections', {
       lateMs: Math.round(clock.now() - graceDeadline),
+      sinceConnectionMs: Math.round(clock.now() - this.readLastConnection()),
     });
     await Promise.all(
       listeners.map((listener) =>
@@ -76,4 +77,8 @@
     await steps.runStep('withdrawing the host record', () => hostRecord.removeRecord());
     log.info('lifecycle: stopped');
   }
+
+  private readLastConnection(): number {
+    return Math.max(...this.options.listeners.map(({ lastConnectionAt }) => lastConnectionAt));
+  }
 }
--- a/src/application/lifecycle/ShutdownParts.ts
+++ b/src/application/lifecycle/ShutdownParts.ts
@@ -9,6 +9,8 @@
 
 /** A listener that can close without interrupting a request. */
 export interface StoppableListener {
+  /** Time at which the newest connection was accepted; `-Infinity` before the first one. */
+  readonly lastConnectionAt: number;
   /** Makes all further answers ask the caller to close its connection. */
   startClose(): void;
   /**
--- a/tests/requests/hostShutdown.test.ts
+++ b/tests/requests/hostShutdown.test.ts
@@ -9,6 +9,8 @@
   readonly failingStep?: string;
   /** Time after the start by which every request has to be answered. */
   readonly answerMs?: number;
+  /** Times after the start at which the listener accepts a connection. */
+  readonly connections?: readonly number[];
 }
 
 function createShutdown(options: ShutdownCase = {}) {
@@ -30,6 +32,10 @@
     },
     listeners: [
       {
+        get lastConnectionAt() {
+          const accepted = (options.connections ?? []).map((ms) => start + ms);
+          return Math.max(...accepted.filter((time) => time <= clock.now()));
+        },
         startClose: () => steps.push(`${clock.now() - start} connection: close`),
         closeListener: async (deadline) => {
           await runStep('listener closed');
