src/adapters/http: an empty line after an answer does not switch off the idle timeout

Strangers can hold connections that nobody uses for good, until a listener's part of the descriptors is full and callers are turned away; each of them also holds a planned stop.

Cause: Node.js replaces keepAliveTimeout by its general timeout, which is off by default, as soon as bytes follow an answer; an empty line begins no request, so no other timeout starts either.

Change: all servers set both timeouts. The handler of the timeout already leaves connections with an open request alone (test: a request that takes longer than the idle timeout).

--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -19,6 +19,7 @@
 import closeServer from './closeServer.ts';
 import openServer from './openServer.ts';
 import readBody from './readBody.ts';
+import setIdleTimeout from './setIdleTimeout.ts';
 
 const defaultMaxHeaderBytes = 16_384;
 // Longer than the idle timeout of common load balancers (60 s), so that the load balancer closes an
@@ -90,7 +91,6 @@
     this.server = createServer(
       {
         maxHeaderSize: options.maxHeaderBytes ?? defaultMaxHeaderBytes,
-        keepAliveTimeout: keepAliveTimeoutMs,
         headersTimeout: options.headersTimeoutMs ?? defaultHeadersTimeoutMs,
         connectionsCheckingInterval: headersCheckMs,
         // The deadline of the request limits the time for the body.
@@ -108,6 +108,7 @@
     // 0 means unlimited. Node.js would silently drop headers above this count; their total size is
     // limited already.
     this.server.maxHeadersCount = 0;
+    setIdleTimeout(this.server, keepAliveTimeoutMs);
     this.connections = new ServerConnections({ server: this.server, clock: options.clock });
     options.listenerConnections?.watchRequests(this.server);
     this.server.on('connect', (_request, socket) => {
@@ -150,7 +151,7 @@
     const { headersTimeoutMs } = this.options;
     this.server.headersTimeout =
       limits?.headersTimeoutMs ?? headersTimeoutMs ?? defaultHeadersTimeoutMs;
-    this.server.keepAliveTimeout = limits?.idleTimeoutMs ?? keepAliveTimeoutMs;
+    setIdleTimeout(this.server, limits?.idleTimeoutMs ?? keepAliveTimeoutMs);
   }
 
   /** Makes all further answers ask callers to close their connections. */
--- a/src/adapters/http/createHttpServer.ts
+++ b/src/adapters/http/createHttpServer.ts
@@ -4,6 +4,7 @@
 import type Clock from '../../ports/Clock.ts';
 import type Log from '../../ports/Log.ts';
 import ServerConnections from './ServerConnections.ts';
+import setIdleTimeout from './setIdleTimeout.ts';
 
 // How often Node.js looks for requests that are overdue; a small part of the servers' timeouts,
 // in milliseconds.
@@ -31,6 +32,7 @@
 export default function createHttpServer(options: HttpServerOptions): HttpServer {
   const { clock, log, failureMessage, serve } = options;
   const server = createServer({ connectionsCheckingInterval, ...options.server });
+  setIdleTimeout(server, server.keepAliveTimeout);
   const connections = new ServerConnections({ server, clock });
   server.on('request', (request, response) => {
     if (!connections.acceptRequest(request.socket, response)) return;
--- a/tests/requests/callersListener.test.ts
+++ b/tests/requests/callersListener.test.ts
@@ -243,10 +243,29 @@
     expect((await caller.waitClosed()).match(/HTTP\/1\.1 200/g)).toHaveLength(2);
   });
 
-  // Guards against connections that stay open without use.
-  it('should end a connection that is silent for the idle timeout', async () => {
-    const { path, caller } = await startPath(({ socket }) => socket.write(answer));
+  // Guards against connections that stay open without use; Node.js switches its timeout off when an
+  // empty line follows an answer.
+  it.each(['', '\r\n'])(
+    'should end a connection that is silent for the idle timeout after an answer and %j',
+    async (text) => {
+      const { path, caller } = await startPath(({ socket }) => socket.write(answer));
+      path.frontEnd.useLimits({ ...callerLimits, idleTimeoutMs: 100 });
+
+      caller.write(`${getHead}\r\n`);
+      await caller.waitFor('ok');
+      caller.write(text);
+
+      expect(await caller.waitClosed()).toMatch(/ok$/);
+    },
+  );
+
+  // Guards against closing a connection while an upstream needs longer than the idle timeout.
+  it('should answer a request that takes longer than the idle timeout', async () => {
+    const { path } = await startPath(({ socket }) => {
+      setTimeout(() => socket.write(answer), 500);
+    });
     path.frontEnd.useLimits({ ...callerLimits, idleTimeoutMs: 100 });
+    const caller = await RawCaller.connectTo(path.origin);
 
     caller.write(`${getHead}\r\n`);
 
