src/adapters/http: a stop refuses requests that have not arrived whole a second before its last answer

Cause: parts of requests were waited for until the deadline for answers, and their connections then closed as late as a quarter of a second after it; a body that never came had no end but its own deadline.

Evidence: the new test fails without the change for a part of the headers (closed late) and of a body (no answer).

Change: parts of headers end, and bodies are refused as host_stopping (503, not run), one second before the deadline for answers: the time to refuse them and to close their connections.

--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
@@ -31,6 +32,8 @@
 // Time for a refused caller to stop sending. Closing a connection with unread bytes would reset it
 // before the caller has read the answer.
 const discardMs = 500;
+// Time to refuse a request that has not arrived whole, and for its caller to close its connection.
+const refusalMs = 1000;
 // Time that callers of a stopping host have to read their answers after the last deadline.
 const flushMs = 5000;
 // The same when the platform is about to kill the process.
@@ -83,6 +86,9 @@
 
   private latestDeadline = 0;
 
+  /** Aborts when the host no longer waits for the rest of a body. */
+  private readonly partsEnded = new AbortController();
+
   private limits: CallerLimits | undefined;
 
   constructor(options: HttpFrontEndOptions) {
@@ -109,6 +115,8 @@
     // limited already.
     this.server.maxHeadersCount = 0;
     setIdleTimeout(this.server, keepAliveTimeoutMs);
+    // Every body that is being read adds a listener; Node.js warns above 10.
+    setMaxListeners(0, this.partsEnded.signal);
     this.connections = new ServerConnections({ server: this.server, clock: options.clock });
     options.listenerConnections?.watchRequests(this.server);
     this.server.on('connect', (_request, socket) => {
@@ -172,16 +180,25 @@
     const closingAt = clock.now();
     const readDeadline = (): number =>
       Math.min(Math.max(closingAt, this.latestDeadline) + flushMs, deadline + lastFlushMs);
+    const partsUntil = deadline - refusalMs;
+    const closing = new AbortController();
+    const partsTask = this.endParts(partsUntil, closing.signal);
     const closed = await closeServer({
-      ...{ server, connections, clock, readDeadline },
-      partsUntil: deadline,
+      ...{ server, connections, clock, readDeadline, partsUntil },
     });
+    closing.abort('closed');
+    await partsTask;
     if (closed.closedLate > 0) {
       log.warn('requests: closing connections whose callers did not read their answers');
     }
     log.info('requests: the listener is closed', { ...closed });
   }
 
+  private async endParts(partsUntil: number, signal: AbortSignal): Promise<void> {
+    await this.options.clock.sleepUntil(partsUntil, signal);
+    this.partsEnded.abort('the host stops');
+  }
+
   private async serveRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (!this.connections.acceptRequest(request.socket, response)) return;
     const disconnection = new AbortController();
@@ -218,7 +235,10 @@
     this.latestDeadline = Math.max(this.latestDeadline, deadline);
     const buffer = this.openBuffer(response);
     const maxBytes = Math.min(route.maxBodyBytes, this.options.buffers?.maxBytes ?? Infinity);
-    const body = await readBody(request, { maxBytes, deadline, clock, buffer });
+    const body = await readBody(request, {
+      ...{ maxBytes, deadline, clock, buffer },
+      stopSignal: this.partsEnded.signal,
+    });
     if (!body.ok) {
       await this.refuseRequest(request, response, body.failure);
       return;
--- a/src/adapters/http/readBody.ts
+++ b/src/adapters/http/readBody.ts
@@ -5,7 +5,8 @@
 import type Clock from '../../ports/Clock.ts';
 import BodyCollector from './BodyCollector.ts';
 
-type Refusal = 'body_too_large' | 'deadline_passed' | 'host_overloaded' | 'request_malformed';
+type Refusal =
+  'body_too_large' | 'deadline_passed' | 'host_overloaded' | 'host_stopping' | 'request_malformed';
 
 /** Limits for the body of a request. */
 export interface BodyLimits {
@@ -15,6 +16,8 @@
   readonly clock: Clock;
   /** Counts the bytes of the body, which is given up when the buffer is dropped. */
   readonly buffer?: BufferedBytes | undefined;
+  /** Aborts when the host stops and no longer waits for the rest of the body. */
+  readonly stopSignal?: AbortSignal;
 }
 
 // RFC 9112, section 6.3: a request with neither header has no body.
@@ -36,6 +39,7 @@
   }
   const details: Readonly<Record<Refusal, string>> = {
     body_too_large: `the body is too large: expected at most ${limits.maxBytes} bytes`,
+    host_stopping: 'this host stops and the body is not complete',
     host_overloaded: 'this host keeps too many bytes of requests and answers',
     deadline_passed: 'the deadline passed before the body was complete',
     request_malformed: 'the caller closed the connection before the body was complete',
@@ -47,6 +51,7 @@
   if (Number(request.headers['content-length'] ?? 0) > limits.maxBytes) {
     return refuse('body_too_large');
   }
+  const { stopSignal } = limits;
   const bodyEnded = new AbortController();
   const collector = new BodyCollector();
   const result = await new Promise<Result<Uint8Array>>((resolve) => {
@@ -62,6 +67,9 @@
     });
     request.once('error', () => resolve(refuse('request_malformed')));
     request.once('close', () => resolve(refuse('request_malformed')));
+    const refuseStopping = (): void => resolve(refuse('host_stopping'));
+    if (stopSignal?.aborted) refuseStopping();
+    stopSignal?.addEventListener('abort', refuseStopping, { once: true, signal: bodyEnded.signal });
     limits.clock
       .sleepUntil(limits.deadline, bodyEnded.signal)
       .then(() => resolve(refuse('deadline_passed')))
--- a/tests/requests/callersListener.test.ts
+++ b/tests/requests/callersListener.test.ts
@@ -21,6 +21,7 @@
   ],
 });
 const callerLimits = { maxHeaderBytes: 16_384, maxBodyBytes: 1000, headersTimeoutMs: 10_000 };
+const lateWarning = 'requests: closing connections whose callers did not read their answers';
 const answer = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok';
 
 describe("callers' listener", () => {
@@ -411,6 +412,27 @@
       expect(path.log.messages).toEqual(['requests: the listener is closed']);
     });
 
+    // Guards against a host that is killed in its stop because strangers with parts of requests,
+    // who keep their connections open, hold it until the last moment.
+    it.each([
+      ['headers', getHead, ''],
+      ['a body', `${postHead}content-length: 10\r\n\r\nab`, '503 host_stopping not-run'],
+    ])('should end a connection with a part of %s in time', async (_title, part, refusal) => {
+      const { path } = await startPath(() => undefined);
+      const stranger = await RawCaller.connectTo(path.origin, { allowHalfOpen: true });
+      stranger.write(part);
+
+      await path.frontEnd.closeListener(Date.now() + 1500);
+
+      const text = stranger.received;
+      stranger.socket.destroy();
+      const [, status = ''] = /^HTTP\/1\.1 (\d+)/.exec(text) ?? [];
+      const [, kind = ''] = /pistachiohoist-error: (\w+)/.exec(text) ?? [];
+      const [, outcome = ''] = /pistachiohoist-outcome: ([\w-]+)/.exec(text) ?? [];
+      expect([status, kind, outcome].join(' ').trim()).toBe(refusal);
+      expect(path.log.messages).not.toContain(lateWarning);
+    });
+
     // Guards against closing a connection before a pipelined request on it is answered.
     it.each([
       ['before the upstream has answered either', [1, 0], 0],
