src/application/replication: a log with a hole in what was never synced is truncated, not refused

Operators would see a control host that does not start after a loss of power (log_damaged, exit 2), again and again.

Cause: a loss of power may keep later parts of a write that was not synced and lose earlier ones. A valid record behind an invalid one was taken as proof that the invalid one had been synced.

Change: each record names the last index that was synced before it was written. The log is refused only when such a record proves that the invalid one was synced, or comes from a release that does not tell.

--- a/src/application/replication/LogSegments.ts
+++ b/src/application/replication/LogSegments.ts
@@ -3,6 +3,8 @@
 import type Disk from '../../ports/Disk.ts';
 import type Log from '../../ports/Log.ts';
 import decodeRecords from './decodeRecords.ts';
+import type { DecodedRecords } from './decodeRecords.ts';
+import encodeRecord, { recordHeader } from './encodeRecord.ts';
 
 const namePrefix = 'log-';
 
@@ -22,6 +24,39 @@
   readonly size: number;
 }
 
+/** What a record of the log contains. */
+interface EntryRecord extends LogEntry {
+  /**
+   * All entries up to this index were synced before the record was written. Records of earlier
+   * releases lack it.
+   */
+  readonly syncedIndex?: number;
+}
+
+function readEntry(value: unknown): LogEntry {
+  const { syncedIndex, ...entry } = value as EntryRecord;
+  return entry;
+}
+
+// After a loss of power, any part of what was not synced may be missing. A record that is missing
+// although it was synced, as a later record tells, is damaged.
+function isSynced(index: number, { laterRecords }: DecodedRecords): boolean {
+  return laterRecords.some(({ value }) => {
+    const { syncedIndex = Infinity } = value as EntryRecord;
+    return syncedIndex >= index;
+  });
+}
+
+/** Encodes the record of an entry; `syncedIndex` is the last entry that is synced. */
+export function encodeEntry(entry: LogEntry, syncedIndex: number): Buffer {
+  return encodeRecord({ ...entry, syncedIndex } satisfies EntryRecord);
+}
+
+/** Decodes the entry of a record that `encodeEntry` returned. */
+export function decodeEntry(record: Buffer): LogEntry {
+  return readEntry(JSON.parse(record.subarray(recordHeader.bytes).toString()));
+}
+
 function createSegment(firstIndex: number, isCreated: boolean): Segment {
   const name = `${namePrefix}${String(firstIndex).padStart(16, '0')}`;
   return { name, firstIndex, recordSizes: [], isCreated };
@@ -45,8 +80,9 @@
   }
 
   /**
-   * Reads all segments, truncates a torn last record and syncs the newest segment. Throws
-   * `log_damaged` when any other record is damaged or the entries are not consecutive.
+   * Reads all segments, truncates records that were never synced from the first one that is torn or
+   * missing, and syncs the newest segment. Throws `log_damaged` when a record is damaged that was
+   * synced, or the entries are not consecutive.
    */
   async loadEntries(log: Log): Promise<readonly StoredEntry[]> {
     const names = (await this.disk.list()).filter((name) => name.startsWith(namePrefix));
@@ -54,21 +90,24 @@
     for (const name of names) {
       const segment = createSegment(Number(name.slice(namePrefix.length)), true);
       const content = (await this.disk.read(name)) ?? new Uint8Array();
-      const { records, tail, validBytes } = decodeRecords(content);
+      const decoded = decodeRecords(content);
+      const { records, tail, validBytes, laterRecords } = decoded;
       const isLast = name === names.at(-1);
-      if (tail === 'damaged' || (tail === 'torn' && !isLast)) {
+      const nextIndex = segment.firstIndex + records.length;
+      if (tail !== 'complete' && (!isLast || isSynced(nextIndex, decoded))) {
         this.failDamaged(name, `the record at byte ${validBytes} is damaged and others follow it`);
       }
-      if (tail === 'torn') {
-        log.warn('replication: truncated a torn last record', {
+      if (tail !== 'complete') {
+        log.warn('replication: truncated records that were not synced', {
           file: name,
           bytes: content.byteLength - validBytes,
+          laterRecords: laterRecords.length,
         });
         await this.disk.truncate(name, validBytes);
       }
       // The process before this one may have ended between a write and its sync.
       if (isLast) await this.disk.sync(name);
-      const entries = records.map(({ value, size }) => ({ entry: value as LogEntry, size }));
+      const entries = records.map(({ value, size }) => ({ entry: readEntry(value), size }));
       this.checkOrder(segment, entries, loaded.at(-1)?.entry);
       entries.forEach(({ size }) => segment.recordSizes.push(size));
       this.segments.push(segment);
--- a/src/application/replication/LogStore.ts
+++ b/src/application/replication/LogStore.ts
@@ -4,8 +4,7 @@
 import type SnapshotMetadata from '../../domain/replication/SnapshotMetadata.ts';
 import type Disk from '../../ports/Disk.ts';
 import type Log from '../../ports/Log.ts';
-import LogSegments from './LogSegments.ts';
-import encodeRecord, { recordHeader } from './encodeRecord.ts';
+import LogSegments, { decodeEntry, encodeEntry } from './LogSegments.ts';
 
 interface IndexedConfiguration {
   readonly index: number;
@@ -132,17 +131,17 @@
       proposedAt: Math.max(now, previousTime),
       content,
     };
-    const record = encodeRecord(entry);
+    const record = encodeEntry(entry, this.syncedIndex);
     // The entry is decoded again, so that the leader applies the same value as the followers do and
     // as it does itself after a restart.
-    const stored = JSON.parse(record.subarray(recordHeader.bytes).toString()) as LogEntry;
+    const stored = decodeEntry(record);
     this.addRecord(stored, record);
     return stored;
   }
 
   /** Appends an entry that was received from the leader, in memory. */
   addEntry(entry: LogEntry): void {
-    this.addRecord(entry, encodeRecord(entry));
+    this.addRecord(entry, encodeEntry(entry, this.syncedIndex));
   }
 
   /** Writes all unsynced entries with one sync. */
--- a/src/application/replication/decodeRecords.ts
+++ b/src/application/replication/decodeRecords.ts
@@ -17,6 +17,8 @@
    * valid record follows an invalid one.
    */
   readonly tail: 'complete' | 'torn' | 'damaged';
+  /** The valid records that follow an invalid one. */
+  readonly laterRecords: readonly DecodedRecord[];
 }
 
 function hasChecksum(content: Buffer, expected: Buffer): boolean {
@@ -38,13 +40,15 @@
   return { value: JSON.parse(payload.toString()), size };
 }
 
-function hasRecordAfter(content: Buffer, offset: number): boolean {
+function listRecordsAfter(content: Buffer, offset: number): readonly DecodedRecord[] {
+  const found: DecodedRecord[] = [];
   let start = content.indexOf(recordHeader.magic, offset + 1);
   while (start >= 0) {
-    if (readRecord(content, start)) return true;
-    start = content.indexOf(recordHeader.magic, start + 1);
+    const record = readRecord(content, start);
+    if (record) found.push(record);
+    start = content.indexOf(recordHeader.magic, start + (record?.size ?? 1));
   }
-  return false;
+  return found;
 }
 
 /** Reads the records of a file up to the first one that is not valid. */
@@ -58,7 +62,9 @@
     validBytes += record.size;
     record = readRecord(content, validBytes);
   }
-  if (validBytes === content.length) return { records, validBytes, tail: 'complete' };
-  const tail = hasRecordAfter(content, validBytes) ? 'damaged' : 'torn';
-  return { records, validBytes, tail };
+  if (validBytes === content.length) {
+    return { records, validBytes, tail: 'complete', laterRecords: [] };
+  }
+  const laterRecords = listRecordsAfter(content, validBytes);
+  return { records, validBytes, tail: laterRecords.length > 0 ? 'damaged' : 'torn', laterRecords };
 }
