src/daemon: a process opens its output itself, so that it can end while nobody reads it

A stop would never end, and the platform would kill the process, when the reader of its output has stopped.

Cause: a write to a full pipe that blocks holds a thread of Node.js, which waits for it when it exits. Standard output does not block only because a library of the log looks at process.stdout to choose colours.

Change: the process opens both streams when it starts, and survives their errors.

Conclusion: not a cause of what the users saw, since the library was there; the guard no longer depends on it.

--- a/src/daemon/ProcessEnd.ts
+++ b/src/daemon/ProcessEnd.ts
@@ -39,6 +39,9 @@
    * names the reason when it ends because nothing is left that it waits for.
    */
   watchProcess(): void {
+    // Node.js makes a pipe non-blocking when it opens the stream. A write that blocks because
+    // nobody reads the pipe would keep the process from ending. An error has nowhere to go.
+    [process.stdout, process.stderr].forEach((stream) => stream.on('error', () => undefined));
     process.once('beforeExit', () => this.endProcess('nothing_left'));
     // Node.js reports an unhandled rejection as an uncaught error, with the origin that says so.
     process.on('uncaughtException', (error, origin) => this.endUncaught(error, origin));
--- a/tests/processes/processEnd.test.ts
+++ b/tests/processes/processEnd.test.ts
@@ -1,8 +1,13 @@
-import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { execFile, spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { constants } from 'node:fs';
+import { mkdtemp, open, rm, writeFile } from 'node:fs/promises';
+import type { FileHandle } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
+import { promisify } from 'node:util';
 
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 
@@ -10,6 +15,33 @@
 
 const daemon = fileURLToPath(new URL('../../dist/daemon/main.js', import.meta.url));
 const maxStartMs = 30_000;
+// The platform kills a process that takes longer to stop.
+const maxStopMs = 6000;
+
+async function createPipe(file: string) {
+  await promisify(execFile)('mkfifo', [file]);
+  const reader = await open(file, constants.O_RDWR | constants.O_NONBLOCK);
+  return { reader, writer: await open(file, constants.O_WRONLY) };
+}
+
+async function waitText(reader: FileHandle, expected: string): Promise<void> {
+  const buffer = Buffer.alloc(4096);
+  let text = '';
+  while (!text.includes(expected)) {
+    const { bytesRead } = await reader.read(buffer).catch(() => ({ bytesRead: 0 }));
+    text += buffer.toString('latin1', 0, bytesRead);
+    if (bytesRead === 0) await sleep(20);
+  }
+}
+
+async function fillPipe(pipe: FileHandle, bytes: number): Promise<void> {
+  const isFull = await pipe.write(Buffer.alloc(bytes)).then(
+    () => false,
+    () => true,
+  );
+  if (!isFull) await fillPipe(pipe, bytes);
+  else if (bytes > 1) await fillPipe(pipe, 1);
+}
 
 describe('last line of a daemon', () => {
   let folder: string;
@@ -32,10 +64,15 @@
 
   afterAll(() => rm(folder, { recursive: true }));
 
+  /** Arguments of a daemon with code that runs in it on SIGUSR2. */
+  function createArguments(code: string): readonly string[] {
+    const module = `data:text/javascript,process.on("SIGUSR2",()=>{${encodeURIComponent(code)}})`;
+    return ['--import', module, daemon, '--config', file];
+  }
+
   /** Starts the daemon, with code that runs in it on a signal, and sends the signal. */
   async function endDaemon(signal: NodeJS.Signals, code = '') {
-    const module = `data:text/javascript,process.on("SIGUSR2",()=>{${encodeURIComponent(code)}})`;
-    const running = new ManagedProcess('daemon', ['--import', module, daemon, '--config', file]);
+    const running = new ManagedProcess('daemon', createArguments(code));
     const deadline = Date.now() + maxStartMs;
     while (!running.output.includes('lifecycle: started')) {
       if (!running.isRunning || Date.now() >= deadline) throw new Error(running.output);
@@ -78,6 +115,32 @@
     maxStartMs,
   );
 
+  // Guards against a process that can't end, and is killed in its stop, because nobody reads its
+  // output any more: a write to a full pipe blocks for ever.
+  it.each([
+    ['on a signal to stop', 'SIGTERM', 0],
+    ['at an error that nothing handles', 'SIGUSR2', 1],
+  ] as const)(
+    'should end %s while nobody reads its output',
+    async (_title, signal, exitCode) => {
+      const { reader, writer } = await createPipe(path.join(folder, `output-${signal}`));
+      const child = spawn(process.execPath, createArguments('throw new RangeError("broken")'), {
+        stdio: ['ignore', writer.fd, writer.fd],
+      });
+      await waitText(reader, 'lifecycle: started');
+      await fillPipe(reader, 4096);
+
+      child.kill(signal);
+      const ended = once(child, 'exit').then(([code]) => code as number);
+      const result = await Promise.race([ended, sleep(maxStopMs, 'still running')]);
+
+      child.kill('SIGKILL');
+      await Promise.all([ended, reader.close(), writer.close()]);
+      expect(result).toBe(exitCode);
+    },
+    maxStartMs,
+  );
+
   // Guards against a stop that waits for an event that never comes, and looks like a complete one.
   it('should tell an end because nothing is left to wait for', async () => {
     const url = new URL('../../dist/daemon/ProcessEnd.js', import.meta.url);
