src/adapters/winston: the log always has the steps of a stop

Evidence: the new test fails without the change.

Change: info lines of the lifecycle, which are few, are always written; warnings of listeners stay limited, since strangers can cause many.

--- a/src/adapters/winston/WinstonLog.ts
+++ b/src/adapters/winston/WinstonLog.ts
@@ -11,6 +11,11 @@
 
 type Level = 'error' | 'warn' | 'info' | 'debug';
 
+// The steps of a start and of a stop are few, and explain what happened under the heaviest load.
+function isAlwaysWritten(level: Level, message: string): boolean {
+  return level === 'error' || (level === 'info' && message.startsWith('lifecycle: '));
+}
+
 /** Options of the log. */
 export interface WinstonLogOptions {
   readonly host: string;
@@ -18,7 +23,7 @@
   readonly clock: Clock;
   /**
    * Maximum number of lines per second; further lines are dropped and their number is logged.
-   * Errors are always written.
+   * Errors and the steps of a start or a stop are always written.
    */
   readonly linesPerSecond?: number;
   readonly lines?: LineStream;
@@ -74,7 +79,7 @@
     if (!this.logger.isLevelEnabled(level)) return;
     this.startWindow();
     const { linesPerSecond = defaultLinesPerSecond } = this.options;
-    if (this.written >= linesPerSecond && level !== 'error') {
+    if (this.written >= linesPerSecond && !isAlwaysWritten(level, message)) {
       this.dropped += 1;
       return;
     }
--- a/tests/logs/boundedLog.test.ts
+++ b/tests/logs/boundedLog.test.ts
@@ -82,6 +82,20 @@
     expect(lines[11]).toMatchObject({ message: 'log: lines were dropped', dropped: 15 });
   });
 
+  // Guards against a stop that the log does not show, because requests used up the rate of the log.
+  it('should write the steps of a stop above the maximum rate', async () => {
+    const log = createLog(new FakeClock(), 1);
+
+    ['requests: one', 'requests: two', 'lifecycle: stop requested'].forEach((message) =>
+      log.info(message),
+    );
+    log.warn('lifecycle: a listener failed');
+    await log.endLog();
+
+    const messages = (await readLines()).map(({ message }) => message);
+    expect(messages).toEqual(['requests: one', 'lifecycle: stop requested']);
+  });
+
   // Guards against a log that is silent for ever after its reader was slow once.
   it('should go on when a reader that has stopped reads again', async () => {
     const path = join(folder, 'pipe');
