--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -191,7 +191,7 @@
     if (closed.closedLate > 0) {
       log.warn('requests: closing connections whose callers did not read their answers');
     }
-    log.info('requests: the listener is closed', { ...closed });
+    log.info('lifecycle: the callers listener is closed', { ...closed });
   }
 
   private async endParts(partsUntil: number, signal: AbortSignal): Promise<void> {
--- a/tests/requests/callersListener.test.ts
+++ b/tests/requests/callersListener.test.ts
@@ -409,7 +409,7 @@
       await path.frontEnd.closeListener(Date.now() + 500);
 
       expect(await caller.waitClosed()).toBe('');
-      expect(path.log.messages).toEqual(['requests: the listener is closed']);
+      expect(path.log.messages).toEqual(['lifecycle: the callers listener is closed']);
     });
 
     // Guards against a host that is killed in its stop because strangers with parts of requests,
@@ -468,7 +468,7 @@
         expect(path.log.messages).toEqual([
           'requests: answered',
           'requests: answered',
-          'requests: the listener is closed',
+          'lifecycle: the callers listener is closed',
         ]);
       },
     );
