--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -195,7 +195,10 @@
   }
 
   private async endParts(partsUntil: number, signal: AbortSignal): Promise<void> {
-    await this.options.clock.sleepUntil(partsUntil, signal);
+    const { clock } = this.options;
+    await clock.sleepUntil(partsUntil, signal);
+    // Timers run before reading, so only the end of this turn shows what has arrived by now.
+    await clock.yieldToEventLoop();
     this.partsEnded.abort('the host stops');
   }
 
--- a/tests/requests/callersListener.test.ts
+++ b/tests/requests/callersListener.test.ts
@@ -433,6 +433,21 @@
       expect(path.log.messages).not.toContain(lateWarning);
     });
 
+    // Guards against refusing a body for its absence when it has arrived and was not read, because
+    // the process stood still meanwhile.
+    it('should read a body that arrives while the process stands still', async () => {
+      const { path, caller } = await startPath(() => undefined);
+      caller.write(`${postHead}content-length: 4\r\n\r\nab`);
+
+      const closed = path.frontEnd.closeListener(Date.now() + 1600);
+      await waitListenerClosed(path);
+      caller.write('cd');
+      stopProcess(700);
+      await closed;
+
+      expect(await caller.waitClosed()).toContain('pistachiohoist-error: key_required');
+    });
+
     // Guards against closing a connection before a pipelined request on it is answered.
     it.each([
       ['before the upstream has answered either', [1, 0], 0],
