tests/soak: a soak reads whether a host has ended before it says that it has not

Cause: the timer for a planned stop ends before input is read, like all timers of Node.js, so a soak that stood still recorded 'killed after the time to stop' for a host that had ended.

Change: the soak reads once more after the timer, and takes the exit code of a process that has ended. The bound stays at 4 s.

--- a/tests/soak/SoakRun.ts
+++ b/tests/soak/SoakRun.ts
@@ -1,6 +1,6 @@
 import { writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
-import { setTimeout as sleep } from 'node:timers/promises';
+import { setImmediate, setTimeout as sleep } from 'node:timers/promises';
 
 import { fetch } from 'undici';
 
@@ -276,7 +276,11 @@
   /** Stops a host as planned; it breaks a promise if it takes too long or ends with an error. */
   private async stopHost(ip: string): Promise<void> {
     const running = this.fleet.processes.get(ip);
-    const code = await Promise.race([running?.stop(), sleep(stopTimeoutMs)]);
+    const stopped = running?.stop();
+    await Promise.race([stopped, sleep(stopTimeoutMs)]);
+    // On a busy machine the timer may end before this process has read that the other one ended.
+    await setImmediate();
+    const code = running?.isRunning ? undefined : await stopped;
     // A process that has not begun to listen to the signal ends by it.
     if (code === 0 || code === 'SIGTERM') return;
     const reason = code === undefined ? 'killed after the time to stop' : `${code} in its stop`;
