src/domain/replication: a limit on the size of files does not end a control host

Operators would see control hosts that end by themselves (exit 1), one after the other, while the size of their files is limited.

Cause: EFBIG was not among the errors of the disk that may pass, so the replica stopped at the first write that it refused. Such a limit can be set and lifted for a running process, by whoever runs it, without other rights: a plain way to make a disk refuse writes.

Two tests, extended by EFBIG, fail without it.

Ruled out: the same for EROFS and EACCES, which the tests of the retries hold to be final: only an operator can help.

--- a/src/domain/replication/mayDiskErrorPass.ts
+++ b/src/domain/replication/mayDiskErrorPass.ts
@@ -1,7 +1,8 @@
-// Descriptors, memory or room that others hold for a time; an input or output error of a disk that
-// is reached through a network or a controller.
+// Descriptors, memory or room that others hold for a time; a limit on the size of files, which can
+// be raised for a running process; an input or output error of a disk that is reached through a
+// network or a controller.
 const passingCodes: readonly (string | undefined)[] = [
-  ...['EMFILE', 'ENFILE', 'ENOMEM', 'ENOSPC', 'EDQUOT', 'EIO', 'EAGAIN', 'EBUSY', 'EINTR'],
+  ...['EMFILE', 'ENFILE', 'ENOMEM', 'ENOSPC', 'EDQUOT', 'EFBIG', 'EIO', 'EAGAIN', 'EBUSY', 'EINTR'],
 ];
 
 /**
--- a/tests/replication/fullDisks.test.ts
+++ b/tests/replication/fullDisks.test.ts
@@ -213,6 +213,7 @@
       { ...noFaults, freeBytes: 0 },
       { ...noFaults, freeBytes: 70 },
       { ...noFaults, errorCode: 'EMFILE' },
+      { ...noFaults, errorCode: 'EFBIG' },
       { ...noFaults, failingSyncs: 1000 },
     );
     await fc.assert(
@@ -243,6 +244,7 @@
     for (const faults of [
       { ...noFaults, freeBytes: 0 },
       { ...noFaults, errorCode: 'EMFILE' },
+      { ...noFaults, errorCode: 'EFBIG' },
       { ...noFaults, failingSyncs: 1000 },
     ]) {
       const { host } = await supervised.group.waitLeader();
