--- a/tests/fleet/openGroup.fuzz.test.ts
+++ b/tests/fleet/openGroup.fuzz.test.ts
@@ -174,7 +174,7 @@
     order.slice(0, this.lostHosts).forEach((host) => group.wipe(host));
     order
       .slice(this.lostHosts)
-      .forEach((host) => group.kill(host, Math.floor(random.next() * 200)));
+      .forEach((host) => group.kill(host, Math.floor(random.next() * 600)));
   }
 
   private areAllVoters(): boolean {
@@ -236,10 +236,10 @@
     recover,
     recover,
   ],
-  createStep('kill', fc.tuple(memberIndex, upTo(200)), (run, [index, keptBytes]) =>
+  createStep('kill', fc.tuple(memberIndex, upTo(600)), (run, [index, keptBytes]) =>
     run.kill(run.getMember(index), keptBytes),
   ),
-  createStep('kill all', fc.tuple(upTo(200), upTo(1500)), (run, data) => run.killAll(...data)),
+  createStep('kill all', fc.tuple(upTo(600), upTo(1500)), (run, data) => run.killAll(...data)),
   createStep('wipe', fc.tuple(memberIndex, fc.boolean()), (run, [index, othersLosePower]) =>
     run.wipe(run.getMember(index), othersLosePower),
   ),
--- a/tests/replication/fuzz.test.ts
+++ b/tests/replication/fuzz.test.ts
@@ -103,7 +103,7 @@
 const noData = fc.constant(undefined);
 const upTo = (max: number) => fc.integer({ min: 0, max });
 const share = fc.double({ min: 0, max: 0.4, noNaN: true });
-const keptBytes = upTo(200);
+const keptBytes = upTo(600);
 const callLeaders = createStep('call leaders', fc.tuple(upTo(4), upTo(1500)), (run, data) =>
   run.workload.callLeaders(...data),
 );
