src/application/lifecycle: a stop waits for a late load balancer also where the last answers are due earlier

Callers saw refused connections in planned stops again, behind a balancer that is 700 ms late.

Cause: the wait for the last connections ended at half of the time until the last answer, which became shorter by 0.4 s when that deadline did.

Change: the wait ends one second before the deadline for answers. The test of a short time to answer has a shorter one, so that it still ends the wait at the same instant.

--- a/src/application/lifecycle/Shutdown.ts
+++ b/src/application/lifecycle/Shutdown.ts
@@ -14,6 +14,8 @@
 // A load balancer that sent a connection within this time has not noticed that the host stops. A
 // busy one is late by up to a second, the usual time between two probes.
 const quietMs = 800;
+// Time for the answers to the last requests.
+const lastAnswersMs = 1000;
 
 /** Options of a graceful stop. */
 export interface ShutdownOptions {
@@ -57,10 +59,8 @@
     const { steps } = this;
     const { clock, log, readiness, listeners, claims, hostRecord, stopGraceMs } = this.options;
     const answerDeadline = readiness.markStopping();
-    const startedAt = clock.now();
-    const graceDeadline = Math.min(startedAt + stopGraceMs, answerDeadline);
-    // The second half of the time is for the answers.
-    const lateDeadline = Math.min(graceDeadline + quietMs, (startedAt + answerDeadline) / 2);
+    const graceDeadline = Math.min(clock.now() + stopGraceMs, answerDeadline);
+    const lateDeadline = Math.min(graceDeadline + quietMs, answerDeadline - lastAnswersMs);
     log.info('lifecycle: stopping, /ready answers 503', { graceDeadline, answerDeadline });
     // Busy connections are closed with their next answer. Idle connections are not closed yet,
     // because a request may already be in transit on them.
--- a/tests/requests/hostShutdown.test.ts
+++ b/tests/requests/hostShutdown.test.ts
@@ -114,7 +114,7 @@
     ['the last one arrives before the grace ends', [700], Infinity, 1500],
     ['the last one arrives after it', [900, 950], Infinity, 1750],
     ['they do not end', [900, 1200, 1500, 1799], Infinity, 1800],
-    ['the time to answer is short', [900, 1200, 1500], 3000, 1500],
+    ['the time to answer is short', [900, 1200, 1500], 2500, 1500],
     ['the time to answer is shorter', [900], 1500, 1000],
   ])(
     'should close the listener in time when %s',
