src/adapters/http: a stop refuses requests that have not arrived whole 1.5 s before its last answer

Cause: of the second that it kept, refusing and closing took all, so only the 250 ms for late readers were left on a busy machine (found by reading the change once more).

Change: 1.5 s.

--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -32,8 +32,9 @@
 // Time for a refused caller to stop sending. Closing a connection with unread bytes would reset it
 // before the caller has read the answer.
 const discardMs = 500;
-// Time to refuse a request that has not arrived whole, and for its caller to close its connection.
-const refusalMs = 1000;
+// Time to refuse a request that has not arrived whole, for its caller to stop sending and then to
+// close its connection, and for a busy machine to be late with each.
+const refusalMs = 1500;
 // Time that callers of a stopping host have to read their answers after the last deadline.
 const flushMs = 5000;
 // The same when the platform is about to kill the process.
