src: log lines that tell why a control group has no leader and where a change waits

Change: 'replication: a ballot has ended' with votes, answers and time; the counts of connections, feed requests and calls of upstreams in 'lifecycle: load' of a control host; the time of each proposed change, and what the host had synced and committed when no majority answered in time.

--- a/src/adapters/http/ListenerConnections.ts
+++ b/src/adapters/http/ListenerConnections.ts
@@ -25,6 +25,9 @@
  * so connections that send nothing don't keep out those that do.
  */
 export default class ListenerConnections {
+  /** Number of connections that were accepted, with those that were closed because of the limit. */
+  acceptedCount = 0;
+
   /** Number of connections that were closed because of the limit. */
   refusedCount = 0;
 
@@ -74,6 +77,7 @@
 
   private addConnection(socket: Socket): void {
     const { maxConnections, maxUnproven = maxConnections } = this.options;
+    this.acceptedCount += 1;
     this.open.add(socket);
     this.unproven.add(socket);
     socket.once('close', () => this.removeConnection(socket));
--- a/src/application/fleet/FeedService.ts
+++ b/src/application/fleet/FeedService.ts
@@ -30,6 +30,9 @@
 
 /** Serves the feed: sends entry hosts the changes of the control group and the list of hosts. */
 export default class FeedService {
+  /** Number of requests that were received. */
+  requestCount = 0;
+
   private readonly options: FeedServiceOptions;
 
   private readonly directory: EntryHostDirectory;
@@ -70,6 +73,7 @@
    */
   async handleFeed(request: FeedRequest): Promise<FeedAnswer> {
     const { clock } = this.options;
+    this.requestCount += 1;
     this.directory.recordPresence(request.entryHost);
     const deadline = clock.now() + request.waitMs;
     while (!this.shouldAnswer(request) && clock.now() < deadline) {
--- a/src/application/fleet/NumberedPresetService.ts
+++ b/src/application/fleet/NumberedPresetService.ts
@@ -42,13 +42,16 @@
       });
       return { ok: true, value: undefined };
     }
+    const startedAt = clock.now();
     const committed = await commandLog.proposeCommand(
       { kind: 'put_numbered_preset', ...preset },
-      clock.now() + commitTimeoutMs,
+      startedAt + commitTimeoutMs,
     );
     log.info('presets: a preset was proposed', {
       number,
       outcome: committed.ok ? 'committed' : committed.failure.kind,
+      tookMs: Math.round(clock.now() - startedAt),
+      detail: committed.ok ? undefined : committed.failure.message,
     });
     return committed.ok ? { ok: true, value: undefined } : committed;
   }
--- a/src/application/fleet/RegistrationService.ts
+++ b/src/application/fleet/RegistrationService.ts
@@ -71,6 +71,9 @@
 
 /** Handles the announcements of upstreams at a control host. */
 export default class RegistrationService {
+  /** Number of calls of upstreams that were received. */
+  callCount = 0;
+
   private readonly options: RegistrationServiceOptions;
 
   /** By upstream that this host tracks. */
@@ -94,6 +97,7 @@
    */
   async acceptRegistration(registration: Registration): Promise<Result<void>> {
     const { registry } = this.options;
+    this.callCount += 1;
     const { upstream, service } = registration;
     const refusal = this.findRefusal(upstream, service);
     if (refusal) return { ok: false, failure: refusal };
@@ -113,6 +117,7 @@
    * did not send it. Fails like `acceptRegistration`.
    */
   async removeUpstream(upstream: string, bornAt: number | undefined): Promise<Result<void>> {
+    this.callCount += 1;
     const current = this.options.registry.findUpstream(upstream);
     // This host may lack committed changes. Only the end of a run is certain without them, because
     // a run that has left does not come back.
@@ -279,13 +284,15 @@
     const { clock, forwarder, log } = this.options;
     const { upstream, bornAt, state } =
       command.kind === 'register_upstream' ? command.registration : command;
-    const committed = await forwarder.commitCommand(command, clock.now() + commitTimeoutMs);
+    const startedAt = clock.now();
+    const committed = await forwarder.commitCommand(command, startedAt + commitTimeoutMs);
     log.info('membership: a change of the registry was proposed', {
       change: command.kind,
       upstream,
       bornAt,
       state,
       outcome: committed.ok ? 'committed' : committed.failure.kind,
+      tookMs: Math.round(clock.now() - startedAt),
       effect:
         committed.ok && committed.value.kind === 'accepted'
           ? committed.value.registryEffect
--- a/src/application/replication/ElectionTask.ts
+++ b/src/application/replication/ElectionTask.ts
@@ -124,25 +124,42 @@
     if (isWon()) return true;
     const finished = new AbortController();
     const deadline = context.now + context.times.messageTimeoutMs;
+    const { now: startedAt } = context;
+    let answers = 0;
     const calls = context.configuration.voters.map(async (voter) => {
-      if (await this.requestVote(ballot, voter, deadline)) granted.add(voter.replicaId);
+      const isGranted = await this.requestVote(ballot, voter, deadline);
+      if (isGranted !== undefined) answers += 1;
+      if (isGranted) granted.add(voter.replicaId);
       if (isWon()) finished.abort();
     });
     const allCalls = Promise.all(calls).then(() => finished.abort());
     // Calls that are still pending when the election is decided finish by their deadline.
     this.pendingCalls = [allCalls, Promise.all(this.pendingCalls).then(() => undefined)];
     await context.options.clock.sleepUntil(deadline, finished.signal);
+    context.options.log.info('replication: a ballot has ended', {
+      ...ballot,
+      isWon: isWon(),
+      granted: granted.size,
+      answers,
+      voters: context.configuration.voters.length,
+      tookMs: Math.round(context.now - startedAt),
+    });
     return isWon();
   }
 
-  private async requestVote(ballot: Ballot, voter: Member, deadline: number): Promise<boolean> {
+  /** Returns whether the voter granted its vote; undefined if it gave no answer. */
+  private async requestVote(
+    ballot: Ballot,
+    voter: Member,
+    deadline: number,
+  ): Promise<boolean | undefined> {
     const { context } = this;
     const link = context.links.find(({ host }) => host === voter.host);
-    if (!link || voter.replicaId === context.ownMember.replicaId) return false;
+    if (!link || voter.replicaId === context.ownMember.replicaId) return undefined;
     const { lastIndex, lastTerm } = context.log;
     const header = context.createHeader(voter.replicaId, ballot.term);
     const answer = await link.requestVote({ ...header, ...ballot, lastIndex, lastTerm }, deadline);
-    if (!answer.ok) return false;
+    if (!answer.ok) return undefined;
     await context.acceptTerm(answer.value.term);
     return answer.value.isGranted;
   }
--- a/src/application/replication/Replica.ts
+++ b/src/application/replication/Replica.ts
@@ -129,7 +129,7 @@
     await context.options.clock.sleepUntil(deadline, answered.signal);
     context.applier.failProposal(index, {
       kind: 'no_quorum',
-      message: `propose: no majority stored entry ${index} by the deadline: it may still be committed`,
+      message: `propose: no majority stored entry ${index} by the deadline: it may still be committed; this host has synced entries through ${context.log.syncedIndex}, and committed through ${context.commitIndex}`,
     });
     return reply;
   }
--- a/src/daemon/FleetControlHost.ts
+++ b/src/daemon/FleetControlHost.ts
@@ -187,7 +187,14 @@
     this.loadMonitor = new LoadMonitor({
       clock,
       log,
-      readTotals: () => ({ processorMs: readProcessorMs(), ...components.socket.totals }),
+      readTotals: () => ({
+        processorMs: readProcessorMs(),
+        ...components.socket.totals,
+        peerConnections: connections.peers.acceptedCount,
+        operatorConnections: connections.operators.acceptedCount,
+        feedRequests: this.feed.requestCount,
+        upstreamCalls: this.registrations.callCount,
+      }),
     });
     this.metricsFrontEnd = new PlatformFrontEnd({
       clock,
--- a/src/daemon/listConnectionGauges.ts
+++ b/src/daemon/listConnectionGauges.ts
@@ -5,7 +5,7 @@
 export default function listConnectionGauges(
   listeners: readonly Pick<
     ListenerConnections,
-    'listener' | 'openCount' | 'unprovenCount' | 'refusedCount'
+    'listener' | 'acceptedCount' | 'openCount' | 'unprovenCount' | 'refusedCount'
   >[],
 ): readonly GaugeSource[] {
   return listeners.flatMap((connections) => [
@@ -14,6 +14,11 @@
       help: `Open connections of the listener ${connections.listener}.`,
       readValue: () => connections.openCount,
     },
+    {
+      name: `connections_accepted_${connections.listener}`,
+      help: `Connections that the listener ${connections.listener} has accepted.`,
+      readValue: () => connections.acceptedCount,
+    },
     {
       name: `connections_unproven_${connections.listener}`,
       help: `Connections of the listener ${connections.listener} without a request or the peer key yet.`,
