src/application/fleet: entry hosts pace their search for a control host

Cause: while no control host is current, each entry host with a preset opened a new connection to every control host, gave up after 500 ms, closed it and began anew, several times in two seconds. The load grows with entry hosts times control hosts, and just then control hosts restart and elect a leader. A control host that is late answers nobody in time, so that the load never ends. Class: retries of many that keep busy what they wait for.

Change: each control host is asked once in quick succession, then one after the other with pauses up to a second. The first two that answer without being current keep their connection, and answer once they are: the first request after that finds a leader. FeedSourceSearch is one such search.

--- a/src/adapters/trpc/fleetMessages.ts
+++ b/src/adapters/trpc/fleetMessages.ts
@@ -32,6 +32,8 @@
   hostsVersion: z.string(),
   wantsHostsOnly: z.boolean(),
   waitMs: z.number().min(0).max(maxWaitMs),
+  // Entry hosts of an earlier version don't send it.
+  waitsUntilCurrent: z.boolean().default(false),
 });
 
 /** Answer of `fleet.follow`. */
--- a/src/application/fleet/FeedService.ts
+++ b/src/application/fleet/FeedService.ts
@@ -83,13 +83,13 @@
   }
 
   // While this host is not current, an entry host that has a preset is answered immediately, so
-  // that it can try another control host. An entry host without a preset waits, unless this host
-  // has no data.
+  // that it can try another control host, unless it asks to wait. An entry host without a preset
+  // always waits. Nobody waits for a host that has no data.
   private shouldAnswer(request: FeedRequest): boolean {
     const { log } = this.options;
     if (request.wantsHostsOnly) return true;
-    const hasNoPreset = request.presetNumber === undefined;
-    if (!log.isCurrent) return !hasNoPreset || log.isEmptyJoiner;
+    const mayWait = request.presetNumber === undefined || request.waitsUntilCurrent;
+    if (!log.isCurrent) return !mayWait || log.isEmptyJoiner;
     return this.hasChanges(request);
   }
 
--- a/src/application/fleet/FeedSourceFinder.ts
+++ b/src/application/fleet/FeedSourceFinder.ts
@@ -3,13 +3,12 @@
 import type Clock from '../../ports/Clock.ts';
 import type FleetLink from '../../ports/FleetLink.ts';
 import FeedSource from './FeedSource.ts';
+import FeedSourceSearch from './FeedSourceSearch.ts';
 import type FleetView from './FleetView.ts';
 
 // A control host that failed is tried again after this time, or earlier when all others have failed
 // too.
 const retryMs = 3000;
-// The next control host is asked after this time, without waiting for the answers of the others.
-const askIntervalMs = 100;
 
 /** Options of the finder. */
 export interface FeedSourceFinderOptions {
@@ -29,7 +28,7 @@
   private readonly retryAt = new Map<string, number>();
 
   /** Resolves when all requests have ended. */
-  private pendingRequests: Promise<void> = Promise.resolve();
+  private pendingRequests: Promise<unknown> = Promise.resolve();
 
   constructor(options: FeedSourceFinderOptions) {
     this.options = options;
@@ -50,24 +49,28 @@
     return this.listPreferred(address).length > 0;
   }
 
-  /** Finds a control host to follow; undefined if none may be tried, or none is current. */
+  /**
+   * Finds a control host to follow. Without a preset, this host requests the whole state, which is
+   * large, from one control host at a time, and gets undefined if none may be tried.
+   */
   async findSource(signal: AbortSignal): Promise<FeedSource | undefined> {
-    const addresses = this.listAddresses().filter((address) => this.mayTry(address));
-    if (this.options.view.isReady) return this.askSources(addresses, signal);
-    // The whole state is large, so a host without a preset requests it from one control host at a
-    // time.
-    const [address] = addresses;
+    if (this.options.view.isReady) {
+      const search = this.createSearch(() => this.listFailedLast());
+      return this.runSearch(search, search.askUntilFound(signal));
+    }
+    const address = this.listAddresses().find((candidate) => this.mayTry(candidate));
     return address === undefined ? undefined : this.openSource(address);
   }
 
   /** Finds a current control host that is preferred to the one at `address`. */
   findPreferred(address: string, signal: AbortSignal): Promise<FeedSource | undefined> {
-    return this.askSources(this.listPreferred(address), signal);
+    const search = this.createSearch(() => this.listPreferred(address));
+    return this.runSearch(search, search.askOnce(signal));
   }
 
   /** Resolves when all requests have ended. */
-  waitIdle(): Promise<void> {
-    return this.pendingRequests;
+  async waitIdle(): Promise<void> {
+    await this.pendingRequests;
   }
 
   private mayTry(address: string): boolean {
@@ -80,6 +83,12 @@
     return [...new Set([...known, ...readSeeds()])];
   }
 
+  private listFailedLast(): readonly string[] {
+    const addresses = this.listAddresses();
+    const untried = addresses.filter((address) => this.mayTry(address));
+    return [...new Set([...untried, ...addresses])];
+  }
+
   private listPreferred(address: string): readonly string[] {
     const addresses = this.listAddresses();
     return addresses
@@ -92,44 +101,21 @@
     return new FeedSource({ address, link: openLink(address), clock, ownHost, view });
   }
 
-  /**
-   * Asks the control hosts one after the other, without waiting for answers; returns the first that
-   * is current.
-   */
-  private async askSources(
-    addresses: readonly string[],
-    signal: AbortSignal,
+  private runSearch(
+    search: FeedSourceSearch,
+    result: Promise<FeedSource | undefined>,
   ): Promise<FeedSource | undefined> {
-    if (addresses.length === 0) return undefined;
-    const { clock } = this.options;
-    const startedAt = clock.now();
-    const ended = new AbortController();
-    const endSearch = (): void => ended.abort();
-    signal.addEventListener('abort', endSearch, { once: true });
-    let found: FeedSource | undefined;
-    const requests = addresses.map(async (address, index) => {
-      await clock.sleepUntil(startedAt + index * askIntervalMs, ended.signal);
-      const source = ended.signal.aborted ? undefined : await this.askSource(address);
-      if (ended.signal.aborted) source?.close();
-      else if (source) {
-        found = source;
-        endSearch();
-      }
-    });
-    const allRequests = Promise.all(requests).then(endSearch);
-    // Requests that are still open when the search ends finish by their deadline.
-    this.pendingRequests = Promise.all([this.pendingRequests, allRequests]).then(() => undefined);
-    await clock.sleepUntil(Infinity, ended.signal);
-    signal.removeEventListener('abort', endSearch);
-    return found;
+    const idle = result.then(() => search.waitIdle());
+    this.pendingRequests = Promise.all([this.pendingRequests, idle]);
+    return result;
   }
 
-  /** Requests changes without waiting; returns the control host if it is current. */
-  private async askSource(address: string): Promise<FeedSource | undefined> {
-    const source = this.openSource(address);
-    if (await source.requestChanges(0)) return source;
-    source.close();
-    this.recordFailure(address);
-    return undefined;
+  private createSearch(listAddresses: () => readonly string[]): FeedSourceSearch {
+    return new FeedSourceSearch({
+      clock: this.options.clock,
+      listAddresses,
+      openSource: (address) => this.openSource(address),
+      onFailure: (address) => this.recordFailure(address),
+    });
   }
 }
--- a/src/application/fleet/FeedSubscriber.ts
+++ b/src/application/fleet/FeedSubscriber.ts
@@ -1,5 +1,6 @@
 import type Log from '../../ports/Log.ts';
 import type FeedSource from './FeedSource.ts';
+import type { FeedOutcome } from './FeedSource.ts';
 import FeedSourceFinder from './FeedSourceFinder.ts';
 import type { FeedSourceFinderOptions } from './FeedSourceFinder.ts';
 
@@ -61,8 +62,8 @@
       next = source && (await this.followSource(source, signal));
       if (source?.hasAnswered) pauseMs = firstPauseMs;
       if (source) continue;
-      // All control hosts have failed. Start over, because those of this failure domain may have
-      // recovered.
+      // All control hosts have failed while this host has no preset. Start over, because those of
+      // this failure domain may have recovered.
       finder.resetFailures();
       await clock.sleepUntil(clock.now() + pauseMs, signal);
       pauseMs = Math.min(2 * pauseMs, maxPauseMs);
@@ -102,15 +103,16 @@
     // The whole state is large, so a host that has only seeds first asks for the list of hosts. It
     // can then load the state from a control host of its own failure domain.
     if (view.controlHosts.length === 0) await source.requestHosts();
-    let isCurrent = true;
-    while (isCurrent && !signal.aborted && (view.isReady || !finder.hasPreferred(address))) {
+    let outcome: FeedOutcome = 'current';
+    const isCurrent = (): boolean => outcome === 'current';
+    while (isCurrent() && !signal.aborted && (view.isReady || !finder.hasPreferred(address))) {
       // While this host is ready, the first request to a control host does not wait, because that
       // control host may have lost contact with its group.
       const mayWait = source.hasAnswered || !view.isReady;
-      isCurrent = await source.requestChanges(mayWait ? longPollMs : 0);
-      if (isCurrent) this.markFollowed(address);
+      outcome = await source.requestChanges(mayWait ? longPollMs : 0);
+      if (isCurrent()) this.markFollowed(address);
     }
-    if (isCurrent || signal.aborted) return;
+    if (isCurrent() || signal.aborted) return;
     finder.recordFailure(address);
     if (source.hasAnswered) this.markLost(address);
   }
--- a/src/ports/FleetLink.ts
+++ b/src/ports/FleetLink.ts
@@ -19,6 +19,8 @@
   readonly wantsHostsOnly: boolean;
   /** How long the control host may wait for changes before it answers, in milliseconds. */
   readonly waitMs: number;
+  /** Whether the control host also waits while it is not current, instead of answering at once. */
+  readonly waitsUntilCurrent: boolean;
 }
 
 /** Committed changes of the control group that an entry host lacks. */
--- a/tests/fleet/feed.test.ts
+++ b/tests/fleet/feed.test.ts
@@ -1,80 +1,14 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 
 import FeedSubscriber from '../../src/application/fleet/FeedSubscriber.ts';
-import FeedService from '../../src/application/fleet/FeedService.ts';
 import FleetView from '../../src/application/fleet/FleetView.ts';
 import type { ControlHostInfo } from '../../src/domain/fleet/FleetHosts.ts';
-import UpstreamRegistry from '../../src/domain/membership/UpstreamRegistry.ts';
-import type NumberedPreset from '../../src/domain/presets/NumberedPreset.ts';
-import type FleetLink from '../../src/ports/FleetLink.ts';
 import createPreset, { createRoute } from '../fixtures/createPreset.ts';
 import createRegistration from '../fixtures/createRegistration.ts';
 import FakeClock from '../fixtures/FakeClock.ts';
+import FakeFeedHost from '../fixtures/FakeFeedHost.ts';
 import SilentLog from '../fixtures/SilentLog.ts';
 
-/** A control host whose replicated state the test sets. */
-class FakeControlHost {
-  groupId: string | undefined = 'group';
-
-  appliedIndex = 0;
-
-  isCurrent = true;
-
-  isEmptyJoiner = false;
-
-  isDown = false;
-
-  calls = 0;
-
-  /** Number of answers that carried a preset or upstreams. */
-  stateAnswers = 0;
-
-  readonly state: { numberedPreset: NumberedPreset | undefined; registry: UpstreamRegistry };
-
-  readonly feed: FeedService;
-
-  private readonly clock: FakeClock;
-
-  constructor(clock: FakeClock, listControlHosts: () => readonly ControlHostInfo[]) {
-    this.clock = clock;
-    this.state = { numberedPreset: undefined, registry: new UpstreamRegistry() };
-    this.feed = new FeedService({ clock, log: this, state: this.state, listControlHosts });
-  }
-
-  async waitApplied(afterIndex: number, deadline: number): Promise<void> {
-    while (this.appliedIndex <= afterIndex && this.clock.now() < deadline) {
-      await this.clock.sleepUntil(Math.min(deadline, this.clock.now() + 10));
-    }
-  }
-
-  commitPreset(number: number): void {
-    this.state.numberedPreset = { number, document: String(number) };
-    this.appliedIndex += 1;
-  }
-
-  createLink(): FleetLink {
-    return {
-      exchangeHosts: async () => ({ ok: true, value: [] }),
-      proposeCommand: async () => ({ ok: true, value: { kind: 'accepted' } }),
-      watchFeed: async (request, deadline) => {
-        this.calls += 1;
-        const answer = this.isDown ? undefined : await this.feed.handleFeed(request);
-        if (answer?.preset || answer?.upstreams.records.length) this.stateAnswers += 1;
-        if (answer && !this.isDown) return { ok: true, value: answer };
-        await this.clock.sleepUntil(deadline);
-        return {
-          ok: false,
-          failure: {
-            kind: 'peer_unreachable',
-            message: 'watchFeed: no answer before the deadline',
-          },
-        };
-      },
-      close: () => undefined,
-    };
-  }
-}
-
 function createInfo(failureDomain: string, index = 0): ControlHostInfo {
   return {
     address: `${failureDomain}:1`,
@@ -86,13 +20,13 @@
 describe('FeedSubscriber', () => {
   let clock: FakeClock;
   let stopping: AbortController;
-  let controlHosts: Map<string, FakeControlHost>;
+  let controlHosts: Map<string, FakeFeedHost>;
   let view: FleetView;
   let subscriber: FeedSubscriber;
   let tasks: Promise<void>[];
   const controlHostInfos = ['south', 'north', 'west'].map(createInfo);
 
-  function getControl(address: string): FakeControlHost {
+  function getControl(address: string): FakeFeedHost {
     const control = controlHosts.get(address);
     if (!control) throw new Error(`control host "${address}" does not exist`);
     return control;
@@ -103,7 +37,7 @@
     stopping = new AbortController();
     controlHosts = new Map(
       controlHostInfos.map(
-        ({ address }) => [address, new FakeControlHost(clock, () => controlHostInfos)] as const,
+        ({ address }) => [address, new FakeFeedHost(clock, () => controlHostInfos)] as const,
       ),
     );
     view = new FleetView({
@@ -191,7 +125,7 @@
   // entry hosts that wait for this one before they use the others.
   it('should not wait for a control host that restarted with an empty disk', async () => {
     commitOnAllHosts(1);
-    const empty = new FakeControlHost(clock, () => controlHostInfos.slice(0, 1));
+    const empty = new FakeFeedHost(clock, () => controlHostInfos.slice(0, 1));
     Object.assign(empty, { isCurrent: false, isEmptyJoiner: true });
     controlHosts.set('south:1', empty);
     startSubscriber();
@@ -255,7 +189,7 @@
         ...ownAddresses.slice(1).map((address) => ({ ...createInfo('north'), address })),
       ];
       infos.forEach(({ address }) =>
-        controlHosts.set(address, new FakeControlHost(clock, () => infos)),
+        controlHosts.set(address, new FakeFeedHost(clock, () => infos)),
       );
       controlHosts.forEach(({ feed }) => tasks.push(feed.run(stopping.signal)));
       startSubscriber();
--- a/tests/fleet/feedCost.test.ts
+++ b/tests/fleet/feedCost.test.ts
@@ -63,6 +63,7 @@
         hostsVersion,
         wantsHostsOnly: false,
         waitMs: 1200,
+        waitsUntilCurrent: false,
       });
       answers.push(answer);
       ({ position } = answer);
