src/application/replication: elections of a large group succeed while messages are late

Cause: after a restart of all hosts, their election timers end within 0.8 s of each other. While a message takes some hundred milliseconds, most of ten hosts stand for election before the first has its votes: votes are split, and a candidate that wins is deposed at once by another, whose pre-vote for the next term was granted by those that had just voted. A ballot gave up after 450 ms although the next one could not begin before 1.2 s.

Change: a replica that has granted a pre-vote leaves the election to that candidate for 450 ms, unless a preferred one asks (newer log, then lower id); it grants no pre-vote within 1.2 s of its vote; late votes count until then.

--- a/src/application/replication/ElectionTask.ts
+++ b/src/application/replication/ElectionTask.ts
@@ -67,11 +67,10 @@
     const { minElectionTimeoutMs, maxElectionTimeoutMs } = context.times;
     const rangeMs = maxElectionTimeoutMs - minElectionTimeoutMs;
     const timeoutMs = minElectionTimeoutMs + context.options.random.next() * rangeMs;
-    while (context.now < context.electionTimerStartedAt + timeoutMs) {
-      await context.changes.waitUntil(
-        () => context.isStopped || this.hasTransfer(),
-        context.electionTimerStartedAt + timeoutMs,
-      );
+    const getDeadline = (): number =>
+      Math.max(context.electionTimerStartedAt + timeoutMs, context.preVoteUntil);
+    while (context.now < getDeadline()) {
+      await context.changes.waitUntil(() => context.isStopped || this.hasTransfer(), getDeadline());
       if (context.isStopped || this.hasTransfer()) break;
     }
     if (context.isStopped) return;
@@ -89,7 +88,7 @@
     const { context } = this;
     const { term } = context;
     const ballot = { term: term + 1, isTransfer };
-    if (!isTransfer && !(await this.requestVotes({ kind: 'pre_vote', ...ballot }))) return;
+    if (!isTransfer && !(await this.requestPreVotes(ballot))) return;
     const isCandidate = await this.startCandidacy(term, isTransfer);
     if (!isCandidate || !(await this.requestVotes({ kind: 'vote', ...ballot }))) return;
     await context.runSerial(async () => {
@@ -97,6 +96,16 @@
     });
   }
 
+  private async requestPreVotes(ballot: Omit<Ballot, 'kind'>): Promise<boolean> {
+    const { context } = this;
+    const { lastIndex, lastTerm } = context.log;
+    const { replicaId: candidateId } = context.ownMember;
+    context.recordPreVote({ candidateId, lastIndex, lastTerm });
+    const isWon = await this.requestVotes({ kind: 'pre_vote', ...ballot });
+    // In the meantime, this replica may have granted a candidate that is preferred.
+    return isWon && (context.preVote?.candidateId ?? candidateId) === candidateId;
+  }
+
   private startCandidacy(term: number, isTransfer: boolean): Promise<boolean> {
     const { context } = this;
     return context.runSerial(async () => {
@@ -109,6 +118,7 @@
       context.role = 'candidate';
       context.leader = undefined;
       context.electionTimerStartedAt = context.now;
+      context.votedAt = context.now;
       return true;
     });
   }
@@ -123,8 +133,9 @@
       ) === 1;
     if (isWon()) return true;
     const finished = new AbortController();
-    const deadline = context.now + context.times.messageTimeoutMs;
     const { now: startedAt } = context;
+    // Late votes count: after a lost ballot this replica waits at least as long for the next one.
+    const deadline = startedAt + context.times.minElectionTimeoutMs;
     let answers = 0;
     const calls = context.configuration.voters.map(async (voter) => {
       const isGranted = await this.requestVote(ballot, voter, deadline);
--- a/src/application/replication/MessageHandler.ts
+++ b/src/application/replication/MessageHandler.ts
@@ -63,19 +63,25 @@
     const { context } = this;
     return this.handleMessage(request, async () => {
       const { lastIndex, lastTerm } = context.log;
-      const { hasLeader } = context;
       const { vote } = context.store;
+      const { hasLeader } = context;
+      const hasVoted = vote.votedFor !== request.from && context.hasVoted;
       const decision = decideVote({
         ...request,
         candidateId: request.from,
-        receiver: { vote, lastIndex, lastTerm, hasLeader },
+        receiver: { vote, lastIndex, lastTerm, hasLeader, hasVoted, preVote: context.preVote },
       });
       if (decision.vote.term > vote.term) await context.followTerm(decision.vote.term, undefined);
       if (decision.vote.votedFor !== context.store.vote.votedFor) {
         await context.store.saveVote(decision.vote);
       }
-      if (decision.isGranted && request.kind === 'vote')
+      if (decision.isGranted && request.kind === 'pre_vote') {
+        context.recordPreVote({ ...request, candidateId: request.from });
+      }
+      if (decision.isGranted && request.kind === 'vote') {
         context.electionTimerStartedAt = context.now;
+        context.votedAt = context.now;
+      }
       return { term: context.term, isGranted: decision.isGranted };
     });
   }
--- a/src/application/replication/ReplicaContext.ts
+++ b/src/application/replication/ReplicaContext.ts
@@ -2,6 +2,7 @@
 import FailureError from '../../domain/errors/FailureError.ts';
 import Leadership from '../../domain/replication/Leadership.ts';
 import type { EntryContent } from '../../domain/replication/LogEntry.ts';
+import type { PreVote } from '../../domain/replication/PreVote.ts';
 import type { Member } from '../../domain/replication/ReplicaConfiguration.ts';
 import type ReplicaConfiguration from '../../domain/replication/ReplicaConfiguration.ts';
 import type StateMachine from '../../domain/replication/StateMachine.ts';
@@ -83,6 +84,15 @@
   /** When the current election timeout began. */
   electionTimerStartedAt: number;
 
+  /** The candidate, perhaps this replica, that was last granted a pre-vote. */
+  private lastPreVote: PreVote | undefined;
+
+  /** Until then, this replica leaves the election to that candidate. */
+  preVoteUntil = -Infinity;
+
+  /** When this replica last voted, for itself or for another candidate. */
+  votedAt = -Infinity;
+
   /** When the last message of a leader was handled. */
   leaderContactAt = -Infinity;
 
@@ -146,6 +156,16 @@
     return this.now < this.leaderContactAt + this.times.minElectionTimeoutMs;
   }
 
+  /** Whether this replica voted within the minimum election timeout. */
+  get hasVoted(): boolean {
+    return this.now < this.votedAt + this.times.minElectionTimeoutMs;
+  }
+
+  /** The candidate that was granted a pre-vote, while it may still win. */
+  get preVote(): PreVote | undefined {
+    return this.now < this.preVoteUntil ? this.lastPreVote : undefined;
+  }
+
   /** When this leader, or the one that this replica follows, last had contact with a majority. */
   get quorumContactAt(): number {
     return this.leadership?.computeQuorumDeadline(this.configuration, 0) ?? this.leaderQuorumAt;
@@ -156,6 +176,12 @@
     return this.now < this.quorumContactAt + this.times.quorumTimeoutMs;
   }
 
+  /** Leaves the election to a candidate for as long as a message may take. */
+  recordPreVote(preVote: PreVote): void {
+    this.lastPreVote = preVote;
+    this.preVoteUntil = this.now + this.times.messageTimeoutMs;
+  }
+
   /** Records how long ago the leader that this replica follows had contact with a majority. */
   recordLeaderQuorum(ageMs: number): void {
     this.leaderQuorumAt = this.now - ageMs;
--- a/src/domain/replication/decideVote.ts
+++ b/src/domain/replication/decideVote.ts
@@ -1,3 +1,5 @@
+import { isPreferredCandidate } from './PreVote.ts';
+import type { PreVote } from './PreVote.ts';
 import type ReplicaVote from './ReplicaVote.ts';
 
 /** A candidate's vote request and the state of the replica that receives it. */
@@ -17,6 +19,10 @@
      * Whether this replica leads or had contact with a leader within the minimum election timeout.
      */
     readonly hasLeader: boolean;
+    /** Whether this replica voted for another candidate within the minimum election timeout. */
+    readonly hasVoted: boolean;
+    /** The candidate that this replica last granted a pre-vote, while that one may still win. */
+    readonly preVote?: PreVote | undefined;
   };
 }
 
@@ -36,6 +42,9 @@
     inputs.lastTerm > receiver.lastTerm ||
     (inputs.lastTerm === receiver.lastTerm && inputs.lastIndex >= receiver.lastIndex);
   if (inputs.kind === 'pre_vote') {
+    // A later term would depose the candidate that may just be winning.
+    if (receiver.hasVoted) return refused;
+    if (receiver.preVote && !isPreferredCandidate(inputs, receiver.preVote)) return refused;
     return { isGranted: term > receiver.vote.term && isUpToDate, vote: receiver.vote };
   }
   if (term < receiver.vote.term) return refused;
--- a/tests/replication/commit.test.ts
+++ b/tests/replication/commit.test.ts
@@ -85,7 +85,7 @@
 
   // Guards against two leaders in one term.
   it('should grant the vote of a term to one candidate only, and only if its log is up to date', () => {
-    const logState = { lastIndex: 7, lastTerm: 3, hasLeader: false };
+    const logState = { lastIndex: 7, lastTerm: 3, hasLeader: false, hasVoted: false };
     const isGranted = (votedFor: string, lastIndex: number, lastTerm: number): boolean =>
       decideVote({
         ...{ kind: 'vote', candidateId: 'x', term: 4, isTransfer: false, lastIndex, lastTerm },
@@ -96,4 +96,23 @@
     expect(isGranted('x', 7, 3)).toBe(true);
     expect(isGranted('x', 9, 2), 'an older log').toBe(false);
   });
+
+  // Guards against a candidate that deposes another one that is just winning, and split votes.
+  it('should grant pre-votes to the preferred candidate only, and none while it has voted', () => {
+    const preVote = { candidateId: 'm', lastIndex: 7, lastTerm: 3 };
+    const isGranted = (candidateId: string, lastIndex: number, hasVoted = false): boolean =>
+      decideVote({
+        ...{ kind: 'pre_vote', candidateId, term: 5, isTransfer: false, lastIndex, lastTerm: 3 },
+        receiver: {
+          ...{ lastIndex: 7, lastTerm: 3, hasLeader: false, hasVoted, preVote },
+          vote: { term: 4, votedFor: undefined },
+        },
+      }).isGranted;
+
+    expect(isGranted('m', 7), 'the same candidate').toBe(true);
+    expect(isGranted('a', 7), 'a lower id').toBe(true);
+    expect(isGranted('z', 7), 'a higher id').toBe(false);
+    expect(isGranted('z', 8), 'a newer log').toBe(true);
+    expect(isGranted('a', 7, true), 'after a vote').toBe(false);
+  });
 });
