src/adapters/trpc: a call that gets no answer in time keeps a connection that is opening

Operators saw (SHORT) no acknowledgement while a restarted group elected no leader.

Cause: a call without an answer by its deadline gave up its connection and opened a new one, also when the peer had not had the time to accept it. A busy peer then gets the same handshake again from each caller with each ballot, and none of its votes is ever sent. Class: retries that throw away the work done so far.

Change: a connection that has been opening for less than a second is kept. One that was open and then fell silent is replaced at once, as before.

--- a/src/adapters/trpc/TrpcPeerConnection.ts
+++ b/src/adapters/trpc/TrpcPeerConnection.ts
@@ -14,6 +14,9 @@
 const maxReconnectDelayMs = 1000;
 const pingIntervalMs = 2000;
 const pongTimeoutMs = 1000;
+// A connection that takes longer to open is opened again; the time after which the operating system
+// repeats the first packet.
+const openTimeoutMs = 1000;
 
 /** Options of the connection to one peer. */
 export interface TrpcPeerConnectionOptions {
@@ -57,6 +60,9 @@
   /** Send time of the newest call that was answered, or the time of the last reconnection. */
   private lastAnsweredSentAt = -Infinity;
 
+  /** When the connection that is being opened is given up. */
+  private openDeadline = -Infinity;
+
   private isClosed = false;
 
   constructor(options: TrpcPeerConnectionOptions) {
@@ -67,12 +73,16 @@
 
   private openSocket(): TRPCWebSocketClient {
     const { options } = this;
+    const recordOpening = (): void => {
+      this.openDeadline = options.clock.now() + openTimeoutMs;
+    };
     const headers = {
       authorization: `Bearer ${options.peerKey}`,
       'pistachiohoist-host': options.ownHost,
     };
     class PeerSocket extends WebSocket {
       constructor(url: string | URL) {
+        recordOpening();
         super(url, {
           headers,
           maxPayload: maxPeerMessageBytes,
@@ -86,6 +96,9 @@
       experimental_encoder: createPeerEncoder(() =>
         options.log.warn('peers: a message of a peer is malformed', { address: options.address }),
       ),
+      onOpen: () => {
+        this.openDeadline = -Infinity;
+      },
       retryDelayMs: (attempt) => Math.min(maxReconnectDelayMs, 50 * 2 ** attempt),
       ...(options.idleCloseMs === undefined
         ? { keepAlive: { enabled: true, intervalMs: pingIntervalMs, pongTimeoutMs } }
@@ -139,10 +152,12 @@
   }
 
   // A connection can stop delivering messages permanently, without a reset, while new connections
-  // work. A connection on which a later call was answered is slow, not broken.
+  // work. A connection on which a later call was answered is slow, not broken. One that is opening
+  // is kept, because a peer that is short of processor time would never have the time to accept it.
   private resetStalled(sentAt: number): void {
     if (this.isClosed || this.options.idleCloseMs === undefined) return;
     if (this.lastAnsweredSentAt >= sentAt) return;
+    if (this.options.clock.now() < this.openDeadline) return;
     this.lastAnsweredSentAt = this.options.clock.now();
     const stalled = this.socket;
     this.socket = this.openSocket();
