src/application/fleet: upstreams that change their control host are taken over one after the other

Cause: a control host takes over an upstream after its third announcement there, and the announcement waited for the commit. After a restart of the group all upstreams change their control host at the same time, so the leader got a command for each within a second. Class: work that grows with the fleet and that urgent messages wait behind.

Change: an announcement that says nothing new is answered at once. Each control host commits its takeovers one at a time, so their pace is that of the leader; one that is no longer needed is dropped.

Measured, tests/fleet/registrationService.test.ts, 40 upstreams at a host whose commits take 50 ms: 120 of 160 announcements answered within 10 ms and 40 commands at the leader before; now 160 and one.

--- a/src/application/fleet/RegistrationService.ts
+++ b/src/application/fleet/RegistrationService.ts
@@ -6,6 +6,7 @@
 import type UpstreamRegistry from '../../domain/membership/UpstreamRegistry.ts';
 import type Clock from '../../ports/Clock.ts';
 import type Log from '../../ports/Log.ts';
+import SerialExecutor from '../replication/SerialExecutor.ts';
 import type { ReplicaRole } from '../replication/ReplicaContext.ts';
 import type CommandForwarder from './CommandForwarder.ts';
 
@@ -84,6 +85,11 @@
 
   private readonly staleRuns = new Map<string, StaleRun>();
 
+  /** Upstreams that this host is about to track. */
+  private readonly waitingTakeovers = new Set<string>();
+
+  private readonly takeovers = new SerialExecutor();
+
   /** Upstreams that this host tracks and whose address another one has announced. */
   private contested: ReadonlySet<string> = new Set();
 
@@ -109,6 +115,12 @@
       this.recordUncommitted(result, registration);
       return { ok: true, value: undefined };
     }
+    const known = registry.findUpstream(upstream);
+    if (known && registry.checkRegistration(registration, known.keeper) === 'unchanged') {
+      this.startTakeover(registration);
+      this.recordUncommitted('unchanged', registration);
+      return { ok: true, value: undefined };
+    }
     return this.commitChange({ kind: 'register_upstream', registration, keeper });
   }
 
@@ -200,6 +212,29 @@
     return count < announcementsToTakeOver || !replica.isCurrent ? keeper : ownAddress;
   }
 
+  // Nothing that the upstream says has changed, so it does not wait. Upstreams change their control
+  // hosts all at the same time, when these restart, so each host commits one takeover at a time.
+  private startTakeover(registration: Registration): void {
+    const { upstream } = registration;
+    if (this.waitingTakeovers.has(upstream)) return;
+    this.waitingTakeovers.add(upstream);
+    this.takeovers
+      .runNext(() => this.takeOver(registration))
+      .catch((error: Error) =>
+        this.options.log.error('membership: an upstream could not be taken over', {
+          ...{ upstream, error: error.message },
+        }),
+      );
+  }
+
+  private async takeOver(registration: Registration): Promise<void> {
+    const { registry, ownAddress, replica } = this.options;
+    this.waitingTakeovers.delete(registration.upstream);
+    const isOpen = registry.checkRegistration(registration, ownAddress) === 'changed';
+    if (!isOpen || !replica.isCurrent) return;
+    await this.commitChange({ kind: 'register_upstream', registration, keeper: ownAddress });
+  }
+
   // The leader tracks the announcements in place of control hosts that it does not know.
   private isResponsible(keeper: string): boolean {
     const { ownAddress, isKnownHost, replica } = this.options;
--- a/tests/fleet/registrationService.test.ts
+++ b/tests/fleet/registrationService.test.ts
@@ -178,6 +178,38 @@
     expect(group.commands).toHaveLength(1);
   });
 
+  // Guards against a leader whose processor time goes to the upstreams that have all moved to other
+  // control hosts, so that announcements and presets run into their timeouts.
+  it('should take over many upstreams one after the other, without letting them wait', async () => {
+    const other = group.createHost('other');
+    const upstreams = Array.from({ length: 40 }, (_, index) => `u${index}`);
+    let acceptedCount = 0;
+    const announceAll = (host: RegistryHost, announced: number): void =>
+      upstreams.forEach((upstream, index) => {
+        const changes = { upstream, sequence: announced, address: `10.0.1.${index}:1` };
+        announce(host, changes).then(
+          (isAccepted) => {
+            acceptedCount += isAccepted ? 1 : 0;
+          },
+          () => undefined,
+        );
+      });
+    announceAll(current, 1);
+    await group.clock.advanceBy(10);
+    group.mostOpenProposals = 0;
+    group.commitMs = 50;
+
+    for (const announced of [2, 3, 4]) announceAll(other, announced);
+    await group.clock.advanceBy(10);
+    const acceptedSoon = acceptedCount;
+    await group.clock.advanceBy(40 * 50 + 1000);
+
+    expect(acceptedSoon).toBe(4 * upstreams.length);
+    expect(group.mostOpenProposals).toBe(1);
+    const keepers = upstreams.map((name) => group.state.registry.findUpstream(name)?.keeper);
+    expect(new Set(keepers)).toEqual(new Set(['other']));
+  });
+
   // Guards against announcements that are refused only because the host that hears them can't take
   // over the upstream.
   it('should acknowledge unchanged announcements without a majority', async () => {
