src/application/fleet: the feed no longer answers every entry host for every commit

Cause: each commit woke all entry hosts that follow a control host, also one that only says which control host tracks an upstream, and many upstreams register at the same time. The work is entry hosts times changes, on the loop that also handles votes, entries and presets.

Change: a change of the tracking host is no change for entry hosts. New or returning upstreams are published five times a second. A preset, an upstream that is no longer serving, and a lost or found leader are published at once, as before.

--- a/src/application/fleet/FeedService.ts
+++ b/src/application/fleet/FeedService.ts
@@ -8,6 +8,9 @@
 // Interval at which `run` checks whether this host has lost its leader and whether hosts have
 // appeared or gone.
 const checkIntervalMs = 250;
+// Changes of upstreams are published at most this often, because each of them goes to all entry
+// hosts, and many upstreams change at the same time.
+const publishIntervalMs = 200;
 
 /** The part of the replica that the feed uses. */
 export interface FeedLog {
@@ -39,6 +42,12 @@
 
   private readonly notifier: Notifier;
 
+  /** Index of the last published change of an upstream. */
+  private publishedThrough = 0;
+
+  /** Instant from which the next change of an upstream may be published. */
+  private publishFrom = -Infinity;
+
   constructor(options: FeedServiceOptions) {
     this.options = options;
     const { clock, listControlHosts } = options;
@@ -47,18 +56,27 @@
   }
 
   /**
-   * Wakes waiting requests after each commit, when this host loses or finds its leader, and when
-   * the list of hosts has changed, until the signal aborts.
+   * Wakes waiting requests when a preset becomes active, when an upstream is no longer serving,
+   * when this host loses or finds its leader, and, at intervals, when other upstreams or the list of
+   * hosts have changed, until the signal aborts.
    */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock, log } = this.options;
+    const { clock, log, state } = this.options;
     let { appliedIndex, isCurrent } = log;
+    let presetNumber = state.numberedPreset?.number;
+    let { endedThrough } = state.registry;
     while (!signal.aborted) {
-      await log.waitApplied(appliedIndex, clock.now() + checkIntervalMs);
+      const wakeAt = clock.now() + checkIntervalMs;
+      await log.waitApplied(appliedIndex, this.hasUnpublished ? this.publishFrom : wakeAt);
+      const isUrgent =
+        log.isCurrent !== isCurrent ||
+        state.numberedPreset?.number !== presetNumber ||
+        state.registry.endedThrough !== endedThrough;
       const haveHostsChanged = this.directory.updateChanged();
-      const hasLogChanged = log.appliedIndex !== appliedIndex || log.isCurrent !== isCurrent;
-      if (haveHostsChanged || hasLogChanged) this.notifier.notify();
+      if (isUrgent || haveHostsChanged || this.mayPublish()) this.announceChanges();
       ({ appliedIndex, isCurrent } = log);
+      presetNumber = state.numberedPreset?.number;
+      ({ endedThrough } = state.registry);
     }
   }
 
@@ -93,12 +111,29 @@
     return this.hasChanges(request);
   }
 
-  private hasChanges({ groupId, position, hostsVersion, entryHost }: FeedRequest): boolean {
-    const { log } = this.options;
+  private get hasUnpublished(): boolean {
+    return this.options.state.registry.changedThrough > this.publishedThrough;
+  }
+
+  private mayPublish(): boolean {
+    return this.hasUnpublished && this.options.clock.now() >= this.publishFrom;
+  }
+
+  private announceChanges(): void {
+    const { clock, state } = this.options;
+    if (this.hasUnpublished) this.publishFrom = clock.now() + publishIntervalMs;
+    this.publishedThrough = state.registry.changedThrough;
+    this.notifier.notify();
+  }
+
+  private hasChanges(request: FeedRequest): boolean {
+    const { log, state } = this.options;
+    const { groupId, position, presetNumber, hostsVersion, entryHost } = request;
     const isOtherGroup = log.groupId !== undefined && log.groupId !== groupId;
     return (
       isOtherGroup ||
-      log.appliedIndex > position ||
+      this.publishedThrough > position ||
+      (state.numberedPreset?.number ?? -Infinity) > (presetNumber ?? -Infinity) ||
       hostsVersion !== this.directory.getHosts(entryHost.failureDomain).version
     );
   }
--- a/src/domain/membership/UpstreamRegistry.ts
+++ b/src/domain/membership/UpstreamRegistry.ts
@@ -41,6 +41,12 @@
 export default class UpstreamRegistry {
   private readonly records = new Map<string, RegisteredUpstream>();
 
+  /** Index of the last command that changed what entry hosts use. */
+  changedThrough = 0;
+
+  /** Index of the last command after which an upstream is no longer serving. */
+  endedThrough = 0;
+
   /** Highest index of an ended run that was dropped; changes up to it are no longer complete. */
   private prunedThrough = 0;
 
@@ -87,7 +93,12 @@
   applyRegistration(registration: Registration, keeper: string, index: number): RegistryEffect {
     const effect = this.checkRegistration(registration, keeper);
     if (effect !== 'changed') return effect;
-    this.storeRecord({ ...registration, keeper, changedAt: index });
+    const current = this.records.get(registration.upstream);
+    // Entry hosts need not know which control host tracks the announcements.
+    const isTakeover =
+      current && this.checkRegistration(registration, current.keeper) === 'unchanged';
+    const changedAt = isTakeover ? current.changedAt : index;
+    this.storeRecord({ ...registration, keeper, changedAt });
     return effect;
   }
 
@@ -127,6 +138,7 @@
     this.records.clear();
     records.forEach((record) => this.records.set(record.upstream, record));
     this.prunedThrough = prunedThrough;
+    this.changedThrough = Math.max(prunedThrough, ...records.map(({ changedAt }) => changedAt));
   }
 
   /** Lowest index for which `listChanges` can return the changes instead of all upstreams. */
@@ -136,6 +148,8 @@
 
   private storeRecord(record: RegisteredUpstream): void {
     this.records.set(record.upstream, record);
+    this.changedThrough = Math.max(this.changedThrough, record.changedAt);
+    if (record.state !== 'serving') this.endedThrough = this.changedThrough;
     const ended = [...this.records.values()].filter(
       ({ state }) => state === 'gone' || state === 'silent',
     );
--- a/tests/fleet/feedCost.test.ts
+++ b/tests/fleet/feedCost.test.ts
@@ -104,6 +104,47 @@
     expect(fingerprints - fingerprintsBefore).toBeLessThan(2);
   });
 
+  // Guards against control hosts that answer all entry hosts for each of many changes, so that
+  // votes and presets wait (420 upstreams that announce themselves at the same time).
+  it('should answer few times while many upstreams register', async () => {
+    await startHosts(60);
+    await clock.advanceBy(500);
+    const answersBefore = answers.length;
+    const upstreams = 420;
+
+    for (let index = 0; index < upstreams; index += 1) {
+      const upstream = { upstream: `u${index}`, address: `10.0.${index % 250}.1:${index}` };
+      registry.applyRegistration(createRegistration(upstream), 'c1', index + 2);
+      log.appliedIndex = index + 2;
+      await clock.advanceBy(2);
+    }
+    await clock.advanceBy(250);
+
+    // Five times a second, and one more at the start and at the end.
+    const rounds = 2 + (5 * 2 * upstreams) / 1000;
+    expect(answers.length - answersBefore).toBeLessThanOrEqual(60 * rounds);
+    expect(answers.at(-1)?.position).toBe(log.appliedIndex);
+  });
+
+  it('should answer nobody when upstreams only change their control host', async () => {
+    registry.applyRegistration(createRegistration({ sequence: 1 }), 'c1', 2);
+    log.appliedIndex = 2;
+    await startHosts(60);
+    await clock.advanceBy(1500);
+    const recordsSent = (): number =>
+      answers.reduce((sum, { upstreams }) => sum + upstreams.records.length, 0);
+    const [answersBefore, recordsBefore] = [answers.length, recordsSent()];
+
+    registry.applyRegistration(createRegistration({ sequence: 2 }), 'c2', 3);
+    log.appliedIndex = 3;
+    await clock.advanceBy(100);
+
+    expect(registry.findUpstream('u1')?.keeper).toBe('c2');
+    expect(recordsSent()).toBe(recordsBefore);
+    // Only the waits that end in the meantime, of 1.2 s each.
+    expect(answers.length - answersBefore).toBeLessThanOrEqual(20);
+  });
+
   it('should tell all hosts of a host that appears, soon', async () => {
     await startHosts(20);
     const answersBefore = answers.length;
--- a/tests/fleet/slowPeer.test.ts
+++ b/tests/fleet/slowPeer.test.ts
@@ -41,6 +41,7 @@
         .then(() => {
           const { port } = server.address;
           const target = createConnection(port);
+          target.on('error', () => undefined);
           socket.pipe(target).pipe(socket);
         })
         .catch(() => undefined);
