src/adapters/system: a limit of files no longer limits the connections of a large fleet

The users' platform grants 4,096 descriptors and lets the operating system limit files only, to 200. So a control host took 40 connections of peers and 45 of operators and upstreams. Of a failure domain of 62 entry hosts, 40 could follow it; the others were closed, came again and displaced each other, and so did 420 upstreams and the operator. Class: a guard that takes a figure for something that it does not measure, and closes its own fleet. Smaller fleets stay below both limits.

Change: where the operating system tells less than the settings, the process tries whether that limit holds for sockets, and takes the limit of the settings if it does not. The parts are in the log.

--- a/src/daemon/FleetControlHost.ts
+++ b/src/daemon/FleetControlHost.ts
@@ -96,6 +96,7 @@
   maxDescriptors: number,
 ): ControlListeners {
   const parts = splitControlDescriptors(maxDescriptors);
+  log.info('lifecycle: limited the connections of the listeners', { maxDescriptors, ...parts });
   const createListener = (listener: keyof ControlListeners, maxUnproven: number) =>
     new ListenerConnections({
       ...{ clock, log, listener, maxUnproven },
@@ -255,10 +256,7 @@
       times: fleetTimes,
       minVoters: 2 * settings.lostHosts + 1,
     });
-    const connections = createListeners(
-      options,
-      await readDescriptorLimit(settings.maxDescriptors),
-    );
+    const connections = createListeners(options, await readDescriptorLimit(settings));
     const host = new FleetControlHost(options, {
       ...{ state, dialer, reporting, replica, socket, connections },
     });
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -92,6 +92,7 @@
   maxDescriptors: number,
 ): EntryListeners {
   const parts = splitEntryDescriptors(maxDescriptors);
+  log.info('lifecycle: limited the connections of the listeners', { maxDescriptors, ...parts });
   const createListener = (listener: keyof EntryListeners): ListenerConnections =>
     new ListenerConnections({ clock, log, listener, maxConnections: parts[listener] });
   return {
@@ -240,7 +241,7 @@
       ...waiting,
       open: () => UdpDatagramSocket.openSocket({ address: listen.peers, peerKey, log }),
     });
-    const connections = createListeners(options, await readDescriptorLimit(maxDescriptors));
+    const connections = createListeners(options, await readDescriptorLimit({ maxDescriptors }));
     const host = new FleetEntryHost(options, { socket, connections });
     const openAll = [
       () => host.platform.openListener(listen.platform),
