src/adapters/http: an answer whose status code HTTP does not have is a failure of the upstream

Cause: the head of an answer was taken with whatever three digits it had. Codes below 200 were ignored as informational, so 000, 001 and 099 ended as a failure by chance; 600 and 999 were passed on. RFC 9110, section 15: codes outside 100 to 599 are invalid.

Change: such an answer ends its exchange and closes its connection; the caller gets 502, whose outcome is unknown. An informational answer before it changes nothing, nor does a hedge: every answer of an upstream takes this path.

--- a/src/adapters/http/UpstreamExchange.ts
+++ b/src/adapters/http/UpstreamExchange.ts
@@ -19,6 +19,11 @@
   'UND_ERR_NOT_SUPPORTED',
 ]);
 
+// RFC 9110, section 15: codes outside this range are invalid; those below 200 are informational.
+const minStatus = 100;
+const minFinalStatus = 200;
+const maxStatus = 599;
+
 type CancelReason = 'cancelled' | 'timed_out';
 
 /**
@@ -108,8 +113,12 @@
   }
 
   onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
-    if (status < 200) return;
+    if (status >= minStatus && status < minFinalStatus) return;
     this.status = status;
+    if (status < minStatus || status > maxStatus) {
+      this.failAnswer('invalid_status');
+      return;
+    }
     this.headers = this.readHeaders(controller.rawHeaders as Buffer[]);
     const length = this.findHeader('content-length');
     this.expectedBytes = length === undefined ? undefined : Number(length);
--- a/src/application/requests/classifyAttempt.ts
+++ b/src/application/requests/classifyAttempt.ts
@@ -9,6 +9,7 @@
   reset: 'reset',
   truncated: 'truncated',
   mismatched: 'mismatched',
+  invalid_status: 'failed',
   too_large: 'good',
   endless: 'failed',
   dropped: 'cancelled',
--- a/src/application/requests/describeUpstreamFailure.ts
+++ b/src/application/requests/describeUpstreamFailure.ts
@@ -22,6 +22,7 @@
   reset: 'upstream_reset',
   truncated: 'answer_truncated',
   mismatched: 'answer_mismatched',
+  invalid_status: 'answer_mismatched',
   too_large: 'answer_too_large',
   endless: 'answer_too_large',
   dropped: 'answer_dropped',
--- a/src/ports/UpstreamClient.ts
+++ b/src/ports/UpstreamClient.ts
@@ -54,6 +54,8 @@
   | 'reset'
   | 'truncated'
   | 'mismatched'
+  /** The status code of the answer is not one of HTTP. */
+  | 'invalid_status'
   /** The answer declared more bytes than the route allows. */
   | 'too_large'
   /** The answer had no length and did not end within the bytes that the route allows. */
--- a/tests/requests/upstreamAnswers.test.ts
+++ b/tests/requests/upstreamAnswers.test.ts
@@ -193,6 +193,33 @@
     expect(describeResult(await send('two', { echoRequestId }))).toBe('200 ok');
   });
 
+  // RFC 9110, section 15: status codes outside 100 to 599 are invalid. Guards against passing on an
+  // answer with such a code, also after an informational answer (MIXED).
+  it.each(
+    ['000', '001', '099', '600', '999'].flatMap((status) =>
+      ['', 'HTTP/1.1 103 Early Hints\r\n\r\n'].map((earlier) => [status, earlier] as const),
+    ),
+  )('should refuse an answer with status %s, earlier answer: %j', async (status, earlier) => {
+    const { send, upstream } = await startUpstream(({ socket, index }) => {
+      const head = index === 0 ? `${earlier}HTTP/1.1 ${status} x\r\n` : ok;
+      socket.write(`${head}content-length: 2\r\n\r\nok`);
+    });
+
+    const [refused, next] = [await send('one'), await send('two')];
+
+    expect(refused.kind).toBe('failed');
+    expect(describeResult(next)).toBe('200 ok');
+    expect(upstream.connections).toBe(2);
+  });
+
+  it('should pass on unassigned status codes that are valid', async () => {
+    const { send } = await startUpstream(({ socket }) =>
+      socket.write('HTTP/1.1 599 x\r\ncontent-length: 2\r\n\r\nok'),
+    );
+
+    expect(describeResult(await send('one'))).toBe('599 ok');
+  });
+
   // Guards against treating the late answer to one request as the answer to the next request on the
   // same connection.
   it('should close the connection of an answer that comes after the deadline', async () => {
