src/application/fleet: entry hosts that start ask the seeds in different orders

Cause: all hosts of a fleet have the same seeds and asked the first one first.

Change: each host asks the seeds in a pseudorandom order of its own, as it already does with known control hosts.

--- a/src/application/fleet/FeedService.ts
+++ b/src/application/fleet/FeedService.ts
@@ -57,8 +57,8 @@
 
   /**
    * Wakes waiting requests when a preset becomes active, when an upstream is no longer serving,
-   * when this host loses or finds its leader, and, at intervals, when other upstreams or the list of
-   * hosts have changed, until the signal aborts.
+   * when this host loses or finds its leader, and, at intervals, when other upstreams or the list
+   * of hosts have changed, until the signal aborts.
    */
   async run(signal: AbortSignal): Promise<void> {
     const { clock, log, state } = this.options;
--- a/src/application/fleet/FeedSourceFinder.ts
+++ b/src/application/fleet/FeedSourceFinder.ts
@@ -1,4 +1,5 @@
 import chooseControlHosts from '../../domain/fleet/chooseControlHosts.ts';
+import chooseSeeds from '../../domain/fleet/chooseSeeds.ts';
 import type { EntryHostInfo } from '../../domain/fleet/FleetHosts.ts';
 import type Clock from '../../ports/Clock.ts';
 import type FleetLink from '../../ports/FleetLink.ts';
@@ -80,7 +81,7 @@
   private listAddresses(): readonly string[] {
     const { view, ownHost, readSeeds } = this.options;
     const known = chooseControlHosts(view.controlHosts, ownHost).map(({ address }) => address);
-    return [...new Set([...known, ...readSeeds()])];
+    return [...new Set([...known, ...chooseSeeds(readSeeds(), ownHost.host)])];
   }
 
   private listFailedLast(): readonly string[] {
--- a/src/domain/fleet/chooseControlHosts.ts
+++ b/src/domain/fleet/chooseControlHosts.ts
@@ -1,10 +1,5 @@
-import { createHash } from 'node:crypto';
-
 import type { ControlHostInfo } from './FleetHosts.ts';
-
-function computeRank(host: string, address: string): string {
-  return createHash('sha256').update(`${host} ${address}`).digest('hex');
-}
+import computeRank from './computeRank.ts';
 
 /**
  * Sorts the control hosts by an entry host's preference. Control hosts of its failure domain
--- a/tests/fleet/feedSearch.test.ts
+++ b/tests/fleet/feedSearch.test.ts
@@ -24,6 +24,8 @@
   let subscribers: FeedSubscriber[];
   let views: FleetView[];
   let tasks: Promise<void>[];
+  /** Links to each control host that were opened first, by all entry hosts. */
+  let firstLinks: number[];
 
   function startEntryHost(index: number): void {
     const view = new FleetView({
@@ -82,6 +84,7 @@
     tasks = listControlHosts().map(({ feed }) => feed.run(stopping.signal));
     listControlHosts().forEach((control) => control.commitPreset(1));
     Array.from({ length: entryHostCount }, (_, index) => startEntryHost(index));
+    firstLinks = listControlHosts().map(({ openedLinks }) => openedLinks);
     await clock.advanceBy(3000);
   });
 
@@ -104,6 +107,11 @@
     expect(countOpenedLinks() - openedBefore).toBeLessThanOrEqual(entryHostCount * seconds);
   });
 
+  // Guards against a first seed that gets the connections of a whole fleet when it starts.
+  it('should spread the first requests of hosts that start over the seeds', () => {
+    expect(Math.max(...firstLinks)).toBeLessThan(entryHostCount / 2);
+  });
+
   it('should follow a group that has found a leader within 500 ms', async () => {
     setCurrent(listControlHosts(), false);
     await clock.advanceBy(10_000);
