src/domain/settings: a control host accepts all hosts of a large fleet that connect at once

Cause: a control host closed the oldest of more than 64 connections that had not shown the peer key. A host that has just started, or lacks processor time, shows it late, so at the start of 292 hosts a control host closed those of its own fleet, which came again.

Change: half of the peers' part may be without the key, 779 of 1,558 connections at 4,096 descriptors; the other half stays for hosts that have shown it. Strangers still have five seconds, and the oldest of them are closed first.

--- a/src/domain/settings/splitDescriptors.ts
+++ b/src/domain/settings/splitDescriptors.ts
@@ -30,9 +30,9 @@
 const operatorsShare = 0.45;
 // All hosts of a fleet may follow one control host, which dials the other control hosts only.
 const peersShare = 0.4;
-// A host shows the key in its first message, so that even all hosts of a fleet that connect at once
-// need hardly more; strangers that hold so many cost nothing that matters.
-const maxUnprovenPeers = 64;
+// A host shows the key in its first message, but while it starts or lacks processor time, that
+// message is late; all hosts of a fleet may connect at once.
+const unprovenPeersShare = 0.5;
 
 function computePart(maxDescriptors: number, share: number): number {
   const reserved = Math.min(reservedDescriptors, maxDescriptors * maxReservedShare);
@@ -54,7 +54,7 @@
   return {
     operators: computePart(maxDescriptors, operatorsShare),
     peers,
-    unprovenPeers: Math.min(maxUnprovenPeers, Math.floor(peers / 2)),
+    unprovenPeers: Math.floor(peers * unprovenPeersShare),
     metrics: computePart(maxDescriptors, platformShare),
   };
 }
