--- a/src/application/fleet/FeedSourceSearch.ts
+++ b/src/application/fleet/FeedSourceSearch.ts
@@ -35,7 +35,8 @@
   /** Addresses in the order in which they were last asked. */
   private readonly asked = new Set<string>();
 
-  private waitingSources = 0;
+  /** How many more control hosts may be asked to wait until they are current. */
+  private freeWaits = 0;
 
   /** Resolves when all requests have ended. */
   private requests: Promise<void> = Promise.resolve();
@@ -59,6 +60,7 @@
 
   /** Asks control hosts until one is current; returns undefined only when the signal aborts. */
   async askUntilFound(signal: AbortSignal): Promise<FeedSource | undefined> {
+    this.freeWaits = maxWaitingSources;
     return this.runUntilEnd(signal, async () => {
       let intervalMs = firstIntervalMs;
       while (!this.ended.signal.aborted) {
@@ -117,10 +119,10 @@
     const source = this.options.openSource(address);
     let outcome = await source.requestChanges(0);
     let isCancelled = false;
-    if (outcome === 'outdated' && this.waitingSources < maxWaitingSources) {
-      this.waitingSources += 1;
+    if (outcome === 'outdated' && this.freeWaits > 0) {
+      this.freeWaits -= 1;
       outcome = await this.waitCurrent(source);
-      this.waitingSources -= 1;
+      this.freeWaits += 1;
       isCancelled = this.ended.signal.aborted;
     }
     if (outcome === 'current' && !this.ended.signal.aborted) {
--- a/tests/fleet/feed.test.ts
+++ b/tests/fleet/feed.test.ts
@@ -164,6 +164,25 @@
     expect(subscriber.source).toBe('north:1');
   });
 
+  // Guards against a host that waits for one preferred control host and so never tries the others.
+  it('should return to a preferred control host while another one stays without a leader', async () => {
+    const own = { ...createInfo('north'), address: 'north:0' };
+    const infos = [own, ...controlHostInfos];
+    infos.forEach(({ address }) => controlHosts.set(address, new FakeFeedHost(clock, () => infos)));
+    controlHosts.forEach(({ feed }) => tasks.push(feed.run(stopping.signal)));
+    commitOnAllHosts(1);
+    startSubscriber();
+    await clock.advanceBy(3000);
+    getControl('north:0').isCurrent = false;
+    getControl('north:1').isDown = true;
+    await clock.advanceBy(5000);
+
+    getControl('north:1').isDown = false;
+    await clock.advanceBy(5000);
+
+    expect(subscriber.source).toBe('north:1');
+  });
+
   it('should switch from a control host that does not answer, and return when it answers again', async () => {
     startSubscriber();
     commitOnAllHosts(1);
