src/domain/membership: one check for a change of the tracking host

Whether a registration changes only the control host that tracks an upstream was decided twice, in UpstreamRegistry and in RegistrationService.

Change: UpstreamRegistry.isTakeover serves both; behaviour is the same.

Measured: tests/fleet and tests/platform/controlFrontEnd, 265 passed, no test changed.

--- a/src/application/fleet/RegistrationService.ts
+++ b/src/application/fleet/RegistrationService.ts
@@ -115,7 +115,7 @@
       this.recordUncommitted(result, registration);
       return { ok: true, value: undefined };
     }
-    if (this.isTakeover(registration)) {
+    if (registry.isTakeover(registration, this.options.ownAddress)) {
       this.startTakeover(registration);
       this.recordUncommitted('unchanged', registration);
       return { ok: true, value: undefined };
@@ -211,17 +211,6 @@
     return count < announcementsToTakeOver || !replica.isCurrent ? keeper : ownAddress;
   }
 
-  /** Whether another host tracks the upstream, and the announcement says nothing that is new. */
-  private isTakeover(registration: Registration): boolean {
-    const { registry, ownAddress } = this.options;
-    const known = registry.findUpstream(registration.upstream);
-    return (
-      known !== undefined &&
-      known.keeper !== ownAddress &&
-      registry.checkRegistration(registration, known.keeper) === 'unchanged'
-    );
-  }
-
   // Nothing that the upstream says has changed, so it does not wait. Upstreams change their control
   // hosts all at the same time, when these restart, so each host commits one takeover at a time.
   private startTakeover(registration: Registration): void {
@@ -238,9 +227,9 @@
   }
 
   private async takeOver(registration: Registration): Promise<void> {
-    const { ownAddress, replica } = this.options;
+    const { registry, ownAddress, replica } = this.options;
     this.waitingTakeovers.delete(registration.upstream);
-    if (!this.isTakeover(registration) || !replica.isCurrent) return;
+    if (!registry.isTakeover(registration, ownAddress) || !replica.isCurrent) return;
     await this.commitChange({ kind: 'register_upstream', registration, keeper: ownAddress });
   }
 
--- a/src/domain/membership/UpstreamRegistry.ts
+++ b/src/domain/membership/UpstreamRegistry.ts
@@ -95,13 +95,22 @@
     if (effect !== 'changed') return effect;
     const current = this.records.get(registration.upstream);
     // Entry hosts need not know which control host tracks the announcements.
-    const isTakeover =
-      current && this.checkRegistration(registration, current.keeper) === 'unchanged';
-    const changedAt = isTakeover ? current.changedAt : index;
+    const isTakeover = this.isTakeover(registration, keeper);
+    const changedAt = current && isTakeover ? current.changedAt : index;
     this.storeRecord({ ...registration, keeper, changedAt });
     return effect;
   }
 
+  /** Whether a registration changes nothing but the control host that tracks the upstream. */
+  isTakeover(registration: Registration, keeper: string): boolean {
+    const current = this.records.get(registration.upstream);
+    return (
+      current !== undefined &&
+      current.keeper !== keeper &&
+      this.checkRegistration(registration, current.keeper) === 'unchanged'
+    );
+  }
+
   /** Marks the run of an upstream as `gone` or `silent`; a later run is not changed. */
   applyRemoval({ upstream, bornAt, state, keeper }: Removal, index: number): RegistryEffect {
     const current = this.records.get(upstream);
