src, platform: callers are identified by the keys of teams

Cause: nothing of teams existed. Ruled out: a list of teams in the state of the preset watcher and the view of the fleet (two places, and each fake of the tests a third); the directory is built once for each preset where it is used. Change: a preset may have teams with keys, a priority and a limit, and public routes. IdentityResolver finds the team when the head was read and again before the request is dispatched; an unknown key is refused with 401, not run. Upstreams get the name of the team and never the key. GateChain and RequestGate are where quotas and admission join. Presets without teams are served as before.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,6 +6,7 @@
 const verbs = [
   'accept',
   'add',
+  'admit',
   'announce',
   'answer',
   'append',
--- a/src/adapters/http/UndiciUpstreamClient.ts
+++ b/src/adapters/http/UndiciUpstreamClient.ts
@@ -105,8 +105,8 @@
   }
 
   private buildHeaders(request: UpstreamRequest): string[] {
-    const { requestId, upstream, deadline } = request;
-    const head = { requestId, upstream, deadline, now: this.clock.now() };
+    const { requestId, upstream, team, deadline } = request;
+    const head = { requestId, upstream, team, deadline, now: this.clock.now() };
     return [...request.headers, ...this.dialect.createUpstreamHeaders(head)].flat();
   }
 }
--- a/src/application/requests/AttemptSender.ts
+++ b/src/application/requests/AttemptSender.ts
@@ -183,11 +183,12 @@
       address: record.address,
       method: request.method,
       path: request.target,
-      headers: listEndToEndHeaders(request.headers, this.dialect.reservedHeaders),
+      headers: listEndToEndHeaders(request.headers, this.listReserved(request)),
       body: request.body,
       mayRepeat: request.route.repeat === 'allowed',
       requestId: this.dialect.findRequestId(request.headers) ?? plan.attemptId,
       upstream: record.upstream,
+      team: request.identity.kind === 'team' ? request.identity.team.name : undefined,
       deadline: request.deadline,
       overdueAt: plan.hedgeAt,
       onOverdue: plan.onOverdue,
@@ -203,6 +204,14 @@
     });
   }
 
+  // Upstreams take the name of a team as proof of it, so none that a caller sent may reach them.
+  private listReserved({ identity }: CallerRequest): ReadonlySet<string> {
+    const { reservedHeaders, teamHeaders } = this.dialect;
+    return identity.kind === 'unchecked'
+      ? reservedHeaders
+      : new Set([...reservedHeaders, ...teamHeaders]);
+  }
+
   private recordChoice(
     { requestId, route, deadline }: CallerRequest,
     attempt: {
--- a/src/application/requests/CallerRequest.ts
+++ b/src/application/requests/CallerRequest.ts
@@ -1,6 +1,7 @@
 import type ErrorKind from '../../domain/errors/ErrorKind.ts';
 import type Outcome from '../../domain/errors/Outcome.ts';
 import type { RouteSettings, ServiceSettings } from '../../domain/presets/Preset.ts';
+import type CallerIdentity from '../../domain/teams/CallerIdentity.ts';
 
 /** A caller's request, including its whole body. */
 export default interface CallerRequest {
@@ -13,6 +14,7 @@
   readonly route: RouteSettings;
   /** Settings of the route's service, from the preset that had the route. */
   readonly service: ServiceSettings;
+  readonly identity: CallerIdentity;
   readonly receivedAt: number;
   readonly deadline: number;
   /** Request id that the caller set, or else one that this host created. */
--- a/src/application/requests/DefaultDialect.ts
+++ b/src/application/requests/DefaultDialect.ts
@@ -3,12 +3,15 @@
 import type { CallerAnswer } from './CallerRequest.ts';
 import type RequestDialect from './RequestDialect.ts';
 import type { AnswerSignals, Header, UpstreamRequestHead } from './RequestDialect.ts';
+import findSingleValue from './findSingleValue.ts';
 
 const requestIdName = 'pistachiohoist-request-id';
 const deadlineName = 'pistachiohoist-deadline';
 const outcomeName = 'pistachiohoist-outcome';
 const errorName = 'pistachiohoist-error';
 const loadName = 'pistachiohoist-load';
+const teamKeyName = 'pistachiohoist-key';
+const teamName = 'pistachiohoist-team';
 
 function listValues(headers: readonly Header[], headerName: string): readonly string[] {
   return headers.filter(([name]) => name === headerName).map(([, value]) => value);
@@ -24,6 +27,8 @@
     loadName,
   ]);
 
+  readonly teamHeaders: ReadonlySet<string> = new Set([teamKeyName, teamName]);
+
   // An orderly close may also follow a truncated body, which could then pass for a complete one.
   readonly mayEndByClose = false;
 
@@ -42,11 +47,16 @@
     return undefined;
   }
 
-  createUpstreamHeaders({ requestId, deadline }: UpstreamRequestHead): readonly Header[] {
-    return [
+  findTeamKey(headers: readonly Header[]): string | undefined {
+    return findSingleValue(headers, teamKeyName);
+  }
+
+  createUpstreamHeaders({ requestId, deadline, team }: UpstreamRequestHead): readonly Header[] {
+    const head: readonly Header[] = [
       [requestIdName, requestId],
       [deadlineName, String(Math.floor(deadline))],
     ];
+    return team === undefined ? head : [...head, [teamName, team]];
   }
 
   isAnswerTo(requestId: string, { headers }: { readonly headers: readonly Header[] }): boolean {
--- a/src/application/requests/RequestDialect.ts
+++ b/src/application/requests/RequestDialect.ts
@@ -25,6 +25,8 @@
   readonly requestId: string;
   /** Name of the intended upstream; undefined when any upstream at the address is acceptable. */
   readonly upstream: string | undefined;
+  /** Name of the team that sent the request; undefined when it is not known. */
+  readonly team: string | undefined;
   readonly deadline: number;
   readonly now: number;
 }
@@ -33,12 +35,16 @@
 export default interface RequestDialect {
   /** Names of the headers that this fleet sets itself; they are never forwarded. */
   readonly reservedHeaders: ReadonlySet<string>;
+  /** Names of the headers for keys and names of teams; not forwarded while a preset has teams. */
+  readonly teamHeaders: ReadonlySet<string>;
   /** Whether an orderly close of the connection may mark the end of a body of unknown length. */
   readonly mayEndByClose: boolean;
   /** Instant until which the caller waits; undefined when the headers state none. */
   readDeadline(headers: readonly Header[], now: number): Result<number | undefined>;
   /** Request id that the caller set; undefined when it set none. */
   findRequestId(headers: readonly Header[]): string | undefined;
+  /** Key of the caller's team; undefined when there is none, or several different ones. */
+  findTeamKey(headers: readonly Header[]): string | undefined;
   /** Headers for the upstream besides the forwarded ones. */
   createUpstreamHeaders(head: UpstreamRequestHead): readonly Header[];
   /** Whether an answer with this status and these headers may belong to the request. */
--- a/src/application/requests/RequestHandler.ts
+++ b/src/application/requests/RequestHandler.ts
@@ -5,6 +5,7 @@
 import type Outcome from '../../domain/errors/Outcome.ts';
 import type Result from '../../domain/errors/Result.ts';
 import type { RouteSettings, ServiceSettings } from '../../domain/presets/Preset.ts';
+import type CallerIdentity from '../../domain/teams/CallerIdentity.ts';
 import IdempotentRetryPolicy from '../../domain/requests/IdempotentRetryPolicy.ts';
 import TrafficSplitter from '../../domain/requests/TrafficSplitter.ts';
 import AtMostOnceRetryPolicy from '../../domain/requests/AtMostOnceRetryPolicy.ts';
@@ -16,6 +17,9 @@
 import type ClaimGate from '../claims/ClaimGate.ts';
 import type { GrantedClaim } from '../claims/ClaimGate.ts';
 import type ActivePreset from './ActivePreset.ts';
+import GateChain from './GateChain.ts';
+import IdentityResolver from './IdentityResolver.ts';
+import type RequestGate from './RequestGate.ts';
 import type CallerRequest from './CallerRequest.ts';
 import type { CallerAnswer } from './CallerRequest.ts';
 import DefaultDialect from './DefaultDialect.ts';
@@ -55,6 +59,8 @@
   readonly waitReady?: (deadline: number) => Promise<void>;
   /** `ServiceRetryBudgets` unless set. */
   readonly budgets?: RetryBudgetSource;
+  /** Gates that a request passes, in this order, before it is dispatched; none unless set. */
+  readonly gates?: readonly RequestGate[];
 }
 
 /** The head of a request. */
@@ -69,11 +75,20 @@
 export interface OpenedRequest {
   readonly route: RouteSettings;
   readonly service: ServiceSettings;
+  readonly identity: CallerIdentity;
   readonly requestId: string;
   readonly receivedAt: number;
   readonly deadline: number;
 }
 
+/** An answer to a request and what is known of its run. */
+interface EndedRequest {
+  readonly answer: CallerAnswer;
+  readonly attempts: number;
+  /** False only if it is certain that no upstream ran any part of the operation. */
+  readonly mayHaveRun: boolean;
+}
+
 // A 5xx status shows that the upstream failed, but not whether the operation ran before that.
 function decideAnswerOutcome(status: number): Outcome {
   return status >= 500 ? 'unknown' : 'ran';
@@ -89,11 +104,18 @@
 
   private readonly splitter: TrafficSplitter;
 
+  private readonly identities: IdentityResolver;
+
+  private readonly gates: GateChain;
+
   constructor(options: RequestHandlerOptions) {
+    const { activePreset, log, gates = [] } = options;
     this.options = options;
     this.splitter = new TrafficSplitter(options.random);
     this.dialect = options.dialect ?? new DefaultDialect();
     this.budgets = options.budgets ?? new ServiceRetryBudgets();
+    this.identities = new IdentityResolver({ activePreset, dialect: this.dialect });
+    this.gates = new GateChain({ gates, log });
   }
 
   /** Waits briefly while this host starts, so as not to refuse requests that it can serve soon. */
@@ -131,6 +153,8 @@
     if (!service) {
       return fail('route_unknown', `the active preset has no service "${route.service}"`);
     }
+    const identity = this.identities.resolveIdentity({ ...head, route });
+    if (!identity.ok) return identity;
     const deadline = computeDeadline({
       dialect: this.dialect,
       headers: head.headers,
@@ -142,8 +166,14 @@
       return fail('deadline_passed', 'the deadline passed before the request arrived');
     }
     const requestId = this.dialect.findRequestId(head.headers) ?? this.options.random.createId();
-    const opened = { route, service, requestId, receivedAt, deadline: deadline.value };
-    return { ok: true, value: opened };
+    return {
+      ok: true,
+      value: {
+        ...{ route, service, requestId, receivedAt },
+        identity: identity.value,
+        deadline: deadline.value,
+      },
+    };
   }
 
   /** Answers one request. The promise never rejects. */
@@ -155,6 +185,7 @@
     this.options.log.info('requests: answered', {
       requestId: request.requestId,
       service: request.route.service,
+      team: request.identity.kind === 'team' ? request.identity.team.name : undefined,
       status: answer.status,
       outcome: answer.outcome,
       error: answer.errorKind,
@@ -175,18 +206,33 @@
     return answer;
   }
 
-  private async runRequest(
-    request: CallerRequest,
-  ): Promise<{ readonly answer: CallerAnswer; readonly attempts: number }> {
+  private async runRequest(request: CallerRequest): Promise<EndedRequest> {
+    // The key of the team may have been withdrawn while the body arrived.
+    const identity = this.identities.resolveIdentity(request);
+    if (!identity.ok) return this.endRefused(identity.failure);
+    const checked = { ...request, identity: identity.value };
+    const decision = this.gates.admitRequest(checked);
+    if (decision.kind === 'refused') return this.endRefused(decision.failure);
+    let mayHaveRun = true;
+    try {
+      const ended = await this.runAdmitted(checked);
+      mayHaveRun = ended.mayHaveRun;
+      return ended;
+    } finally {
+      decision.endAdmission(mayHaveRun);
+    }
+  }
+
+  private runAdmitted(request: CallerRequest): Promise<EndedRequest> {
     const { repeat, key } = request.route;
     if (repeat === 'allowed') return this.runIdempotent(request);
     return key === 'none' ? this.runWithoutClaim(request) : this.runWithClaim(request);
   }
 
-  private async runIdempotent(request: CallerRequest) {
+  private async runIdempotent(request: CallerRequest): Promise<EndedRequest> {
     const policy = new IdempotentRetryPolicy(this.addToBudget(request));
     const result = await this.options.dispatcher.dispatchRequest(request, request.service, policy);
-    return { answer: this.createAnswer(result), attempts: result.attempts };
+    return this.endDispatched(result);
   }
 
   private chooseService(route: RouteSettings): RouteSettings {
@@ -196,32 +242,41 @@
 
   // The route uses no idempotency keys, so no claim coordinates the request with other hosts: only
   // this host makes sure that it runs the request at most once.
-  private async runWithoutClaim(request: CallerRequest) {
+  private async runWithoutClaim(request: CallerRequest): Promise<EndedRequest> {
     const policy = new AtMostOnceRetryPolicy(this.addToBudget(request));
     const result = await this.options.dispatcher.dispatchRequest(request, request.service, policy);
-    return { answer: this.createAnswer(result), attempts: result.attempts };
+    return this.endDispatched(result);
   }
 
-  private async runWithClaim(request: CallerRequest) {
+  private async runWithClaim(request: CallerRequest): Promise<EndedRequest> {
     const key = this.readKey(request);
     // Avoids a claim and its release for a caller that has disconnected or whose deadline has
     // passed.
     const refusal = checkSendable(request, this.options.clock.now());
-    if (refusal) return { answer: createFailureAnswer(refusal), attempts: 0 };
-    if (!key.ok) return { answer: createFailureAnswer(key.failure), attempts: 0 };
+    if (refusal) return this.endRefused(refusal);
+    if (!key.ok) return this.endRefused(key.failure);
     const claim = await this.options.claims.requestClaim({
       key: key.value,
       fingerprint: this.createFingerprint(request),
       deadline: request.deadline,
     });
+    // Another request of the same key may have run, but not this one.
     if (claim.kind === 'refused') {
-      return { answer: createFailureAnswer(claim.failure), attempts: 0 };
+      return { answer: createFailureAnswer(claim.failure), attempts: 0, mayHaveRun: false };
     }
     if (claim.kind === 'replayed') {
-      return { answer: this.replayAnswer(claim.answer), attempts: 0 };
+      return { answer: this.replayAnswer(claim.answer), attempts: 0, mayHaveRun: false };
     }
-    const result = await this.dispatchClaimed(request, claim.grantedClaim);
-    return { answer: this.createAnswer(result), attempts: result.attempts };
+    return this.endDispatched(await this.dispatchClaimed(request, claim.grantedClaim));
+  }
+
+  private endDispatched(result: DispatchResult): EndedRequest {
+    const { attempts, mayHaveRun } = result;
+    return { answer: this.createAnswer(result), attempts, mayHaveRun };
+  }
+
+  private endRefused(failure: Failure): EndedRequest {
+    return { answer: this.createRefusal(failure), attempts: 0, mayHaveRun: false };
   }
 
   private async dispatchClaimed(
--- a/src/domain/errors/ErrorKind.ts
+++ b/src/domain/errors/ErrorKind.ts
@@ -13,6 +13,8 @@
   | 'host_overloaded'
   | 'caller_gone'
   | 'caller_gone_after_dispatch'
+  // Teams.
+  | 'team_key_unknown'
   // Idempotency keys and claims.
   | 'key_required'
   | 'key_invalid'
--- a/src/domain/errors/errorAnswers.ts
+++ b/src/domain/errors/errorAnswers.ts
@@ -28,6 +28,8 @@
   caller_gone: refuse(499),
   caller_gone_after_dispatch: failUnknown(499),
 
+  team_key_unknown: refuse(401),
+
   key_required: refuse(400),
   key_invalid: refuse(400),
   key_mismatch: refuse(422),
--- a/src/domain/presets/Preset.ts
+++ b/src/domain/presets/Preset.ts
@@ -81,6 +81,21 @@
    * undefined.
    */
   readonly priority?: number | undefined;
+  /** Whether requests need no key of a team; false when undefined. */
+  readonly isPublic?: boolean | undefined;
+}
+
+/** A group of callers that share keys, a quota and a priority. */
+export interface TeamSettings {
+  readonly name: string;
+  /** Keys that callers of the team send with each request; none after all were withdrawn. */
+  readonly keys: readonly string[];
+  /** Rank of the team's requests, which goes before the rank of the route; 0 is the highest. */
+  readonly priority?: number | undefined;
+  /** Requests per second over the whole fleet; no limit when undefined. */
+  readonly requestsPerSecond?: number | undefined;
+  /** Requests beyond the rate that may come at once, over the whole fleet. */
+  readonly burst: number;
 }
 
 /** One named configuration of the whole fleet. */
@@ -90,4 +105,6 @@
   readonly routes: readonly RouteSettings[];
   /** The default limits of the front end apply when undefined. */
   readonly limits?: CallerLimits | undefined;
+  /** Callers need no key of a team when undefined. */
+  readonly teams?: readonly TeamSettings[] | undefined;
 }
--- a/src/ports/UpstreamClient.ts
+++ b/src/ports/UpstreamClient.ts
@@ -15,6 +15,8 @@
   readonly requestId: string;
   /** Name of the intended upstream; undefined when any upstream at the address may answer. */
   readonly upstream?: string;
+  /** Name of the team that sent the request; undefined when it is not known. */
+  readonly team?: string | undefined;
   readonly deadline: number;
   /** Instant at which `onOverdue` is called if no answer has arrived; never unless set. */
   readonly overdueAt?: number;
--- a/tests/platform/decode.test.ts
+++ b/tests/platform/decode.test.ts
@@ -230,6 +230,12 @@
     routes: document.routes.map((route, index) => (index ? { ...route, ...changes } : route)),
   });
 
+  const writeTeams = (...teams: object[]): string =>
+    JSON.stringify({
+      ...document,
+      tenants: teams.map((team) => ({ name: 'depots', ...team })),
+    });
+
   it.each([
     ['an unknown service', JSON.stringify(changeRoute({ service: 'none' }))],
     ['a timeout of zero', JSON.stringify(changeRoute({ timeout: '0ms' }))],
@@ -239,12 +245,51 @@
     ['a truncated document', JSON.stringify(document).slice(0, -20)],
     ['a missing version', JSON.stringify({ ...document, version: undefined })],
     ['an array in place of an object', '[]'],
+    ['two teams with one key', writeTeams({ apiKeys: ['k1'] }, { apiKeys: ['k2', 'k1'] })],
+    ['a negative rate of a team', writeTeams({ ratePerS: -1 })],
+    ['a burst of another type', writeTeams({ burst: '5' })],
+    ['keys that are no list', writeTeams({ apiKeys: 'k1' })],
+    ['a team without a name', writeTeams({ name: undefined })],
   ])('should refuse %s', (_title, text) => {
     const decoded = codec.decodePreset(text);
 
     expect(decoded.ok ? '' : decoded.failure.kind).toBe('preset_invalid');
   });
 
+  it.each([
+    [{}, { name: 'depots', keys: [], requestsPerSecond: undefined, burst: 0 }],
+    [
+      { ratePerS: 0, burst: 0 },
+      { requestsPerSecond: undefined, burst: 0 },
+    ],
+    [
+      { ratePerS: 2.5, burst: 4, priority: 0 },
+      { requestsPerSecond: 2.5, burst: 4, priority: 0 },
+    ],
+    [{ apiKeys: ['k1', 'k1'] }, { keys: ['k1', 'k1'] }],
+  ])('should decode the team %j', (team, expected) => {
+    const decoded = codec.decodePreset(writeTeams(team));
+
+    expect(decoded.ok && decoded.value.preset.teams?.[0]).toMatchObject(expected);
+  });
+
+  it('should decode which routes are public', () => {
+    const decoded = codec.decodePreset(JSON.stringify(changeRoute({ public: true })));
+
+    expect(decoded.ok && decoded.value.preset.routes.map(({ isPublic }) => isPublic)).toEqual([
+      false,
+      true,
+    ]);
+  });
+
+  // Guards against a secret in the answer to an operator and in the log.
+  it('should not print a key that two teams hold', () => {
+    const decoded = codec.decodePreset(writeTeams({ apiKeys: ['k1'] }, { apiKeys: ['k1'] }));
+
+    expect(decoded.ok ? '' : decoded.failure.message).toContain('tenants.1.apiKeys');
+    expect(decoded.ok ? '' : decoded.failure.message).not.toContain('k1');
+  });
+
   // Guards against upstreams that fill the memory of a host with bodies that never end.
   it('should limit the size of answers', () => {
     const decoded = codec.decodePreset(JSON.stringify(document));
--- a/tests/platform/dialect.test.ts
+++ b/tests/platform/dialect.test.ts
@@ -37,6 +37,7 @@
     const headers = dialect.createUpstreamHeaders({
       requestId: 'r1',
       upstream: 'i-1',
+      team: undefined,
       deadline: 2500.7,
       now: 1000,
     });
@@ -47,6 +48,27 @@
     ]);
   });
 
+  // Guards against upstreams that do not know for which team they work.
+  it('should send the name of the team', () => {
+    const head = { requestId: 'r1', upstream: undefined, deadline: 2000, now: 1000 };
+
+    expect(dialect.createUpstreamHeaders({ ...head, team: 'depots' })).toContainEqual([
+      'x-tenant-name',
+      'depots',
+    ]);
+  });
+
+  it.each([
+    { keys: ['k1'], found: 'k1' },
+    { keys: ['k1', 'k1'], found: 'k1' },
+    { keys: ['k1', 'k2'], found: undefined },
+    { keys: [], found: undefined },
+  ])('should find the key $found among $keys', ({ keys, found }) => {
+    const headers = keys.map((key) => ['x-api-key', key] as const);
+
+    expect(dialect.findTeamKey(headers)).toBe(found);
+  });
+
   it.each([
     ['a signed answer to the request', 200, signedHeaders, true],
     ['an answer to another request', 200, [['x-attempt-id', 'r0'], signedHeaders[1]], false],
