platform: downloads may be repeated

Change: `safe` and `download` are the kinds that may be repeated. Nearly all failures are at upstreams of the own failure domain whose risk is known to be 0.9 to 1: another domain costs too much by the average size of all answers of the service.

--- a/tests/platform/decode.test.ts
+++ b/tests/platform/decode.test.ts
@@ -273,6 +273,18 @@
     expect(decoded.ok && decoded.value.preset.teams?.[0]).toMatchObject(expected);
   });
 
+  // Guards against downloads that fail with the first upstream, and operations that run twice.
+  it.each([
+    ['safe', 'allowed'],
+    ['download', 'allowed'],
+    ['unsafe', 'never'],
+    ['anything else', 'never'],
+  ])('should decode a route of kind %s to repeat %s', (kind, repeat) => {
+    const decoded = codec.decodePreset(JSON.stringify(changeRoute({ kind })));
+
+    expect(decoded.ok && decoded.value.preset.routes[1]?.repeat).toBe(repeat);
+  });
+
   it('should decode which routes are public', () => {
     const decoded = codec.decodePreset(JSON.stringify(changeRoute({ public: true })));
 
