src/domain/requests: refusals with free slots no longer forbid retries

Cause: a host stopped all retries of a service once each usable upstream had shed a request in the last second. That is right for upstreams that are full and wrong for upstreams that refuse part of their requests although they have free slots (measured load: 55% refused for 8.5 s at 40% use of the slots), where a request that is sent again at once is served with probability 0.45. Ruled out: the load known at the time of the retry (it decays, so a full upstream without a queue would count as free 0.1 s after its answer); a longer memory of shedding. Change: classifyShedding compares the load that a refusal states with the slots of the upstream. Only upstreams that were full, or stated no load, forbid retries. The retry budget still bounds them. The log line of an attempt has the stated load.

--- a/bench/SlotSimulation.ts
+++ b/bench/SlotSimulation.ts
@@ -219,7 +219,7 @@
     if (this.events.now >= startedAt + deadlineMs || tried.size >= upstreamCount) return false;
     if (!this.options.hasBudget) return true;
     const names = this.upstreams.map(({ usable }) => usable.record.upstream);
-    if (host.shedding.isServiceShedding(names, this.events.now)) return false;
+    if (host.shedding.isServiceFull(names, this.events.now)) return false;
     return host.budget.takeToken();
   }
 
--- a/src/application/requests/AttemptSender.ts
+++ b/src/application/requests/AttemptSender.ts
@@ -2,6 +2,8 @@
 import type { ServiceSettings } from '../../domain/presets/Preset.ts';
 import type { AnswerClass } from '../../domain/requests/AttemptObservation.ts';
 import type { AttemptResult } from '../../domain/requests/AttemptResult.ts';
+import classifyShedding from '../../domain/requests/classifyShedding.ts';
+import type { Shedding } from '../../domain/requests/classifyShedding.ts';
 import type UsableUpstream from '../../domain/requests/UsableUpstream.ts';
 import type AnswerStatements from '../../domain/statements/AnswerStatements.ts';
 import type Log from '../../ports/Log.ts';
@@ -36,8 +38,7 @@
 export interface EndedAttempt {
   readonly end: AttemptResult;
   readonly mayHaveRun: boolean;
-  /** Whether the upstream refused the request because of its load. */
-  readonly isShed: boolean;
+  readonly shedding: Shedding;
   readonly outcome:
     | { readonly kind: 'answered'; readonly answer: UpstreamAnswer }
     | { readonly kind: 'failed'; readonly failure: Failure };
@@ -145,6 +146,7 @@
       end,
       answerClass,
       status: result.kind === 'answered' ? result.answer.status : undefined,
+      load: reportedLoad,
       ...(statements && describeStatements(statements, endedAt)),
       tookMs: Math.round(endedAt - startedAt),
     });
@@ -159,13 +161,14 @@
       answerBytes: result.kind === 'answered' ? result.answer.body.byteLength : 0,
     });
     const isShed = answerClass === 'shed';
+    const shedding = classifyShedding({ isShed, reportedLoad, slots: record.slots });
     if (result.kind === 'answered' && end !== 'not_run') {
       const outcome = { kind: 'answered', answer: result.answer } as const;
-      return { end, isShed, mayHaveRun: true, outcome };
+      return { end, shedding, mayHaveRun: true, outcome };
     }
     const failure = this.describeFailure(request, chosen, result, refusal);
     const mayHaveRun = result.kind === 'failed';
-    return { end, isShed, mayHaveRun, outcome: { kind: 'failed', failure } };
+    return { end, shedding, mayHaveRun, outcome: { kind: 'failed', failure } };
   }
 
   private sendRequest(
--- a/src/application/requests/RequestDispatch.ts
+++ b/src/application/requests/RequestDispatch.ts
@@ -25,7 +25,7 @@
   /** Time that few answers to the request take from an upstream without a queue, in ms. */
   readonly estimateLongMs: () => number;
   readonly clock: Clock;
-  /** Called with each upstream that answered, and whether it refused because of its load. */
+  /** Called with each upstream to which an attempt has ended. */
   readonly onEnd: (upstream: string, attempt: EndedAttempt) => void;
 }
 
--- a/src/application/requests/UpstreamDispatcher.ts
+++ b/src/application/requests/UpstreamDispatcher.ts
@@ -50,7 +50,7 @@
     const { clock, estimateLongMs, stopLimiter } = this.options;
     const { chooser, sender } = this;
     const operation = getOperation(request.route);
-    const shedding = this.getSheddingTracker(request.route.service);
+    const sheddingTracker = this.getSheddingTracker(request.route.service);
     return new RequestDispatch({
       request,
       service,
@@ -63,9 +63,9 @@
       mayHedge: () => !stopLimiter?.isStopping,
       estimateLongMs: () => estimateLongMs?.(operation) ?? Infinity,
       clock,
-      onEnd: (upstream, { outcome, isShed }) => {
-        if (outcome.kind === 'failed' && !isShed) return;
-        shedding.recordAnswer(upstream, isShed, clock.now());
+      onEnd: (upstream, ended) => {
+        if (ended.outcome.kind === 'failed' && ended.shedding === 'none') return;
+        sheddingTracker.recordAnswer(upstream, ended.shedding === 'full', clock.now());
       },
     }).run();
   }
@@ -83,7 +83,7 @@
     const { service } = request.route;
     const upstreams = this.options.pool.listUsable(service).map(({ record }) => record.upstream);
     const now = this.options.clock.now();
-    return !this.getSheddingTracker(service).isServiceShedding(upstreams, now);
+    return !this.getSheddingTracker(service).isServiceFull(upstreams, now);
   }
 
   private getSheddingTracker(service: string): SheddingTracker {
--- a/src/domain/requests/SheddingTracker.ts
+++ b/src/domain/requests/SheddingTracker.ts
@@ -4,18 +4,21 @@
 // peak of load.
 const recentMs = 1000;
 
-/** Tracks which upstreams of one service shed load recently. */
+/** Tracks which upstreams of one service lately shed load for want of slots. */
 export default class SheddingTracker {
   private readonly shedAt = new Map<string, number>();
 
-  /** Records whether an upstream shed a request; any other answer clears its shedding state. */
-  recordAnswer(upstream: string, isShed: boolean, now: number): void {
-    if (isShed) this.shedAt.set(upstream, now);
+  /**
+   * Records whether an upstream shed a request because it was full; any other answer, also a
+   * refusal with free slots, clears its state.
+   */
+  recordAnswer(upstream: string, isFull: boolean, now: number): void {
+    if (isFull) this.shedAt.set(upstream, now);
     else this.shedAt.delete(upstream);
   }
 
-  /** Whether all of the upstreams shed load recently; a retry would then only add load. */
-  isServiceShedding(upstreams: readonly string[], now: number): boolean {
+  /** Whether all of the upstreams were full recently; a retry would then only add load. */
+  isServiceFull(upstreams: readonly string[], now: number): boolean {
     this.pruneRecords(now);
     return upstreams.length > 0 && upstreams.every((upstream) => this.shedAt.has(upstream));
   }
