src/domain/requests: answers of another failure domain are priced by operation

Cause: the price of another failure domain used the mean size of the answers of the whole service. A service with bundles of 90 KB and look-ups of 1.5 KB priced both at the mix, so bundles crossed and look-ups stayed.

Ruled out: the size by route (routes with the same terms carry the same kind of requests, and each route would have to learn it), and the declared max_answer_bytes (a limit, six times the mean).

Change: SuspicionObserver keeps the mean size by operation, and the choice names the operation. At 0.25 for a KiB, 90 KB cost 22 units, which no queue or risk reaches, so they stay. While all upstreams of the own domain have a risk of 0.8 or more, the price is at most 3.2 (0.8 lost requests): with no retries left the answer of a sound upstream elsewhere then wins; with retries the request stays. A full queue is not a likely loss: it refuses, which takes nothing from the caller but time, and the price is the operator's word.

Conclusion: large answers stay in their domain unless it would lose them.

--- a/src/application/fleet/SuspicionObserver.ts
+++ b/src/application/fleet/SuspicionObserver.ts
@@ -72,7 +72,7 @@
   /** By operation. */
   private readonly latencies = new Map<string, LatencyEstimate>();
 
-  /** Moving average of the size of good answers by service, in bytes. */
+  /** Moving average of the size of good answers by operation, in bytes. */
   private readonly averageSizes = new Map<string, number>();
 
   /** Share of overdue requests that got no answer in time, by service. */
@@ -113,7 +113,7 @@
     const isRecovery = suspicions.recordSuccess(upstream, startedAt, endedAt);
     if (isRecovery) exchange.reportRecovery(upstream);
     const { answerBytes } = observation;
-    updateAverage(this.averageSizes, service, {
+    updateAverage(this.averageSizes, operation, {
       value: answerBytes,
       weight: sizeWeight,
       assumed: answerBytes,
@@ -121,9 +121,12 @@
     this.getLatency(operation).recordLatency(tookMs);
   }
 
-  /** Moving average of the size of good answers, in bytes; undefined before the first one. */
-  readAverageAnswerBytes(service: string): number | undefined {
-    return this.averageSizes.get(service);
+  /**
+   * Moving average of the size of good answers to an operation, in bytes; undefined before the
+   * first one.
+   */
+  readAverageAnswerBytes(operation: string): number | undefined {
+    return this.averageSizes.get(operation);
   }
 
   /** Time that few good answers to an operation exceed, in milliseconds. */
--- a/src/application/requests/UpstreamChooser.ts
+++ b/src/application/requests/UpstreamChooser.ts
@@ -9,6 +9,7 @@
 import type LoadSource from './LoadSource.ts';
 import type UpstreamGate from './UpstreamGate.ts';
 import type UpstreamPool from './UpstreamPool.ts';
+import getOperation from './getOperation.ts';
 
 // At or above this risk, an operation that must not repeat is kept from an upstream if a sound one
 // takes requests again soon.
@@ -57,6 +58,7 @@
     const { balancer, clock, random, failureDomain, loadTracker } = this.options;
     const chosen = balancer.chooseUpstream({
       candidates,
+      operation: getOperation(request.route),
       retryScarcity,
       readLoad: (upstream) => loadTracker.readLoad(request.route.service, upstream),
       now: clock.now(),
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -343,7 +343,7 @@
       random,
       upstreamClient,
       balancer: new LowestCostBalancer({
-        readCosts: (service, retryScarcity) => this.readCosts(service, retryScarcity),
+        readCosts: (operation, retryScarcity) => this.readCosts(operation, retryScarcity),
         readRisk,
         readLimitUse: ({ record }) => statements.computeLimitUse(record, clock.now()),
         loadHalfLifeMs,
@@ -374,10 +374,10 @@
     });
   }
 
-  private readCosts(service: string, retryScarcity: number): BalancerCosts {
+  private readCosts(operation: string, retryScarcity: number): BalancerCosts {
     return computeCosts({
       otherDomainPrice: this.options.settings.otherDomainPrice,
-      answerBytes: this.observer.readAverageAnswerBytes(service) ?? defaultAnswerBytes,
+      answerBytes: this.observer.readAverageAnswerBytes(operation) ?? defaultAnswerBytes,
       retryScarcity,
     });
   }
--- a/src/domain/requests/Balancer.ts
+++ b/src/domain/requests/Balancer.ts
@@ -12,6 +12,8 @@
 /** Input of one balancing decision. */
 export interface BalancerChoice {
   readonly candidates: readonly UsableUpstream[];
+  /** Kind of the request; requests of one kind get answers of about the same size. */
+  readonly operation?: string;
   /**
    * Scarcity of retries in case this attempt fails: from 0, while all are available, to 1, when
    * none is allowed. The default is 0.
--- a/src/domain/requests/LowestCostBalancer.ts
+++ b/src/domain/requests/LowestCostBalancer.ts
@@ -26,6 +26,10 @@
   readonly longWait: number;
   /** Cost of an upstream in another failure domain. */
   readonly otherDomain: number;
+  /** The same while all upstreams of the own failure domain are likely to fail. */
+  readonly otherDomainAtLoss: number;
+  /** Risk from which an upstream is likely to fail, 0 to 1. */
+  readonly likelyFailureRisk: number;
   /** Cost of a request that fails. */
   readonly failure: number;
   /**
@@ -41,8 +45,11 @@
 
 /** Options of the balancer. */
 export interface LowestCostBalancerOptions {
-  /** Returns the costs for a service; `retryScarcity` is that of the choice. */
-  readonly readCosts: (service: string, retryScarcity: number) => BalancerCosts;
+  /**
+   * Returns the costs for an operation, or for a service if the choice names no operation;
+   * `retryScarcity` is that of the choice.
+   */
+  readonly readCosts: (operation: string, retryScarcity: number) => BalancerCosts;
   /** Risk that a request to the upstream fails, 0 to 1. */
   readonly readRisk: (upstream: UsableUpstream) => number;
   /** How much of its limit an upstream has used, 0 to 1; 0 without a limit. */
@@ -67,7 +74,9 @@
   chooseUpstream(choice: BalancerChoice): UsableUpstream | undefined {
     const [first] = choice.candidates;
     if (!first) return undefined;
-    const costs = this.options.readCosts(first.record.service, choice.retryScarcity ?? 0);
+    const { operation = first.record.service, retryScarcity = 0 } = choice;
+    const known = this.options.readCosts(operation, retryScarcity);
+    const costs = { ...known, otherDomain: this.chooseOtherDomainCost(choice, known) };
     let best: UsableUpstream | undefined;
     let lowestCost = Infinity;
     this.drawCandidates(choice).forEach((candidate) => {
@@ -79,6 +88,21 @@
     return best;
   }
 
+  // The price of traffic is compared with the cost of a lost request only when a loss is likely:
+  // large answers would otherwise leave their failure domain for every long queue.
+  private chooseOtherDomainCost(
+    { candidates, failureDomain }: BalancerChoice,
+    { otherDomain, otherDomainAtLoss, likelyFailureRisk }: BalancerCosts,
+  ): number {
+    if (otherDomain <= otherDomainAtLoss) return otherDomain;
+    const hasSound = candidates.some(
+      (each) =>
+        each.record.failureDomain === failureDomain &&
+        this.options.readRisk(each) < likelyFailureRisk,
+    );
+    return hasSound ? otherDomain : otherDomainAtLoss;
+  }
+
   private drawCandidates(choice: BalancerChoice): readonly UsableUpstream[] {
     const { candidates, failureDomain, random } = choice;
     if (candidates.length <= maxComparedUpstreams) return candidates;
--- a/src/domain/requests/computeCosts.ts
+++ b/src/domain/requests/computeCosts.ts
@@ -6,6 +6,8 @@
 const lostRequestCost = 4;
 const retryCost = 0.6;
 const scarcityPower = 4;
+// An upstream that fails at least this share of its requests likely loses the next one.
+const likelyFailureRisk = 0.8;
 // Assumed size of the headers of a request and its answer together, in bytes.
 const headerBytes = 700;
 const bytesPerKib = 1024;
@@ -28,6 +30,7 @@
  */
 export default function computeCosts(inputs: CostInputs): BalancerCosts {
   const { otherDomainPrice, answerBytes, retryScarcity } = inputs;
+  const otherDomain = (otherDomainPrice * (headerBytes + answerBytes)) / bytesPerKib;
   return {
     busySlots: 0.3,
     wait: 0.6,
@@ -35,7 +38,10 @@
     cold: 0.5,
     limited: 0.5,
     noise: 0.1,
-    otherDomain: (otherDomainPrice * (headerBytes + answerBytes)) / bytesPerKib,
+    otherDomain,
+    // A request that its own domain likely loses is served by another one where retries are scarce.
+    otherDomainAtLoss: Math.min(otherDomain, lostRequestCost * likelyFailureRisk),
+    likelyFailureRisk,
     failure: retryCost + (lostRequestCost - retryCost) * retryScarcity ** scarcityPower,
   };
 }
--- a/tests/fleet/suspicion.test.ts
+++ b/tests/fleet/suspicion.test.ts
@@ -140,15 +140,19 @@
 }
 
 describe('LowestCostBalancer', () => {
-  // Answers have 5 KB, like those of the bookings service.
-  function choose(cases: readonly UpstreamCase[], retryScarcity = 1): string | undefined {
+  // Answers have 5 KB unless stated, like those of the bookings service.
+  function choose(
+    cases: readonly UpstreamCase[],
+    retryScarcity = 1,
+    answerBytes = 5000,
+  ): string | undefined {
     const byName = new Map(cases.map((upstreamCase) => [upstreamCase.name, upstreamCase]));
     const candidates: UsableUpstream[] = cases.map(({ name, domain }) => ({
       weight: 1,
       record: createUpstream({ upstream: name, failureDomain: domain, slots: 4 }),
     }));
     const balancer = new LowestCostBalancer({
-      readCosts: () => computeCosts({ otherDomainPrice: 0.25, answerBytes: 5000, retryScarcity }),
+      readCosts: () => computeCosts({ otherDomainPrice: 0.25, answerBytes, retryScarcity }),
       readRisk: ({ record }) => byName.get(record.upstream)?.risk ?? 0,
       loadHalfLifeMs: 300,
     });
@@ -221,6 +225,24 @@
     expect(choose([...full, { ...near, name: 'rested', risk: 0.45 }])).toBe('rested');
   });
 
+  // A bundle of 90 KB from another failure domain costs more than it earns. Guards against a price
+  // that a short queue, a likely retry or a full queue exceeds.
+  it.each([
+    ['a free slot', { ...near, load: 3 }, 1],
+    ['a short queue', { ...near, load: 10 }, 1],
+    ['a full queue', { ...near, load: 20 }, 1],
+    ['a likely loss that may be retried', { ...near, risk: 1 }, 0.5],
+  ])('should keep large answers in a domain with %s', (_title, upstreamCase, scarcity) => {
+    expect(choose([upstreamCase, far], scarcity, 90_000)).toBe('near');
+  });
+
+  it('should fetch large answers from another domain when the own one likely loses them', () => {
+    const suspected = [0.85, 0.95].map((risk, index) => ({ ...near, name: `n${index}`, risk }));
+
+    expect(choose([...suspected, far], 1, 90_000)).toBe('far');
+    expect(choose([...suspected, { ...near, load: 10 }, far], 1, 90_000)).toBe('near');
+  });
+
   it('should choose no upstream when there are no candidates', () => {
     expect(choose([])).toBeUndefined();
   });
--- a/tests/fleet/suspicionObserver.test.ts
+++ b/tests/fleet/suspicionObserver.test.ts
@@ -65,6 +65,25 @@
     expect(readRisk()).toBe(1);
   });
 
+  // A service has bundles of 90 KB and look-ups of 1.5 KB. Guards against one price for both.
+  it('should know the size of answers by operation', () => {
+    const { observer } = createObserver(new FakeClock());
+    const answer = (operation: string, answerBytes: number): void => {
+      const names = { service: 'history', upstream: 'u1' };
+      observer.recordStart({ ...names, operation, requestId: 'r', startedAt: 0, serviceTimes: 1 });
+      const times = { startedAt: 0, endedAt: 100 };
+      const end = { ...names, ...times, answerBytes, reportedLoad: undefined };
+      observer.recordEnd('r', { ...end, answerClass: 'good' });
+    };
+    answer('bundle', 90_000);
+    answer('look-up', 1500);
+
+    const sizes = ['bundle', 'look-up', 'other'].map((each) =>
+      observer.readAverageAnswerBytes(each),
+    );
+    expect(sizes).toEqual([90_000, 1500, undefined]);
+  });
+
   describe('of overdue requests', () => {
     const usualMs = 200;
 
--- a/tests/fleet/upstreamLimits.test.ts
+++ b/tests/fleet/upstreamLimits.test.ts
@@ -105,6 +105,8 @@
       wait: 0.6,
       longWait: 1.2,
       otherDomain: 1,
+      otherDomainAtLoss: 1,
+      likelyFailureRisk: 0.8,
       failure: 4,
       cold: 0.5,
     };
