src/domain/admission: scarce retries go to the most urgent requests

Cause: when requests want more retries than the budget of their service has, each kind got them by its number of refusals. Ruled out: fixed levels for each rank (they keep retries that nobody needs); counts of ranks in the reports of hosts (the number of ranks is that of teams times routes); counting the ranks over 2 s only (hosts with few requests then keep nothing: trial, docs/design). Change: RetryReservation keeps retries for more urgent ranks as far as those lately asked for them: priority of the team, of the route, then whether the answer can meet the objective; hedges come last. A retry that is kept for others is neither taken nor borrowed. Requests without priorities are served as before, and the bound of the budget is unchanged. Each decision logs its inputs. Conclusion: the share of refused requests is bounded by the budget; the order of who is refused now follows the priorities.

--- a/src/application/fleet/SuspicionObserver.ts
+++ b/src/application/fleet/SuspicionObserver.ts
@@ -131,6 +131,11 @@
     return this.latencies.get(operation)?.longMs ?? defaultLongMs;
   }
 
+  /** Time that half of the good answers to an operation exceed, in milliseconds; 0 if unknown. */
+  estimateTypicalMs(operation: string): number {
+    return this.latencies.get(operation)?.typicalMs ?? 0;
+  }
+
   /** Reports overdue requests until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock } = this.options;
--- a/src/application/requests/RequestDispatch.ts
+++ b/src/application/requests/RequestDispatch.ts
@@ -1,4 +1,5 @@
 import type Failure from '../../domain/errors/Failure.ts';
+import type { RetryUse } from '../../domain/admission/RetryRank.ts';
 import type { ServiceSettings } from '../../domain/presets/Preset.ts';
 import type { AttemptResult } from '../../domain/requests/AttemptResult.ts';
 import type RetryPolicy from '../../domain/requests/RetryPolicy.ts';
@@ -24,6 +25,8 @@
   readonly mayHedge: () => boolean;
   /** Time that few answers to the request take from an upstream without a queue, in ms. */
   readonly estimateLongMs: () => number;
+  /** Time that half of the answers to the request take, in ms; 0 while it is not known. */
+  readonly estimateTypicalMs: () => number;
   readonly clock: Clock;
   /** Called with each upstream to which an attempt has ended. */
   readonly onEnd: (upstream: string, attempt: EndedAttempt) => void;
@@ -75,7 +78,7 @@
       if (!policy.isRetryable(attempt.end) || this.runsLeft <= 0 || !mayTryAgain()) break;
       chosen = this.chooseNext();
       // A retry that was taken can't be given back, so it is taken last.
-      if (chosen && !(await this.takeRetry(attempt.end))) chosen = undefined;
+      if (chosen && !(await this.takeRetry(attempt.end, this.decideUse()))) chosen = undefined;
     }
     if (!reported) return this.createFailure(chooser.describeRefusal(request));
     return { ...reported, attempts: this.tried.size };
@@ -142,7 +145,7 @@
     const chosen = this.chooseNext();
     if (!chosen || !mayWait(chooser.estimateServiceTimes(chosen))) return undefined;
     // A retry that was taken can't be given back, so it is taken last.
-    const isTaken = this.takeRetry('unknown');
+    const isTaken = this.takeRetry('unknown', 'hedge');
     const isNeeded = await Promise.race([first.ended.then(() => false), isTaken]);
     return isNeeded ? this.startAttempt(chosen, Infinity) : undefined;
   }
@@ -151,13 +154,21 @@
    * Takes a retry of an attempt with this result. An attempt that was not sent has used nothing, so
    * the next one may be sent in its place.
    */
-  private async takeRetry(end: AttemptResult): Promise<boolean> {
+  private async takeRetry(end: AttemptResult, use: RetryUse): Promise<boolean> {
     if (end === 'not_sent' && this.options.clock.now() < this.sendBy) return true;
-    const sendBy = await this.options.policy.takeRetry(end);
+    const sendBy = await this.options.policy.takeRetry(end, use);
     this.sendBy = sendBy ?? this.sendBy;
     return sendBy !== undefined;
   }
 
+  /** Whether a retry that is sent now is likely to be answered within the objective. */
+  private decideUse(): RetryUse {
+    const { clock, request, estimateTypicalMs } = this.options;
+    const { objectiveMs = Infinity } = request.route;
+    const objectiveAt = Math.min(request.receivedAt + objectiveMs, request.deadline);
+    return clock.now() + estimateTypicalMs() <= objectiveAt ? 'in_time' : 'late';
+  }
+
   private startAttempt(chosen: UsableUpstream, hedgeAt: number): OpenAttempt {
     const { request, service, chooser, sender, findRefusal, onEnd } = this.options;
     const { upstream } = chosen.record;
--- a/src/application/requests/RequestHandler.ts
+++ b/src/application/requests/RequestHandler.ts
@@ -34,6 +34,7 @@
 import createFailureAnswer from './createFailureAnswer.ts';
 import drawRetryTime from './drawRetryTime.ts';
 import checkSendable from './checkSendable.ts';
+import getRank from './getRank.ts';
 import isOriginForm from './isOriginForm.ts';
 import listEndToEndHeaders from './listEndToEndHeaders.ts';
 
@@ -395,8 +396,9 @@
     return retryAt === undefined ? undefined : Math.round(retryAt - this.options.clock.now());
   }
 
-  private addToBudget({ route, service, requestId }: CallerRequest): RetryAllowance {
-    const budget = this.budgets.getBudget(route.service, requestId);
+  private addToBudget(request: CallerRequest): RetryAllowance {
+    const { route, service, requestId } = request;
+    const budget = this.budgets.getBudget(route.service, requestId, getRank(request));
     budget.addRequest(service.retryShare);
     return budget;
   }
--- a/src/application/requests/UpstreamDispatcher.ts
+++ b/src/application/requests/UpstreamDispatcher.ts
@@ -20,6 +20,8 @@
   readonly stopLimiter?: StopLimiter;
   /** Time that few answers to an operation exceed, in milliseconds; `Infinity` unless set. */
   readonly estimateLongMs?: (operation: string) => number;
+  /** Time that half of the answers to an operation take, in milliseconds; 0 unless set. */
+  readonly estimateTypicalMs?: (operation: string) => number;
 }
 
 /** Dispatches requests to upstreams. */
@@ -47,7 +49,7 @@
     service: ServiceSettings,
     policy: RetryPolicy,
   ): Promise<DispatchResult> {
-    const { clock, estimateLongMs, stopLimiter } = this.options;
+    const { clock, estimateLongMs, estimateTypicalMs, stopLimiter } = this.options;
     const { chooser, sender } = this;
     const operation = getOperation(request.route);
     const sheddingTracker = this.getSheddingTracker(request.route.service);
@@ -62,6 +64,7 @@
       // A host that stops interrupts no request.
       mayHedge: () => !stopLimiter?.isStopping,
       estimateLongMs: () => estimateLongMs?.(operation) ?? Infinity,
+      estimateTypicalMs: () => estimateTypicalMs?.(operation) ?? 0,
       clock,
       onEnd: (upstream, ended) => {
         if (ended.outcome.kind === 'failed' && ended.shedding === 'none') return;
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -357,6 +357,7 @@
       gate: new DomainGate({ clock, log, statements, exchange }),
       stopLimiter: this.stopSchedule,
       estimateLongMs: (operation) => observer.estimateLongMs(operation),
+      estimateTypicalMs: (operation) => observer.estimateTypicalMs(operation),
       log,
       readRisk,
     });
--- a/src/domain/detection/LatencyEstimate.ts
+++ b/src/domain/detection/LatencyEstimate.ts
@@ -33,6 +33,11 @@
     this.variance += varianceFactor * (deviation ** 2 - this.variance);
   }
 
+  /** Latency that half of the good answers exceed, in milliseconds; 0 before the first answer. */
+  get typicalMs(): number {
+    return this.count === 0 ? 0 : Math.exp(this.averageLog);
+  }
+
   /** Latency that few good answers exceed, in milliseconds; undefined before the first answer. */
   get longMs(): number | undefined {
     if (this.count === 0) return undefined;
--- a/src/domain/requests/AtMostOnceRetryPolicy.ts
+++ b/src/domain/requests/AtMostOnceRetryPolicy.ts
@@ -1,3 +1,4 @@
+import type { RetryUse } from '../admission/RetryRank.ts';
 import type RetryAllowance from './RetryAllowance.ts';
 import type RetryPolicy from './RetryPolicy.ts';
 import type { AttemptResult } from './AttemptResult.ts';
@@ -21,8 +22,8 @@
     return 1;
   }
 
-  async takeRetry(result: AttemptResult): Promise<number | undefined> {
-    return this.isRetryable(result) ? this.budget.takeRetry() : undefined;
+  async takeRetry(result: AttemptResult, use: RetryUse): Promise<number | undefined> {
+    return this.isRetryable(result) ? this.budget.takeRetry(use) : undefined;
   }
 
   /** Returns `Infinity`: a second upstream could run the operation again. */
--- a/src/domain/requests/IdempotentRetryPolicy.ts
+++ b/src/domain/requests/IdempotentRetryPolicy.ts
@@ -1,3 +1,4 @@
+import type { RetryUse } from '../admission/RetryRank.ts';
 import type RetryAllowance from './RetryAllowance.ts';
 import type RetryPolicy from './RetryPolicy.ts';
 import type { AttemptTimes } from './RetryPolicy.ts';
@@ -19,8 +20,8 @@
     return this.budget.readScarcity();
   }
 
-  async takeRetry(result: AttemptResult): Promise<number | undefined> {
-    return this.isRetryable(result) ? this.budget.takeRetry() : undefined;
+  async takeRetry(result: AttemptResult, use: RetryUse): Promise<number | undefined> {
+    return this.isRetryable(result) ? this.budget.takeRetry(use) : undefined;
   }
 
   /**
--- a/src/domain/requests/RetryPolicy.ts
+++ b/src/domain/requests/RetryPolicy.ts
@@ -1,3 +1,4 @@
+import type { RetryUse } from '../admission/RetryRank.ts';
 import type { AttemptResult } from './AttemptResult.ts';
 
 /** Inputs of the hedge time of an attempt. */
@@ -22,7 +23,7 @@
    * Takes a retry of an attempt with this result from the retry budget; resolves with the instant
    * until which it may be sent, or undefined when none is allowed.
    */
-  takeRetry(result: AttemptResult): Promise<number | undefined>;
+  takeRetry(result: AttemptResult, use: RetryUse): Promise<number | undefined>;
   /**
    * Instant from which the request may be sent to a second upstream too if the attempt has no
    * answer by then; `Infinity` for never.
--- a/tests/fleet/retryBudgets.test.ts
+++ b/tests/fleet/retryBudgets.test.ts
@@ -42,7 +42,9 @@
 
   async function takeRetries(calls: number): Promise<number> {
     const budget = budgets.getBudget('history', 'r1');
-    const taken = await Promise.all(Array.from({ length: calls }, () => budget.takeRetry()));
+    const taken = await Promise.all(
+      Array.from({ length: calls }, () => budget.takeRetry('in_time')),
+    );
     return taken.filter((sendBy) => sendBy !== undefined).length;
   }
 
@@ -71,7 +73,7 @@
   it('should allow a retry for half a second', async () => {
     await clock.advanceBy(openMs);
 
-    expect(await budgets.getBudget('history', 'r1').takeRetry()).toBe(clock.now() + 500);
+    expect(await budgets.getBudget('history', 'r1').takeRetry('in_time')).toBe(clock.now() + 500);
   });
 
   // Guards against a restart that makes room for the retries of the earlier process once more.
@@ -161,6 +163,20 @@
     ]);
   });
 
+  // Guards against a loan that takes from other hosts what they keep for more urgent requests.
+  it('should neither borrow nor take a retry that is kept for a more urgent rank', async () => {
+    loan = 10;
+    const takeRanked = (route: number): Promise<number | undefined> =>
+      budgets.getBudget('history', 'r1', { team: Infinity, route }).takeRetry('in_time');
+    const urgent = await Promise.all(Array.from({ length: 10 }, () => takeRanked(0)));
+    loan = 1;
+
+    expect(urgent.every((sendBy) => sendBy !== undefined)).toBe(true);
+    expect(await takeRanked(1)).toBeUndefined();
+    expect(lines.at(-1)).toMatchObject({ isTaken: false, isReserved: true, routePriority: 1 });
+    expect(lines.at(-1)?.reserved).toBeGreaterThan(1);
+  });
+
   it('should report what is used and left, and forget services without requests', async () => {
     await clock.advanceBy(openMs);
     await takeRetries(2);
