--- a/src/application/requests/RequestHandler.ts
+++ b/src/application/requests/RequestHandler.ts
@@ -27,12 +27,12 @@
 import type { Header } from './RequestDialect.ts';
 import type RequestObserver from './RequestObserver.ts';
 import type RetryBudgetSource from './RetryBudgetSource.ts';
+import ReturnTimes from './ReturnTimes.ts';
 import ServiceRetryBudgets from './ServiceRetryBudgets.ts';
 import type UpstreamDispatcher from './UpstreamDispatcher.ts';
 import type { DispatchResult } from './RequestDispatch.ts';
 import computeDeadline from './computeDeadline.ts';
 import createFailureAnswer from './createFailureAnswer.ts';
-import drawRetryTime from './drawRetryTime.ts';
 import checkSendable from './checkSendable.ts';
 import getRank from './getRank.ts';
 import isOriginForm from './isOriginForm.ts';
@@ -109,14 +109,20 @@
 
   private readonly gates: GateChain;
 
+  private readonly returnTimes: ReturnTimes;
+
   constructor(options: RequestHandlerOptions) {
-    const { activePreset, log, gates = [] } = options;
+    const { activePreset, clock, random, dispatcher, log, gates = [] } = options;
     this.options = options;
     this.splitter = new TrafficSplitter(options.random);
     this.dialect = options.dialect ?? new DefaultDialect();
     this.budgets = options.budgets ?? new ServiceRetryBudgets();
     this.identities = new IdentityResolver({ activePreset, dialect: this.dialect });
     this.gates = new GateChain({ gates, log });
+    this.returnTimes = new ReturnTimes({
+      ...{ clock, random },
+      estimateWaitMs: (request) => dispatcher.estimateWaitMs(request),
+    });
   }
 
   /** Waits briefly while this host starts, so as not to refuse requests that it can serve soon. */
@@ -210,10 +216,10 @@
   private async runRequest(request: CallerRequest): Promise<EndedRequest> {
     // The key of the team may have been withdrawn while the body arrived.
     const identity = this.identities.resolveIdentity(request);
-    if (!identity.ok) return this.endRefused(identity.failure);
+    if (!identity.ok) return this.endRefused(identity.failure, request);
     const checked = { ...request, identity: identity.value };
     const decision = this.gates.admitRequest(checked);
-    if (decision.kind === 'refused') return this.endRefused(decision.failure);
+    if (decision.kind === 'refused') return this.endRefused(decision.failure, checked);
     let mayHaveRun = true;
     try {
       const ended = await this.runAdmitted(checked);
@@ -233,7 +239,7 @@
   private async runIdempotent(request: CallerRequest): Promise<EndedRequest> {
     const policy = new IdempotentRetryPolicy(this.addToBudget(request));
     const result = await this.options.dispatcher.dispatchRequest(request, request.service, policy);
-    return this.endDispatched(result);
+    return this.endDispatched(result, request);
   }
 
   private chooseService(route: RouteSettings): RouteSettings {
@@ -246,7 +252,7 @@
   private async runWithoutClaim(request: CallerRequest): Promise<EndedRequest> {
     const policy = new AtMostOnceRetryPolicy(this.addToBudget(request));
     const result = await this.options.dispatcher.dispatchRequest(request, request.service, policy);
-    return this.endDispatched(result);
+    return this.endDispatched(result, request);
   }
 
   private async runWithClaim(request: CallerRequest): Promise<EndedRequest> {
@@ -254,8 +260,8 @@
     // Avoids a claim and its release for a caller that has disconnected or whose deadline has
     // passed.
     const refusal = checkSendable(request, this.options.clock.now());
-    if (refusal) return this.endRefused(refusal);
-    if (!key.ok) return this.endRefused(key.failure);
+    if (refusal) return this.endRefused(refusal, request);
+    if (!key.ok) return this.endRefused(key.failure, request);
     const claim = await this.options.claims.requestClaim({
       key: key.value,
       fingerprint: this.createFingerprint(request),
@@ -268,16 +274,16 @@
     if (claim.kind === 'replayed') {
       return { answer: this.replayAnswer(claim.answer), attempts: 0, mayHaveRun: false };
     }
-    return this.endDispatched(await this.dispatchClaimed(request, claim.grantedClaim));
+    return this.endDispatched(await this.dispatchClaimed(request, claim.grantedClaim), request);
   }
 
-  private endDispatched(result: DispatchResult): EndedRequest {
+  private endDispatched(result: DispatchResult, request: CallerRequest): EndedRequest {
     const { attempts, mayHaveRun } = result;
-    return { answer: this.createAnswer(result), attempts, mayHaveRun };
+    return { answer: this.createAnswer(result, request), attempts, mayHaveRun };
   }
 
-  private endRefused(failure: Failure): EndedRequest {
-    return { answer: this.createRefusal(failure), attempts: 0, mayHaveRun: false };
+  private endRefused(failure: Failure, request: CallerRequest): EndedRequest {
+    return { answer: this.createRefusal(failure, request), attempts: 0, mayHaveRun: false };
   }
 
   private async dispatchClaimed(
@@ -355,8 +361,8 @@
     return createFailureAnswer({ kind: 'internal', message });
   }
 
-  private createAnswer({ outcome }: DispatchResult): CallerAnswer {
-    if (outcome.kind === 'failed') return this.createRefusal(outcome.failure);
+  private createAnswer({ outcome }: DispatchResult, request: CallerRequest): CallerAnswer {
+    if (outcome.kind === 'failed') return this.createRefusal(outcome.failure, request);
     return {
       status: outcome.answer.status,
       headers: listEndToEndHeaders(outcome.answer.headers, this.dialect.reservedHeaders),
@@ -385,11 +391,10 @@
 
   // A refusal after which the caller may retry states when to retry, with jitter, so that not all
   // callers retry at the same time.
-  private createRefusal(failure: Failure): CallerAnswer {
-    const { clock, random } = this.options;
+  private createRefusal(failure: Failure, request?: CallerRequest): CallerAnswer {
     const answer = createFailureAnswer(failure);
     if (answer.status !== 503 || answer.outcome !== 'not-run') return answer;
-    return { ...answer, retryAt: drawRetryTime(failure, clock.now(), random) };
+    return { ...answer, retryAt: this.returnTimes.drawReturnTime(failure, request) };
   }
 
   private computeReturnMs({ retryAt }: CallerAnswer): number | undefined {
--- a/src/application/requests/UpstreamDispatcher.ts
+++ b/src/application/requests/UpstreamDispatcher.ts
@@ -73,6 +73,15 @@
     }).run();
   }
 
+  /** Time until an upstream of the request's service is expected to have a free slot, in ms. */
+  estimateWaitMs(request: CallerRequest): number {
+    const typicalMs = this.options.estimateTypicalMs?.(getOperation(request.route)) ?? 0;
+    const serviceTimes = this.chooser
+      .listUntried(request, new Set())
+      .map((upstream) => this.chooser.estimateServiceTimes(upstream));
+    return serviceTimes.length === 0 ? 0 : (Math.min(...serviceTimes) - 1) * typicalMs;
+  }
+
   /** Why the request must not be sent now, or undefined while it may be sent. */
   private findRefusal(request: CallerRequest, operation: string): Failure | undefined {
     const refusal = checkSendable(request, this.options.clock.now());
