--- a/src/application/requests/UpstreamDispatcher.ts
+++ b/src/application/requests/UpstreamDispatcher.ts
@@ -20,6 +20,8 @@
   readonly stopLimiter?: StopLimiter;
   /** Time that few answers to an operation exceed, in milliseconds; `Infinity` unless set. */
   readonly estimateLongMs?: (operation: string) => number;
+  /** Time that half of the answers to an operation take, in milliseconds; 0 unless set. */
+  readonly estimateTypicalMs?: (operation: string) => number;
 }
 
 /** Dispatches requests to upstreams. */
@@ -47,7 +49,7 @@
     service: ServiceSettings,
     policy: RetryPolicy,
   ): Promise<DispatchResult> {
-    const { clock, estimateLongMs, stopLimiter } = this.options;
+    const { clock, estimateLongMs, estimateTypicalMs, stopLimiter } = this.options;
     const { chooser, sender } = this;
     const operation = getOperation(request.route);
     const sheddingTracker = this.getSheddingTracker(request.route.service);
@@ -62,6 +64,7 @@
       // A host that stops interrupts no request.
       mayHedge: () => !stopLimiter?.isStopping,
       estimateLongMs: () => estimateLongMs?.(operation) ?? Infinity,
+      estimateTypicalMs: () => estimateTypicalMs?.(operation) ?? 0,
       clock,
       onEnd: (upstream, ended) => {
         if (ended.outcome.kind === 'failed' && ended.shedding === 'none') return;
@@ -70,6 +73,15 @@
     }).run();
   }
 
+  /** Time until an upstream of the request's service is expected to have a free slot, in ms. */
+  estimateWaitMs(request: CallerRequest): number {
+    const typicalMs = this.options.estimateTypicalMs?.(getOperation(request.route)) ?? 0;
+    const serviceTimes = this.chooser
+      .listUntried(request, new Set())
+      .map((upstream) => this.chooser.estimateServiceTimes(upstream));
+    return serviceTimes.length === 0 ? 0 : (Math.min(...serviceTimes) - 1) * typicalMs;
+  }
+
   /** Why the request must not be sent now, or undefined while it may be sent. */
   private findRefusal(request: CallerRequest, operation: string): Failure | undefined {
     const refusal = checkSendable(request, this.options.clock.now());
