--- a/src/adapters/yaml/formatPreset.ts
+++ b/src/adapters/yaml/formatPreset.ts
@@ -1,7 +1,7 @@
 import { stringify } from 'yaml';
 
 import type Preset from '../../domain/presets/Preset.ts';
-import type { RouteSettings, ServiceSettings } from '../../domain/presets/Preset.ts';
+import type { RouteSettings, ServiceSettings, TeamSettings } from '../../domain/presets/Preset.ts';
 
 function encodeService(service: ServiceSettings) {
   return {
@@ -28,10 +28,24 @@
     deadline_ms: route.deadlineMs,
     max_body_bytes: route.maxBodyBytes,
     max_answer_bytes: route.maxAnswerBytes,
+    public: route.isPublic,
   };
 }
 
-/** Formats a preset as a YAML file that `parsePreset` can read. */
+function encodeTeam(team: TeamSettings) {
+  return {
+    name: team.name,
+    keys: team.keys,
+    priority: team.priority,
+    requests_per_second: team.requestsPerSecond,
+    burst: team.burst,
+  };
+}
+
+/**
+ * Formats a preset as a YAML file that `parsePreset` can read. The file contains the keys of the
+ * teams.
+ */
 export default function formatPreset(preset: Preset): string {
   return stringify({
     fleet: { entry_hosts: preset.fleet.entryHosts },
@@ -39,5 +53,6 @@
       Object.entries(preset.services).map(([name, service]) => [name, encodeService(service)]),
     ),
     routes: preset.routes.map(encodeRoute),
+    teams: preset.teams?.map(encodeTeam),
   });
 }
--- a/src/adapters/yaml/parsePreset.ts
+++ b/src/adapters/yaml/parsePreset.ts
@@ -2,9 +2,14 @@
 
 import type Result from '../../domain/errors/Result.ts';
 import type Preset from '../../domain/presets/Preset.ts';
-import type { RouteSettings, ServiceSettings } from '../../domain/presets/Preset.ts';
+import type { RouteSettings, ServiceSettings, TeamSettings } from '../../domain/presets/Preset.ts';
 import presetLimits, { maxRoutes, routeMethods } from '../../domain/presets/presetLimits.ts';
 import type { Range } from '../../domain/presets/presetLimits.ts';
+import teamLimits, {
+  maxTeams,
+  teamKeyExpected,
+  teamNameExpected,
+} from '../../domain/presets/teamLimits.ts';
 import nameSchema from './nameSchema.ts';
 import parseYaml from './parseYaml.ts';
 
@@ -13,7 +18,7 @@
   return z.int(expected).min(minimum, expected).max(maximum, expected);
 }
 
-function createShareSchema({ minimum, maximum }: Range) {
+function createNumberSchema({ minimum, maximum }: Range) {
   const expected = `expected a number from ${minimum} to ${maximum}`;
   return z.number(expected).min(minimum, expected).max(maximum, expected);
 }
@@ -22,12 +27,12 @@
   upstreams: createIntegerSchema(presetLimits.upstreams),
   floor: createIntegerSchema(presetLimits.floor),
   detection: z.enum(['fast', 'sure'], 'expected one of fast, sure').default('sure'),
-  retry_share: createShareSchema(presetLimits.retry_share).default(0.1),
+  retry_share: createNumberSchema(presetLimits.retry_share).default(0.1),
   ramp_ms: createIntegerSchema(presetLimits.ramp_ms).default(10_000),
   echo_request_id: z.boolean('expected true or false').default(false),
   objective: z
     .strictObject({
-      good_share: createShareSchema(presetLimits.good_share),
+      good_share: createNumberSchema(presetLimits.good_share),
       within_ms: createIntegerSchema(presetLimits.within_ms),
     })
     .default({ good_share: 0.999, within_ms: 1000 }),
@@ -44,6 +49,16 @@
   deadline_ms: createIntegerSchema(presetLimits.deadline_ms).default(5000),
   max_body_bytes: createIntegerSchema(presetLimits.max_body_bytes).default(1_048_576),
   max_answer_bytes: createIntegerSchema(presetLimits.max_answer_bytes).default(8_388_608),
+  public: z.boolean('expected true or false').optional(),
+});
+
+// `checkPreset` checks the patterns of names and keys.
+const teamSchema = z.strictObject({
+  name: z.string(teamNameExpected),
+  keys: z.array(z.string(teamKeyExpected), 'expected a list of keys').default([]),
+  priority: createIntegerSchema(teamLimits.priority).optional(),
+  requests_per_second: createNumberSchema(teamLimits.requests_per_second).default(0),
+  burst: createNumberSchema(teamLimits.burst).default(0),
 });
 
 const presetSchema = z.strictObject({
@@ -52,6 +67,10 @@
   routes: z
     .array(routeSchema, 'expected a list of routes')
     .max(maxRoutes, `expected at most ${maxRoutes} routes`),
+  teams: z
+    .array(teamSchema, 'expected a list of teams')
+    .max(maxTeams, `expected at most ${maxTeams} teams`)
+    .optional(),
 });
 
 function createServiceSettings(service: z.output<typeof serviceSchema>): ServiceSettings {
@@ -79,6 +98,17 @@
     deadlineMs: route.deadline_ms,
     maxBodyBytes: route.max_body_bytes,
     maxAnswerBytes: route.max_answer_bytes,
+    isPublic: route.public,
+  };
+}
+
+function createTeamSettings(team: z.output<typeof teamSchema>): TeamSettings {
+  return {
+    name: team.name,
+    keys: team.keys,
+    priority: team.priority,
+    requestsPerSecond: team.requests_per_second || undefined,
+    burst: team.burst,
   };
 }
 
@@ -89,7 +119,7 @@
 export default function parsePreset(name: string, text: string): Result<Preset> {
   const parsed = parseYaml({ name, text, schema: presetSchema, failureKind: 'preset_invalid' });
   if (!parsed.ok) return parsed;
-  const { fleet, services, routes } = parsed.value;
+  const { fleet, services, routes, teams } = parsed.value;
   return {
     ok: true,
     value: {
@@ -98,6 +128,7 @@
         Object.entries(services).map(([key, service]) => [key, createServiceSettings(service)]),
       ),
       routes: routes.map(createRouteSettings),
+      teams: teams?.map(createTeamSettings),
     },
   };
 }
--- a/src/adapters/yaml/parseYaml.ts
+++ b/src/adapters/yaml/parseYaml.ts
@@ -12,6 +12,14 @@
   readonly failureKind: 'settings_invalid' | 'preset_invalid';
 }
 
+/** Keys of a team whose values error messages may show. */
+const plainTeamKeys: ReadonlySet<string> = new Set([
+  'name',
+  'priority',
+  'requests_per_second',
+  'burst',
+]);
+
 function readPath(document: unknown, path: readonly PropertyKey[]): unknown {
   return path.reduce<unknown>(
     (value, key) =>
@@ -22,12 +30,37 @@
   );
 }
 
-function describeIssue(document: unknown, issue: z.core.$ZodIssue): string {
+// A key of a team under a wrong name is secret too.
+function isOfTeam(path: readonly PropertyKey[]): boolean {
+  return path[0] === 'teams' && path.length > 1;
+}
+
+function isSecret(path: readonly PropertyKey[], isUnknownKey: boolean): boolean {
+  if (isUnknownKey) return isOfTeam(path);
+  const name = String(path.at(-1));
+  return name.endsWith('_key') || (isOfTeam(path) && !plainTeamKeys.has(name));
+}
+
+// Lists and mappings of a preset are not shown, because they may contain keys of teams.
+function describeValue(value: unknown, failureKind: YamlSource<unknown>['failureKind']): string {
+  const isNested = typeof value === 'object' && value !== null;
+  if (isNested && failureKind === 'preset_invalid') {
+    return Array.isArray(value) ? 'a list' : 'a mapping';
+  }
+  return JSON.stringify(value) ?? 'missing';
+}
+
+function describeIssue(
+  document: unknown,
+  issue: z.core.$ZodIssue,
+  failureKind: YamlSource<unknown>['failureKind'],
+): string {
   const isUnknownKey = issue.code === 'unrecognized_keys';
   const path = isUnknownKey ? [...issue.path, issue.keys[0] ?? ''] : issue.path;
   const key = path.length > 0 ? path.map(String).join('.') : '(top level)';
-  const isSecret = String(path.at(-1)).endsWith('_key') && !isUnknownKey;
-  const value = isSecret ? '(hidden)' : (JSON.stringify(readPath(document, path)) ?? 'missing');
+  const value = isSecret(path, isUnknownKey)
+    ? '(hidden)'
+    : describeValue(readPath(document, path), failureKind);
   const expected = isUnknownKey ? 'no such key is allowed here' : issue.message;
   return `key ${key}: value ${value}: ${expected}`;
 }
@@ -53,5 +86,5 @@
   const parsed = source.schema.safeParse(content);
   if (parsed.success) return { ok: true, value: parsed.data };
   const [issue] = parsed.error.issues;
-  return fail(issue ? describeIssue(content, issue) : 'not valid');
+  return fail(issue ? describeIssue(content, issue, source.failureKind) : 'not valid');
 }
--- a/src/domain/presets/checkPreset.ts
+++ b/src/domain/presets/checkPreset.ts
@@ -1,13 +1,15 @@
 import type Result from '../errors/Result.ts';
+import type InvalidValue from './InvalidValue.ts';
 import type Preset from './Preset.ts';
 import type { RouteSettings, ServiceSettings } from './Preset.ts';
+import checkNumber from './checkNumber.ts';
+import checkTeams from './checkTeams.ts';
 import presetLimits, {
   maxRoutes,
   nameExpected,
   namePattern,
   routeMethods,
 } from './presetLimits.ts';
-import type { Range } from './presetLimits.ts';
 
 // Accepts literal segments, parameters that fill a whole segment, and a wildcard at the end. The
 // router rejects some other patterns only when it builds its table, which is after the preset was
@@ -17,21 +19,8 @@
 const pathExpected =
   'expected a path that begins with / and consists of literal segments, :parameters and an optional * at the end';
 
-interface InvalidValue {
-  readonly key: string;
-  readonly value: unknown;
-  readonly expected: string;
-}
-
 type CheckResult = InvalidValue | undefined;
 
-function checkNumber(key: string, value: number, limit: Range, isWhole = true): CheckResult {
-  const isInRange = value >= limit.minimum && value <= limit.maximum;
-  if (isInRange && (!isWhole || Number.isInteger(value))) return undefined;
-  const noun = isWhole ? 'a whole number' : 'a number';
-  return { key, value, expected: `expected ${noun} from ${limit.minimum} to ${limit.maximum}` };
-}
-
 function checkName(key: string, value: string): CheckResult {
   return namePattern.test(value) ? undefined : { key, value, expected: nameExpected };
 }
@@ -126,6 +115,7 @@
         },
     ...preset.routes.flatMap((route, index) => checkRoute(route, index, services)),
     checkDistinct(preset.routes),
+    checkTeams(preset.teams ?? []),
   ].find((result) => result !== undefined);
   if (!invalidValue) return { ok: true, value: preset };
   const { key, value, expected } = invalidValue;
