src/cli, src/application/metrics: operators see the teams and their requests

Cause: nothing showed operators which teams the active preset has and why their requests are refused; requests that were refused before their body was read were in no metric. Change: team list asks the entry hosts as report burn does, in a call of its own, and adds up each answer as it arrives. The log line of a refusal has the team. pistachiohoist_team_requests_total has series of their own for 100 teams, one for all others together.

--- a/src/adapters/metrics/PrometheusMetrics.ts
+++ b/src/adapters/metrics/PrometheusMetrics.ts
@@ -3,6 +3,7 @@
 import type RequestObserver from '../../application/requests/RequestObserver.ts';
 import type { AnsweredRequest } from '../../application/requests/RequestObserver.ts';
 import type MetricsSource from '../../ports/MetricsSource.ts';
+import TeamRequestCounter from './TeamRequestCounter.ts';
 
 const durationBucketsSeconds = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
 
@@ -18,6 +19,9 @@
 export default class PrometheusMetrics implements RequestObserver, MetricsSource {
   private readonly registry = new Registry();
 
+  /** Counts requests by team. */
+  readonly teams = new TeamRequestCounter(this.registry);
+
   private readonly requests: Counter<'service' | 'status' | 'error'>;
 
   private readonly attempts: Counter<'service'>;
--- a/src/adapters/trpc/createOperatorRouter.ts
+++ b/src/adapters/trpc/createOperatorRouter.ts
@@ -1,6 +1,7 @@
 import type BurnReporter from '../../application/metrics/BurnReporter.ts';
 import type PresetStatusReader from '../../application/operators/PresetStatusReader.ts';
 import type ServiceListing from '../../application/operators/ServiceListing.ts';
+import type TeamListing from '../../application/operators/TeamListing.ts';
 import type UpstreamListing from '../../application/operators/UpstreamListing.ts';
 import type PresetService from '../../application/presets/PresetService.ts';
 import type Result from '../../domain/errors/Result.ts';
@@ -19,6 +20,7 @@
   readonly status: PresetStatusReader;
   readonly upstreams: UpstreamListing;
   readonly services: ServiceListing;
+  readonly teams: TeamListing;
   readonly burn: Pick<BurnReporter, 'createReport'>;
 }
 
@@ -26,7 +28,7 @@
 
 /** Creates the operators' procedures of a control host; expected errors are returned as data. */
 export default function createOperatorRouter(options: OperatorRouterOptions) {
-  const { clock, presets, status, upstreams, services, burn } = options;
+  const { clock, presets, status, upstreams, services, teams, burn } = options;
   const computeDeadline = (): number => clock.now() + answerTimeoutMs;
   const inputProcedure = procedure.input((input: unknown) => input);
   return router({
@@ -52,6 +54,7 @@
     }),
     upstream: router({ list: procedure.query(() => createSuccess(upstreams.listUpstreams())) }),
     service: router({ list: procedure.query(() => createSuccess(services.listServices())) }),
+    team: router({ list: procedure.query(async () => createSuccess(await teams.listTeams())) }),
     report: router({ burn: procedure.query(async () => createSuccess(await burn.createReport())) }),
   });
 }
--- a/src/adapters/trpc/operatorMessages.ts
+++ b/src/adapters/trpc/operatorMessages.ts
@@ -2,13 +2,14 @@
 
 import type { PresetStatus } from '../../application/operators/PresetStatusReader.ts';
 import type { ServiceStatus } from '../../application/operators/ServiceListing.ts';
+import type { TeamReport } from '../../application/operators/TeamListing.ts';
 import type { UpstreamStatus } from '../../application/operators/UpstreamListing.ts';
 import type { PresetListing } from '../../application/presets/PresetService.ts';
 import type { PresetRecord } from '../../domain/presets/PresetRegistrySnapshot.ts';
 import type BurnReport from '../../domain/metrics/BurnReport.ts';
 import { acceptedChangeSchema } from './controlMessages.ts';
 import { createOptionalSchema, createResultSchema, winnerSchema } from './failureSchema.ts';
-import { windowCountsSchema } from './metricsMessages.ts';
+import { teamCountsSchema, windowCountsSchema } from './metricsMessages.ts';
 import presetSchema from './presetSchema.ts';
 
 const changeIdExpected = 'expected a change id of 1 to 100 printable characters without spaces';
@@ -135,3 +136,23 @@
 
 /** Output of `report.burn`. */
 export const burnReportResultSchema = createResultSchema(burnReportSchema);
+
+const teamReportSchema: z.ZodType<TeamReport> = z.object({
+  needsKeys: z.boolean(),
+  teams: z.array(
+    z.object({
+      name: z.string(),
+      priority: createOptionalSchema(z.number()),
+      requestsPerSecond: createOptionalSchema(z.number()),
+      burst: z.number(),
+      keys: z.int(),
+      ...teamCountsSchema.shape,
+    }),
+  ),
+  withoutTeam: teamCountsSchema,
+  hosts: z.array(z.string()),
+  missingHosts: z.array(z.string()),
+});
+
+/** Output of `team.list`. */
+export const teamReportResultSchema = createResultSchema(teamReportSchema);
--- a/src/application/requests/IdentityResolver.ts
+++ b/src/application/requests/IdentityResolver.ts
@@ -1,6 +1,6 @@
 import type Result from '../../domain/errors/Result.ts';
 import type Preset from '../../domain/presets/Preset.ts';
-import type { RouteSettings } from '../../domain/presets/Preset.ts';
+import type { RouteSettings, TeamSettings } from '../../domain/presets/Preset.ts';
 import type CallerIdentity from '../../domain/teams/CallerIdentity.ts';
 import TeamDirectory from '../../domain/teams/TeamDirectory.ts';
 import type ActivePreset from './ActivePreset.ts';
@@ -39,14 +39,28 @@
     const directory = this.findDirectory();
     if (!directory) return { ok: true, value: { kind: 'unchecked' } };
     const key = this.options.dialect.findTeamKey(headers);
-    const team = key === undefined ? undefined : directory.findTeam(key);
+    const team = this.findTeam(headers);
     if (team) return { ok: true, value: { kind: 'team', team } };
     if (route.isPublic) return { ok: true, value: { kind: 'anonymous' } };
-    const detail = key === undefined ? 'has no key of a team' : 'has a key that no team holds';
+    const detail =
+      key === undefined
+        ? 'has no key of a team, or several different ones'
+        : 'has a key that no team holds';
     const message = `${method} ${target}: the request ${detail}`;
     return { ok: false, failure: { kind: 'team_key_unknown', message } };
   }
 
+  /** Whether the active preset has teams. */
+  get hasTeams(): boolean {
+    return this.findDirectory() !== undefined;
+  }
+
+  /** Team whose key the headers have; undefined if there is none, or if the preset has no teams. */
+  findTeam(headers: readonly Header[]): TeamSettings | undefined {
+    const key = this.options.dialect.findTeamKey(headers);
+    return key === undefined ? undefined : this.findDirectory()?.findTeam(key);
+  }
+
   /** Teams of the active preset; undefined if it has none, so that no request needs a key. */
   private findDirectory(): TeamDirectory | undefined {
     const preset = this.options.activePreset.state?.preset;
--- a/src/application/requests/RequestHandler.ts
+++ b/src/application/requests/RequestHandler.ts
@@ -28,6 +28,7 @@
 import type RequestObserver from './RequestObserver.ts';
 import type RetryBudgetSource from './RetryBudgetSource.ts';
 import ServiceRetryBudgets from './ServiceRetryBudgets.ts';
+import type TeamObserver from './TeamObserver.ts';
 import type UpstreamDispatcher from './UpstreamDispatcher.ts';
 import type { DispatchResult } from './RequestDispatch.ts';
 import computeDeadline from './computeDeadline.ts';
@@ -52,6 +53,8 @@
   readonly claims: ClaimGate;
   readonly dispatcher: UpstreamDispatcher;
   readonly observer: RequestObserver;
+  /** Observes the results of requests while the active preset has teams. */
+  readonly teamObserver?: TeamObserver;
   readonly log: Log;
   /** `DefaultDialect` unless set. */
   readonly dialect?: RequestDialect;
@@ -182,10 +185,13 @@
       answer: this.createInternalAnswer(request, error),
       attempts: 0,
     }));
+    const { identity } = request;
+    const team = identity.kind === 'team' ? identity.team.name : undefined;
+    if (identity.kind !== 'unchecked') this.recordTeamResult(team, answer);
     this.options.log.info('requests: answered', {
       requestId: request.requestId,
       service: request.route.service,
-      team: request.identity.kind === 'team' ? request.identity.team.name : undefined,
+      team,
       status: answer.status,
       outcome: answer.outcome,
       error: answer.errorKind,
@@ -370,8 +376,11 @@
   refuseRequest(failure: Failure, head: { readonly headers: readonly Header[] }): CallerAnswer {
     const { random, log, activePreset } = this.options;
     const answer = this.createRefusal(failure);
+    const team = this.identities.findTeam(head.headers)?.name;
+    if (this.identities.hasTeams) this.recordTeamResult(team, answer);
     log.info('requests: refused', {
       requestId: this.dialect.findRequestId(head.headers) ?? random.createId(),
+      team,
       status: answer.status,
       outcome: answer.outcome,
       error: failure.kind,
@@ -391,6 +400,12 @@
     return { ...answer, retryAt: drawRetryTime(failure, clock.now(), random) };
   }
 
+  // A failure after which the request may have run counts as admitted: an upstream received it.
+  private recordTeamResult(team: string | undefined, { errorKind, outcome }: CallerAnswer): void {
+    const refusal = outcome === 'not-run' ? errorKind : undefined;
+    this.options.teamObserver?.recordResult({ team, refusal });
+  }
+
   private computeReturnMs({ retryAt }: CallerAnswer): number | undefined {
     return retryAt === undefined ? undefined : Math.round(retryAt - this.options.clock.now());
   }
--- a/src/cli/runCommandLine.ts
+++ b/src/cli/runCommandLine.ts
@@ -15,6 +15,7 @@
 import PresetUseCommand from './PresetUseCommand.ts';
 import ReportBurnCommand from './ReportBurnCommand.ts';
 import ServiceListCommand from './ServiceListCommand.ts';
+import TeamListCommand from './TeamListCommand.ts';
 import UpstreamListCommand from './UpstreamListCommand.ts';
 import UsageError from './UsageError.ts';
 import exitCodes, { decideExitCode } from './exitCodes.ts';
@@ -43,6 +44,7 @@
   new PresetStatusCommand(),
   new UpstreamListCommand(),
   new ServiceListCommand(),
+  new TeamListCommand(),
   new ReportBurnCommand(),
 ];
 
--- a/src/daemon/ControlHost.ts
+++ b/src/daemon/ControlHost.ts
@@ -19,6 +19,7 @@
 import StopSteps from '../application/lifecycle/StopSteps.ts';
 import type { HostStatus } from '../application/membership/HostHeartbeat.ts';
 import BurnReporter from '../application/metrics/BurnReporter.ts';
+import TeamReporter from '../application/metrics/TeamReporter.ts';
 import FleetListing from '../application/operators/FleetListing.ts';
 import PresetStatusReader from '../application/operators/PresetStatusReader.ts';
 import ForwardingPresetSource from '../application/presets/ForwardingPresetSource.ts';
@@ -204,27 +205,27 @@
     const { hosts, upstreams, dialer } = network;
     const readPreset = (): Preset | undefined => this.state.presets.getActive()?.preset;
     const listing = new FleetListing({ clock, hosts, upstreams, ejections, readPreset });
-    const burn = new BurnReporter({
+    const measured = {
       clock,
-      merger: new HdrLatencyRecorder(),
       // Lost hosts are included, so that the report lists them as missing.
       listEntryHosts: () =>
         [...listing.listHosts(), ...hosts.listLost()].flatMap(({ host, role }) =>
           role === 'entry' ? [host] : [],
         ),
-      openLink: (host) => {
+      openLink: (host: string) => {
         const peer = network.findPeer(host);
         return peer && new TrpcMetricsLink(dialer.takeConnection(peer));
       },
       readPreset,
-    });
+    };
     return createOperatorRouter({
       clock,
       presets,
       status: new PresetStatusReader({ source: presets, hosts: listing }),
       upstreams: listing,
       services: listing,
-      burn,
+      teams: new TeamReporter(measured),
+      burn: new BurnReporter({ ...measured, merger: new HdrLatencyRecorder() }),
     });
   }
 
--- a/src/daemon/EntryHost.ts
+++ b/src/daemon/EntryHost.ts
@@ -22,12 +22,14 @@
 import LoadTracker from '../application/requests/LoadTracker.ts';
 import RequestHandler from '../application/requests/RequestHandler.ts';
 import type RequestObserver from '../application/requests/RequestObserver.ts';
+import type TeamObserver from '../application/requests/TeamObserver.ts';
 import SubsetPool from '../application/requests/SubsetPool.ts';
 import UpstreamDispatcher from '../application/requests/UpstreamDispatcher.ts';
 import EjectionDirectory from '../domain/detection/EjectionDirectory.ts';
 import type { HostStateName } from '../domain/membership/HostRecord.ts';
 import ServiceLevelCounters from '../domain/metrics/ServiceLevelCounters.ts';
 import SlotBalancer from '../domain/requests/SlotBalancer.ts';
+import TeamCounters from '../domain/teams/TeamCounters.ts';
 import type DaemonSettings from '../domain/settings/DaemonSettings.ts';
 import BufferBudget from '../domain/requests/BufferBudget.ts';
 import type Clock from '../ports/Clock.ts';
@@ -121,8 +123,9 @@
       latencies: new HdrLatencyRecorder(),
     });
     const metrics = this.createMetrics();
+    const teamCounters = new TeamCounters();
     this.callers = new HttpFrontEnd({
-      handler: this.createRequestHandler([serviceLevels, metrics]),
+      handler: this.createRequestHandler([serviceLevels, metrics], [teamCounters, metrics.teams]),
       clock,
       log,
       buffers,
@@ -142,7 +145,7 @@
       router: router({
         gossip: createGossipRouter({ gossip: network.gossip }),
         detection: createDetectionRouter({ coordinator: this.detection.coordinator }),
-        metrics: createMetricsRouter(serviceLevels),
+        metrics: createMetricsRouter(serviceLevels, teamCounters),
       }),
       peerKey: settings.peerKey,
       log,
@@ -212,7 +215,10 @@
     });
   }
 
-  private createRequestHandler(observers: readonly RequestObserver[]): RequestHandler {
+  private createRequestHandler(
+    observers: readonly RequestObserver[],
+    teamObservers: readonly TeamObserver[],
+  ): RequestHandler {
     const { settings, clock, random, log } = this.options;
     const { presets: activePreset, claims, upstreamClient, detection } = this;
     const dispatcher = new UpstreamDispatcher({
@@ -228,7 +234,12 @@
     const observer: RequestObserver = {
       recordRequest: (request) => observers.forEach((item) => item.recordRequest(request)),
     };
-    return new RequestHandler({ clock, random, log, activePreset, claims, dispatcher, observer });
+    const teamObserver: TeamObserver = {
+      recordResult: (result) => teamObservers.forEach((item) => item.recordResult(result)),
+    };
+    return new RequestHandler({
+      ...{ clock, random, log, activePreset, claims, dispatcher, observer, teamObserver },
+    });
   }
 
   private createMetrics(): PrometheusMetrics {
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -369,6 +369,7 @@
       claims: new DisabledClaimGate(),
       dispatcher,
       observer: metrics,
+      teamObserver: metrics.teams,
       dialect,
       budgets: this.retryBudgets,
     });
--- a/tests/cli/commandLine.test.ts
+++ b/tests/cli/commandLine.test.ts
@@ -6,6 +6,7 @@
 import createOperatorRouter from '../../src/adapters/trpc/createOperatorRouter.ts';
 import formatPreset from '../../src/adapters/yaml/formatPreset.ts';
 import PresetStatusReader from '../../src/application/operators/PresetStatusReader.ts';
+import type { TeamReport } from '../../src/application/operators/TeamListing.ts';
 import PresetService from '../../src/application/presets/PresetService.ts';
 import formatTable from '../../src/cli/formatTable.ts';
 import runCommandLine from '../../src/cli/runCommandLine.ts';
@@ -37,6 +38,7 @@
   let group: FakeControlGroup;
   let servers: TrpcOperatorServer[];
   let missingHosts: string[] = [];
+  let teamReport: TeamReport;
   const writtenFiles: Record<string, string> = {};
   let addresses: string[];
   const files: Record<string, string> = {
@@ -60,6 +62,7 @@
         status: new PresetStatusReader({ source: presets, hosts }),
         upstreams: { listUpstreams: () => [] },
         services: { listServices: () => [] },
+        teams: { listTeams: async () => teamReport },
         burn: {
           createReport: async () => ({ createdAt: 0, services: [], hosts: [], missingHosts }),
         },
@@ -103,6 +106,26 @@
   const runAt = (parameters: string, server = addresses[0]) =>
     run([...parameters.split(' '), '--server', server ?? '']);
 
+  it('should list teams with their limits and results', async () => {
+    const counts = { admitted: 7, refused: { quota_exceeded: 2, team_key_unknown: 1 } };
+    const depots = { name: 'depots', priority: 0, requestsPerSecond: 2.5, burst: 4, keys: 2 };
+    teamReport = {
+      needsKeys: true,
+      teams: [{ ...depots, ...counts }],
+      withoutTeam: { admitted: 0, refused: { team_key_unknown: 3 } },
+      hosts: ['entry-1'],
+      missingHosts: ['entry-2'],
+    };
+    const { output, errors } = await runAt('team list');
+
+    expect(output.split('\n')[1]).toMatch(
+      /^depots +0 +2\.5 +4 +2 +7 +3 +quota_exceeded=2,team_key_unknown=1$/,
+    );
+    expect(errors).toContain('without a team: admitted 0, refused team_key_unknown=3\n');
+    expect(errors).toContain('missing: entry-2\n');
+    expect(JSON.parse((await runAt('team list --json')).output)).toEqual(teamReport);
+  });
+
   it('should put, use, show and list a preset and report the lagging hosts', async () => {
     expect(await runAt('preset put ordinary good.yaml --based-on 0')).toMatchObject({ code: 0 });
     expect((await runAt('preset use ordinary --based-on 0')).code).toBe(0);
--- a/tests/teams/teamKeys.test.ts
+++ b/tests/teams/teamKeys.test.ts
@@ -4,9 +4,10 @@
 import type { AddressInfo } from 'node:net';
 
 import { fetch } from 'undici';
-import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
 import type { TeamSettings } from '../../src/domain/presets/Preset.ts';
+import TeamCounters from '../../src/domain/teams/TeamCounters.ts';
 import createEntryPath, { createUsable } from '../fixtures/createEntryPath.ts';
 import type { EntryPath } from '../fixtures/createEntryPath.ts';
 import createPreset, { createRoute } from '../fixtures/createPreset.ts';
@@ -23,9 +24,11 @@
   const received: IncomingHttpHeaders[] = [];
   let server: Server;
   let path: EntryPath;
+  let counters: TeamCounters;
 
   beforeEach(async () => {
     received.length = 0;
+    counters = new TeamCounters();
     server = createServer((request, response) => {
       received.push(request.headers);
       response.end('answer');
@@ -35,6 +38,7 @@
     path = await createEntryPath({
       upstreams: [createUsable('a', `127.0.0.1:${port}`)],
       preset: createPreset({ routes, teams: [depots, shippers] }),
+      teamObserver: counters,
     });
   });
 
@@ -129,4 +133,31 @@
     expect(answer.statusCode).toBe(401);
     expect(received).toEqual([]);
   });
+
+  // Guards against a refusal that operators can neither count nor trace to its cause, and against
+  // keys in the log.
+  it('should count results by team and log a refusal without the key', async () => {
+    const info = vi.spyOn(path.log, 'info');
+    await send('/history/1', { 'pistachiohoist-key': 'key-3' });
+    await send('/history/1', { 'pistachiohoist-key': 'key-4' });
+    await send('/unknown', { 'pistachiohoist-key': 'key-1' });
+
+    expect(counters.listCounts()).toEqual([
+      { team: 'shippers', admitted: 1, refused: {} },
+      { team: undefined, admitted: 0, refused: { team_key_unknown: 1 } },
+      { team: 'depots', admitted: 0, refused: { route_unknown: 1 } },
+    ]);
+    const calls: readonly (readonly unknown[])[] = info.mock.calls;
+    const refusals = calls.filter(([message]) => message === 'requests: refused');
+    expect(refusals.map(([, fields]) => fields)).toMatchObject([
+      {
+        requestId: expect.any(String),
+        error: 'team_key_unknown',
+        detail: 'GET /history/1: the request has a key that no team holds',
+        presetNumber: 1,
+      },
+      { team: 'depots', error: 'route_unknown' },
+    ]);
+    expect(JSON.stringify(calls)).not.toMatch(/key-\d/);
+  });
 });
