--- a/src/application/requests/RequestHandler.ts
+++ b/src/application/requests/RequestHandler.ts
@@ -29,6 +29,7 @@
 import type RetryBudgetSource from './RetryBudgetSource.ts';
 import ReturnTimes from './ReturnTimes.ts';
 import ServiceRetryBudgets from './ServiceRetryBudgets.ts';
+import type TeamObserver from './TeamObserver.ts';
 import type UpstreamDispatcher from './UpstreamDispatcher.ts';
 import type { DispatchResult } from './RequestDispatch.ts';
 import computeDeadline from './computeDeadline.ts';
@@ -53,6 +54,8 @@
   readonly claims: ClaimGate;
   readonly dispatcher: UpstreamDispatcher;
   readonly observer: RequestObserver;
+  /** Observes the results of requests while the active preset has teams. */
+  readonly teamObserver?: TeamObserver;
   readonly log: Log;
   /** `DefaultDialect` unless set. */
   readonly dialect?: RequestDialect;
@@ -128,7 +131,8 @@
   /** Waits briefly while this host starts, so as not to refuse requests that it can serve soon. */
   async waitReady({ headers, receivedAt }: RequestHead): Promise<void> {
     const { activePreset, waitReady } = this.options;
-    if (activePreset.routeTable || !waitReady) return;
+    const isReady = activePreset.routeTable !== undefined && !this.identities.isUncertain;
+    if (isReady || !waitReady) return;
     const callerDeadline = this.dialect.readDeadline(headers, receivedAt);
     // A request with an invalid deadline needs no wait, because it is refused anyway.
     if (!callerDeadline.ok) return;
@@ -136,6 +140,13 @@
     await waitReady(receivedAt + Math.min(maxReadyWaitMs, maxReadyWaitShare * remainingMs));
   }
 
+  private async waitCertain(deadline: number): Promise<void> {
+    const { clock, waitReady } = this.options;
+    if (!this.identities.isUncertain || !waitReady) return;
+    const now = clock.now();
+    await waitReady(now + Math.min(maxReadyWaitMs, maxReadyWaitShare * (deadline - now)));
+  }
+
   /** Finds the route and the deadline from the head of a request, before its body is read. */
   openRequest(head: RequestHead): Result<OpenedRequest> {
     const { activePreset, clock } = this.options;
@@ -189,10 +200,13 @@
       answer: this.createInternalAnswer(request, error),
       attempts: 0,
     }));
+    const { identity } = request;
+    const team = identity.kind === 'team' ? identity.team.name : undefined;
+    if (identity.kind !== 'unchecked') this.recordTeamResult(team, answer);
     this.options.log.info('requests: answered', {
       requestId: request.requestId,
       service: request.route.service,
-      team: request.identity.kind === 'team' ? request.identity.team.name : undefined,
+      team,
       status: answer.status,
       outcome: answer.outcome,
       error: answer.errorKind,
@@ -214,7 +228,8 @@
   }
 
   private async runRequest(request: CallerRequest): Promise<EndedRequest> {
-    // The key of the team may have been withdrawn while the body arrived.
+    // The key of the team may have been withdrawn while the body arrived, or during a pause.
+    await this.waitCertain(request.deadline);
     const identity = this.identities.resolveIdentity(request);
     if (!identity.ok) return this.endRefused(identity.failure, request);
     const checked = { ...request, identity: identity.value };
@@ -377,8 +392,11 @@
   refuseRequest(failure: Failure, head: { readonly headers: readonly Header[] }): CallerAnswer {
     const { random, log, activePreset } = this.options;
     const answer = this.createRefusal(failure);
+    const team = this.identities.findTeam(head.headers)?.name;
+    if (this.identities.hasTeams) this.recordTeamResult(team, answer);
     log.info('requests: refused', {
       requestId: this.dialect.findRequestId(head.headers) ?? random.createId(),
+      team,
       status: answer.status,
       outcome: answer.outcome,
       error: failure.kind,
@@ -397,6 +415,12 @@
     return { ...answer, retryAt: this.returnTimes.drawReturnTime(failure, request) };
   }
 
+  // A failure after which the request may have run counts as admitted: an upstream received it.
+  private recordTeamResult(team: string | undefined, { errorKind, outcome }: CallerAnswer): void {
+    const refusal = outcome === 'not-run' ? errorKind : undefined;
+    this.options.teamObserver?.recordResult({ team, refusal });
+  }
+
   private computeReturnMs({ retryAt }: CallerAnswer): number | undefined {
     return retryAt === undefined ? undefined : Math.round(retryAt - this.options.clock.now());
   }
