src: one account of memory for connections, requests and answers

Cause: Node.js begins all requests of a read of 64 KiB at once, a piece of a body of one byte cost a buffer of its own and was counted as one byte, an incomplete head was not counted, answers of operators' calls were not counted, and the buffers of answers that waited behind another one stayed counted when their connection closed.

Change (docs/design/memory.md): PacedSocket gives the parser slices, and the next one only when the account of the connection allows it; BodyCollector joins pieces; the budget drops those first that hold most for longest; an answer leaves in parts, and a client that takes none for 10 s loses its connection; probes, scrapers and operators have the same account. Answers of the fleet itself repeat the id of the attempt on the platform.

Ruled out: pausing the connection, since Node.js resumes it after each request.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -194,6 +194,8 @@
         },
         { selector: 'function', format: ['camelCase'], custom: functionName },
         { selector: 'classMethod', format: ['camelCase'], custom: functionName },
+        // Node.js fixes the names of the methods that its classes call.
+        { selector: 'classMethod', modifiers: ['override'], format: null },
         { selector: 'typeLike', format: ['PascalCase'] },
       ],
       '@typescript-eslint/no-floating-promises': 'error',
--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -1,6 +1,5 @@
 import { setMaxListeners } from 'node:events';
-import { createServer } from 'node:http';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 
 import type { CallerAnswer } from '../../application/requests/CallerRequest.ts';
@@ -10,14 +9,19 @@
 import type RequestHandler from '../../application/requests/RequestHandler.ts';
 import type Failure from '../../domain/errors/Failure.ts';
 import type { CallerLimits } from '../../domain/presets/Preset.ts';
-import type BufferBudget from '../../domain/requests/BufferBudget.ts';
+import { callerConnectionLimits } from '../../domain/memory/ConnectionLimits.ts';
+import type { ConnectionLimits } from '../../domain/memory/ConnectionLimits.ts';
+import BufferBudget from '../../domain/requests/BufferBudget.ts';
 import type BufferedBytes from '../../domain/requests/BufferedBytes.ts';
 import type { ListenAddress } from '../../domain/settings/DaemonSettings.ts';
 import type Clock from '../../ports/Clock.ts';
 import type Log from '../../ports/Log.ts';
+import ConnectionPacing from './ConnectionPacing.ts';
 import type ListenerConnections from './ListenerConnections.ts';
+import PacedServer from './PacedServer.ts';
 import ServerConnections from './ServerConnections.ts';
 import closeServer from './closeServer.ts';
+import dropBody from './dropBody.ts';
 import openServer from './openServer.ts';
 import readBody from './readBody.ts';
 import setIdleTimeout from './setIdleTimeout.ts';
@@ -51,8 +55,10 @@
   readonly maxHeaderBytes?: number;
   /** The default dialect unless set. */
   readonly dialect?: RequestDialect;
-  /** Limits the memory of requests and answers; unless set, there is no limit. */
+  /** Limits the memory of connections, requests and answers; unless set, there is no limit. */
   readonly buffers?: BufferBudget;
+  /** What one connection may hold; `callerConnectionLimits` unless set. */
+  readonly connectionLimits?: ConnectionLimits;
   /** Counts the connections of the listener. */
   readonly listenerConnections?: ListenerConnections;
 }
@@ -77,7 +83,7 @@
 export default class HttpFrontEnd {
   private readonly options: HttpFrontEndOptions;
 
-  private readonly server: Server;
+  private readonly server: PacedServer;
 
   private readonly connections: ServerConnections;
 
@@ -95,7 +101,7 @@
   constructor(options: HttpFrontEndOptions) {
     this.options = options;
     this.dialect = options.dialect ?? new DefaultDialect();
-    this.server = createServer(
+    this.server = new PacedServer(
       {
         maxHeaderSize: options.maxHeaderBytes ?? defaultMaxHeaderBytes,
         headersTimeout: options.headersTimeoutMs ?? defaultHeadersTimeoutMs,
@@ -120,6 +126,12 @@
     setMaxListeners(0, this.partsEnded.signal);
     this.connections = new ServerConnections({ server: this.server, clock: options.clock });
     options.listenerConnections?.watchRequests(this.server);
+    const { clock, listenerConnections, buffers } = options;
+    new ConnectionPacing({
+      ...{ clock, listenerConnections },
+      limits: options.connectionLimits ?? callerConnectionLimits,
+      budget: buffers ?? new BufferBudget({ maxBytes: Infinity }),
+    }).watchServer(this.server);
     this.server.on('connect', (_request, socket) => {
       // Node.js no longer handles errors of this connection.
       socket.on('error', (error) =>
@@ -260,6 +272,8 @@
 
   /** Opens a buffer that lasts until the answer was written. */
   private openBuffer(response: ServerResponse): BufferedBytes | undefined {
+    // Nothing would release the buffer of a connection that is closed.
+    if (response.destroyed) return undefined;
     const buffer = this.options.buffers?.openBuffer();
     if (buffer) response.once('close', () => buffer.release());
     return buffer;
@@ -280,7 +294,7 @@
     if (announcesBody && !request.complete) {
       const bodyEnded = new AbortController();
       ['end', 'close'].forEach((event) => request.once(event, () => bodyEnded.abort()));
-      request.resume();
+      dropBody(request);
       await this.options.clock.sleepUntil(this.options.clock.now() + discardMs, bodyEnded.signal);
     }
     response.end();
@@ -308,10 +322,11 @@
     const hasContent = mayHaveBody(request.method, answer.status);
     const isUnframed =
       hasContent && (answer.isUnframed ?? false) && this.markUnframed(request, response);
+    const requestHeaders = readHeaders(request);
     const headers = [
       ...answer.headers.flat(),
       ...(hasContent && !isUnframed ? ['content-length', String(answer.body.byteLength)] : []),
-      ...this.dialect.createCallerHeaders(answer, this.options.clock.now()).flat(),
+      ...this.dialect.createCallerHeaders(answer, this.options.clock.now(), requestHeaders).flat(),
     ];
     response.writeHead(answer.status, headers);
     if (!hasContent) return;
@@ -319,7 +334,7 @@
     const buffer = this.openBuffer(response);
     buffer?.setDropHandler(() => {
       this.options.log.warn('requests: closing the connection of a caller, for want of memory', {
-        requestId: this.dialect.findRequestId(readHeaders(request)),
+        requestId: this.dialect.findRequestId(requestHeaders),
         unreadBytes: answer.body.byteLength,
       });
       response.destroy();
--- a/src/adapters/http/ListenerConnections.ts
+++ b/src/adapters/http/ListenerConnections.ts
@@ -7,6 +7,15 @@
 // An operator needs no more lines to see that connections are closed; the counter has the rest.
 const logIntervalMs = 1000;
 
+/** A connection that was closed because it held more than it may. */
+export interface ClosedConnection {
+  /** Name of the limit. */
+  readonly limit: 'memory' | 'requests_ahead' | 'unread_answer';
+  readonly address: string | undefined;
+  readonly openRequests: number | undefined;
+  readonly unreadBytes: number;
+}
+
 /** Options of the connections of one listener. */
 export interface ListenerConnectionsOptions {
   readonly clock: Clock;
@@ -31,6 +40,9 @@
   /** Number of connections that were closed because of the limit. */
   refusedCount = 0;
 
+  /** Number of connections that were closed because they held more than they may. */
+  closedCount = 0;
+
   private readonly options: ListenerConnectionsOptions;
 
   private readonly open = new Set<Socket>();
@@ -40,6 +52,10 @@
 
   private loggedCount = 0;
 
+  private loggedClosed = 0;
+
+  private nextClosedLogAt = -Infinity;
+
   private nextLogAt = -Infinity;
 
   constructor(options: ListenerConnectionsOptions) {
@@ -75,6 +91,20 @@
     this.unproven.delete(socket);
   }
 
+  /** Counts a connection that was closed because of what it held. */
+  recordClosed(closed: ClosedConnection): void {
+    const { clock, log, listener } = this.options;
+    this.closedCount += 1;
+    if (clock.now() < this.nextClosedLogAt) return;
+    this.nextClosedLogAt = clock.now() + logIntervalMs;
+    log.warn('lifecycle: a connection was closed: it held more than it may', {
+      listener,
+      ...closed,
+      closed: this.closedCount - this.loggedClosed,
+    });
+    this.loggedClosed = this.closedCount;
+  }
+
   private addConnection(socket: Socket): void {
     const { maxConnections, maxUnproven = maxConnections } = this.options;
     this.acceptedCount += 1;
--- a/src/adapters/http/PlatformFrontEnd.ts
+++ b/src/adapters/http/PlatformFrontEnd.ts
@@ -5,6 +5,7 @@
 import createFailureAnswer from '../../application/requests/createFailureAnswer.ts';
 import type Failure from '../../domain/errors/Failure.ts';
 import type { HostStateName } from '../../domain/membership/HostRecord.ts';
+import type BufferBudget from '../../domain/requests/BufferBudget.ts';
 import type { ListenAddress } from '../../domain/settings/DaemonSettings.ts';
 import type Clock from '../../ports/Clock.ts';
 import type Log from '../../ports/Log.ts';
@@ -34,6 +35,8 @@
   readonly announcements?: AnnouncementService;
   /** Counts the connections of the listener. */
   readonly listenerConnections?: ListenerConnections;
+  /** Memory of the connections; unless set, there is no limit. */
+  readonly budget?: BufferBudget;
 }
 
 /** Serves health and readiness probes, metrics and the announcements of upstreams. */
@@ -49,9 +52,10 @@
       clock: options.clock,
       log: options.log,
       failureMessage: 'membership: a request to the platform listener failed',
+      listenerConnections: options.listenerConnections,
+      budget: options.budget,
       serve: (request, response) => this.serveRequest(request, response),
     });
-    options.listenerConnections?.watchRequests(this.http.server);
   }
 
   openListener(address: ListenAddress): Promise<void> {
--- a/src/adapters/http/UpstreamExchange.ts
+++ b/src/adapters/http/UpstreamExchange.ts
@@ -138,9 +138,12 @@
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.isFinished) return;
+    const { memoryBytes } = this.collector;
     this.collector.addChunk(chunk);
     if (this.collector.size > this.request.maxAnswerBytes) this.failAnswer('endless');
-    else this.buffer?.addBytes(chunk.byteLength);
+    else if (this.collector.memoryBytes > memoryBytes) {
+      this.buffer?.addBytes(this.collector.memoryBytes - memoryBytes);
+    }
   }
 
   onResponseEnd(): void {
--- a/src/adapters/http/createHttpServer.ts
+++ b/src/adapters/http/createHttpServer.ts
@@ -1,8 +1,12 @@
-import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerOptions, ServerResponse } from 'node:http';
 
+import { plainConnectionLimits } from '../../domain/memory/ConnectionLimits.ts';
+import BufferBudget from '../../domain/requests/BufferBudget.ts';
 import type Clock from '../../ports/Clock.ts';
 import type Log from '../../ports/Log.ts';
+import ConnectionPacing from './ConnectionPacing.ts';
+import type ListenerConnections from './ListenerConnections.ts';
+import PacedServer from './PacedServer.ts';
 import ServerConnections from './ServerConnections.ts';
 import setIdleTimeout from './setIdleTimeout.ts';
 
@@ -17,6 +21,10 @@
   readonly log: Log;
   /** Log message for a request whose handling failed, with the prefix of its subsystem. */
   readonly failureMessage: string;
+  /** Memory of the connections; unless set, there is no limit. */
+  readonly budget?: BufferBudget | undefined;
+  /** Counts the connections of the server. */
+  readonly listenerConnections?: ListenerConnections | undefined;
   readonly serve: (request: IncomingMessage, response: ServerResponse) => Promise<void>;
 }
 
@@ -31,7 +39,11 @@
  */
 export default function createHttpServer(options: HttpServerOptions): HttpServer {
   const { clock, log, failureMessage, serve } = options;
-  const server = createServer({ connectionsCheckingInterval, ...options.server });
+  const server = new PacedServer({ connectionsCheckingInterval, ...options.server });
+  const { budget = new BufferBudget({ maxBytes: Infinity }), listenerConnections } = options;
+  const limits = plainConnectionLimits;
+  new ConnectionPacing({ clock, limits, budget, listenerConnections }).watchServer(server);
+  listenerConnections?.watchRequests(server);
   setIdleTimeout(server, server.keepAliveTimeout);
   const connections = new ServerConnections({ server, clock });
   server.on('request', (request, response) => {
--- a/src/adapters/http/readBody.ts
+++ b/src/adapters/http/readBody.ts
@@ -4,6 +4,7 @@
 import type BufferedBytes from '../../domain/requests/BufferedBytes.ts';
 import type Clock from '../../ports/Clock.ts';
 import BodyCollector from './BodyCollector.ts';
+import { markBodyRead } from './dropBody.ts';
 
 type Refusal =
   'body_too_large' | 'deadline_passed' | 'host_overloaded' | 'host_stopping' | 'request_malformed';
@@ -57,9 +58,13 @@
   const result = await new Promise<Result<Uint8Array>>((resolve) => {
     limits.buffer?.setDropHandler(() => resolve(refuse('host_overloaded')));
     request.on('data', (chunk: Buffer) => {
+      markBodyRead(request);
+      const { memoryBytes } = collector;
       if (collector.size + chunk.byteLength > limits.maxBytes) resolve(refuse('body_too_large'));
       else collector.addChunk(chunk);
-      limits.buffer?.addBytes(chunk.byteLength);
+      if (collector.memoryBytes > memoryBytes) {
+        limits.buffer?.addBytes(collector.memoryBytes - memoryBytes);
+      }
     });
     request.once('end', () => {
       limits.buffer?.markKept();
--- a/src/application/requests/RequestDialect.ts
+++ b/src/application/requests/RequestDialect.ts
@@ -54,6 +54,10 @@
   ): boolean;
   /** Reads the signals of an answer that this host received at `now`. */
   readAnswerSignals(answer: UpstreamAnswer, now: number): AnswerSignals;
-  /** Headers for the caller besides the forwarded ones. */
-  createCallerHeaders(answer: CallerAnswer, now: number): readonly Header[];
+  /** Headers for the caller besides the forwarded ones; `requestHeaders` are those it sent. */
+  createCallerHeaders(
+    answer: CallerAnswer,
+    now: number,
+    requestHeaders: readonly Header[],
+  ): readonly Header[];
 }
--- a/src/daemon/EntryHost.ts
+++ b/src/daemon/EntryHost.ts
@@ -111,7 +111,10 @@
       return new TrpcClaimLink({ host: peer.host, connection });
     });
     this.claims = new ClaimClient({ clock, random, log, holder, links });
-    const buffers = new BufferBudget({ maxBytes: maxBufferedBytes });
+    const buffers = new BufferBudget({
+      maxBytes: maxBufferedBytes,
+      readNow: () => clock.now(),
+    });
     this.upstreamClient = new UndiciUpstreamClient({ clock, connectionsPerUpstream, buffers });
     const serviceLevels = new ServiceLevelObserver({
       host: settings.host,
@@ -131,6 +134,7 @@
       clock,
       log,
       metrics,
+      budget: buffers,
       readState: () => this.getState(),
       announcements: new AnnouncementService({
         clock,
--- a/src/daemon/FleetControlHost.ts
+++ b/src/daemon/FleetControlHost.ts
@@ -30,6 +30,7 @@
 import type { ControlHostInfo } from '../domain/fleet/FleetHosts.ts';
 import { splitControlDescriptors } from '../domain/settings/splitDescriptors.ts';
 import type { FleetControlSettings } from '../domain/settings/FleetSettings.ts';
+import BufferBudget from '../domain/requests/BufferBudget.ts';
 import type Clock from '../ports/Clock.ts';
 import type FleetLink from '../ports/FleetLink.ts';
 import type Log from '../ports/Log.ts';
@@ -54,6 +55,8 @@
 const closeMs = 500;
 // Time for the last log lines and for the process to exit.
 const exitMs = 500;
+// Memory for the connections of the metrics listener, which serves few calls.
+const maxMetricsBytes = 4_194_304;
 
 /** Options of a control host in a fleet whose hosts discover each other through seeds. */
 export interface FleetControlOptions {
@@ -201,6 +204,7 @@
       clock,
       log,
       metrics: this.createMetrics(),
+      budget: new BufferBudget({ maxBytes: maxMetricsBytes, readNow: () => clock.now() }),
       listenerConnections: connections.metrics,
       readState: () => {
         if (this.isStopping) return 'stopping';
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -192,7 +192,10 @@
       killMs: settings.stopTimeoutMs,
       estimateAttemptMs: (operation) => this.observer.estimateLongMs(operation),
     });
-    const buffers = new BufferBudget({ maxBytes: maxBufferedBytes });
+    const buffers = new BufferBudget({
+      maxBytes: maxBufferedBytes,
+      readNow: () => clock.now(),
+    });
     this.upstreamClient = new UndiciUpstreamClient({
       clock,
       connectionsPerUpstream,
@@ -217,7 +220,7 @@
       listenerConnections: this.connections.callers,
     });
     const readState = (): HostStateName => this.getState();
-    const common = { clock, log, metrics, readState };
+    const common = { clock, log, metrics, readState, budget: buffers };
     this.platform = new PlatformFrontEnd({
       ...common,
       listenerConnections: this.connections.platform,
--- a/src/daemon/listConnectionGauges.ts
+++ b/src/daemon/listConnectionGauges.ts
@@ -5,7 +5,7 @@
 export default function listConnectionGauges(
   listeners: readonly Pick<
     ListenerConnections,
-    'listener' | 'acceptedCount' | 'openCount' | 'unprovenCount' | 'refusedCount'
+    'listener' | 'acceptedCount' | 'openCount' | 'unprovenCount' | 'refusedCount' | 'closedCount'
   >[],
 ): readonly GaugeSource[] {
   return listeners.flatMap((connections) => [
@@ -29,5 +29,10 @@
       help: `Connections of the listener ${connections.listener} that were closed because of its limit.`,
       readValue: () => connections.refusedCount,
     },
+    {
+      name: `connections_closed_${connections.listener}`,
+      help: `Connections of the listener ${connections.listener} that were closed because they held more than they may.`,
+      readValue: () => connections.closedCount,
+    },
   ]);
 }
--- a/src/domain/requests/BufferedBytes.ts
+++ b/src/domain/requests/BufferedBytes.ts
@@ -3,14 +3,20 @@
   /** Called with the change of the size in bytes. */
   readonly onChange: (bytes: number) => void;
   readonly onRelease: () => void;
+  /** Returns the current time in milliseconds; unless set, the buffer has no age. */
+  readonly readNow?: () => number;
 }
 
+const millisecondsPerSecond = 1000;
+
 /** The bytes that one request or answer keeps in memory. */
 export default class BufferedBytes {
   private readonly options: BufferedBytesOptions;
 
   private bytes = 0;
 
+  private grownAt: number;
+
   private isReleased = false;
 
   private isKept = false;
@@ -19,6 +25,7 @@
 
   constructor(options: BufferedBytesOptions) {
     this.options = options;
+    this.grownAt = this.readNow();
   }
 
   get size(): number {
@@ -29,10 +36,16 @@
     return !this.isReleased && !this.isKept;
   }
 
-  /** Adds bytes; this buffer or another one may be dropped for them. */
+  /** How much others gain by dropping the buffer: its bytes for each second without progress. */
+  computeWeight(now: number): number {
+    return this.bytes * (1 + (now - this.grownAt) / millisecondsPerSecond);
+  }
+
+  /** Adds bytes, or takes off if negative; this buffer or another one may be dropped for them. */
   addBytes(count: number): void {
     if (this.isReleased) return;
     this.bytes += count;
+    this.grownAt = this.readNow();
     this.options.onChange(count);
   }
 
@@ -58,4 +71,8 @@
     this.options.onRelease();
     this.options.onChange(-this.bytes);
   }
+
+  private readNow(): number {
+    return this.options.readNow?.() ?? 0;
+  }
 }
--- a/tests/platform/dialect.test.ts
+++ b/tests/platform/dialect.test.ts
@@ -206,4 +206,19 @@
 
     expect(readSignals(200, headers).statements?.leaving).toEqual(expected);
   });
+
+  // Guards against a caller that can't tell to which of its attempts a refusal belongs.
+  it('should repeat the id of the attempt in answers of the fleet itself only', () => {
+    const answer = {
+      status: 503,
+      headers: [],
+      body: new Uint8Array(),
+      outcome: 'not-run',
+    } as const;
+    const createHeaders = (errorKind: 'host_overloaded' | undefined) =>
+      dialect.createCallerHeaders({ ...answer, errorKind }, 0, [['x-attempt-id', 'r1']]);
+
+    expect(createHeaders('host_overloaded')).toEqual([['x-attempt-id', 'r1']]);
+    expect(createHeaders(undefined)).toEqual([]);
+  });
 });
