src/domain/memory: few requests are begun ahead over all connections

Cause: with 32 requests open on each of hundreds of connections, a new caller waited behind thousands of requests, for most of a minute on a busy machine.

Change: at most 128 requests of a listener are begun while another one of their connection is open; beyond that a connection has one open, and its slices have 256 bytes.

--- a/src/adapters/http/ConnectionPacing.ts
+++ b/src/adapters/http/ConnectionPacing.ts
@@ -2,6 +2,7 @@
 
 import ConnectionAccount from '../../domain/memory/ConnectionAccount.ts';
 import type { ConnectionLimits } from '../../domain/memory/ConnectionLimits.ts';
+import RequestsAhead from '../../domain/memory/RequestsAhead.ts';
 import type BufferBudget from '../../domain/requests/BufferBudget.ts';
 import type Clock from '../../ports/Clock.ts';
 import type ListenerConnections from './ListenerConnections.ts';
@@ -13,6 +14,8 @@
 // Node.js begins all requests of a slice at once, and the shortest has 18 bytes, so the bound on
 // the requests of a connection is exceeded by few.
 const sliceBytes = 1024;
+// The same while requests that were sent ahead have to wait.
+const scarceSliceBytes = 256;
 // Most bytes of a body arrive in slices of this size.
 const bodySliceBytes = 4096;
 
@@ -46,6 +49,8 @@
 
   private readonly connections = new Map<PacedSocket, PacedConnection>();
 
+  private readonly ahead = new RequestsAhead();
+
   private checkTask: Promise<void> | undefined;
 
   private isClosed = new AbortController();
@@ -69,7 +74,7 @@
     const { clock, limits, budget } = this.options;
     const connection: PacedConnection = {
       account: new ConnectionAccount({
-        ...{ limits, budget },
+        ...{ limits, budget, ahead: this.ahead },
         onDrop: () => this.closeConnection(socket, 'memory'),
       }),
       responses: new Set(),
@@ -117,7 +122,8 @@
   private computeSliceBytes({ account, newestRequest }: PacedConnection): number {
     // The rest of a request that was begun is always read.
     if (newestRequest && !newestRequest.complete) return bodySliceBytes;
-    return account.mayParse ? sliceBytes : 0;
+    if (!account.mayParse) return 0;
+    return account.isAlone ? scarceSliceBytes : sliceBytes;
   }
 
   private closeConnection(socket: PacedSocket, limit: ClosedFor): void {
--- a/src/domain/memory/ConnectionAccount.ts
+++ b/src/domain/memory/ConnectionAccount.ts
@@ -1,6 +1,7 @@
 import type BufferBudget from '../requests/BufferBudget.ts';
 import type BufferedBytes from '../requests/BufferedBytes.ts';
 import type { ConnectionLimits } from './ConnectionLimits.ts';
+import type RequestsAhead from './RequestsAhead.ts';
 
 // The objects of a request and its answer, before any body.
 const requestBytes = 6144;
@@ -14,6 +15,8 @@
 export interface ConnectionAccountOptions {
   readonly limits: ConnectionLimits;
   readonly budget: BufferBudget;
+  /** Shared by the connections of a listener. */
+  readonly ahead: RequestsAhead;
   /** Called when the connection has to give way to others. */
   readonly onDrop: () => void;
 }
@@ -43,22 +46,25 @@
     return this.open > this.options.limits.maxParsedRequests;
   }
 
-  /**
-   * Whether further bytes of the connection may be parsed. While the memory of the host is scarce,
-   * requests that were sent ahead have to wait, and each connection has one request open.
-   */
+  /** Whether requests that were sent ahead have to wait until the others are answered. */
+  get isAlone(): boolean {
+    return this.options.budget.isScarce || this.options.ahead.isUsedUp;
+  }
+
+  /** Whether further bytes of the connection may be parsed. */
   get mayParse(): boolean {
-    const { limits, budget } = this.options;
-    return this.open < (budget.isScarce ? 1 : limits.maxOpenRequests);
+    return this.open < (this.isAlone ? 1 : this.options.limits.maxOpenRequests);
   }
 
   addRequest(): void {
+    if (this.open > 0) this.options.ahead.addRequests(1);
     this.open += 1;
     this.buffer.addBytes(requestBytes);
   }
 
   removeRequest(): void {
     this.open -= 1;
+    if (this.open > 0) this.options.ahead.addRequests(-1);
     this.buffer.addBytes(-requestBytes);
   }
 
--- a/tests/requests/connectionPacing.test.ts
+++ b/tests/requests/connectionPacing.test.ts
@@ -3,6 +3,7 @@
 import BodyCollector from '../../src/adapters/http/BodyCollector.ts';
 import ConnectionAccount from '../../src/domain/memory/ConnectionAccount.ts';
 import { callerConnectionLimits } from '../../src/domain/memory/ConnectionLimits.ts';
+import RequestsAhead from '../../src/domain/memory/RequestsAhead.ts';
 import BufferBudget from '../../src/domain/requests/BufferBudget.ts';
 import createEntryPath, { createUsable } from '../fixtures/createEntryPath.ts';
 import type { EntryPath } from '../fixtures/createEntryPath.ts';
@@ -60,11 +61,12 @@
 
 describe('ConnectionAccount', () => {
   const limits = { maxOpenRequests: 4, maxParsedRequests: 8, unreadMs: 1000 };
+  const ahead = new RequestsAhead();
 
   // Guards against a crowd of connections that together fill the memory with requests sent ahead.
   it('should allow one request at a time while the memory of the host is scarce', () => {
     const budget = new BufferBudget({ maxBytes: 100_000 });
-    const account = new ConnectionAccount({ limits, budget, onDrop: () => undefined });
+    const account = new ConnectionAccount({ limits, budget, ahead, onDrop: () => undefined });
     const others = budget.openBuffer();
     account.addRequest();
     const mayParse = [account.mayParse];
@@ -81,7 +83,7 @@
     const budget = new BufferBudget({ maxBytes: 100_000 });
     const dropped: string[] = [];
     const [head, waiting] = ['head', 'waiting'].map(
-      (name) => new ConnectionAccount({ limits, budget, onDrop: () => dropped.push(name) }),
+      (name) => new ConnectionAccount({ limits, budget, ahead, onDrop: () => dropped.push(name) }),
     );
     waiting?.setInput(20_000, 0);
     head?.setInput(0, 6000);
