src/application/fleet: a refusal despite a free slot counts as a suspicion

Cause: an upstream that refuses whatever its load has no open requests, so it looked idle and drew more and more of them.

Ruled out: an assumed load after a refusal (others would take it for a queue), and a rate of refusals for each host (it would have to meet each upstream itself). A refusal of a busy upstream, or of one that states a limit, a pause or that it is leaving, still counts nothing.

Change: SlotView tells whether an upstream should run a request at once; SuspicionObserver then reports the refusal as 'faulty', a weak suspicion (0.12, at most 0.5), which other hosts learn as before; no new message. bench/faults knows uneven demand, traits of upstreams and connections; FaultPattern has its own file, re-exported by FaultSimulation.

--- a/bench/faults/FaultSimulation.ts
+++ b/bench/faults/FaultSimulation.ts
@@ -3,46 +3,17 @@
 
 import type SuspicionTracker from '../../src/domain/detection/SuspicionTracker.ts';
 import type Balancer from '../../src/domain/requests/Balancer.ts';
+import estimateLoad from '../../src/domain/requests/estimateLoad.ts';
 import type UsableUpstream from '../../src/domain/requests/UsableUpstream.ts';
 import EventQueue from '../EventQueue.ts';
 import DomainLoads from './DomainLoads.ts';
+import type { FaultOutcome, FaultPattern } from './FaultPattern.ts';
+import HostConnections from './HostConnections.ts';
 import RetryWindow from './RetryWindow.ts';
+import findTrait from './UpstreamTrait.ts';
+import type { UpstreamTrait } from './UpstreamTrait.ts';
 
-/** The upstreams, the load and the injected faults of one simulated service. */
-export interface FaultPattern {
-  readonly name: string;
-  /** Number of upstreams in each failure domain. */
-  readonly upstreams: readonly number[];
-  /** In this many failure domains, the first upstream is unreachable during the whole run. */
-  readonly unreachableCount: number;
-  readonly slots: number;
-  /** Maximum number of requests in the queue of an upstream; it refuses further ones. */
-  readonly maxQueue: number;
-  /** Mean processing time of a request, in milliseconds. */
-  readonly workMs: number;
-  /** Standard deviation of the logarithm of the processing time. */
-  readonly workSpread: number;
-  readonly requestsPerSecond: number;
-  readonly isIdempotent: boolean;
-  /** Latency objective, in milliseconds; a slower answer counts as late. */
-  readonly objectiveMs: number;
-  readonly answerBytes: number;
-  /** Length of a fault period in milliseconds; whether an upstream is faulty is drawn for each. */
-  readonly faultMs: number;
-  /** Probability that an upstream is faulty for one fault period. */
-  readonly faultShare: number;
-  /** Share of requests that a faulty upstream resets. */
-  readonly resetShare: number;
-  /** Share of requests that are reset besides those that faults reset. */
-  readonly strayResetShare: number;
-  /** Entry hosts in each failure domain; 15 unless set. */
-  readonly hostsPerDomain?: number;
-  /**
-   * Time until the other hosts of a failure domain count a request that was started and a load that
-   * was reported, in milliseconds; 20 unless set.
-   */
-  readonly exchangeDelayMs?: number;
-}
+export type { FaultOutcome, FaultPattern } from './FaultPattern.ts';
 
 /** The balancer of one entry host and the suspicions that it tracks. */
 export interface HostPolicy {
@@ -50,22 +21,6 @@
   readonly suspicions: SuspicionTracker;
 }
 
-/** Counts of the results of a pattern under a policy. */
-export interface FaultOutcome {
-  readonly requests: number;
-  /** Requests answered within the latency objective. */
-  readonly inTime: number;
-  readonly late: number;
-  /** Requests whose last attempt was reset or got a faulty answer. */
-  readonly lost: number;
-  readonly refused: number;
-  readonly retries: number;
-  /** Attempts that were reset, by a faulty or a healthy upstream. */
-  readonly resets: number;
-  /** Bytes of answers from an upstream in another failure domain than the entry host. */
-  readonly crossDomainBytes: number;
-}
-
 /** Options of a simulation. */
 export interface FaultSimulationOptions {
   readonly pattern: FaultPattern;
@@ -81,6 +36,9 @@
 const recoveryDelayMs = 200;
 const defaultHostsPerDomain = 15;
 const defaultExchangeDelayMs = 20;
+const defaultKeepAliveMs = 4000;
+// As in src/daemon/fleetTimes.ts.
+const loadHalfLifeMs = 800;
 // Share of the answers of each upstream that are faulty.
 const faultyAnswerShare = 0.012;
 const maxAttempts = 3;
@@ -91,6 +49,8 @@
 
 interface Upstream {
   readonly usable: UsableUpstream;
+  /** Position in its failure domain. */
+  readonly position: number;
   readonly isUnreachable: boolean;
   /** Offset of the fault periods of this upstream. */
   readonly faultOffsetMs: number;
@@ -98,6 +58,8 @@
   readonly faults: Map<number, boolean>;
   readonly queue: (() => void)[];
   running: number;
+  /** Requests that it ran. */
+  ran: number;
 }
 
 interface Domain {
@@ -111,6 +73,7 @@
   readonly host: HostPolicy;
   readonly startedAt: number;
   readonly tried: Set<string>;
+  readonly mayRepeat: boolean;
 }
 
 /**
@@ -129,8 +92,13 @@
 
   private readonly upstreams: readonly Upstream[];
 
+  /** The upstreams as hosts see them without traits. */
+  private readonly usable: readonly UsableUpstream[];
+
   private readonly domains: readonly Domain[];
 
+  private readonly connections: HostConnections;
+
   private readonly retryWindow = new RetryWindow({ windowMs: retryWindowMs });
 
   private readonly counts = {
@@ -147,6 +115,9 @@
   constructor(options: FaultSimulationOptions) {
     const { pattern, seed, createPolicy } = options;
     this.options = options;
+    this.connections = new HostConnections({
+      keepAliveMs: pattern.keepAliveMs ?? defaultKeepAliveMs,
+    });
     this.workloadGenerator = xoroshiro128plus(seed);
     this.choiceGenerator = xoroshiro128plus(seed + 1);
     this.domains = pattern.upstreams.map((_count, index) => ({
@@ -162,13 +133,20 @@
     this.upstreams = pattern.upstreams.flatMap((count, index) =>
       Array.from({ length: count }, (_, position) => this.createUpstream(index, position)),
     );
+    this.usable = this.upstreams.map(({ usable }) => usable);
   }
 
   /** Simulates the run until every request has ended and returns the counts. */
   runSimulation(): FaultOutcome {
     this.scheduleArrival();
     this.events.runAll();
-    return this.counts;
+    const ran = this.upstreams.map((upstream) => upstream.ran);
+    const mean = ran.reduce((sum, count) => sum + count, 0) / ran.length;
+    return {
+      ...this.counts,
+      opened: this.connections.openedCount,
+      busiestOverMean: Math.max(...ran) / mean,
+    };
   }
 
   private createUpstream(domain: number, position: number): Upstream {
@@ -181,11 +159,13 @@
     };
     return {
       usable: { record, weight: 1 },
+      position,
       isUnreachable: position === 0 && domain < pattern.unreachableCount,
       faultOffsetMs: this.drawUniform() * pattern.faultMs,
       faults: new Map(),
       queue: [],
       running: 0,
+      ran: 0,
     };
   }
 
@@ -216,15 +196,50 @@
     this.events.addEvent(at, () => {
       this.counts.requests += 1;
       this.retryWindow.addRequest(at);
-      const domain = this.domains[Math.floor(this.drawUniform() * this.domains.length)] as Domain;
+      const domain = this.drawDomain();
       const host = domain.hosts[Math.floor(this.drawUniform() * domain.hosts.length)] as HostPolicy;
-      this.sendAttempt({ domain, host, startedAt: at, tried: new Set() });
+      this.sendAttempt({
+        ...{ domain, host, startedAt: at, tried: new Set<string>() },
+        mayRepeat: this.drawMayRepeat(),
+      });
       this.scheduleArrival();
     });
   }
 
-  private computeRetryScarcity({ tried }: SimulatedRequest): number {
-    if (!this.options.pattern.isIdempotent || tried.size + 1 >= maxAttempts) return 1;
+  private drawDomain(): Domain {
+    const { demand = this.domains.map(() => 1) } = this.options.pattern;
+    const total = demand.reduce((sum, part) => sum + part, 0);
+    let rest = this.drawUniform() * total;
+    const index = demand.findIndex((part) => {
+      rest -= part;
+      return rest < 0;
+    });
+    return this.domains[index] as Domain;
+  }
+
+  private drawMayRepeat(): boolean {
+    const { isIdempotent, singleRunShare = 0 } = this.options.pattern;
+    return isIdempotent && (singleRunShare === 0 || this.drawUniform() >= singleRunShare);
+  }
+
+  private getTrait({ position }: Upstream): UpstreamTrait {
+    return findTrait(this.options.pattern.traits ?? [], position, this.events.now);
+  }
+
+  private listUsable({ tried }: SimulatedRequest): readonly UsableUpstream[] {
+    if (!this.options.pattern.traits) {
+      return this.usable.filter(({ record }) => !tried.has(record.upstream));
+    }
+    return this.upstreams.flatMap((upstream) => {
+      if (tried.has(upstream.usable.record.upstream)) return [];
+      const { fromMs, unlistedMs = Infinity, weight } = this.getTrait(upstream);
+      if (this.events.now >= fromMs + unlistedMs) return [];
+      return [weight === undefined ? upstream.usable : { ...upstream.usable, weight }];
+    });
+  }
+
+  private computeRetryScarcity({ tried, mayRepeat }: SimulatedRequest): number {
+    if (!mayRepeat || tried.size + 1 >= maxAttempts) return 1;
     const { used, allowed } = this.countRetries();
     return Math.min(1, used / allowed);
   }
@@ -238,21 +253,26 @@
     const { domain, host, tried } = request;
     const { now } = this.events;
     const chosen = host.balancer.chooseUpstream({
-      candidates: this.upstreams
-        .map((upstream) => upstream.usable)
-        .filter(({ record }) => !tried.has(record.upstream)),
+      candidates: this.listUsable(request),
       retryScarcity: this.computeRetryScarcity(request),
       readLoad: (name) => domain.loads.readLoad(host, name),
       now,
       random: () => uniformFloat64(this.choiceGenerator),
       failureDomain: domain.name,
+      ...(request.mayRepeat && {
+        hasIdleConnection: ({ record }: UsableUpstream) =>
+          this.connections.hasIdle(host, record.upstream, now),
+      }),
     });
-    const upstream = this.upstreams.find((candidate) => candidate.usable === chosen);
+    const upstream = this.upstreams.find(({ usable }) => usable.record === chosen?.record);
     if (!upstream) {
       this.counts.refused += 1;
       return;
     }
-    tried.add(upstream.usable.record.upstream);
+    const name = upstream.usable.record.upstream;
+    tried.add(name);
+    if (request.mayRepeat) this.connections.takeConnection(host, name, now);
+    else this.connections.openSingleUse();
     this.addInFlight(request, upstream, 1);
     if (upstream.isUnreachable) this.failConnection(request, upstream);
     else
@@ -278,7 +298,7 @@
   private reportSuspicion(
     request: SimulatedRequest,
     { usable }: Upstream,
-    kind: 'broken' | 'unreachable',
+    kind: 'broken' | 'unreachable' | 'faulty',
   ): void {
     const { upstream, incarnation } = usable.record;
     const suspicion = { upstream, incarnation, kind };
@@ -308,31 +328,52 @@
 
   private acceptRequest(request: SimulatedRequest, upstream: Upstream, sentAt: number): void {
     const { resetShare, strayResetShare, slots, maxQueue } = this.options.pattern;
+    const { refusedShare = 0 } = this.getTrait(upstream);
     const isReset = this.isFaulty(upstream) && this.drawUniform() < resetShare;
     if (isReset || this.drawUniform() < strayResetShare) {
       this.counts.resets += 1;
       this.addInFlight(request, upstream, -1);
       this.reportSuspicion(request, upstream, 'broken');
       this.failAttempt(request);
+    } else if (refusedShare > 0 && this.drawUniform() < refusedShare) {
+      this.refuseRequest(request, upstream);
     } else if (upstream.running < slots) {
       this.runRequest(request, upstream, sentAt);
     } else if (upstream.queue.length < maxQueue) {
       upstream.queue.push(() => this.runRequest(request, upstream, sentAt));
     } else {
-      this.addInFlight(request, upstream, -1);
-      this.retryRequest(request, 'refused');
+      this.refuseRequest(request, upstream);
     }
   }
 
+  private refuseRequest(request: SimulatedRequest, upstream: Upstream): void {
+    this.addInFlight(request, upstream, -1);
+    this.keepConnection(request, upstream);
+    const { record } = upstream.usable;
+    const known = request.domain.loads.readLoad(request.host, record.upstream);
+    if (estimateLoad(known, this.events.now, loadHalfLifeMs) < record.slots) {
+      this.reportSuspicion(request, upstream, 'faulty');
+    }
+    this.retryRequest(request, 'refused');
+  }
+
+  private keepConnection({ host, mayRepeat }: SimulatedRequest, { usable }: Upstream): void {
+    if (!mayRepeat) return;
+    this.connections.keepConnection(host, usable.record.upstream, this.events.now);
+  }
+
   private runRequest(request: SimulatedRequest, upstream: Upstream, sentAt: number): void {
     upstream.running += 1;
-    this.events.addEvent(this.events.now + this.drawWorkMs() + oneWayDelayMs, () => {
+    upstream.ran += 1;
+    const workMs = this.drawWorkMs() * (this.getTrait(upstream).workFactor ?? 1);
+    this.events.addEvent(this.events.now + workMs + oneWayDelayMs, () => {
       const { upstream: name } = upstream.usable.record;
       const load = upstream.running + upstream.queue.length;
       request.domain.loads.recordReport(request.host, name, load);
       upstream.running -= 1;
       upstream.queue.shift()?.();
       this.addInFlight(request, upstream, -1);
+      this.keepConnection(request, upstream);
       this.endRequest(request, upstream, sentAt);
     });
   }
@@ -353,7 +394,7 @@
   }
 
   private failAttempt(request: SimulatedRequest): void {
-    if (this.options.pattern.isIdempotent) this.retryRequest(request, 'lost');
+    if (request.mayRepeat) this.retryRequest(request, 'lost');
     else this.counts.lost += 1;
   }
 
--- a/bench/faults/policies.ts
+++ b/bench/faults/policies.ts
@@ -4,6 +4,8 @@
 import RandomBalancer from '../../src/domain/requests/RandomBalancer.ts';
 import TwoChoicesBalancer from '../../src/domain/requests/TwoChoicesBalancer.ts';
 import type { HostPolicy, FaultPattern } from '../faults/FaultSimulation.ts';
+import ForgetfulBalancer from './ForgetfulBalancer.ts';
+import OwnDomainBalancer from './OwnDomainBalancer.ts';
 
 // The values in the settings of the production fleets.
 const decayMs = 9000;
@@ -24,9 +26,20 @@
   return { balancer, suspicions };
 }
 
+/** Names of the policies. */
+export type PolicyName = 'lowestCost' | 'own domain' | 'no reuse' | 'two choices' | 'random';
+
 /** The policy of entry hosts (`lowestCost`) and the policies that it is compared with. */
-const policies: Readonly<Record<'lowestCost' | 'two choices' | 'random', CreatePolicy>> = {
+const policies: Readonly<Record<PolicyName, CreatePolicy>> = {
   lowestCost: createLowestCost,
+  'own domain': (pattern, readNow) => {
+    const { balancer, suspicions } = createLowestCost(pattern, readNow);
+    return { suspicions, balancer: new OwnDomainBalancer(balancer) };
+  },
+  'no reuse': (pattern, readNow) => {
+    const { balancer, suspicions } = createLowestCost(pattern, readNow);
+    return { suspicions, balancer: new ForgetfulBalancer(balancer) };
+  },
   'two choices': () => ({
     balancer: new TwoChoicesBalancer(),
     suspicions: new SuspicionTracker({ decayMs }),
--- a/src/application/fleet/SuspicionObserver.ts
+++ b/src/application/fleet/SuspicionObserver.ts
@@ -45,6 +45,8 @@
   readonly suspicions: SuspicionTracker;
   readonly exchange: DomainExchange;
   readonly findIncarnation: (upstream: string) => number;
+  /** Whether an upstream should run a request at once; false for all unless set. */
+  readonly hasFreeSlot?: (upstream: string) => boolean;
 }
 
 interface WatchedAttempt extends StartedAttempt {
@@ -105,7 +107,8 @@
     this.openAttempts.delete(requestId);
     if (attempt?.isOverdue) this.recordOverdueEnd(attempt, observation);
     // A timeout that a caller's short deadline caused is not evidence against the upstream.
-    const kind = answerClass === 'timed_out' && !isLong ? undefined : suspicionKinds[answerClass];
+    const kind =
+      answerClass === 'timed_out' && !isLong ? undefined : this.classifyEnd(upstream, answerClass);
     if (kind) this.reportSuspicion(upstream, kind, requestId);
     if (answerClass !== 'good') return;
     this.answeredAt = endedAt;
@@ -148,6 +151,13 @@
     }
   }
 
+  // An upstream that refuses whatever its load looks idle, so that it would be chosen for more and
+  // more requests. A refusal by a busy upstream says nothing against it.
+  private classifyEnd(upstream: string, answerClass: AnswerClass): SuspicionKind | undefined {
+    const isUnexplained = answerClass === 'shed' && this.options.hasFreeSlot?.(upstream);
+    return isUnexplained ? 'faulty' : suspicionKinds[answerClass];
+  }
+
   private listWatched(): readonly WatchedAttempt[] {
     return [...this.openAttempts.values()].filter(({ isOverdue }) => !isOverdue);
   }
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -14,6 +14,7 @@
 import DomainRetryBudgets from '../application/fleet/DomainRetryBudgets.ts';
 import FeedSubscriber from '../application/fleet/FeedSubscriber.ts';
 import FleetView from '../application/fleet/FleetView.ts';
+import SlotView from '../application/fleet/SlotView.ts';
 import SuspicionObserver from '../application/fleet/SuspicionObserver.ts';
 import openWhenFree from '../application/lifecycle/openWhenFree.ts';
 import Shutdown from '../application/lifecycle/Shutdown.ts';
@@ -182,11 +183,15 @@
       borrowRetry: (service) => this.exchange.borrowRetry(service),
     });
     this.exchange = this.createExchange();
+    const loads = new DomainLoad({ exchange: this.exchange });
+    const { view, statements } = this;
+    const slots = new SlotView({ clock, view, statements, loads, loadHalfLifeMs });
     this.observer = new SuspicionObserver({
       clock,
       suspicions: this.suspicions,
       exchange: this.exchange,
       findIncarnation: (upstream) => this.view.findUpstream(upstream)?.incarnation ?? 0,
+      hasFreeSlot: (upstream) => slots.hasFreeSlot(upstream),
     });
     this.stopSchedule = new StopSchedule({
       clock,
--- a/tests/fleet/suspicionObserver.test.ts
+++ b/tests/fleet/suspicionObserver.test.ts
@@ -15,7 +15,7 @@
     stopping = new AbortController();
   });
 
-  function createObserver(clock: FakeClock) {
+  function createObserver(clock: FakeClock, hasFreeSlot?: (upstream: string) => boolean) {
     const suspicions = new SuspicionTracker({ decayMs: 9000 });
     const exchange = createExchange(new FakeDatagrams(), {
       ...{ clock, ownAddress: 'a', suspicions, listPeers: () => [] },
@@ -25,6 +25,7 @@
       suspicions,
       exchange,
       findIncarnation: () => 1,
+      ...(hasFreeSlot && { hasFreeSlot }),
     });
     const endRequest = (answerClass: AnswerClass, tookMs: number): void => {
       const endedAt = clock.now();
@@ -48,6 +49,19 @@
     expect(readRisk()).toBe(0);
   });
 
+  // Guards against an upstream that refuses whatever its load, looks idle and draws all requests,
+  // and against suspecting a busy one.
+  it('should suspect an upstream that refuses although it has a free slot', () => {
+    const risks = [true, false].map((hasFreeSlot) => {
+      const { endRequest, readRisk } = createObserver(new FakeClock(), () => hasFreeSlot);
+      endRequest('good', 100);
+      endRequest('shed', 2);
+      return readRisk();
+    });
+
+    expect(risks).toEqual([0.12, 0]);
+  });
+
   it('should suspect an upstream after a timeout of several times its usual latency', () => {
     const { endRequest, readRisk } = createObserver(new FakeClock());
     endRequest('good', 420);
