--- a/tests/platform/decode.test.ts
+++ b/tests/platform/decode.test.ts
@@ -236,6 +236,20 @@
       tenants: teams.map((team) => ({ name: 'depots', ...team })),
     });
 
+  // Guards against downloads that are lost although they may be retried, and against retries of
+  // operations of other kinds.
+  it.each([
+    ['safe', 'allowed'],
+    ['download', 'allowed'],
+    ['unsafe', 'never'],
+    ['Download', 'never'],
+    ['', 'never'],
+  ])('should decode the kind "%s" to the repeat rule "%s"', (kind, repeat) => {
+    const decoded = codec.decodePreset(JSON.stringify(changeRoute({ kind })));
+
+    expect(decoded.ok && decoded.value.preset.routes[1]?.repeat).toBe(repeat);
+  });
+
   it.each([
     ['an unknown service', JSON.stringify(changeRoute({ service: 'none' }))],
     ['a timeout of zero', JSON.stringify(changeRoute({ timeout: '0ms' }))],
