--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -14,6 +14,7 @@
 import DomainRetryBudgets from '../application/fleet/DomainRetryBudgets.ts';
 import FeedSubscriber from '../application/fleet/FeedSubscriber.ts';
 import FleetView from '../application/fleet/FleetView.ts';
+import SlotView from '../application/fleet/SlotView.ts';
 import SuspicionObserver from '../application/fleet/SuspicionObserver.ts';
 import openWhenFree from '../application/lifecycle/openWhenFree.ts';
 import Shutdown from '../application/lifecycle/Shutdown.ts';
@@ -49,6 +50,7 @@
 import formatAddress from './formatAddress.ts';
 import listConnectionGauges from './listConnectionGauges.ts';
 import listEntryGauges from './listEntryGauges.ts';
+import listUpstreamGauges from './listUpstreamGauges.ts';
 import listSeedPeers from './listSeedPeers.ts';
 import maxBufferedBytes from './maxBufferedBytes.ts';
 import readProcessorMs from './readProcessorMs.ts';
@@ -181,11 +183,15 @@
       borrowRetry: (service) => this.exchange.borrowRetry(service),
     });
     this.exchange = this.createExchange();
+    const loads = new DomainLoad({ exchange: this.exchange });
+    const { view, statements } = this;
+    const slots = new SlotView({ clock, view, statements, loads, loadHalfLifeMs });
     this.observer = new SuspicionObserver({
       clock,
       suspicions: this.suspicions,
       exchange: this.exchange,
       findIncarnation: (upstream) => this.view.findUpstream(upstream)?.incarnation ?? 0,
+      hasFreeSlot: (upstream) => slots.hasFreeSlot(upstream),
     });
     this.stopSchedule = new StopSchedule({
       clock,
@@ -352,6 +358,7 @@
         loadHalfLifeMs,
       }),
       pool: view,
+      connections: upstreamClient,
       observer,
       loadTracker: new DomainLoad({ exchange }),
       loadHalfLifeMs,
@@ -392,7 +399,10 @@
     const { clock } = this.options;
     const gauges = listEntryGauges({ clock, view, subscriber, socket, statements, loadMonitor });
     const connectionGauges = listConnectionGauges(Object.values(this.connections));
-    return new PrometheusMetrics([...gauges, ...connectionGauges], { hasProcessMetrics: false });
+    const upstreamGauges = listUpstreamGauges(this.upstreamClient);
+    return new PrometheusMetrics([...gauges, ...connectionGauges, ...upstreamGauges], {
+      hasProcessMetrics: false,
+    });
   }
 
   private startStop(): number {
