--- a/src/adapters/udp/decodeDomainMessage.ts
+++ b/src/adapters/udp/decodeDomainMessage.ts
@@ -1,7 +1,9 @@
 import type { Suspicion, SuspicionKind } from '../../domain/detection/SuspicionTracker.ts';
 import type { DomainMessage, UpstreamActivity } from '../../domain/fleet/DomainMessage.ts';
 import type { RetryBalance } from '../../domain/requests/RetryAccount.ts';
-import type { EncodedDomainMessage, UpstreamRow } from './encodeDomainMessage.ts';
+import { accountLimit } from '../../domain/teams/TeamCounts.ts';
+import type { TeamReport, TeamRow } from '../../domain/teams/TeamCounts.ts';
+import type { EncodedDomainMessage, EncodedTeamRow, UpstreamRow } from './encodeDomainMessage.ts';
 
 const suspicionKinds: Readonly<Record<SuspicionKind, true>> = {
   broken: true,
@@ -89,10 +91,25 @@
   return Array.isArray(value) && value.length === 2 && value.every(isCount);
 }
 
+function isTeamRow(value: unknown): boolean {
+  if (!Array.isArray(value) || value.length < 2 || value.length > 4) return false;
+  return value.every(isCount) && Number(value[0]) < accountLimit;
+}
+
+function decodeTeamRow([account = 0, admitted = 0, refused = 0, level]: EncodedTeamRow): TeamRow {
+  return { account, admitted, asked: admitted + refused, level };
+}
+
+function decodeTeams({ t, h, v }: EncodedDomainMessage): TeamReport | undefined {
+  if (!t) return undefined;
+  const rows = Object.entries(t).map(([team, row]) => [team, decodeTeamRow(row)] as const);
+  return { rows: Object.fromEntries(rows), hosts: h, hasLevels: v === 1 };
+}
+
 // Uses no schema library, because one took ten times as long.
 function isEncodedMessage(value: unknown): value is EncodedDomainMessage {
   if (!isFields(value)) return false;
-  const { s = [], a, d, u = [], r = {}, q, l, n } = value;
+  const { s = [], a, d, u = [], r = {}, q, l, n, t = {}, h, v } = value;
   return (
     (d === undefined || d === 1) &&
     Array.isArray(s) &&
@@ -104,7 +121,11 @@
     Object.values(r).every(isRetryRow) &&
     (q === undefined || isLoanRequest(q)) &&
     (l === undefined || isLoan(l)) &&
-    (n === undefined || isCount(n))
+    (n === undefined || isCount(n)) &&
+    isFields(t) &&
+    Object.values(t).every(isTeamRow) &&
+    (h === undefined || isCount(h)) &&
+    (v === undefined || v === 1)
   );
 }
 
@@ -130,5 +151,6 @@
     loanRequest: q && { id: q[0], service: q[1], retries: q[2] },
     loan: l && { id: l[0], retries: l[1], leftMs: l[2] },
     domainSize: n,
+    teams: decodeTeams(value),
   };
 }
--- a/src/adapters/udp/encodeDomainMessage.ts
+++ b/src/adapters/udp/encodeDomainMessage.ts
@@ -1,5 +1,6 @@
 import type { DomainMessage, UpstreamActivity } from '../../domain/fleet/DomainMessage.ts';
 import type { RetryBalance } from '../../domain/requests/RetryAccount.ts';
+import type { TeamReport, TeamRow } from '../../domain/teams/TeamCounts.ts';
 
 /** Upstream, incarnation and kind of a suspicion. */
 export type SuspicionRow = readonly [string, number, string];
@@ -11,6 +12,12 @@
  */
 export type UpstreamRow = readonly [string, ...(number | null)[]];
 
+/**
+ * Account of a team, requests that were admitted, requests that were refused, level. Values at the
+ * end that are 0 or missing are left out.
+ */
+export type EncodedTeamRow = readonly number[];
+
 /** A message as it is sent: an entry host sends many, so names are short and empty parts absent. */
 export interface EncodedDomainMessage {
   readonly s?: readonly SuspicionRow[];
@@ -27,6 +34,12 @@
   readonly l?: readonly [number, number, number];
   /** Most entry hosts that the sender has known in its failure domain. */
   readonly n?: number;
+  /** Requests by team; present, perhaps empty, if teams have limits. */
+  readonly t?: Readonly<Record<string, EncodedTeamRow>>;
+  /** Hosts whose requests of teams a digest sums up. */
+  readonly h?: number;
+  /** Present if the levels of all teams are told. */
+  readonly v?: 1;
 }
 
 function encodeUpstream(activity: UpstreamActivity): UpstreamRow {
@@ -61,10 +74,25 @@
   );
 }
 
+function encodeTeamRow({ account, admitted, asked, level }: TeamRow): EncodedTeamRow {
+  const refused = Math.max(0, asked - admitted);
+  if (level !== undefined) return [account, admitted, refused, level];
+  return refused > 0 ? [account, admitted, refused] : [account, admitted];
+}
+
+function encodeTeams({ rows, hosts, hasLevels = false }: TeamReport) {
+  const encoded = Object.entries(rows).map(([team, row]) => [team, encodeTeamRow(row)] as const);
+  return {
+    t: Object.fromEntries(encoded),
+    ...(hosts !== undefined && { h: hosts }),
+    ...(hasLevels && { v: 1 as const }),
+  };
+}
+
 /** Encodes a message as the JSON value that is sent in a datagram. */
 export default function encodeDomainMessage(message: DomainMessage): EncodedDomainMessage {
   const { isDigest, suspicions, asksSuspicions, upstreams, retries } = message;
-  const { loanRequest, loan, domainSize } = message;
+  const { loanRequest, loan, domainSize, teams } = message;
   return {
     ...(suspicions.length > 0 && {
       s: suspicions.map(({ upstream, incarnation, kind }) => [upstream, incarnation, kind]),
@@ -78,5 +106,6 @@
     ...(loanRequest && { q: [loanRequest.id, loanRequest.service, loanRequest.retries] }),
     ...(loan && { l: [loan.id, loan.retries, loan.leftMs] }),
     ...(domainSize !== undefined && { n: domainSize }),
+    ...(teams && encodeTeams(teams)),
   };
 }
--- a/src/application/fleet/DomainExchange.ts
+++ b/src/application/fleet/DomainExchange.ts
@@ -7,10 +7,12 @@
 import type UpstreamIncarnation from '../../domain/statements/UpstreamIncarnation.ts';
 import type { StatedLimit } from '../../domain/statements/UpstreamLimits.ts';
 import type UpstreamStatements from '../../domain/statements/UpstreamStatements.ts';
+import type { TeamReport } from '../../domain/teams/TeamCounts.ts';
 import type Clock from '../../ports/Clock.ts';
 import type DatagramSocket from '../../ports/DatagramSocket.ts';
 import type Log from '../../ports/Log.ts';
 import Notifier from '../tasks/Notifier.ts';
+import type QuotaLedger from '../teams/QuotaLedger.ts';
 import DomainPeers from './DomainPeers.ts';
 import DomainReceiver from './DomainReceiver.ts';
 import DomainReports from './DomainReports.ts';
@@ -37,6 +39,8 @@
 const maxBytesPerMessage = 7500;
 // Typical size of an upstream in a message.
 const upstreamBytes = 25;
+// The same for a team. Counts of teams take up at most half of a message.
+const teamBytes = 30;
 // Suspicions that alone show a bad upstream, and what upstreams state, may use the bytes of this
 // time in advance.
 const urgentAdvanceMs = 500;
@@ -61,6 +65,8 @@
   readonly suspicions: SuspicionTracker;
   readonly statements: UpstreamStatements;
   readonly ledger: RetryLedger;
+  /** Counts no requests of teams unless set. */
+  readonly quotas?: QuotaLedger | undefined;
   /** Most entry hosts that the failure domain has had. */
   readonly countHosts: () => number;
   /** Called with the most entry hosts that another host has known in the failure domain. */
@@ -100,6 +106,15 @@
   /** Instant at which the changes since the last message are due to be sent. */
   private dueAt = Infinity;
 
+  /** Whether the next message repeats the counts of teams. */
+  private repeatsTeams = false;
+
+  /** Instant of the last message to the hub or to all hosts. */
+  private reportedAt = -Infinity;
+
+  /** Silence of the hub after which the other hosts were told that this one runs. */
+  private presenceSentAt = -Infinity;
+
   constructor(options: DomainExchangeOptions) {
     this.options = options;
     const { clock, ownAddress, findRelay, listPeers, ledger } = options;
@@ -116,6 +131,7 @@
       readInFlight: (upstream) => this.readInFlight(upstream),
       answer: (message, address) => this.sendMessage(message, [address]),
     });
+    options.quotas?.setOnDue((dueAt) => this.setDue(dueAt));
     options.socket.onMessage((message, from) => this.receiver.acceptMessage(message, from));
   }
 
@@ -239,7 +255,7 @@
     let repeatAt = clock.now() + repeatMs;
     while (!signal.aborted) {
       const sendAt = Math.max(this.dueAt, this.sendLimit.freeAt);
-      await this.notifier.waitUntil(Math.min(sendAt, repeatAt));
+      await this.notifier.waitUntil(Math.min(sendAt, repeatAt, this.presenceAt));
       const now = clock.now();
       if (now >= repeatAt) {
         repeatAt = now + repeatMs;
@@ -248,6 +264,7 @@
         suspicions.pruneIdle(now);
         this.reports.pruneOld(now);
       }
+      if (now >= this.presenceAt) this.sendPresence();
       if (now >= Math.max(this.dueAt, this.sendLimit.freeAt)) this.sendChanges();
     }
   }
@@ -270,7 +287,13 @@
     // A hub sends digests to the hosts that report to it.
     if (unusedHub !== undefined) {
       const retries = this.options.ledger.readBalances();
-      this.sendMessage({ ...emptyDomainMessage, retries }, [unusedHub]);
+      const teams = this.options.quotas?.isActive ? { rows: {} } : undefined;
+      this.sendMessage({ ...emptyDomainMessage, retries, teams }, [unusedHub]);
+    }
+    if (this.options.quotas?.isActive) {
+      const now = this.options.clock.now();
+      this.repeatsTeams = true;
+      if (now >= this.reportedAt + repeatMs) this.setDue(now);
     }
     const { filter } = routing;
     const repeated = [...this.ownInFlight.keys()].filter((upstream) =>
@@ -308,11 +331,34 @@
       this.takeInFlight(upstream),
     );
     this.dueAt = this.unsent.hasUpstreams ? this.options.clock.now() : Infinity;
-    const message = { ...emptyDomainMessage, upstreams, retries: this.takeUnsentRetries() };
+    const teams = this.takeTeams(hub === undefined ? this.options.listPeers().length : 1);
+    const retries = this.takeUnsentRetries();
+    const message = { ...emptyDomainMessage, upstreams, retries, teams };
     if (hub === undefined) this.sendWithSuspicions(message);
     else if (hasReports(message)) this.sendMessage(message, [hub]);
   }
 
+  /** Instant at which the other hosts are told that this one runs, because the hub is silent. */
+  private get presenceAt(): number {
+    const at = this.options.quotas?.presenceAt ?? Infinity;
+    return at > this.presenceSentAt ? at : Infinity;
+  }
+
+  private sendPresence(): void {
+    this.presenceSentAt = this.presenceAt;
+    const others = this.others.listOthers();
+    this.repeatsTeams = true;
+    this.sendMessage({ ...emptyDomainMessage, teams: this.takeTeams(others.length) }, others);
+  }
+
+  private takeTeams(receivers: number): TeamReport | undefined {
+    const maxRows = Math.floor(maxBytesPerMessage / 2 / teamBytes / Math.max(1, receivers));
+    const isRepeat = this.repeatsTeams;
+    this.repeatsTeams = false;
+    this.reportedAt = this.options.clock.now();
+    return this.options.quotas?.takeReport({ isRepeat, maxRows: Math.max(1, maxRows) });
+  }
+
   /** Sends only suspicions and what other hosts need to keep to what upstreams state. */
   private sendUrgent(): void {
     const upstreams = this.unsent.takeUrgent((upstream) => this.takeInFlight(upstream));
--- a/src/application/fleet/DomainHub.ts
+++ b/src/application/fleet/DomainHub.ts
@@ -7,6 +7,7 @@
 import type { DomainMessage, UpstreamActivity } from '../../domain/fleet/DomainMessage.ts';
 import type Clock from '../../ports/Clock.ts';
 import type DatagramSocket from '../../ports/DatagramSocket.ts';
+import QuotaSums from '../teams/QuotaSums.ts';
 import PeerActivities from './PeerActivities.ts';
 
 const minDigestMs = 100;
@@ -46,6 +47,8 @@
   /** Upstreams that gave evidence of a recovery since the last digest. */
   private readonly recoveries = new Set<string>();
 
+  private readonly quotas = new QuotaSums();
+
   private repeatAt = -Infinity;
 
   constructor(options: DomainHubOptions) {
@@ -69,6 +72,7 @@
     const now = this.options.clock.now();
     this.members.set(from, now + memberTimeoutMs);
     this.activities.recordMessage(from, message, now);
+    if (message.teams) this.quotas.acceptReport(message.teams, from, now);
     message.upstreams.forEach(({ upstream, reportedLoad, hasRecovered }) => {
       this.changed.add(upstream);
       if (reportedLoad !== undefined) this.loads.set(upstream, reportedLoad);
@@ -80,7 +84,7 @@
     this.dropMembers(now);
     if (this.members.size === 0) return;
     const isRepeat = now >= this.repeatAt;
-    if (!isRepeat && this.changed.size === 0) return;
+    if (!isRepeat && this.changed.size === 0 && !this.quotas.hasChanged) return;
     if (isRepeat) {
       this.repeatAt = now + repeatMs;
       this.activities.listBusy(now).forEach((upstream) => this.changed.add(upstream));
@@ -92,7 +96,14 @@
       retries: this.activities.computeRetries(now),
     };
     [this.changed, this.loads, this.recoveries].forEach((changes) => changes.clear());
-    this.options.socket.sendMessage(digest, [...this.members.keys()]);
+    // A host that the hub does not hear is not in the sum, so it must not use it.
+    const counted = this.quotas.listHosts(now);
+    const members = [...this.members.keys()];
+    const others = members.filter((address) => !counted.has(address));
+    if (others.length > 0) this.options.socket.sendMessage(digest, others);
+    if (counted.size === 0) return;
+    const teams = this.quotas.takeDigest(isRepeat, now);
+    this.options.socket.sendMessage({ ...digest, teams }, [...counted]);
   }
 
   private createActivity(upstream: string, now: number): UpstreamActivity {
--- a/src/application/fleet/DomainReceiver.ts
+++ b/src/application/fleet/DomainReceiver.ts
@@ -8,6 +8,7 @@
 import type UpstreamStatements from '../../domain/statements/UpstreamStatements.ts';
 import type Clock from '../../ports/Clock.ts';
 import type Log from '../../ports/Log.ts';
+import type QuotaLedger from '../teams/QuotaLedger.ts';
 import type DomainReports from './DomainReports.ts';
 import type PeerActivities from './PeerActivities.ts';
 import type ReportRouting from './ReportRouting.ts';
@@ -30,6 +31,8 @@
   readonly readInFlight: (upstream: string) => number;
   readonly ledger: RetryLedger;
   readonly loans: RetryLoans;
+  /** Counts no requests of teams unless set. */
+  readonly quotas?: QuotaLedger | undefined;
   /** Most entry hosts that the failure domain has had. */
   readonly countHosts: () => number;
   /** Called with the most entry hosts that another host has known in the failure domain. */
@@ -59,15 +62,21 @@
       if (isNew) log.info('detection: another host saw a bad upstream', { ...suspicion, from });
     });
     if (message.asksSuspicions) this.answerSuspicions(from, now);
-    const { loanRequest, loan, domainSize } = message;
+    const { loanRequest, loan, domainSize, teams } = message;
+    if (teams && !message.isDigest) this.options.quotas?.acceptReport(teams, from, false);
     if (loanRequest) this.options.loans.acceptRequest(loanRequest, from);
     if (loan) this.options.loans.acceptLoan(loan, from);
     if (domainSize !== undefined) this.options.onDomainSize(domainSize);
   }
 
   /** Records the reports of the other hosts: those of the digest without those of this host. */
-  private acceptDigest({ upstreams, retries }: DomainMessage, from: string, now: number): void {
+  private acceptDigest(
+    { upstreams, retries, teams }: DomainMessage,
+    from: string,
+    now: number,
+  ): void {
     if (!this.options.routing.recordDigest(from)) return;
+    if (teams) this.options.quotas?.acceptReport(teams, from, true);
     const othersRetries = Object.entries(retries).map(([service, { used, left }]) => {
       const own = this.options.reports.readOwnRetries(service);
       const others = {
@@ -112,7 +121,7 @@
   }
 
   private answerSuspicions(address: string, now: number): void {
-    const { statements, ledger, countHosts } = this.options;
+    const { statements, ledger, countHosts, quotas } = this.options;
     const suspicions = this.options.suspicions.listSuspicions(now);
     const limits = new Map(
       statements.listLimits().map(({ upstream, ...limit }) => [upstream, limit]),
@@ -128,7 +137,8 @@
       leavingIncarnation: leaving.get(upstream),
     }));
     const retries = ledger.readBalances();
-    const answer = { ...emptyDomainMessage, suspicions, upstreams, retries };
+    const teams = quotas?.readLevels();
+    const answer = { ...emptyDomainMessage, suspicions, upstreams, retries, teams };
     this.options.answer({ ...answer, domainSize: countHosts() }, address);
   }
 }
--- a/src/domain/fleet/DomainMessage.ts
+++ b/src/domain/fleet/DomainMessage.ts
@@ -1,6 +1,7 @@
 import type { Suspicion } from '../detection/SuspicionTracker.ts';
 import type { RetryBalance } from '../requests/RetryAccount.ts';
 import type { StatedLimit } from '../statements/UpstreamLimits.ts';
+import type { TeamReport } from '../teams/TeamCounts.ts';
 
 /** What an entry host reports about one upstream. */
 export interface UpstreamActivity {
@@ -56,6 +57,8 @@
   readonly loan: RetryLoan | undefined;
   /** Most entry hosts that the sender has known in its failure domain; undefined if not told. */
   readonly domainSize: number | undefined;
+  /** Requests of teams; undefined unless teams have limits. */
+  readonly teams: TeamReport | undefined;
 }
 
 /** A report about an upstream that says nothing new; its name is to be added. */
@@ -78,9 +81,10 @@
   loanRequest: undefined,
   loan: undefined,
   domainSize: undefined,
+  teams: undefined,
 };
 
 /** Whether a message reports what hosts send; a message of a relay has suspicions only. */
-export function hasReports({ upstreams, retries }: DomainMessage): boolean {
-  return upstreams.length > 0 || Object.keys(retries).length > 0;
+export function hasReports({ upstreams, retries, teams }: DomainMessage): boolean {
+  return upstreams.length > 0 || Object.keys(retries).length > 0 || teams !== undefined;
 }
