src, deploy: requests that exceed the quota of a team are refused with 429

Ruled out: a retry time spread over 0.8 s more, because quota_exceeded draws it from the time in which credit becomes free. Change: QuotaGate, quota_exceeded, quotas in the settings and the template, gates in FleetEntryHost and EntryHost. Measured: npx vitest run tests/settings tests/docs tests/requests/drawRetryTime tests/requests/requestOutcomes (green). Conclusion: no process of the product was played with it yet.

--- a/src/adapters/yaml/parseFleetSettings.ts
+++ b/src/adapters/yaml/parseFleetSettings.ts
@@ -2,6 +2,7 @@
 
 import type Result from '../../domain/errors/Result.ts';
 import type FleetSettings from '../../domain/settings/FleetSettings.ts';
+import { defaultQuotas } from '../../domain/teams/computeCreditLimits.ts';
 import { dataFolderSchema, keySchema, logLevelSchema } from './commonSchemas.ts';
 import durationSchema from './durationSchema.ts';
 import listenAddressSchema from './listenAddressSchema.ts';
@@ -27,6 +28,9 @@
   stop_timeout: durationSchema.default(30_000),
 };
 
+const expectedWindow = 'expected a duration above 0';
+const expectedOvershoot = 'expected a number from 0 to 10';
+const expectedSlack = 'expected a number from 0 to 1000000';
 const expectedPrice = 'expected a number from 0 to 100';
 
 const entrySchema = z.strictObject({
@@ -43,6 +47,17 @@
     extra: z.number('expected a number of at least 0').min(0),
     window: durationSchema,
   }),
+  quotas: z
+    .strictObject({
+      window: durationSchema.refine((ms) => ms > 0, expectedWindow).default(defaultQuotas.windowMs),
+      overshoot: z
+        .number(expectedOvershoot)
+        .min(0, expectedOvershoot)
+        .max(10, expectedOvershoot)
+        .nullish(),
+      slack: z.number(expectedSlack).min(0, expectedSlack).max(1_000_000, expectedSlack).nullish(),
+    })
+    .nullish(),
   first_start: z.boolean('expected true or false').default(false),
   stop_grace: durationSchema.default(2200),
   other_domain_price: z.number(expectedPrice).min(0, expectedPrice).max(100, expectedPrice),
@@ -106,6 +121,11 @@
           extra: settings.retries.extra,
           windowMs: settings.retries.window,
         },
+        quotas: {
+          windowMs: settings.quotas?.window ?? defaultQuotas.windowMs,
+          overshoot: settings.quotas?.overshoot ?? defaultQuotas.overshoot,
+          slack: settings.quotas?.slack ?? defaultQuotas.slack,
+        },
         isFirstStart: settings.first_start,
         stopGraceMs: settings.stop_grace,
         otherDomainPrice: settings.other_domain_price,
--- a/src/application/requests/RequestHandler.ts
+++ b/src/application/requests/RequestHandler.ts
@@ -387,7 +387,8 @@
   private createRefusal(failure: Failure): CallerAnswer {
     const { clock, random } = this.options;
     const answer = createFailureAnswer(failure);
-    if (answer.status !== 503 || answer.outcome !== 'not-run') return answer;
+    const mayReturn = answer.status === 503 || answer.status === 429;
+    if (!mayReturn || answer.outcome !== 'not-run') return answer;
     return { ...answer, retryAt: drawRetryTime(failure, clock.now(), random) };
   }
 
--- a/src/application/requests/drawRetryTime.ts
+++ b/src/application/requests/drawRetryTime.ts
@@ -30,6 +30,8 @@
  */
 export default function drawRetryTime(failure: Failure, now: number, random: RandomSource): number {
   const retryAt = 'retryAt' in failure ? failure.retryAt : undefined;
+  // The credit of a team becomes free over time, and the instants are drawn from it.
+  if (retryAt !== undefined && failure.kind === 'quota_exceeded') return retryAt;
   if (retryAt !== undefined) return Math.max(now, retryAt) + spreadAfterMs * random.next();
   const { minMs, spreadMs } = timesOfKinds[failure.kind] ?? whenFull;
   return now + minMs + spreadMs * random.next();
--- a/src/daemon/EntryHost.ts
+++ b/src/daemon/EntryHost.ts
@@ -37,6 +37,7 @@
 import EntryDetection from './EntryDetection.ts';
 import PeerNetwork from './PeerNetwork.ts';
 import TaskGroup from './TaskGroup.ts';
+import { createGates, createListedQuotas } from './createQuotas.ts';
 import maxBufferedBytes from './maxBufferedBytes.ts';
 
 // With 48 entry hosts, each upstream has about 400 connections.
@@ -228,7 +229,9 @@
     const observer: RequestObserver = {
       recordRequest: (request) => observers.forEach((item) => item.recordRequest(request)),
     };
-    return new RequestHandler({ clock, random, log, activePreset, claims, dispatcher, observer });
+    const gates = createGates(createListedQuotas({ clock, log, random, activePreset }));
+    const common = { clock, random, log, activePreset, claims, dispatcher, observer };
+    return new RequestHandler({ ...common, gates });
   }
 
   private createMetrics(): PrometheusMetrics {
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -38,8 +38,10 @@
 import type Log from '../ports/Log.ts';
 import type PresetCodec from '../ports/PresetCodec.ts';
 import type RandomSource from '../ports/RandomSource.ts';
+import type TeamQuotas from '../application/teams/TeamQuotas.ts';
 import type Daemon from './Daemon.ts';
 import TaskGroup from './TaskGroup.ts';
+import { createGates, createSharedQuotas } from './createQuotas.ts';
 import {
   connectTimeoutMs,
   connectionsPerUpstream,
@@ -124,6 +126,8 @@
 
   private readonly retryBudgets: DomainRetryBudgets;
 
+  private readonly quotas: TeamQuotas;
+
   private readonly exchange: DomainExchange;
 
   private readonly observer: SuspicionObserver;
@@ -180,6 +184,13 @@
       readOthers: (service) => this.exchange.readRetries(service),
       borrowRetry: (service) => this.exchange.borrowRetry(service),
     });
+    this.quotas = createSharedQuotas({
+      ...{ clock, log, random: options.random, activePreset: this.view },
+      settings: settings.quotas,
+      failureDomains: settings.failureDomains.length,
+      isFirstStart: settings.isFirstStart,
+      countHosts: () => this.view.domainSize,
+    });
     this.exchange = this.createExchange();
     this.observer = new SuspicionObserver({
       clock,
@@ -319,6 +330,7 @@
       suspicions: this.suspicions,
       statements: this.statements,
       ledger: this.retryBudgets,
+      quotas: this.quotas,
       countHosts: () => this.view.domainSize,
       onDomainSize: (hosts) => this.view.recordDomainSize(hosts),
     });
@@ -371,6 +383,7 @@
       observer: metrics,
       dialect,
       budgets: this.retryBudgets,
+      gates: createGates(this.quotas),
     });
   }
 
--- a/src/domain/errors/ErrorKind.ts
+++ b/src/domain/errors/ErrorKind.ts
@@ -15,6 +15,7 @@
   | 'caller_gone_after_dispatch'
   // Teams.
   | 'team_key_unknown'
+  | 'quota_exceeded'
   // Idempotency keys and claims.
   | 'key_required'
   | 'key_invalid'
--- a/src/domain/errors/errorAnswers.ts
+++ b/src/domain/errors/errorAnswers.ts
@@ -29,6 +29,7 @@
   caller_gone_after_dispatch: failUnknown(499),
 
   team_key_unknown: refuse(401),
+  quota_exceeded: refuse(429),
 
   key_required: refuse(400),
   key_invalid: refuse(400),
--- a/src/domain/settings/FleetSettings.ts
+++ b/src/domain/settings/FleetSettings.ts
@@ -1,3 +1,4 @@
+import type { QuotaSettings } from '../teams/computeCreditLimits.ts';
 import type { ListenAddress } from './DaemonSettings.ts';
 
 /** Limits on the retries of a service, over all entry hosts together. */
@@ -37,6 +38,8 @@
     readonly metrics: ListenAddress;
   };
   readonly retries: FleetRetrySettings;
+  /** Bound on the requests of each team with a limit, over all entry hosts. */
+  readonly quotas: QuotaSettings;
   /** Whether no process of the fleet has run before. */
   readonly isFirstStart: boolean;
   /**
--- a/tests/settings/parseFleetSettings.test.ts
+++ b/tests/settings/parseFleetSettings.test.ts
@@ -40,6 +40,7 @@
     ['share: 0.2', 'share: 2', 'retries.share'],
     ['10.0.0.1:80', 'ten:80', 'seeds.0'],
     ['role: entry', 'role: other', 'role'],
+    ['other_domain_price: 0.25', 'other_domain_price: 0.25\nquotas: { slack: -1 }', 'quotas.slack'],
     ['0123456789abcdef', 'short', 'peer_key'],
     ['other_domain_price: 0.25', 'other_domain_price: 0.25\nother_price: 1', 'other_price'],
   ])('should name the invalid key when "%s" is changed to "%s"', (from, to, key) => {
@@ -51,6 +52,17 @@
   // Guards against a deployment template whose rendered settings the daemon refuses.
   it.each([
     ['entry', { 'listen.front': '10.0.0.3:80', 'listen.ready': '10.0.0.3:81' }],
+    [
+      'entry',
+      {
+        ...{ 'listen.front': '10.0.0.3:80', 'listen.ready': '10.0.0.3:81' },
+        ...{
+          'bounds.quotaWindow': '5s',
+          'bounds.quotaOvershoot': '0.1',
+          'bounds.quotaSlack': '20',
+        },
+      },
+    ],
     ['control', { 'listen.control': '10.0.0.3:80', dataDir: '/data' }],
   ])('should accept the rendered template of the role %s', async (role, roleFields) => {
     const fields: Readonly<Record<string, string>> = {
@@ -70,10 +82,23 @@
       ...roleFields,
     };
     const template = await readFile(new URL(`../../deploy/${role}.yaml`, import.meta.url), 'utf8');
-    const text = template.replace(/\{\{([^}]+)\}\}/g, (_, name: string) => fields[name] ?? '');
+    const text = template
+      .replace(/\{\{#([^}]+)\}\}([^]*?)\{\{\/\1\}\}/g, (_, name: string, section: string) =>
+        name in fields ? section : '',
+      )
+      .replace(/\{\{#([^}]+)\}\}([^]*?)\{\{\/\1\}\}/g, (_, name: string, section: string) =>
+        name in fields ? section : '',
+      )
+      .replace(/\{\{([^}]+)\}\}/g, (_, name: string) => fields[name] ?? '');
 
     const parsed = parseFleetSettings('file', text);
 
     expect(parsed.ok ? parsed.value.role : parsed.failure.message).toBe(role);
+    if (!parsed.ok || parsed.value.role !== 'entry') return;
+    const hasQuotas = 'bounds.quotaWindow' in roleFields;
+    const { overshoot, slack } = parsed.value.quotas;
+    expect({ overshoot, slack }).toEqual(
+      hasQuotas ? { overshoot: 0.1, slack: 20 } : { overshoot: 0, slack: 0 },
+    );
   });
 });
