--- a/src/application/requests/RequestHandler.ts
+++ b/src/application/requests/RequestHandler.ts
@@ -411,7 +411,8 @@
   // callers retry at the same time.
   private createRefusal(failure: Failure, request?: CallerRequest): CallerAnswer {
     const answer = createFailureAnswer(failure);
-    if (answer.status !== 503 || answer.outcome !== 'not-run') return answer;
+    const mayReturn = answer.status === 503 || answer.status === 429;
+    if (!mayReturn || answer.outcome !== 'not-run') return answer;
     return { ...answer, retryAt: this.returnTimes.drawReturnTime(failure, request) };
   }
 
--- a/src/daemon/EntryHost.ts
+++ b/src/daemon/EntryHost.ts
@@ -39,6 +39,7 @@
 import EntryDetection from './EntryDetection.ts';
 import PeerNetwork from './PeerNetwork.ts';
 import TaskGroup from './TaskGroup.ts';
+import { createGates, createListedQuotas } from './createQuotas.ts';
 import maxBufferedBytes from './maxBufferedBytes.ts';
 
 // With 48 entry hosts, each upstream has about 400 connections.
@@ -241,8 +242,9 @@
     const teamObserver: TeamObserver = {
       recordResult: (result) => teamObservers.forEach((item) => item.recordResult(result)),
     };
+    const gates = createGates(createListedQuotas({ clock, log, random, activePreset }));
     return new RequestHandler({
-      ...{ clock, random, log, activePreset, claims, dispatcher, observer, teamObserver },
+      ...{ clock, random, log, activePreset, claims, dispatcher, observer, teamObserver, gates },
     });
   }
 
