src/application/teams: a host that starts has what its part of the quotas earned meanwhile

Cause: after all processes had stopped, no host could tell another what the teams had left, so each began without credit. Ruled out: the whole part at the start (an earlier process may have used it within the window). Change: a quota without news begins with what the part of this host earned since its process started, which nobody has used. Conclusion: small teams still wait for the news of others, or for a fraction of a request.

--- a/src/application/teams/TeamQuotas.ts
+++ b/src/application/teams/TeamQuotas.ts
@@ -4,7 +4,7 @@
 import type { CreditDecision } from '../../domain/teams/SharedCredit.ts';
 import { accountLifeMs, repeatedRowsMs, silenceMs } from '../../domain/teams/QuotaCounts.ts';
 import type { QuotaCounts, QuotaReport, QuotaRow } from '../../domain/teams/QuotaCounts.ts';
-import type { QuotaSettings } from '../../domain/teams/computeCreditLimits.ts';
+import type { CreditLimits, QuotaSettings } from '../../domain/teams/computeCreditLimits.ts';
 import type Clock from '../../ports/Clock.ts';
 import type Log from '../../ports/Log.ts';
 import type RandomSource from '../../ports/RandomSource.ts';
@@ -76,6 +76,8 @@
   /** Until then, hosts of a fleet that starts for the first time hear each other first. */
   private readonly startsUntil: number;
 
+  private readonly startedAt: number;
+
   private onDue: (dueAt: number) => void = () => undefined;
 
   private presetChanges = 0;
@@ -91,6 +93,7 @@
     this.options = options;
     this.limits = new TeamLimits({ settings, readTeams });
     this.startsUntil = isFirstStart ? clock.now() + firstStartMs : -Infinity;
+    this.startedAt = clock.now();
     // Requests of an earlier process of this host have left the window by then.
     this.opensAt = isFirstStart ? -Infinity : clock.now() + settings.windowMs + silenceMs;
   }
@@ -269,7 +272,7 @@
       log.info('requests: the hosts that share quotas changed', fields);
     }
     this.hosts = hosts;
-    const part = this.computePart();
+    const part = this.computePart(this.hosts);
     if (part === this.part) return;
     this.part = part;
     this.quotas.forEach(({ credit }) => credit.usePart(part, now < this.startsUntil, now));
@@ -281,10 +284,18 @@
     return 1 + [...this.peers.values()].filter((counts) => counts.isHeard(now)).length;
   }
 
-  /** Part of this host and those it hears in the quotas of the fleet. */
-  private computePart(): number {
+  /** Part of some hosts of this failure domain in the quotas of the fleet. */
+  private computePart(hosts: number): number {
     const { failureDomains, countHosts } = this.options;
-    return this.hosts / Math.max(1, countHosts(), this.hosts) / Math.max(1, failureDomains);
+    return hosts / Math.max(1, countHosts(), this.hosts) / Math.max(1, failureDomains);
+  }
+
+  /**
+   * Credit of a team when this host has not heard what an earlier process used: what its own part
+   * has earned since this process started, as nobody has used that.
+   */
+  private computeEarned({ requestsPerMs }: CreditLimits, now: number): number {
+    return requestsPerMs * this.computePart(1) * Math.max(0, now - this.startedAt);
   }
 
   private getQuota(team: string, now: number): TeamQuota {
@@ -292,9 +303,8 @@
     if (known) return known;
     const limits = this.limits.findLimit(team)?.credit;
     if (!limits) throw new Error(`team "${team}" has no limit`);
-    const isFull = now >= this.opensAt;
-    const options = { limits, part: this.part, isFull, now };
-    const quota = new TeamQuota(options);
+    const credit = now >= this.opensAt ? Infinity : this.computeEarned(limits, now);
+    const quota = new TeamQuota({ limits, part: this.part, credit, now });
     this.quotas.set(team, quota);
     return quota;
   }
--- a/src/domain/teams/SharedCredit.ts
+++ b/src/domain/teams/SharedCredit.ts
@@ -22,8 +22,8 @@
   readonly limits: CreditLimits;
   /** Part of the limits that the hosts this host hears, including it, may use; 0 to 1. */
   readonly part: number;
-  /** Whether the group has all of its credit; it has none otherwise. */
-  readonly isFull: boolean;
+  /** Requests that the group may admit at once, of the whole burst of its part at most. */
+  readonly credit: number;
   readonly now: number;
 }
 
@@ -77,10 +77,10 @@
   /** Requests of the group, as far as they are known. */
   private readonly recent = new RecentRequests(silentMs);
 
-  constructor({ limits, part, isFull, now }: SharedCreditOptions) {
+  constructor({ limits, part, credit, now }: SharedCreditOptions) {
     this.limits = limits;
     this.part = part;
-    this.credit = isFull ? part * limits.burst : 0;
+    this.credit = Math.min(part * limits.burst, credit);
     this.updatedAt = now;
     this.usedAt = now;
     this.newsAt = now;
--- a/tests/teams/sharedCredit.test.ts
+++ b/tests/teams/sharedCredit.test.ts
@@ -8,7 +8,7 @@
 const limits = computeCreditLimits(team, settings);
 
 function createCredit(part = 1): SharedCredit {
-  return new SharedCredit({ limits, part, isFull: true, now: 0 });
+  return new SharedCredit({ limits, part, credit: Infinity, now: 0 });
 }
 
 /** Number of requests that come at one instant and are admitted. */
