src/domain/requests: only upstreams with recent good answers are preferred for their idle connections

Cause: an upstream that answers errors at once always has an idle connection, and the preference for it (0.1) outweighed a weak suspicion (0.12 times 0.6 while retries are left). Ruled out: the quotas alone; 59 requests got a 429, of which about half were owed. Change: the preference ends at the risk up to which an upstream counts as proven. Measured: npx vitest run tests/fleet/suspicion.test.ts (one case red before).

--- a/src/domain/requests/LowestCostBalancer.ts
+++ b/src/domain/requests/LowestCostBalancer.ts
@@ -146,13 +146,16 @@
     costs: BalancerCosts,
   ): number {
     const isSameDomain = candidate.record.failureDomain === choice.failureDomain;
+    const risk = this.options.readRisk(candidate);
+    // An upstream that answers errors at once always has an idle connection.
+    const isReused = risk <= maxProvenRisk && choice.hasIdleConnection?.(candidate);
     return (
       this.computeWait(candidate, choice, costs) +
       (isSameDomain ? 0 : costs.otherDomain) +
-      costs.failure * this.options.readRisk(candidate) +
+      costs.failure * risk +
       costs.limited * (this.options.readLimitUse?.(candidate) ?? 0) +
       costs.cold * (1 - candidate.weight) +
-      (choice.hasIdleConnection?.(candidate) ? 0 : costs.newConnection)
+      (isReused ? 0 : costs.newConnection)
     );
   }
 
--- a/tests/fleet/suspicion.test.ts
+++ b/tests/fleet/suspicion.test.ts
@@ -137,6 +137,7 @@
   readonly domain: string;
   readonly load: number;
   readonly risk: number;
+  readonly isConnected?: boolean;
 }
 
 describe('LowestCostBalancer', () => {
@@ -166,6 +167,7 @@
       now: 1000,
       random: () => 0,
       failureDomain: 'north',
+      hasIdleConnection: ({ record }) => byName.get(record.upstream)?.isConnected ?? false,
     });
     return chosen?.record.upstream;
   }
@@ -173,6 +175,18 @@
   const near = { name: 'near', domain: 'north', load: 0, risk: 0 };
   const far = { name: 'far', domain: 'south', load: 0, risk: 0 };
 
+  // Guards against an upstream that answers errors at once, so that a connection to it is always
+  // idle, and draws the look-ups for which a retry is left.
+  it.each([
+    { risk: 0, chosen: 'connected' },
+    { risk: 0.12, chosen: 'other' },
+  ])('should choose the $chosen upstream at a risk of $risk', ({ risk, chosen }) => {
+    const other = { ...near, name: 'other' };
+    const connected = { ...near, name: 'connected', isConnected: true, risk };
+
+    expect(choose([other, connected], 0)).toBe(chosen);
+  });
+
   it.each([
     [
       'a busy upstream of its own failure domain over an idle one of another',
