src/adapters/yaml, platform: syntax errors of presets don't quote the text

Cause: Node.js quotes some ten characters around a syntax error of JSON, and the YAML parser the token that it can't read and the name of an alias without an anchor. In a preset with teams that may be a key. Control hosts log the message and answer it. Ruled out: no message at all. The position and the kind of the error are what an operator needs. Change: the quoted part is cut off. Conclusion: keys of teams don't get into messages about documents that can't be parsed.

--- a/src/adapters/yaml/parseYaml.ts
+++ b/src/adapters/yaml/parseYaml.ts
@@ -12,6 +12,10 @@
   readonly failureKind: 'settings_invalid' | 'preset_invalid';
 }
 
+// The parser quotes what it can't read, which may be a key of a team: tokens that it does not
+// expect, or the name of an alias without an anchor.
+const excerptPattern = /: .*(?= at line \d)|(?<=\)): .*$/s;
+
 /** Keys of a team whose values error messages may show. */
 const plainTeamKeys: ReadonlySet<string> = new Set([
   'name',
@@ -76,12 +80,15 @@
   });
   const document = parseDocument(source.text);
   const [syntaxError] = document.errors;
-  if (syntaxError) return fail(syntaxError.message.split('\n')[0] ?? 'not valid YAML');
+  if (syntaxError) {
+    const [firstLine = 'not valid YAML'] = syntaxError.message.split('\n');
+    return fail(firstLine.replace(excerptPattern, ''));
+  }
   let content: unknown;
   try {
     content = document.toJS({ maxAliasCount: 100 });
   } catch (error) {
-    return fail((error as Error).message);
+    return fail((error as Error).message.replace(excerptPattern, ''));
   }
   const parsed = source.schema.safeParse(content);
   if (parsed.success) return { ok: true, value: parsed.data };
--- a/tests/platform/decode.test.ts
+++ b/tests/platform/decode.test.ts
@@ -250,6 +250,15 @@
     expect(decoded.ok && decoded.value.preset.routes[1]?.repeat).toBe(repeat);
   });
 
+  // Guards against log lines and answers with keys: Node.js quotes the text around a syntax error.
+  it('should not quote a document that is not valid JSON', () => {
+    const decoded = codec.decodePreset('{"tenants": [{"name": "a", "apiKeys": [key-1]}]}');
+
+    expect(decoded.ok ? '' : decoded.failure.message).toBe(
+      "configuration: not valid JSON: Unexpected token 'k'",
+    );
+  });
+
   it.each([
     ['an unknown service', JSON.stringify(changeRoute({ service: 'none' }))],
     ['a timeout of zero', JSON.stringify(changeRoute({ timeout: '0ms' }))],
--- a/tests/teams/teamPresets.test.ts
+++ b/tests/teams/teamPresets.test.ts
@@ -95,4 +95,16 @@
     expect(message).toContain(`a.yaml: key ${key}`);
     expect(message).not.toContain('key-1');
   });
+
+  // Guards against the same for text that is not valid YAML, which the parser quotes.
+  it.each([
+    ['an alias', 'teams: [{ name: depots, keys: [*key-1] }]'],
+    ['a block header', 'teams:\n  - name: |key-1'],
+    ['an open quote', 'teams: [{ name: depots, keys: ["key-1] }]'],
+  ])('should refuse a file with %s in place of a key and print no key', (_title, text) => {
+    const message = parseTeams(text);
+
+    expect(message).toMatch(/^a\.yaml: [A-Z]/);
+    expect(message).not.toContain('key-1');
+  });
 });
