src/domain/presets: what the check of a file needs is in the domain

No behaviour changes. Measured: npx vitest run tests/presets tests/requests/prefixRoutes tests/teams/teamPresets, all pass. Conclusion: ready for preset check.

--- a/src/application/requests/PrefixRouteTable.ts
+++ b/src/application/requests/PrefixRouteTable.ts
@@ -1,13 +1,8 @@
 import type { RouteSettings } from '../../domain/presets/Preset.ts';
+import createHostKey from '../../domain/presets/createHostKey.ts';
+import { anyMethod } from '../../domain/presets/presetLimits.ts';
 import type RouteTable from '../../ports/RouteTable.ts';
 
-/** Method value of a route that matches every method. */
-export const anyMethod = 'ANY';
-
-function createHostKey(host: string): string {
-  return host.toLowerCase().replace(/:\d*$/, '');
-}
-
 /**
  * Finds routes by host and longest path prefix. The path of a route is its prefix, which ends with
  * a slash, followed by `*`.
--- a/src/domain/presets/checkPreset.ts
+++ b/src/domain/presets/checkPreset.ts
@@ -96,14 +96,10 @@
   };
 }
 
-/**
- * Checks the values of a preset and the references between its parts. The failure
- * (`preset_invalid`) names the first invalid key, its value and what was expected.
- */
-export default function checkPreset(name: string, preset: Preset): Result<Preset> {
+/** Lists the invalid values of a preset, with the keys of a preset file. */
+export function listInvalidValues(preset: Preset): readonly InvalidValue[] {
   const services = new Set(Object.keys(preset.services));
-  const invalidValue = [
-    checkName('name', name),
+  return [
     checkNumber('fleet.entry_hosts', preset.fleet.entryHosts, presetLimits.entry_hosts),
     ...Object.entries(preset.services).flatMap(([key, service]) => checkService(key, service)),
     preset.routes.length <= maxRoutes
@@ -116,7 +112,15 @@
     ...preset.routes.flatMap((route, index) => checkRoute(route, index, services)),
     checkDistinct(preset.routes),
     checkTeams(preset.teams ?? []),
-  ].find((result) => result !== undefined);
+  ].filter((result) => result !== undefined);
+}
+
+/**
+ * Checks the values of a preset and the references between its parts. The failure
+ * (`preset_invalid`) names the first invalid key, its value and what was expected.
+ */
+export default function checkPreset(name: string, preset: Preset): Result<Preset> {
+  const invalidValue = checkName('name', name) ?? listInvalidValues(preset)[0];
   if (!invalidValue) return { ok: true, value: preset };
   const { key, value, expected } = invalidValue;
   const message = `preset "${name}": key ${key}: value ${JSON.stringify(value)}: ${expected}`;
--- a/src/domain/presets/presetLimits.ts
+++ b/src/domain/presets/presetLimits.ts
@@ -23,7 +23,10 @@
 /** Maximum number of routes in a preset. */
 export const maxRoutes = 50_000;
 
-/** Methods that a route may have. */
+/** Method value of a route that matches every method. */
+export const anyMethod = 'ANY';
+
+/** Methods that a route of a preset file may have. */
 export const routeMethods = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE'] as const;
 
 /** Pattern of the names of presets and services. */
--- a/tests/requests/prefixRoutes.test.ts
+++ b/tests/requests/prefixRoutes.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
 
-import PrefixRouteTable, { anyMethod } from '../../src/application/requests/PrefixRouteTable.ts';
+import PrefixRouteTable from '../../src/application/requests/PrefixRouteTable.ts';
+import { anyMethod } from '../../src/domain/presets/presetLimits.ts';
 import chooseSplit from '../../src/domain/requests/chooseSplit.ts';
 import { createRoute } from '../fixtures/createPreset.ts';
 
