src/cli: preset check reports mistakes in a preset file before it is put

Cause: preset put names the first value that control hosts refuse. Entries that no request can use, limits that contradict each other, and what a change would alter were found only in operation. Ruled out: a check on control hosts, which would need a new call, and refusals of presets that were valid so far. A comparison of the files as text, which shows keys of teams. Slots aren't stated in a preset, so rates are compared with numbers of upstreams only. Commands may do without a server or a key.

--- a/src/cli/exitCodes.ts
+++ b/src/cli/exitCodes.ts
@@ -1,7 +1,7 @@
 import type ErrorKind from '../domain/errors/ErrorKind.ts';
 
 /** Exit codes of the operators' tool; scripts rely on them. */
-const exitCodes = { done: 0, refused: 1, wrongUse: 2, notReachable: 3 } as const;
+const exitCodes = { done: 0, refused: 1, findings: 1, wrongUse: 2, notReachable: 3 } as const;
 
 export default exitCodes;
 
--- a/src/cli/options.ts
+++ b/src/cli/options.ts
@@ -24,5 +24,5 @@
   '  --json              print the result as JSON',
   '  -h, --help          print this help',
   '',
-  'Exit codes: 0 success, 1 refused, 2 usage error or invalid file, 3 control group not reachable',
+  'Exit codes: 0 success, 1 refused or findings, 2 usage error or invalid file, 3 control group not reachable',
 ].join('\n');
--- a/src/cli/runCommandLine.ts
+++ b/src/cli/runCommandLine.ts
@@ -7,7 +7,8 @@
 import type Clock from '../ports/Clock.ts';
 import type RandomSource from '../ports/RandomSource.ts';
 import type Command from './Command.ts';
-import type { CommandOutput } from './Command.ts';
+import type { CommandContext, CommandOutput } from './Command.ts';
+import PresetCheckCommand from './PresetCheckCommand.ts';
 import PresetListCommand from './PresetListCommand.ts';
 import PresetPutCommand from './PresetPutCommand.ts';
 import PresetShowCommand from './PresetShowCommand.ts';
@@ -18,6 +19,7 @@
 import TeamListCommand from './TeamListCommand.ts';
 import UpstreamListCommand from './UpstreamListCommand.ts';
 import UsageError from './UsageError.ts';
+import YamlPresetFormat from './YamlPresetFormat.ts';
 import exitCodes, { decideExitCode } from './exitCodes.ts';
 import options, { globalHelp } from './options.ts';
 import type { CommandOption } from './options.ts';
@@ -34,11 +36,14 @@
   readonly writeFile: (path: string, text: string) => Promise<void>;
   readonly writeOutput: (text: string) => void;
   readonly writeError: (text: string) => void;
+  /** Commands of the tool; all of the product unless set. */
+  readonly commands?: readonly Command[] | undefined;
 }
 
-const commands: readonly Command[] = [
+const allCommands: readonly Command[] = [
   new PresetListCommand(),
   new PresetShowCommand(),
+  new PresetCheckCommand({ format: new YamlPresetFormat() }),
   new PresetPutCommand(),
   new PresetUseCommand(),
   new PresetStatusCommand(),
@@ -70,7 +75,7 @@
   return ['pistachiohoist', command.name, ...command.positionals, ...optionTexts].join(' ');
 }
 
-function describeHelp(command: Command | undefined): string {
+function describeHelp(commands: readonly Command[], command: Command | undefined): string {
   const usages = command ? [describeUsage(command)] : commands.map(describeUsage);
   const help = command ? [...command.help, ''] : [];
   return ['Usage:', ...usages.map((usage) => `  ${usage}`), '', ...help, globalHelp].join('\n');
@@ -89,9 +94,9 @@
   if (unknown) throw new UsageError(`${command.name}: option --${unknown} is not allowed here`);
 }
 
-function readServers(values: Values): readonly string[] {
+function readServers(values: Values, { access = 'operator' }: Command): readonly string[] {
   const servers = values.server ?? [];
-  if (servers.length === 0) {
+  if (servers.length === 0 && access === 'operator') {
     throw new UsageError('--server: missing: expected HOST:PORT of an operators listener');
   }
   servers.forEach((server) => {
@@ -142,10 +147,29 @@
   );
 }
 
+async function createClient(
+  commandLine: CommandLineOptions,
+  values: Values,
+  { servers, access = 'operator' }: Pick<Command, 'access'> & Pick<CommandContext, 'servers'>,
+): Promise<TrpcOperatorClient> {
+  const { clock } = commandLine;
+  // Without servers, or for those that ask for no key, the client is not used.
+  const hasKey = servers.length > 0 && access !== 'optional_address';
+  return new TrpcOperatorClient({
+    ...{ servers, clock },
+    operatorKey: hasKey ? await readKey(commandLine, values) : '',
+    operator: hasKey ? readOperator(commandLine, values) : '',
+  });
+}
+
 async function runCommand(commandLine: CommandLineOptions): Promise<CommandOutput | Failure> {
+  const { commands = allCommands } = commandLine;
   const { values, words } = parseParameters(commandLine.parameters);
   const command = commands.find(({ name }) => name === words.slice(0, 2).join(' '));
-  if (values.help) return { value: { help: describeHelp(command) }, text: describeHelp(command) };
+  if (values.help) {
+    const help = describeHelp(commands, command);
+    return { value: { help }, text: help };
+  }
   if (!command) {
     const names = commands.map(({ name }) => name).join(', ');
     const given = words.slice(0, 2).join(' ');
@@ -153,14 +177,10 @@
   }
   const positionals = words.slice(2);
   checkUsage(command, values, positionals);
-  const client = new TrpcOperatorClient({
-    servers: readServers(values),
-    operatorKey: await readKey(commandLine, values),
-    operator: readOperator(commandLine, values),
-    clock: commandLine.clock,
-  });
+  const servers = readServers(values, command);
+  const client = await createClient(commandLine, values, { servers, access: command.access });
   const result = await command.runCommand({
-    client,
+    ...{ client, servers },
     random: commandLine.random,
     positionals,
     values,
@@ -188,7 +208,7 @@
     }
     commandLine.writeOutput(`${isJson ? JSON.stringify(result.value) : result.text}\n`);
     if (!isJson) result.notes?.forEach((note) => commandLine.writeError(`${note}\n`));
-    return exitCodes.done;
+    return result.exitCode ?? exitCodes.done;
   } catch (error) {
     if (!(error instanceof UsageError)) throw error;
     writeFailure('usage', { kind: 'usage', message: error.message }, error.message);
--- a/tests/cli/commandLine.test.ts
+++ b/tests/cli/commandLine.test.ts
@@ -47,6 +47,9 @@
       createPreset({ services: { history: createService({ floor: 8 }) } }),
     ),
     'text.yaml': 'routes: 7',
+    'unused.yaml': formatPreset(
+      createPreset({ services: { history: createService(), kilns: createService() } }),
+    ),
   };
 
   beforeEach(async () => {
@@ -144,6 +147,40 @@
     expect(status.errors).toContain('lagging: entry-2\n');
   });
 
+  it('should check a preset file without a server and a key', async () => {
+    const check = (file: string) => run(['preset', 'check', file, '--json'], {});
+    const findingsOf = (output: string) => JSON.parse(output).findings;
+
+    expect((await check('good.yaml')).code).toBe(0);
+    const unused = await check('unused.yaml');
+    expect(unused).toMatchObject({ code: 1, errors: '' });
+    expect(findingsOf(unused.output)).toMatchObject([
+      { severity: 'warning', code: 'service_unused', key: 'services.kilns' },
+    ]);
+    const text = await check('text.yaml');
+    expect(text.code).toBe(1);
+    expect(findingsOf(text.output)).toMatchObject([{ code: 'document_invalid', key: 'fleet' }]);
+    expect((await run(['preset', 'check', 'floor.yaml'], {})).output).toMatch(
+      /^SEVERITY .*\nerror +floor_above_upstreams +services\.history\.floor +the floor 8/,
+    );
+  });
+
+  // Guards against notes about a preset that is stored, but not active.
+  it('should compare a checked preset with the active one', async () => {
+    expect((await runAt('preset check good.yaml')).errors).toContain('no preset is active\n');
+    await runAt('preset put other unused.yaml --based-on 0');
+    await runAt('preset put ordinary good.yaml --based-on 0');
+    await runAt('preset use ordinary --based-on 0');
+
+    const changed = await runAt('preset check unused.yaml');
+    expect(changed.output).toMatch(
+      /\nnote +service_added +services\.kilns +service "kilns" is new/,
+    );
+    expect((await runAt('preset check good.yaml')).output).toBe('SEVERITY  CODE  KEY  MESSAGE\n');
+    const unreachable = await runAt('preset check good.yaml', '127.0.0.1:1');
+    expect(unreachable.code).toBe(3);
+  });
+
   // Guards against a resend that fails although the change was accepted and only its answer was
   // lost: with the printed id, the resend counts as the same change.
   it('should print the generated change id and accept a resend with that id', async () => {
@@ -216,6 +253,7 @@
     ['preset list --colour', "Unknown option '--colour'"],
     ['preset use ordinary', '--based-on: value missing: expected a revision'],
     ['preset put ordinary none.yaml --based-on 0', 'none.yaml: cannot be read: no such file'],
+    ['preset check none.yaml', 'none.yaml: cannot be read: no such file'],
     ['preset put ordinary text.yaml --based-on 0', 'text.yaml: key fleet: value missing'],
     ['preset put ordinary floor.yaml --based-on 0', 'key services.history.floor: value 8'],
     ['preset list --key-file none.key', 'none.key: cannot be read'],
@@ -230,7 +268,7 @@
   });
 
   it.each([
-    ...['list', 'show', 'put', 'use', 'status'].map((verb) => `preset ${verb}`),
+    ...['list', 'show', 'check', 'put', 'use', 'status'].map((verb) => `preset ${verb}`),
     ...['upstream list', 'service list', 'report burn'],
   ])('should print help for "%s" without a server or a key', async (name) => {
     const result = await run([...name.split(' '), '--help'], {});
