src/daemon: the hosts of fleets through seeds create their parts by functions

Both had a createListeners of the same shape. Ruled out: a common base class, since the hosts share few parts. Gates and buffers are still created in FleetEntryHost. No behaviour changes. Measured: npx vitest run tests/fleet tests/platform/fleetProcesses tests/platform/stoppingProcesses tests/platform/withdrawnKeys: 283 of 285 passed (load 22 to 26 on 7 cores). tests/fleet/faultSimulation ('large fleet, bookings') ran into its limit of 30 s (43.8 s) and took 12.3 s in a second run; tests/fleet/slowPeer failed.

--- a/src/daemon/FleetControlHost.ts
+++ b/src/daemon/FleetControlHost.ts
@@ -1,15 +1,12 @@
-import ListenerConnections from '../adapters/http/ListenerConnections.ts';
 import PlatformFrontEnd from '../adapters/http/PlatformFrontEnd.ts';
-import PrometheusMetrics from '../adapters/metrics/PrometheusMetrics.ts';
+import type PrometheusMetrics from '../adapters/metrics/PrometheusMetrics.ts';
 import TrpcFleetLink from '../adapters/trpc/TrpcFleetLink.ts';
 import TrpcPeerDialer from '../adapters/trpc/TrpcPeerDialer.ts';
 import TrpcPeerServer from '../adapters/trpc/TrpcPeerServer.ts';
 import TrpcReplicationLink from '../adapters/trpc/TrpcReplicationLink.ts';
-import { parseControlSnapshot } from '../adapters/trpc/controlMessages.ts';
 import createFleetRouter from '../adapters/trpc/createFleetRouter.ts';
 import createReplicationRouter from '../adapters/trpc/createReplicationRouter.ts';
 import { router } from '../adapters/trpc/trpcBase.ts';
-import readDescriptorLimit from '../adapters/system/readDescriptorLimit.ts';
 import UdpDatagramSocket from '../adapters/udp/UdpDatagramSocket.ts';
 import CommandForwarder from '../application/fleet/CommandForwarder.ts';
 import FeedService from '../application/fleet/FeedService.ts';
@@ -23,29 +20,25 @@
 import StopSteps from '../application/lifecycle/StopSteps.ts';
 import LoadMonitor from '../application/metrics/LoadMonitor.ts';
 import type ReportingDisk from '../application/replication/ReportingDisk.ts';
-import Replica from '../application/replication/Replica.ts';
+import type Replica from '../application/replication/Replica.ts';
 import type ControlCommand from '../domain/control/ControlCommand.ts';
 import type { ControlReply } from '../domain/control/ControlCommand.ts';
-import ControlStateMachine from '../domain/control/ControlStateMachine.ts';
+import type ControlStateMachine from '../domain/control/ControlStateMachine.ts';
 import type { ControlHostInfo } from '../domain/fleet/FleetHosts.ts';
 import { splitControlDescriptors } from '../domain/settings/splitDescriptors.ts';
-import type { FleetControlSettings } from '../domain/settings/FleetSettings.ts';
 import BufferBudget from '../domain/requests/BufferBudget.ts';
-import type Clock from '../ports/Clock.ts';
 import type FleetLink from '../ports/FleetLink.ts';
-import type Log from '../ports/Log.ts';
-import type PresetCodec from '../ports/PresetCodec.ts';
-import type RandomSource from '../ports/RandomSource.ts';
-import listConnectionGauges from './listConnectionGauges.ts';
-import listControlGauges from './listControlGauges.ts';
-import listDiskGauges from './listDiskGauges.ts';
-import listLoadGauges from './listLoadGauges.ts';
+import type FleetControlOptions from './FleetControlOptions.ts';
 import TaskGroup from './TaskGroup.ts';
-import fleetTimes, { peerIdleCloseMs } from './fleetTimes.ts';
+import createControlMetrics from './createControlMetrics.ts';
+import createListeners from './createListeners.ts';
+import type { HostListeners } from './createListeners.ts';
+import { peerIdleCloseMs } from './fleetTimes.ts';
 import formatAddress from './formatAddress.ts';
-import openDisk from './openDisk.ts';
+import listDomainRelays from './listDomainRelays.ts';
 import listSeedPeers from './listSeedPeers.ts';
 import readProcessorMs from './readProcessorMs.ts';
+import startControlReplica from './startControlReplica.ts';
 
 // Twice as long as a call may take to commit.
 const callsMs = 2000;
@@ -58,26 +51,10 @@
 // Memory for the connections of the metrics listener, which serves few calls.
 const maxMetricsBytes = 4_194_304;
 
-/** Options of a control host in a fleet whose hosts discover each other through seeds. */
-export interface FleetControlOptions {
-  readonly settings: FleetControlSettings;
-  /** Returns the settings as last read from the file. */
-  readonly readSettings: () => Pick<FleetControlSettings, 'seeds'>;
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly log: Log;
-  readonly codec: PresetCodec;
-  /** Aborts when the host is asked to stop, also while it starts. */
-  readonly stopSignal: AbortSignal;
-  /** An address that is in use at this time is refused. */
-  readonly addressDeadline: number;
-}
+// Listeners of a control host, by their names in the settings.
+const listenerNames = ['operators', 'peers', 'metrics'] as const;
 
-interface ControlListeners {
-  readonly operators: ListenerConnections;
-  readonly peers: ListenerConnections;
-  readonly metrics: ListenerConnections;
-}
+type ControlListeners = HostListeners<(typeof listenerNames)[number]>;
 
 /** The listener whose calls a control host serves. */
 export interface CallListener {
@@ -94,24 +71,6 @@
   readonly socket: UdpDatagramSocket;
 }
 
-function createListeners(
-  { clock, log }: Pick<FleetControlOptions, 'clock' | 'log'>,
-  maxDescriptors: number,
-): ControlListeners {
-  const parts = splitControlDescriptors(maxDescriptors);
-  log.info('lifecycle: limited the connections of the listeners', { maxDescriptors, ...parts });
-  const createListener = (listener: keyof ControlListeners, maxUnproven: number) =>
-    new ListenerConnections({
-      ...{ clock, log, listener, maxUnproven },
-      maxConnections: parts[listener],
-    });
-  return {
-    operators: createListener('operators', parts.operators),
-    peers: createListener('peers', parts.unprovenPeers),
-    metrics: createListener('metrics', parts.metrics),
-  };
-}
-
 /** Composition root of a control host in a fleet whose hosts discover each other through seeds. */
 export default class FleetControlHost {
   readonly presets: NumberedPresetService;
@@ -227,8 +186,6 @@
       ...waiting,
       open: () => UdpDatagramSocket.openSocket({ address: listen.peers, peerKey, log }),
     });
-    const ownAddress = formatAddress(listen.peers);
-    const state = new ControlStateMachine({ parseSnapshot: parseControlSnapshot });
     const dialer = new TrpcPeerDialer({
       peerKey,
       ownHost: settings.host,
@@ -237,30 +194,17 @@
       idleCloseMs: peerIdleCloseMs,
       isCompressed: true,
     });
-    const seeds = listSeedPeers(settings);
-    const folder = settings.dataFolder;
-    const { disk, reporting } = await openDisk({
-      ...{ folder, clock, log, stopSignal },
+    const { state, reporting, replica } = await startControlReplica({
+      ...{ settings, clock, random, log, stopSignal, dialer },
       stopMs: transferMs,
     });
-    const replica = await Replica.startReplica<ControlCommand, ControlReply>({
-      host: ownAddress,
-      hosts: settings.formsGroup ? seeds : [],
-      links: seeds
-        .filter((address) => address !== ownAddress)
-        .map((address) => {
-          const { connection } = dialer.takeConnection({ host: address, address });
-          return new TrpcReplicationLink({ host: address, connection });
-        }),
-      disk,
-      clock,
-      random,
-      log,
-      state,
-      times: fleetTimes,
-      minVoters: 2 * settings.lostHosts + 1,
+    const connections = await createListeners({
+      ...{ clock, log, settings },
+      names: listenerNames,
+      splitDescriptors: splitControlDescriptors,
+      // The operators listener and that of metrics need no key.
+      getUnproven: ({ unprovenPeers }) => ({ peers: unprovenPeers }),
     });
-    const connections = createListeners(options, await readDescriptorLimit(settings));
     const host = new FleetControlHost(options, {
       ...{ state, dialer, reporting, replica, socket, connections },
     });
@@ -328,7 +272,7 @@
   }
 
   private startTasks(): void {
-    const { clock, log } = this.options;
+    const { settings, clock, log } = this.options;
     const { socket } = this.components;
     this.tasks.startTask('discovery', (signal) => this.discovery.run(signal));
     this.tasks.startTask('feed', (signal) => this.feed.run(signal));
@@ -340,7 +284,7 @@
       clock,
       log,
       socket,
-      listRelays: () => this.listRelays(),
+      listRelays: () => listDomainRelays(this.discovery.listHosts(), settings.failureDomain),
       listEntryHosts: () => this.feed.listEntryHosts().map(({ address }) => address),
     });
   }
@@ -373,52 +317,12 @@
     return new TrpcFleetLink(shared, this.options.clock);
   }
 
-  /** Lists one relay for every other failure domain: its control host with the lowest address. */
-  private listRelays(): readonly string[] {
-    const { failureDomain } = this.options.settings;
-    const relayByDomain = new Map<string, string>();
-    this.discovery
-      .listHosts()
-      .filter((host) => host.failureDomain !== failureDomain)
-      .forEach((host) => {
-        const selected = relayByDomain.get(host.failureDomain);
-        if (selected === undefined || host.address < selected) {
-          relayByDomain.set(host.failureDomain, host.address);
-        }
-      });
-    return [...relayByDomain.values()];
-  }
-
   private createMetrics(): PrometheusMetrics {
     const { replica, state, reporting } = this.components;
-    return new PrometheusMetrics(
-      [
-        {
-          name: 'preset_number',
-          help: 'Number of the active numbered preset in the state of this host.',
-          readValue: () => state.numberedPreset?.number ?? 0,
-        },
-        {
-          name: 'upstreams',
-          help: 'Registered upstreams that are serving, leaving or silent.',
-          readValue: () => state.registry.listUpstreams().length,
-        },
-        {
-          name: 'entry_hosts',
-          help: 'Entry hosts that watch the feed of this host.',
-          readValue: () => this.feed.listEntryHosts().length,
-        },
-        {
-          name: 'control_hosts',
-          help: 'Control hosts that this host has discovered.',
-          readValue: () => this.discovery.listHosts().length,
-        },
-        ...listConnectionGauges(Object.values(this.connections)),
-        ...listLoadGauges(this.loadMonitor),
-        ...listDiskGauges(reporting),
-        ...listControlGauges(replica),
-      ],
-      { hasProcessMetrics: false },
-    );
+    const { feed, discovery, loadMonitor } = this;
+    const connections = Object.values(this.connections);
+    return createControlMetrics({
+      ...{ replica, state, reporting, feed, discovery, loadMonitor, connections },
+    });
   }
 }
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -1,59 +1,40 @@
 import HttpFrontEnd from '../adapters/http/HttpFrontEnd.ts';
-import ListenerConnections from '../adapters/http/ListenerConnections.ts';
 import PlatformFrontEnd from '../adapters/http/PlatformFrontEnd.ts';
 import UndiciUpstreamClient from '../adapters/http/UndiciUpstreamClient.ts';
-import PrometheusMetrics from '../adapters/metrics/PrometheusMetrics.ts';
-import TrpcFleetLink from '../adapters/trpc/TrpcFleetLink.ts';
+import type PrometheusMetrics from '../adapters/metrics/PrometheusMetrics.ts';
 import TrpcPeerDialer from '../adapters/trpc/TrpcPeerDialer.ts';
-import readDescriptorLimit from '../adapters/system/readDescriptorLimit.ts';
 import UdpDatagramSocket from '../adapters/udp/UdpDatagramSocket.ts';
-import DisabledClaimGate from '../application/claims/DisabledClaimGate.ts';
 import DomainExchange from '../application/fleet/DomainExchange.ts';
-import DomainGate from '../application/fleet/DomainGate.ts';
-import DomainLoad from '../application/fleet/DomainLoad.ts';
 import DomainRetryBudgets from '../application/fleet/DomainRetryBudgets.ts';
-import FeedSubscriber from '../application/fleet/FeedSubscriber.ts';
+import type FeedSubscriber from '../application/fleet/FeedSubscriber.ts';
 import FleetView from '../application/fleet/FleetView.ts';
-import SlotView from '../application/fleet/SlotView.ts';
-import SuspicionObserver from '../application/fleet/SuspicionObserver.ts';
+import type SuspicionObserver from '../application/fleet/SuspicionObserver.ts';
 import openWhenFree from '../application/lifecycle/openWhenFree.ts';
-import Shutdown from '../application/lifecycle/Shutdown.ts';
+import type Shutdown from '../application/lifecycle/Shutdown.ts';
 import StopSchedule from '../application/lifecycle/StopSchedule.ts';
 import StopSteps from '../application/lifecycle/StopSteps.ts';
 import LoadMonitor from '../application/metrics/LoadMonitor.ts';
-import type RequestDialect from '../application/requests/RequestDialect.ts';
-import RequestHandler from '../application/requests/RequestHandler.ts';
-import UpstreamDispatcher from '../application/requests/UpstreamDispatcher.ts';
+import type RequestHandler from '../application/requests/RequestHandler.ts';
 import SuspicionTracker from '../domain/detection/SuspicionTracker.ts';
 import type { HostStateName } from '../domain/membership/HostRecord.ts';
 import type Preset from '../domain/presets/Preset.ts';
-import computeCosts, { defaultAnswerBytes } from '../domain/requests/computeCosts.ts';
-import LowestCostBalancer from '../domain/requests/LowestCostBalancer.ts';
-import type { BalancerCosts } from '../domain/requests/LowestCostBalancer.ts';
-import type UsableUpstream from '../domain/requests/UsableUpstream.ts';
 import BufferBudget from '../domain/requests/BufferBudget.ts';
 import { splitEntryDescriptors } from '../domain/settings/splitDescriptors.ts';
-import type { FleetEntrySettings } from '../domain/settings/FleetSettings.ts';
 import UpstreamStatements from '../domain/statements/UpstreamStatements.ts';
-import type Clock from '../ports/Clock.ts';
-import type Log from '../ports/Log.ts';
-import type PresetCodec from '../ports/PresetCodec.ts';
-import type RandomSource from '../ports/RandomSource.ts';
 import type TeamQuotas from '../application/teams/TeamQuotas.ts';
 import type Daemon from './Daemon.ts';
+import type FleetEntryOptions from './FleetEntryOptions.ts';
 import TaskGroup from './TaskGroup.ts';
+import createEntryMetrics from './createEntryMetrics.ts';
+import createFeedSubscriber from './createFeedSubscriber.ts';
+import createFleetHandler from './createFleetHandler.ts';
+import createFleetShutdown from './createFleetShutdown.ts';
+import createListeners from './createListeners.ts';
+import type { HostListeners } from './createListeners.ts';
+import createObserver from './createObserver.ts';
 import { createGates, createSharedQuotas } from './createQuotas.ts';
-import {
-  connectTimeoutMs,
-  connectionsPerUpstream,
-  loadHalfLifeMs,
-  peerIdleCloseMs,
-} from './fleetTimes.ts';
+import { connectTimeoutMs, connectionsPerUpstream, peerIdleCloseMs } from './fleetTimes.ts';
 import formatAddress from './formatAddress.ts';
-import listConnectionGauges from './listConnectionGauges.ts';
-import listEntryGauges from './listEntryGauges.ts';
-import listUpstreamGauges from './listUpstreamGauges.ts';
-import listSeedPeers from './listSeedPeers.ts';
 import maxBufferedBytes from './maxBufferedBytes.ts';
 import readProcessorMs from './readProcessorMs.ts';
 
@@ -64,48 +45,16 @@
 // `StopSchedule` keeps until the platform kills the process.
 const closeMs = 200;
 
-/** Options of an entry host in a fleet whose hosts discover each other through seeds. */
-export interface FleetEntryOptions {
-  readonly settings: FleetEntrySettings;
-  /** Returns the settings as last read from the file. */
-  readonly readSettings: () => Pick<FleetEntrySettings, 'seeds'>;
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly log: Log;
-  readonly dialect: RequestDialect;
-  readonly codec: PresetCodec;
-  /** Aborts when the host is asked to stop, also while it starts. */
-  readonly stopSignal: AbortSignal;
-  /** An address that is in use at this time is refused. */
-  readonly addressDeadline: number;
-}
+// Listeners of an entry host, by their names in the settings.
+const listenerNames = ['callers', 'platform', 'metrics'] as const;
 
-interface EntryListeners {
-  readonly callers: ListenerConnections;
-  readonly platform: ListenerConnections;
-  readonly metrics: ListenerConnections;
-}
+type EntryListeners = HostListeners<(typeof listenerNames)[number]>;
 
 interface EntryComponents {
   readonly socket: UdpDatagramSocket;
   readonly connections: EntryListeners;
 }
 
-function createListeners(
-  { clock, log }: Pick<FleetEntryOptions, 'clock' | 'log'>,
-  maxDescriptors: number,
-): EntryListeners {
-  const parts = splitEntryDescriptors(maxDescriptors);
-  log.info('lifecycle: limited the connections of the listeners', { maxDescriptors, ...parts });
-  const createListener = (listener: keyof EntryListeners): ListenerConnections =>
-    new ListenerConnections({ clock, log, listener, maxConnections: parts[listener] });
-  return {
-    callers: createListener('callers'),
-    platform: createListener('platform'),
-    metrics: createListener('metrics'),
-  };
-}
-
 /** Composition root of an entry host in a fleet whose hosts discover each other through seeds. */
 export default class FleetEntryHost implements Daemon {
   private readonly options: FleetEntryOptions;
@@ -170,7 +119,8 @@
       idleCloseMs: peerIdleCloseMs,
       isCompressed: true,
     });
-    this.subscriber = this.createSubscriber();
+    const { view, dialer } = this;
+    this.subscriber = createFeedSubscriber({ ...options, view, dialer });
     this.suspicions = new SuspicionTracker({ decayMs: settings.suspicionMs });
     this.statements = new UpstreamStatements({
       failureDomain: settings.failureDomain,
@@ -194,16 +144,8 @@
       countHosts: () => this.view.domainSize,
     });
     this.exchange = this.createExchange();
-    const loads = new DomainLoad({ exchange: this.exchange });
-    const { view, statements } = this;
-    const slots = new SlotView({ clock, view, statements, loads, loadHalfLifeMs });
-    this.observer = new SuspicionObserver({
-      clock,
-      suspicions: this.suspicions,
-      exchange: this.exchange,
-      findIncarnation: (upstream) => this.view.findUpstream(upstream)?.incarnation ?? 0,
-      hasFreeSlot: (upstream) => slots.hasFreeSlot(upstream),
-    });
+    const { statements, suspicions, exchange } = this;
+    this.observer = createObserver({ clock, view, statements, suspicions, exchange });
     this.stopSchedule = new StopSchedule({
       clock,
       killMs: settings.stopTimeoutMs,
@@ -261,7 +203,12 @@
       ...waiting,
       open: () => UdpDatagramSocket.openSocket({ address: listen.peers, peerKey, log }),
     });
-    const connections = createListeners(options, await readDescriptorLimit({ maxDescriptors }));
+    const connections = await createListeners({
+      ...{ clock, log },
+      settings: { maxDescriptors },
+      names: listenerNames,
+      splitDescriptors: splitEntryDescriptors,
+    });
     const host = new FleetEntryHost(options, { socket, connections });
     const openAll = [
       () => host.platform.openListener(listen.platform),
@@ -313,20 +260,6 @@
     return this.view.isReady ? 'ready' : 'starting';
   }
 
-  private createSubscriber(): FeedSubscriber {
-    const { settings, clock, log, readSettings } = this.options;
-    const { host, failureDomain, listen } = settings;
-    return new FeedSubscriber({
-      clock,
-      log,
-      ownHost: { host, address: formatAddress(listen.peers), failureDomain },
-      view: this.view,
-      readSeeds: () => listSeedPeers({ listen, seeds: readSettings().seeds }),
-      openLink: (address) =>
-        new TrpcFleetLink(this.dialer.takeConnection({ host: address, address }), clock),
-    });
-  }
-
   private createExchange(): DomainExchange {
     const { settings, clock, log } = this.options;
     return new DomainExchange({
@@ -355,66 +288,22 @@
   }
 
   private createHandler(metrics: PrometheusMetrics): RequestHandler {
-    const { settings, clock, random, log, dialect } = this.options;
     const { view, upstreamClient, exchange, observer, suspicions, statements } = this;
-    const readRisk = ({ record }: UsableUpstream): number =>
-      suspicions.getRisk(record.upstream, record.incarnation, clock.now());
-    const dispatcher = new UpstreamDispatcher({
-      clock,
-      random,
-      upstreamClient,
-      balancer: new LowestCostBalancer({
-        readCosts: (operation, retryScarcity) => this.readCosts(operation, retryScarcity),
-        readRisk,
-        readLimitUse: ({ record }) => statements.computeLimitUse(record, clock.now()),
-        loadHalfLifeMs,
-      }),
-      pool: view,
-      connections: upstreamClient,
-      observer,
-      loadTracker: new DomainLoad({ exchange }),
-      loadHalfLifeMs,
-      failureDomain: settings.failureDomain,
-      dialect,
-      gate: new DomainGate({ clock, log, statements, exchange }),
+    return createFleetHandler({
+      ...this.options,
+      ...{ view, upstreamClient, exchange, observer, suspicions, statements, metrics },
       stopLimiter: this.stopSchedule,
-      estimateLongMs: (operation) => observer.estimateLongMs(operation),
-      estimateTypicalMs: (operation) => observer.estimateTypicalMs(operation),
-      log,
-      readRisk,
-    });
-    return new RequestHandler({
-      clock,
-      random,
-      log,
-      activePreset: view,
-      waitReady: (deadline) => view.waitReady(deadline),
-      claims: new DisabledClaimGate(),
-      dispatcher,
-      observer: metrics,
-      teamObserver: metrics.teams,
-      dialect,
       budgets: this.retryBudgets,
       gates: createGates(this.quotas),
     });
   }
 
-  private readCosts(operation: string, retryScarcity: number): BalancerCosts {
-    return computeCosts({
-      otherDomainPrice: this.options.settings.otherDomainPrice,
-      answerBytes: this.observer.readAverageAnswerBytes(operation) ?? defaultAnswerBytes,
-      retryScarcity,
-    });
-  }
-
   private createMetrics(): PrometheusMetrics {
-    const { view, subscriber, socket, statements, loadMonitor } = this;
-    const { clock } = this.options;
-    const gauges = listEntryGauges({ clock, view, subscriber, socket, statements, loadMonitor });
-    const connectionGauges = listConnectionGauges(Object.values(this.connections));
-    const upstreamGauges = listUpstreamGauges(this.upstreamClient);
-    return new PrometheusMetrics([...gauges, ...connectionGauges, ...upstreamGauges], {
-      hasProcessMetrics: false,
+    const { view, subscriber, socket, statements, loadMonitor, upstreamClient } = this;
+    return createEntryMetrics({
+      ...{ view, subscriber, socket, statements, loadMonitor, upstreamClient },
+      clock: this.options.clock,
+      connections: Object.values(this.connections),
     });
   }
 
@@ -426,14 +315,10 @@
 
   private createShutdown(): Shutdown {
     const { settings, clock, log } = this.options;
-    return new Shutdown({
-      clock,
-      log,
+    return createFleetShutdown({
+      ...{ clock, log },
       readiness: { markStopping: () => this.startStop() },
       listeners: [this.callers],
-      claims: new DisabledClaimGate(),
-      // Nothing to withdraw: control hosts remove an entry host that stops requesting the feed.
-      hostRecord: { announceStopping: async () => undefined, removeRecord: async () => undefined },
       stopGraceMs: settings.stopGraceMs,
     });
   }
