src/adapters/http: the end of a caller is seen behind requests sent ahead, and a last answer is not reset

Cause: two faults of the layer between socket and parser. (1) Bytes that wait for the parser stayed in the socket's own buffer, behind which Node.js announces no end: a caller that had sent requests ahead and closed was noticed only when they were answered; its requests ran until their deadline. (2) A connection that was closed after its last answer with unread bytes was reset, and the part of the answer in the send buffer was lost (114,688 of 2,000,000 bytes arrived). Ruled out: faults in pipelines of 20 with and without bodies, 100-continue, CONNECT, upgrades, requests sent behind the last answer: the tests for them passed before. Change: PacedSocket reads up to 16 KiB ahead into a buffer of its own; an end drops what waits. After the last answer, what arrives is discarded, and the connection stays for up to 500 ms if something was unread. Short writes are joined. Conclusion: both faults are mended.

--- a/src/adapters/http/PacedSocket.ts
+++ b/src/adapters/http/PacedSocket.ts
@@ -3,6 +3,12 @@
 
 // Part of an answer that is handed to the operating system at a time.
 const partBytes = 16_384;
+// Bytes that wait for the parser from which on no more are read.
+const maxWaitingBytes = 16_384;
+// Smallest part of a received piece that is kept without a copy.
+const keptShare = 0.25;
+// Time for a client to end its side while it still sends, in milliseconds; see `closeWritten`.
+const lingerMs = 500;
 
 /** Decides how fast the bytes of a connection reach the parser. */
 export interface SocketPacer {
@@ -19,10 +25,25 @@
   readonly encoding: BufferEncoding;
 }
 
+function joinChunks(chunks: readonly WrittenChunk[]): Buffer {
+  return Buffer.concat(
+    chunks.map(({ chunk, encoding }) =>
+      typeof chunk === 'string' ? Buffer.from(chunk, encoding) : chunk,
+    ),
+  );
+}
+
+// A small rest of a large piece would keep all of it in memory.
+function takeRest(rest: Buffer): Buffer {
+  const isSmall = rest.byteLength < keptShare * rest.buffer.byteLength;
+  return isSmall ? Buffer.concat([rest]) : rest;
+}
+
 /**
  * The connection of a client as the HTTP parser sees it: it hands over the received bytes in
  * slices, as its pacer allows it, and writes large answers in parts. The operating system keeps
- * what is not taken, so that the client has to wait.
+ * what is not taken, so that the client has to wait. Some bytes are always read ahead, because
+ * without reading the end of a client that closes would not be noticed.
  */
 export default class PacedSocket extends Duplex {
   /** Number of bytes that were handed to the parser since it last began or continued a request. */
@@ -38,8 +59,20 @@
 
   private readonly raw: Socket;
 
+  /** Received bytes that were not handed to the parser. */
+  private waiting: Buffer | undefined;
+
   private isWanted = false;
 
+  /** Whether the client has ended its side. */
+  private isInputEnded = false;
+
+  /** Set once the end of the last answer is sent; what arrives then is no longer parsed. */
+  private isDiscarding = false;
+
+  /** Whether bytes that the parser did not get were there at the end of the last answer. */
+  private hadUnreadInput = false;
+
   constructor(raw: Socket) {
     super({
       allowHalfOpen: true,
@@ -48,11 +81,11 @@
       writableHighWaterMark: raw.writableHighWaterMark,
     });
     this.raw = raw;
-    raw.on('readable', () => {
+    raw.on('data', (chunk) => this.takeChunk(chunk));
+    raw.on('end', () => {
+      this.isInputEnded = true;
       this.transferSlice();
-      this.pacer?.updateInput();
     });
-    raw.on('end', () => this.push(null));
     raw.on('timeout', () => this.emit('timeout'));
     raw.on('error', (error) => this.destroy(error));
     raw.on('close', () => this.destroy());
@@ -70,7 +103,7 @@
 
   /** Bytes that were received and not handed to the parser. */
   get waitingBytes(): number {
-    return this.raw.readableLength + this.readableLength;
+    return (this.waiting?.byteLength ?? 0) + this.raw.readableLength + this.readableLength;
   }
 
   setPacer(pacer: SocketPacer): void {
@@ -118,7 +151,11 @@
   }
 
   override _final(callback: WriteCallback): void {
-    this.raw.end(() => callback());
+    this.hadUnreadInput = this.waitingBytes > 0;
+    this.isDiscarding = true;
+    this.waiting = undefined;
+    this.raw.resume();
+    this.raw.end(callback);
   }
 
   override _destroy(error: Error | null, callback: WriteCallback): void {
@@ -137,17 +174,15 @@
       callback();
       return;
     }
-    if (chunks.some(({ chunk }) => chunk.length > partBytes)) {
-      this.writeParts(first, (error) => {
-        if (error) callback(error);
-        else this.writeChunks(others, callback);
-      });
+    const size = chunks.reduce((sum, { chunk }) => sum + chunk.length, 0);
+    if (size <= partBytes) {
+      this.writeWhole({ chunk: joinChunks(chunks), encoding: 'latin1' }, callback);
       return;
     }
-    this.raw.cork();
-    chunks.slice(0, -1).forEach(({ chunk, encoding }) => this.raw.write(chunk, encoding));
-    this.writeWhole(others.at(-1) ?? first, callback);
-    this.raw.uncork();
+    this.writeParts(first, (error) => {
+      if (error) callback(error);
+      else this.writeChunks(others, callback);
+    });
   }
 
   private writeParts({ chunk, encoding }: WrittenChunk, callback: WriteCallback): void {
@@ -163,8 +198,20 @@
 
   private endWritten(): void {
     if (this.writable) this.end();
-    if (this.writableFinished) this.destroy();
-    else this.once('finish', () => this.destroy());
+    if (this.writableFinished) this.closeWritten();
+    else this.once('finish', () => this.closeWritten());
+  }
+
+  // Closing a connection with unread bytes would reset it, and the part of its last answer that the
+  // operating system has not sent yet would be lost.
+  private closeWritten(): void {
+    if (!this.hadUnreadInput || this.isInputEnded) {
+      this.destroy();
+      return;
+    }
+    this.raw.once('end', () => this.destroy());
+    const timer = setTimeout(() => this.destroy(), lingerMs);
+    this.once('close', () => clearTimeout(timer));
   }
 
   private writeWhole({ chunk, encoding }: WrittenChunk, callback: WriteCallback): void {
@@ -174,18 +221,47 @@
     });
   }
 
+  private takeChunk(chunk: Buffer): void {
+    if (this.isDiscarding) return;
+    this.waiting = this.waiting ? Buffer.concat([this.waiting, chunk]) : chunk;
+    this.transferSlice();
+    this.updateReading();
+    this.pacer?.updateInput();
+  }
+
   private transferSlice(): void {
     if (!this.isWanted || this.destroyed) return;
-    const { readableLength } = this.raw;
-    const size = Math.min(readableLength, this.pacer?.computeSliceBytes() ?? readableLength);
-    if (size === 0 && readableLength > 0) return;
-    // Without bytes, the read asks for more and notices the end.
-    const slice: Buffer | null = size > 0 ? this.raw.read(size) : this.raw.read();
-    if (!slice) return;
+    const { waiting } = this;
+    const allowed = waiting ? this.computeAllowed(waiting) : 0;
+    if (waiting && allowed > 0) this.sendSlice(waiting, allowed);
+    else if (this.isInputEnded) {
+      // The client has gone: what it sent ahead is not begun, and what runs is cancelled.
+      this.waiting = undefined;
+      this.isWanted = false;
+      this.push(null);
+    }
+    this.updateReading();
+  }
+
+  private computeAllowed({ byteLength }: Buffer): number {
+    return Math.min(byteLength, this.pacer?.computeSliceBytes() ?? byteLength);
+  }
+
+  private sendSlice(waiting: Buffer, size: number): void {
+    const slice = size < waiting.byteLength ? waiting.subarray(0, size) : waiting;
+    this.waiting = size < waiting.byteLength ? takeRest(waiting.subarray(size)) : undefined;
+    this.unparsedBytes += size;
+    this.handedBytes += size;
     this.isWanted = false;
-    this.unparsedBytes += slice.byteLength;
-    this.handedBytes += slice.byteLength;
+    // The parser asks for more by `_read`.
     this.push(slice);
     this.pacer?.updateInput();
   }
+
+  private updateReading(): void {
+    const isFull = (this.waiting?.byteLength ?? 0) >= maxWaitingBytes;
+    if (isFull === this.raw.isPaused()) return;
+    if (isFull) this.raw.pause();
+    else this.raw.resume();
+  }
 }
