src: the setting max_memory, from which the memory for connections, requests and answers follows

Cause: the budget was a constant of 24 MiB; the requirement ties it to the host's memory, as the settings state it. More than 24 MiB: the heap's limit does not grow with the memory. Change: max_memory in both kinds of settings; computeBudgetBytes: 24 MiB from 250 MB on and without the setting, 11.2 MiB at 202 MB, 8 MiB at least. The templates write limits.memoryMb as MBe6, which YAML reads as a number of bytes. A body may have seven eighths of the budget (BufferBudget.maxBodyBytes), which leaves room for its answer and connection.

--- a/src/adapters/http/HttpFrontEnd.ts
+++ b/src/adapters/http/HttpFrontEnd.ts
@@ -250,7 +250,7 @@
     const { deadline, route } = opened.value;
     this.latestDeadline = Math.max(this.latestDeadline, deadline);
     const buffer = this.openBuffer(response);
-    const maxBytes = Math.min(route.maxBodyBytes, this.options.buffers?.maxBytes ?? Infinity);
+    const maxBytes = Math.min(route.maxBodyBytes, this.options.buffers?.maxBodyBytes ?? Infinity);
     const body = await readBody(request, {
       ...{ maxBytes, deadline, clock, buffer },
       stopSignal: this.partsEnded.signal,
--- a/src/adapters/yaml/commonSchemas.ts
+++ b/src/adapters/yaml/commonSchemas.ts
@@ -14,3 +14,12 @@
 export const dataFolderSchema = z
   .string('expected the path of a folder')
   .min(1, 'expected the path of a folder');
+
+const expectedMemory = 'expected a number of bytes from 1000000 to 1000000000000';
+
+/** Memory that a process may use, in bytes; empty when the platform sets no limit. */
+export const memorySchema = z
+  .number(expectedMemory)
+  .min(1_000_000, expectedMemory)
+  .max(1_000_000_000_000, expectedMemory)
+  .nullish();
--- a/src/adapters/yaml/parseFleetSettings.ts
+++ b/src/adapters/yaml/parseFleetSettings.ts
@@ -3,7 +3,7 @@
 import type Result from '../../domain/errors/Result.ts';
 import type FleetSettings from '../../domain/settings/FleetSettings.ts';
 import { defaultQuotas } from '../../domain/teams/computeCreditLimits.ts';
-import { dataFolderSchema, keySchema, logLevelSchema } from './commonSchemas.ts';
+import { dataFolderSchema, keySchema, logLevelSchema, memorySchema } from './commonSchemas.ts';
 import durationSchema from './durationSchema.ts';
 import listenAddressSchema from './listenAddressSchema.ts';
 import nameSchema from './nameSchema.ts';
@@ -24,6 +24,7 @@
     .min(64, expectedDescriptors)
     .max(10_000_000, expectedDescriptors)
     .nullish(),
+  max_memory: memorySchema,
   // In milliseconds, as all defaults of durations are.
   stop_timeout: durationSchema.default(30_000),
 };
@@ -107,6 +108,7 @@
     peerKey: settings.peer_key,
     logLevel: settings.log_level,
     maxDescriptors: settings.max_descriptors ?? undefined,
+    maxMemoryBytes: settings.max_memory ?? undefined,
     stopTimeoutMs: settings.stop_timeout,
   };
   if (settings.role === 'entry') {
--- a/src/adapters/yaml/parseSettings.ts
+++ b/src/adapters/yaml/parseSettings.ts
@@ -2,7 +2,7 @@
 
 import type Result from '../../domain/errors/Result.ts';
 import type DaemonSettings from '../../domain/settings/DaemonSettings.ts';
-import { dataFolderSchema, keySchema, logLevelSchema } from './commonSchemas.ts';
+import { dataFolderSchema, keySchema, logLevelSchema, memorySchema } from './commonSchemas.ts';
 import listenAddressSchema, { addressTextSchema } from './listenAddressSchema.ts';
 import nameSchema from './nameSchema.ts';
 import parseYaml from './parseYaml.ts';
@@ -21,6 +21,7 @@
     }),
   peer_key: keySchema,
   log_level: logLevelSchema,
+  max_memory: memorySchema,
   stop_grace_ms: z
     .int('expected a whole number from 0 to 60000')
     .min(0, 'expected a whole number from 0 to 60000')
@@ -90,6 +91,7 @@
       operatorKey: settings.role === 'control' ? settings.operator_key : undefined,
       dataFolder: settings.role === 'control' ? settings.data_folder : undefined,
       logLevel: settings.log_level,
+      maxMemoryBytes: settings.max_memory ?? undefined,
       stopGraceMs: settings.stop_grace_ms,
     },
   };
--- a/src/daemon/EntryHost.ts
+++ b/src/daemon/EntryHost.ts
@@ -31,6 +31,7 @@
 import SlotBalancer from '../domain/requests/SlotBalancer.ts';
 import TeamCounters from '../domain/teams/TeamCounters.ts';
 import type DaemonSettings from '../domain/settings/DaemonSettings.ts';
+import computeBudgetBytes from '../domain/memory/computeBudgetBytes.ts';
 import BufferBudget from '../domain/requests/BufferBudget.ts';
 import type Clock from '../ports/Clock.ts';
 import type Log from '../ports/Log.ts';
@@ -40,7 +41,6 @@
 import PeerNetwork from './PeerNetwork.ts';
 import TaskGroup from './TaskGroup.ts';
 import { createGates, createListedQuotas } from './createQuotas.ts';
-import maxBufferedBytes from './maxBufferedBytes.ts';
 
 // With 48 entry hosts, each upstream has about 400 connections.
 const connectionsPerUpstream = 8;
@@ -115,7 +115,7 @@
     });
     this.claims = new ClaimClient({ clock, random, log, holder, links });
     const buffers = new BufferBudget({
-      maxBytes: maxBufferedBytes,
+      maxBytes: computeBudgetBytes(settings.maxMemoryBytes),
       readNow: () => clock.now(),
     });
     this.upstreamClient = new UndiciUpstreamClient({ clock, connectionsPerUpstream, buffers });
--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -31,6 +31,7 @@
 import LowestCostBalancer from '../domain/requests/LowestCostBalancer.ts';
 import type { BalancerCosts } from '../domain/requests/LowestCostBalancer.ts';
 import type UsableUpstream from '../domain/requests/UsableUpstream.ts';
+import computeBudgetBytes from '../domain/memory/computeBudgetBytes.ts';
 import BufferBudget from '../domain/requests/BufferBudget.ts';
 import { splitEntryDescriptors } from '../domain/settings/splitDescriptors.ts';
 import type { FleetEntrySettings } from '../domain/settings/FleetSettings.ts';
@@ -54,7 +55,6 @@
 import listEntryGauges from './listEntryGauges.ts';
 import listUpstreamGauges from './listUpstreamGauges.ts';
 import listSeedPeers from './listSeedPeers.ts';
-import maxBufferedBytes from './maxBufferedBytes.ts';
 import readProcessorMs from './readProcessorMs.ts';
 
 // The listener accepts slightly more than a preset allows; the limits of the preset are checked for
@@ -210,7 +210,7 @@
       estimateAttemptMs: (operation) => this.observer.estimateLongMs(operation),
     });
     const buffers = new BufferBudget({
-      maxBytes: maxBufferedBytes,
+      maxBytes: computeBudgetBytes(settings.maxMemoryBytes),
       readNow: () => clock.now(),
     });
     this.upstreamClient = new UndiciUpstreamClient({
--- a/src/domain/requests/BufferBudget.ts
+++ b/src/domain/requests/BufferBudget.ts
@@ -16,6 +16,9 @@
 export default class BufferBudget {
   readonly maxBytes: number;
 
+  /** Largest body of a single request; the rest is for its answer and its connection. */
+  readonly maxBodyBytes: number;
+
   /** Number of buffers that were dropped to make room for others. */
   droppedCount = 0;
 
@@ -29,6 +32,7 @@
 
   constructor({ maxBytes, readNow = () => 0 }: BufferBudgetOptions) {
     this.maxBytes = maxBytes;
+    this.maxBodyBytes = Math.floor(keptShare * maxBytes);
     this.readNow = readNow;
   }
 
--- a/src/domain/settings/DaemonSettings.ts
+++ b/src/domain/settings/DaemonSettings.ts
@@ -33,6 +33,8 @@
   /** Set on control hosts. */
   readonly dataFolder: string | undefined;
   readonly logLevel: 'error' | 'warn' | 'info' | 'debug';
+  /** Memory that the process may use, in bytes; undefined for the default budget. */
+  readonly maxMemoryBytes: number | undefined;
   /** How long the listeners stay open after `/ready` begins to answer 503, in milliseconds. */
   readonly stopGraceMs: number;
 }
--- a/src/domain/settings/FleetSettings.ts
+++ b/src/domain/settings/FleetSettings.ts
@@ -24,6 +24,8 @@
    * operating system allows it.
    */
   readonly maxDescriptors: number | undefined;
+  /** Memory that the process may use, in bytes; undefined for the default budget. */
+  readonly maxMemoryBytes: number | undefined;
   /** Time from the stop signal until the platform kills the process, in milliseconds. */
   readonly stopTimeoutMs: number;
 }
--- a/tests/platform/memory.test.ts
+++ b/tests/platform/memory.test.ts
@@ -4,12 +4,14 @@
 import { fetch } from 'undici';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 
+import computeBudgetBytes from '../../src/domain/memory/computeBudgetBytes.ts';
 import PlatformFleet, { maxStartMs, ports } from '../fixtures/PlatformFleet.ts';
 import RawCaller from '../fixtures/RawCaller.ts';
 import RawUpstream from '../fixtures/RawUpstream.ts';
 
 // What the platform gives a process; one that uses more is killed.
 const maxMemoryMib = 250;
+const statedBytes = 202_000_000;
 const filler = Buffer.alloc(65_536, 'x');
 const maxBodyBytes = 67_108_864;
 
@@ -27,8 +29,14 @@
   });
 }
 
-describe('memory of a process', () => {
-  const fleet = new PlatformFleet({ controlHosts: 1, entryHosts: 1 });
+describe.each([
+  ['the default', undefined, maxMemoryMib],
+  [`${statedBytes} bytes`, statedBytes, statedBytes / 1_048_576],
+] as const)('memory of a process with %s', (...[, maxMemoryBytes, maxMib]) => {
+  const fleet = new PlatformFleet({
+    ...{ controlHosts: 1, entryHosts: 1 },
+    ...(maxMemoryBytes && { maxMemoryBytes }),
+  });
   const [ip = ''] = fleet.entryIps;
   const upstreams: RawUpstream[] = [];
 
@@ -91,9 +99,18 @@
     expect(await sendSound(30)).toEqual(Array.from({ length: 30 }, () => 200));
     const peak = await fleet.readPeakMemory(ip);
     process.stdout.write(`peak memory of the entry host: ${Math.round(peak)} MiB\n`);
-    expect(peak).toBeLessThan(maxMemoryMib);
+    expect(peak).toBeLessThan(maxMib);
   }
 
+  // Guards against a budget that refuses what a single caller may send in calm: one body of nearly
+  // all that the budget allows, with its answer.
+  it('should serve a single large body', async () => {
+    const body = Buffer.alloc(7 * Math.floor(computeBudgetBytes(maxMemoryBytes) / 8), 'x');
+    const answer = await fleet.sendRequest(ip, 'POST', '/sound/1', 'single', body);
+
+    expect(answer.status, answer.text).toBe(200);
+  });
+
   // Guards against an upstream whose answers without end use up the memory, so that the requests of
   // other callers end with the process.
   it(
@@ -159,7 +176,7 @@
       expect(read.status).toBe(200);
       const peak = await fleet.readPeakMemory(controlIp);
       process.stdout.write(`peak memory of the control host: ${Math.round(peak)} MiB\n`);
-      expect(peak).toBeLessThan(maxMemoryMib);
+      expect(peak).toBeLessThan(maxMib);
       callers.forEach(({ socket }) => socket.destroy());
     },
     maxStartMs,
--- a/tests/settings/parseFleetSettings.test.ts
+++ b/tests/settings/parseFleetSettings.test.ts
@@ -41,6 +41,7 @@
     ['10.0.0.1:80', 'ten:80', 'seeds.0'],
     ['role: entry', 'role: other', 'role'],
     ['other_domain_price: 0.25', 'other_domain_price: 0.25\nquotas: { slack: -1 }', 'quotas.slack'],
+    ['role: entry', 'role: entry\nmax_memory: many', 'max_memory'],
     ['0123456789abcdef', 'short', 'peer_key'],
     ['other_domain_price: 0.25', 'other_domain_price: 0.25\nother_price: 1', 'other_price'],
   ])('should name the invalid key when "%s" is changed to "%s"', (from, to, key) => {
@@ -60,10 +61,18 @@
           'bounds.quotaWindow': '5s',
           'bounds.quotaOvershoot': '0.1',
           'bounds.quotaSlack': '20',
+          'limits.memoryMb': '202',
         },
       },
     ],
     ['control', { 'listen.control': '10.0.0.3:80', dataDir: '/data' }],
+    [
+      'control',
+      {
+        ...{ 'listen.control': '10.0.0.3:80', dataDir: '/data' },
+        ...{ 'limits.memoryMb': '202', 'limits.maxFds': '2069' },
+      },
+    ],
   ])('should accept the rendered template of the role %s', async (role, roleFields) => {
     const fields: Readonly<Record<string, string>> = {
       nodeName: 'n-1',
@@ -94,6 +103,8 @@
     const parsed = parseFleetSettings('file', text);
 
     expect(parsed.ok ? parsed.value.role : parsed.failure.message).toBe(role);
+    const memoryBytes = 'limits.memoryMb' in roleFields ? 202_000_000 : undefined;
+    expect(parsed.ok && parsed.value.maxMemoryBytes).toBe(memoryBytes);
     if (!parsed.ok || parsed.value.role !== 'entry') return;
     const hasQuotas = 'bounds.quotaWindow' in roleFields;
     const { overshoot, slack } = parsed.value.quotas;
