tests/soak: crowds of misbehaving clients

Cause: the soak had strangers that break off, but no clients that together hold memory of a host. They are drawn from random numbers of their own. Conclusion: plans of earlier seeds stay as they are, with the crowds added.

--- a/tests/soak/SoakPlan.ts
+++ b/tests/soak/SoakPlan.ts
@@ -32,6 +32,9 @@
   | 'bad_document'
   | 'bad_instance';
 
+/** What each client of a crowd sends, which costs memory until its connection ends. */
+export type CrowdInput = 'stopped_body' | 'tiny_chunks' | 'short_fields' | 'unread_requests';
+
 /** How a stranger ends a connection; an idle one is closed after the time of the step. */
 export type StrangerEnding = 'reset' | 'late_reset' | 'reset_on_answer' | 'half_close' | 'idle';
 
@@ -54,7 +57,7 @@
   readonly role: 'control' | 'entry';
   readonly target: number;
   readonly listener: ListenerName;
-  readonly input: StrangerInput;
+  readonly input: StrangerInput | CrowdInput;
   readonly ending: StrangerEnding;
   readonly count: number;
   readonly atMs: number;
--- a/tests/soak/drawPlan.ts
+++ b/tests/soak/drawPlan.ts
@@ -1,6 +1,8 @@
 import { listeners } from '../fixtures/PlatformFleet.ts';
 import SeededRandom from '../fixtures/SeededRandom.ts';
+import crowdInputs from './crowdInputs.ts';
 import type {
+  CrowdInput,
   HostStep,
   LinkFault,
   SoakPlan,
@@ -24,6 +26,7 @@
 ];
 const hostKinds = ['kill', 'stop', 'stop', 'pause', 'hangup'] as const;
 const inputs = Object.keys(strangerInputs) as StrangerInput[];
+const crowds = Object.keys(crowdInputs) as CrowdInput[];
 const endings: readonly StrangerEnding[] = [
   ...(['reset', 'late_reset', 'reset_on_answer', 'half_close', 'idle'] as const),
 ];
@@ -34,6 +37,8 @@
 const maxReloadMs = 500;
 const maxGapMs = 1500;
 const overlapPresets = 4;
+// Crowds have random numbers of their own, so that the other steps of earlier seeds stay the same.
+const crowdSeedOffset = 500_000;
 
 /** Size of the runs that are drawn. */
 export interface PlanSize {
@@ -46,6 +51,7 @@
 /** Draws a plan; the same seed and size give the same plan. */
 export default function drawPlan({ seed, durationMs, size }: PlanSize): SoakPlan {
   const random = new SeededRandom(seed);
+  const crowdNumbers = new SeededRandom(seed + crowdSeedOffset);
   const draw = (count: number): number => Math.floor(random.next() * count);
   const choose = <Value>(values: readonly Value[]): Value => values[draw(values.length)] as Value;
   const controlHosts = size >= 12 ? 5 : 3;
@@ -137,6 +143,23 @@
     ];
   };
 
+  // Clients that together hold memory of a host for a while.
+  const drawCrowd = (): SoakStep => {
+    const drawFor = (count: number): number => Math.floor(crowdNumbers.next() * count);
+    const isEntry = crowdNumbers.next() < 0.7;
+    return {
+      ...({ kind: 'strangers', ending: 'idle' } as const),
+      ...(isEntry
+        ? ({ role: 'entry', listener: 'callers' } as const)
+        : ({ role: 'control', listener: 'operators' } as const)),
+      target: drawFor(isEntry ? size : controlHosts),
+      input: crowds[drawFor(crowds.length)] ?? 'stopped_body',
+      count: 10 + drawFor(20),
+      atMs: startMs + drawFor(faultMs),
+      forMs: 1000 + drawFor(3000),
+    };
+  };
+
   const perMinute = (count: number): number => Math.ceil((count * faultMs) / 60_000);
   const steps = [
     ...Array.from({ length: perMinute(16 + size) }, drawHostStep),
@@ -146,6 +169,7 @@
     ...drawStrangers(),
     ...Array.from({ length: perMinute(size) }, () => drawPlannedStop('entry', draw(size))),
     ...drawOverlap(),
+    ...Array.from({ length: perMinute(6) }, drawCrowd),
   ];
   return {
     ...{ seed, durationMs, controlHosts, entryHosts: size, upstreams },
--- a/tests/soak/sendStrangers.ts
+++ b/tests/soak/sendStrangers.ts
@@ -5,8 +5,10 @@
 
 import SeededRandom from '../fixtures/SeededRandom.ts';
 import type { DatagramStep, StrangerStep } from './SoakPlan.ts';
+import crowdInputs from './crowdInputs.ts';
 import strangerInputs from './strangerInputs.ts';
 
+const inputs = { ...strangerInputs, ...crowdInputs };
 const maxDatagramBytes = 1400;
 
 /** Where strangers send to. */
@@ -29,7 +31,8 @@
     if (ending === 'reset_on_answer') socket.resetAndDestroy();
   });
   socket.once('connect', () => {
-    socket.write(strangerInputs[input](id), 'latin1');
+    if (input === 'unread_requests') socket.pause();
+    socket.write(inputs[input](id), 'latin1');
     if (ending === 'reset') socket.resetAndDestroy();
     if (ending === 'half_close') socket.end();
   });
--- a/tests/soak/strangerInputs.ts
+++ b/tests/soak/strangerInputs.ts
@@ -3,7 +3,8 @@
 const manyRequests = 50;
 const manyFields = 3000;
 
-function createHead(line: string, id: string, fields = ''): string {
+/** Creates the head of a request; `fields` end with a line end each. */
+export function createHead(line: string, id: string, fields = ''): string {
   return `${line} HTTP/1.1\r\nhost: a.example\r\nx-attempt-id: ${id}\r\nx-time-budget-ms: 3000\r\n${fields}\r\n`;
 }
 
