src/adapters/http: what a calm connection sends is handed to the parser whole

Cause: a body of 4 KB reached the parser in two slices, at a cost for each. Change: while no request is open, up to 16 KiB with at most 64 lines go in one slice; 64 lines hold 32 requests at the most.

--- a/bench/pacingCost.ts
+++ b/bench/pacingCost.ts
@@ -2,15 +2,21 @@
 import type { ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
 import { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { fileURLToPath } from 'node:url';
 import { parseArgs } from 'node:util';
 
 import ConnectionPacing from '../src/adapters/http/ConnectionPacing.ts';
 import PacedServer from '../src/adapters/http/PacedServer.ts';
+import createHttpServer from '../src/adapters/http/createHttpServer.ts';
+import openServer from '../src/adapters/http/openServer.ts';
+import readBody from '../src/adapters/http/readBody.ts';
+import SystemClock from '../src/adapters/system/SystemClock.ts';
 import createEntryPath, { createUsable } from '../tests/fixtures/createEntryPath.ts';
 import createPreset, { createRoute } from '../tests/fixtures/createPreset.ts';
 import RawCaller from '../tests/fixtures/RawCaller.ts';
 import RawUpstream from '../tests/fixtures/RawUpstream.ts';
+import SilentLog from '../tests/fixtures/SilentLog.ts';
 
 // Processor time of an entry path for each request, with and without the layer between socket and
 // parser. Each case runs on both in turn.
@@ -22,6 +28,8 @@
     // Set in the processes that this program starts: the address of the upstream.
     upstream: { type: 'string' },
     layer: { type: 'string', default: 'on' },
+    // Measures a server that only reads the body and answers.
+    bare: { type: 'boolean', default: false },
   },
 });
 
@@ -34,17 +42,36 @@
 } as const;
 type Case = (typeof cases)[keyof typeof cases];
 
-async function runEntry(address: string): Promise<void> {
-  if (values.layer === 'off') {
-    PacedServer.prototype.emit = Server.prototype.emit;
-    ConnectionPacing.prototype.watchServer = () => undefined;
-  }
+async function openBare(): Promise<string> {
+  const clock = new SystemClock();
+  const { server } = createHttpServer({
+    ...{ clock, log: new SilentLog(), server: {}, failureMessage: 'bench' },
+    serve: async (request, response) => {
+      await readBody(request, { maxBytes: 65_536, deadline: clock.now() + 10_000, clock });
+      response.end('x'.repeat(1500));
+    },
+  });
+  const address = { ip: '127.0.0.1', port: 0 };
+  await openServer(server, { address, key: 'bench', log: new SilentLog() });
+  return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+async function openEntry(address: string): Promise<string> {
   const { origin } = await createEntryPath({
     upstreams: [createUsable('a', address)],
     preset: createPreset({
       routes: [createRoute(), createRoute({ method: 'POST', path: '/filters' })],
     }),
   });
+  return origin;
+}
+
+async function runEntry(address: string): Promise<void> {
+  if (values.layer === 'off') {
+    PacedServer.prototype.emit = Server.prototype.emit;
+    ConnectionPacing.prototype.watchServer = () => undefined;
+  }
+  const origin = values.bare ? await openBare() : await openEntry(address);
   process.on('message', () => process.send?.(process.cpuUsage()));
   process.send?.(origin);
 }
@@ -83,6 +110,7 @@
       const child = fork(fileURLToPath(import.meta.url), [
         `--upstream=${address}`,
         `--layer=${layer}`,
+        ...(values.bare ? ['--bare'] : []),
       ]);
       const [origin] = (await once(child, 'message')) as [string];
       return { layer, child, origin };
--- a/src/adapters/http/ConnectionPacing.ts
+++ b/src/adapters/http/ConnectionPacing.ts
@@ -16,11 +16,25 @@
 const sliceBytes = 1024;
 // The same while requests that were sent ahead have to wait.
 const scarceSliceBytes = 256;
+// Bytes that are handed over whole while no request is open, if they have few lines: each request
+// has two at least.
+const maxCalmBytes = 16_384;
+const maxCalmLines = 64;
+const lineFeed = 10;
 // Slices within a body in chunks, which may be of one byte each.
 const bodySliceBytes = 4096;
 // Slices within a body of a known length, of which the parser makes one piece each.
 const maxBodySliceBytes = 65_536;
 
+function hasFewLines(bytes: Buffer): boolean {
+  let [lines, lineEnd] = [0, bytes.indexOf(lineFeed)];
+  while (lineEnd >= 0 && lines < maxCalmLines) {
+    lines += 1;
+    lineEnd = bytes.indexOf(lineFeed, lineEnd + 1);
+  }
+  return lineEnd < 0;
+}
+
 /** Why a connection was closed. */
 type ClosedFor = 'memory' | 'requests_ahead' | 'unread_answer';
 
@@ -89,7 +103,7 @@
     };
     this.connections.set(socket, connection);
     socket.setPacer({
-      computeSliceBytes: () => this.computeSliceBytes(socket, connection),
+      computeSliceBytes: (waiting) => this.computeSliceBytes(socket, connection, waiting),
       updateInput: () => connection.account.setInput(socket.waitingBytes, socket.unparsedBytes),
     });
     socket.once('close', () => this.removeConnection(socket, connection));
@@ -128,13 +142,16 @@
   private computeSliceBytes(
     { handedBytes }: PacedSocket,
     { account, newestRequest, bodyEndsAt }: PacedConnection,
+    waiting: Buffer,
   ): number {
     // The rest of a request that was begun is always read.
     if (newestRequest && !newestRequest.complete) {
       return Math.max(bodySliceBytes, Math.min(maxBodySliceBytes, bodyEndsAt - handedBytes));
     }
     if (!account.mayParse) return 0;
-    return account.isAlone ? scarceSliceBytes : sliceBytes;
+    if (account.isAlone) return scarceSliceBytes;
+    const isCalm = account.openRequests === 0 && waiting.byteLength <= maxCalmBytes;
+    return isCalm && hasFewLines(waiting) ? maxCalmBytes : sliceBytes;
   }
 
   private closeConnection(socket: PacedSocket, limit: ClosedFor): void {
--- a/src/adapters/http/PacedSocket.ts
+++ b/src/adapters/http/PacedSocket.ts
@@ -12,8 +12,8 @@
 
 /** Decides how fast the bytes of a connection reach the parser. */
 export interface SocketPacer {
-  /** Number of bytes that the parser may get now; 0 while it has to wait. */
-  readonly computeSliceBytes: () => number;
+  /** Number of the waiting bytes that the parser may get now; 0 while it has to wait. */
+  readonly computeSliceBytes: (waiting: Buffer) => number;
   /** Called after bytes have arrived or were handed to the parser. */
   readonly updateInput: () => void;
 }
@@ -243,8 +243,9 @@
     this.updateReading();
   }
 
-  private computeAllowed({ byteLength }: Buffer): number {
-    return Math.min(byteLength, this.pacer?.computeSliceBytes() ?? byteLength);
+  private computeAllowed(waiting: Buffer): number {
+    const { byteLength } = waiting;
+    return Math.min(byteLength, this.pacer?.computeSliceBytes(waiting) ?? byteLength);
   }
 
   private sendSlice(waiting: Buffer, size: number): void {
