--- a/src/daemon/FleetEntryHost.ts
+++ b/src/daemon/FleetEntryHost.ts
@@ -18,6 +18,7 @@
 import SuspicionTracker from '../domain/detection/SuspicionTracker.ts';
 import type { HostStateName } from '../domain/membership/HostRecord.ts';
 import type Preset from '../domain/presets/Preset.ts';
+import computeBudgetBytes from '../domain/memory/computeBudgetBytes.ts';
 import BufferBudget from '../domain/requests/BufferBudget.ts';
 import { splitEntryDescriptors } from '../domain/settings/splitDescriptors.ts';
 import UpstreamStatements from '../domain/statements/UpstreamStatements.ts';
@@ -35,7 +36,6 @@
 import { createGates, createSharedQuotas } from './createQuotas.ts';
 import { connectTimeoutMs, connectionsPerUpstream, peerIdleCloseMs } from './fleetTimes.ts';
 import formatAddress from './formatAddress.ts';
-import maxBufferedBytes from './maxBufferedBytes.ts';
 import readProcessorMs from './readProcessorMs.ts';
 
 // The listener accepts slightly more than a preset allows; the limits of the preset are checked for
@@ -152,7 +152,7 @@
       estimateAttemptMs: (operation) => this.observer.estimateLongMs(operation),
     });
     const buffers = new BufferBudget({
-      maxBytes: maxBufferedBytes,
+      maxBytes: computeBudgetBytes(settings.maxMemoryBytes),
       readNow: () => clock.now(),
     });
     this.upstreamClient = new UndiciUpstreamClient({
--- a/src/daemon/maxBufferedBytes.ts
+++ /dev/null
@@ -1,1 +0,0 @@
-export { default } from '../domain/memory/maxBufferedBytes.ts';
