platform: a preset whose team has an invalid name or an empty key is refused

Cause: the name of a team goes to upstreams in a header. A name with control characters or characters above U+00FF was accepted, and each request of the team failed; an empty key was accepted as well. Ruled out: src/domain/presets/checkTeams.ts needs no change; its patterns refuse both already. Conclusion: names with spaces and letters up to U+00FF stay valid.

--- a/tests/platform/decode.test.ts
+++ b/tests/platform/decode.test.ts
@@ -325,6 +325,24 @@
     expect(decoded.ok ? '' : decoded.failure.message).not.toContain('k1');
   });
 
+  // Guards against a team whose every request fails, because upstreams can't receive its name in a
+  // header.
+  it.each([
+    ['a control character', { name: 'a\nb' }, 'tenants.0.name'],
+    ['a character above U+00FF', { name: 'd\u0100' }, 'tenants.0.name'],
+    ['an empty key', { apiKeys: ['k1', ''] }, 'tenants.0.apiKeys.1'],
+  ])('should refuse a team with %s', (_title, team, key) => {
+    const decoded = codec.decodePreset(writeTeams(team));
+
+    expect(decoded.ok ? '' : decoded.failure.kind).toBe('preset_invalid');
+    expect(decoded.ok ? '' : decoded.failure.message).toContain(`key ${key}:`);
+    expect(decoded.ok ? '' : decoded.failure.message).not.toContain('k1');
+  });
+
+  it('should accept names of teams with spaces and letters up to U+00FF', () => {
+    expect(codec.decodePreset(writeTeams({ name: 'Lager S\u00fcd' })).ok).toBe(true);
+  });
+
   // Guards against upstreams that fill the memory of a host with bodies that never end.
   it('should limit the size of answers', () => {
     const decoded = codec.decodePreset(JSON.stringify(document));
